--- /dev/null
+++ b/cmd/ragwortctl/main.go
@@ -0,0 +1,70 @@
+// Ragwortctl is the operators' program.
+//
+// Exit codes: 0 done, 1 failed, 2 bad settings or arguments, 3 the rules have
+// faults, 4 another operator's change came first.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/ragwortpass/ragwortpass/operator"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/rule"
+	"github.com/ragwortpass/ragwortpass/setting"
+)
+
+// Exit codes besides those of package setting.
+const (
+	exitRules    = 3
+	exitConflict = 4
+)
+
+// settings are the flags, environment variables and commands of the program.
+type settings struct {
+	Platform string   `help:"URL of the platform." default:"http://127.0.0.1:7000"`
+	Nodes    []string `help:"Addresses of entries and sidecars, besides the platform's VM list."`
+	Output   string   `help:"Form of the output." enum:"text,json" default:"text"`
+	Operator string   `help:"Name of the operator, kept with each change." env:"RAGWORT_OPERATOR,USER" default:"operator"`
+
+	Rules   rulesCommand   `cmd:"" help:"Check, compare, publish and show the rules."`
+	Key     keyCommand     `cmd:"" help:"Give, withdraw and list keys."`
+	Status  statusCommand  `cmd:"" help:"Show every process and upstream."`
+	Explain explainCommand `cmd:"" help:"Show the decisions taken about a request."`
+}
+
+// Check implements setting.Checked.
+func (s *settings) Check() error {
+	var c setting.Checker
+	c.URL("platform", s.Platform)
+	for _, n := range s.Nodes {
+		c.Endpoint("nodes", n)
+	}
+	return c.Err()
+}
+
+func main() {
+	var s settings
+	ctx := setting.Parse(&s, "ragwortctl", "Operates ragwortpass.")
+	o := operator.New(operator.Config{Platform: s.Platform, Nodes: s.Nodes, Name: s.Operator},
+		&http.Client{Transport: process.NewOutsideClient().Transport}, process.NewPeerClient())
+	err := ctx.Run(&run{o: o, json: s.Output == "json", out: os.Stdout})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var faults rule.Errors
+	var conflict *operator.ConflictError
+	switch {
+	case errors.As(err, &faults):
+		return exitRules
+	case errors.As(err, &conflict):
+		return exitConflict
+	}
+	return setting.ExitFailed
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,87 @@
+// Ragwort-standin runs a stand-in for a system around the router, for tests and
+// the demo.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/setting"
+	"github.com/ragwortpass/ragwortpass/standin"
+)
+
+type settings struct {
+	Listen string `help:"Address to serve on." required:""`
+
+	Platform platformCommand `cmd:"" help:"Run the platform: log, orders, usage reports, VM list."`
+	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
+}
+
+type platformCommand struct{}
+
+type engineCommand struct {
+	Models    []string      `help:"Models it serves." required:""`
+	Gap       time.Duration `help:"Time between tokens at full speed." default:"10ms"`
+	Batch     int           `help:"Answers it runs at full speed." default:"16"`
+	ColdBatch int           `help:"Answers it bears when cold." default:"4"`
+	Warm      bool          `help:"Start warm."`
+	Fencing   bool          `help:"Refuse orders that carry an old fencing number."`
+}
+
+type serviceCommand struct{}
+
+// Check implements setting.Checked.
+func (s *settings) Check() error {
+	var c setting.Checker
+	c.Endpoint("listen", s.Listen)
+	return c.Err()
+}
+
+func main() {
+	var s settings
+	ctx := setting.Parse(&s, "ragwort-standin", "Stands in for the systems around the router.")
+	if err := serve(s.Listen, ctx.Command(), s.handler(ctx.Command())); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(setting.ExitFailed)
+	}
+}
+
+func (s *settings) handler(command string) http.Handler {
+	switch command {
+	case "platform":
+		return standin.NewPlatform().Handler()
+	case "engine":
+		return s.Engine.engine().Handler()
+	default:
+		return standin.NewService().Handler()
+	}
+}
+
+func (c *engineCommand) engine() *standin.Engine {
+	cfg := standin.DefaultEngineConfig()
+	cfg.Gap, cfg.Batch, cfg.ColdBatch, cfg.Fencing = c.Gap, c.Batch, c.ColdBatch, c.Fencing
+	for _, m := range c.Models {
+		cfg.Models = append(cfg.Models, id.Model(m))
+	}
+	g := standin.NewEngine(cfg)
+	if c.Warm {
+		g.Warm()
+	}
+	return g
+}
+
+func serve(address, name string, h http.Handler) error {
+	signalled, stop := process.Signals()
+	defer stop()
+	return process.Serve(signalled, process.Service{
+		Address: address, Handler: h, Ready: func() error { return nil },
+		Metrics: metrics.NewRegistry(), Logger: process.NewLogger("standin", name), Grace: time.Second,
+	})
+}
--- /dev/null
+++ b/entry/completions.go
@@ -0,0 +1,137 @@
+package entry
+
+// This file defines the calls that reach model engines.
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/problem"
+)
+
+// bytesPerToken estimates a prompt's tokens from its length.
+const bytesPerToken = 4
+
+// completions serves chat and text completions.
+func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
+	rq, p := e.readCompletion(time.Now(), r)
+	if p != nil {
+		e.refuse(w, r, p)
+		return
+	}
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	e.dispatch(w, r, rq)
+}
+
+// readCompletion checks the body and returns the request.
+func (e *Entry) readCompletion(now time.Time, r *http.Request) (*request, *problem.Problem) {
+	rq, p := e.classify(now, r, e.deps.State.Rules().ModelRoute())
+	if p != nil {
+		return nil, p
+	}
+	body, p := readBody(r)
+	if p != nil {
+		return nil, p
+	}
+	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+		return nil, badRequest("body: expected a JSON object")
+	}
+	rq.uri = r.URL.Path
+	rq.chat = r.URL.Path == "/v1/chat/completions"
+	if p := checkPrompt(rq.chat, body); p != nil {
+		return nil, p
+	}
+	model := gjson.GetBytes(body, "model")
+	if model.Type != gjson.String || model.Str == "" {
+		return nil, badRequest("model: expected a name")
+	}
+	rq.model = id.Model(model.Str)
+	if e.deps.State.Rules().Models[rq.model] == nil {
+		return nil, problem.New(problem.ModelUnknown, problem.NotRun, http.StatusNotFound, "no model %q", rq.model)
+	}
+	if n := gjson.GetBytes(body, "max_tokens"); n.Exists() && (n.Type != gjson.Number || n.Num < 1) {
+		return nil, badRequest("max_tokens: expected a whole number above zero")
+	}
+	rq.stream = gjson.GetBytes(body, "stream").Bool()
+	rq.usage = gjson.GetBytes(body, "stream_options.include_usage").Bool()
+	rq.prompt = id.Tokens(len(body) / bytesPerToken)
+	rq.body, p = engineBody(rq, body)
+	return rq, p
+}
+
+func badRequest(detail string) *problem.Problem {
+	return problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "%s", detail)
+}
+
+func readBody(r *http.Request) ([]byte, *problem.Problem) {
+	body, err := io.ReadAll(r.Body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, problem.New(problem.BodyTooLarge, problem.NotRun, http.StatusRequestEntityTooLarge, "body: more than %d bytes", tooLarge.Limit)
+	case err != nil:
+		return nil, badRequest("body: " + err.Error())
+	}
+	return body, nil
+}
+
+func checkPrompt(chat bool, body []byte) *problem.Problem {
+	if chat {
+		m := gjson.GetBytes(body, "messages")
+		if !m.IsArray() || len(m.Array()) == 0 {
+			return badRequest("messages: expected a list with at least one message")
+		}
+		return nil
+	}
+	if !gjson.GetBytes(body, "prompt").Exists() {
+		return badRequest("prompt: expected a text")
+	}
+	return nil
+}
+
+// engineBody returns the body for the engine: with its priority, and with a usage
+// event, from which the answer is billed.
+func engineBody(rq *request, body []byte) ([]byte, *problem.Problem) {
+	body, err := sjson.SetBytes(body, "priority", int(rq.class.Tier))
+	if err == nil && rq.stream {
+		body, err = sjson.SetBytes(body, "stream_options.include_usage", true)
+	}
+	if err != nil {
+		return nil, badRequest("body: " + err.Error())
+	}
+	return body, nil
+}
+
+// models lists the models of the rules in the form of the models call.
+func (e *Entry) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID      id.Model `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		OwnedBy string   `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for name := range e.deps.State.Rules().Models {
+		list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: "ragwortpass"})
+	}
+	slices.SortFunc(list.Data, func(a, b model) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,126 @@
+// Package entry is the process that callers reach, behind the platform's
+// balancer. A request goes through filters in this order, each in a file of its
+// own: identify, classify, limit, admit, dispatch, relay, meter.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/justinas/alice"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/trace"
+	"github.com/ragwortpass/ragwortpass/upstream"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
+)
+
+// Config is what an entry learns from its settings.
+type Config struct {
+	Node        id.Node
+	DataCentre  id.DataCentre
+	Address     string   // IP and port at which other processes reach it
+	Seeds       []string // addresses of entries and sidecars, besides the VM list
+	Incarnation id.Incarnation
+	MaxBody     int64 // bytes of a request body
+}
+
+// Deps is what an entry works with.
+type Deps struct {
+	State    *journal.State
+	Follower *journal.Follower
+	Writer   *journal.Writer
+	Platform platform.Platform
+	Peers    *http.Client // towards sidecars and other entries
+	Traces   *trace.Log
+	Metrics  metrics.Registry
+	Logger   log.Logger
+}
+
+// Entry serves callers.
+type Entry struct {
+	cfg       Config
+	deps      Deps
+	upstreams *upstream.Table
+	members   *members
+	leaving   atomic.Bool
+	running   atomic.Int64
+	waiting   atomic.Int64
+}
+
+// New returns an entry; Run keeps its view of the other processes.
+func New(cfg Config, deps Deps) *Entry {
+	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
+	e.members = newMembers(e)
+	return e
+}
+
+// Run keeps the entry's view of the other processes until ctx is done.
+func (e *Entry) Run(ctx context.Context) { e.members.run(ctx) }
+
+// Handler serves callers, and the control calls of other processes.
+func (e *Entry) Handler() http.Handler {
+	chain := alice.New(e.accept, e.identify)
+	mux := http.NewServeMux()
+	mux.Handle(ragwortv1connect.NewNodeServiceHandler(&node{e: e}))
+	mux.Handle("POST /v1/chat/completions", chain.ThenFunc(e.completions))
+	mux.Handle("POST /v1/completions", chain.ThenFunc(e.completions))
+	mux.Handle("GET /v1/models", chain.ThenFunc(e.models))
+	mux.Handle("/services/{route}/{path...}", chain.ThenFunc(e.service))
+	mux.Handle("/", chain.ThenFunc(e.notFound))
+	return mux
+}
+
+// NotReadyError says why an entry does not take callers.
+type NotReadyError struct{ Why string }
+
+func (e *NotReadyError) Error() string { return "not ready: " + e.Why }
+
+// Ready returns nil if the entry takes callers.
+func (e *Entry) Ready() error {
+	if e.leaving.Load() {
+		return &NotReadyError{Why: "leaving"}
+	}
+	if !e.deps.Follower.CaughtUp() {
+		return &NotReadyError{Why: "log not read to its end"}
+	}
+	return nil
+}
+
+// Leave makes the entry unready; running requests finish.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+func (e *Entry) notFound(w http.ResponseWriter, r *http.Request) {
+	e.refuse(w, r, problem.New(problem.RouteUnknown, problem.NotRun, http.StatusNotFound, "no route for %s %s", r.Method, r.URL.Path))
+}
+
+// refuse counts, traces and sends a refusal.
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, p *problem.Problem) {
+	rq := requestID(r.Context())
+	p.Request = string(rq)
+	e.count("refused_" + string(p.Reason))
+	e.deps.Traces.Add(time.Now(), rq, "refuse", string(p.Reason), p.Detail)
+	p.Write(w)
+}
+
+func (e *Entry) count(name string) {
+	metrics.GetOrRegisterCounter(name, e.deps.Metrics).Inc(1)
+}
+
+// decide notes a decision for explain.
+func (e *Entry) decide(now time.Time, rq id.Request, step, reason, detail string) {
+	e.deps.Traces.Add(now, rq, step, reason, detail)
+}
+
+// callerGone reports whether err comes from the caller having left.
+func callerGone(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled)
+}
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,123 @@
+package entry
+
+// This file defines members: the other processes an entry knows, from its
+// settings and the platform's VM list, and the heartbeats it sends them.
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/upstream"
+	"github.com/ragwortpass/ragwortpass/wire"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
+)
+
+const (
+	heartbeatEvery   = 500 * time.Millisecond
+	heartbeatTimeout = time.Second
+	listEvery        = 2 * time.Second
+	forgetAfter      = 30 * time.Second
+)
+
+// members sends heartbeats to every known process.
+type members struct {
+	e *Entry
+
+	mu        sync.Mutex
+	addresses map[string]struct{}
+}
+
+func newMembers(e *Entry) *members {
+	m := &members{e: e, addresses: make(map[string]struct{})}
+	for _, a := range e.cfg.Seeds {
+		m.addresses[a] = struct{}{}
+	}
+	return m
+}
+
+// run exchanges heartbeats until ctx is done.
+func (m *members) run(ctx context.Context) {
+	beat := time.NewTicker(heartbeatEvery)
+	defer beat.Stop()
+	list := time.NewTicker(listEvery)
+	defer list.Stop()
+	m.list(ctx)
+	for {
+		m.beat(ctx)
+		m.e.upstreams.Forget(time.Now().Add(-forgetAfter))
+		select {
+		case <-ctx.Done():
+			return
+		case <-list.C:
+			go m.list(ctx)
+		case <-beat.C:
+		}
+	}
+}
+
+// list adds the sidecars of the VM list.
+func (m *members) list(ctx context.Context) {
+	vms, err := m.e.deps.Platform.VMs(ctx)
+	if err != nil {
+		m.e.count("vm_list_failed")
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.addresses)
+	for _, a := range m.e.cfg.Seeds {
+		m.addresses[a] = struct{}{}
+	}
+	for _, vm := range vms {
+		if vm.Address != m.e.cfg.Address {
+			m.addresses[vm.Address] = struct{}{}
+		}
+	}
+}
+
+// beat sends one heartbeat to every process, side by side.
+func (m *members) beat(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for a := range m.addresses {
+		go m.heartbeat(ctx, a)
+	}
+}
+
+func (m *members) heartbeat(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	client := ragwortv1connect.NewNodeServiceClient(m.e.deps.Peers, "http://"+address)
+	rs, err := client.Heartbeat(ctx, connect.NewRequest(&ragwortv1.HeartbeatRequest{
+		From: m.e.identity(), JournalOffset: uint64(m.e.deps.State.Offset()),
+	}))
+	if err != nil {
+		m.e.count("heartbeat_failed")
+		return
+	}
+	if rs.Msg.GetLoad() != nil {
+		m.e.upstreams.Update(view(time.Now(), rs.Msg))
+	}
+}
+
+// view returns what a sidecar's heartbeat tells of its upstream.
+func view(now time.Time, hb *ragwortv1.HeartbeatResponse) upstream.View {
+	l, n := hb.GetLoad(), hb.GetNode()
+	v := upstream.View{
+		ID: id.Upstream(l.GetUpstream()), Node: id.Node(n.GetId()), DataCentre: id.DataCentre(n.GetDataCentre()),
+		Address: n.GetAddress(), Service: id.Service(l.GetService()), Heard: now, Leaving: n.GetLeaving(),
+		Load: wire.Load{
+			Incarnation: id.Incarnation(l.GetIncarnation()), State: l.GetState(), Limit: int(l.GetLimit()),
+			Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Config: id.Offset(l.GetConfigOffset()),
+		},
+	}
+	for _, m := range l.GetModels() {
+		v.Models = append(v.Models, id.Model(m))
+	}
+	return v
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,74 @@
+package entry
+
+// This file defines the entry's control calls.
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/trace"
+	"github.com/ragwortpass/ragwortpass/upstream"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
+)
+
+// node serves the control calls of an entry.
+type node struct {
+	ragwortv1connect.UnimplementedNodeServiceHandler
+	e *Entry
+}
+
+// Heartbeat implements the NodeService.
+func (n *node) Heartbeat(_ context.Context, _ *connect.Request[ragwortv1.HeartbeatRequest]) (*connect.Response[ragwortv1.HeartbeatResponse], error) {
+	return connect.NewResponse(&ragwortv1.HeartbeatResponse{
+		Node: n.e.identity(), JournalOffset: uint64(n.e.deps.State.Offset()),
+	}), nil
+}
+
+// Explain implements the NodeService.
+func (n *node) Explain(_ context.Context, rq *connect.Request[ragwortv1.ExplainRequest]) (*connect.Response[ragwortv1.ExplainResponse], error) {
+	decisions := n.e.deps.Traces.Explain(id.Request(rq.Msg.GetRequest()))
+	return connect.NewResponse(&ragwortv1.ExplainResponse{Decisions: trace.ToWire(decisions)}), nil
+}
+
+// Status implements the NodeService.
+func (n *node) Status(_ context.Context, _ *connect.Request[ragwortv1.StatusRequest]) (*connect.Response[ragwortv1.StatusResponse], error) {
+	rs := &ragwortv1.StatusResponse{
+		Node:          n.e.identity(),
+		Version:       process.Version(),
+		Ready:         n.e.Ready() == nil,
+		JournalOffset: uint64(n.e.deps.State.Offset()),
+		RulesOffset:   uint64(n.e.deps.State.Rules().Offset),
+		Running:       n.e.running.Load(),
+		Waiting:       n.e.waiting.Load(),
+	}
+	for _, v := range n.e.upstreams.All() {
+		rs.Upstreams = append(rs.Upstreams, upstreamStatus(v))
+	}
+	return connect.NewResponse(rs), nil
+}
+
+func upstreamStatus(v upstream.View) *ragwortv1.UpstreamStatus {
+	l := &ragwortv1.UpstreamLoad{
+		Upstream: string(v.ID), Incarnation: uint64(v.Load.Incarnation), State: v.Load.State,
+		Limit: uint32(v.Load.Limit), Running: uint32(v.Load.Running), Waiting: uint32(v.Load.Waiting),
+		Service: string(v.Service), ConfigOffset: uint64(v.Load.Config),
+	}
+	for _, m := range v.Models {
+		l.Models = append(l.Models, string(m))
+	}
+	return &ragwortv1.UpstreamStatus{
+		Load: l, DataCentre: string(v.DataCentre), Address: v.Address,
+		Outstanding: uint32(v.Outstanding), LastHeardUnixMs: v.Heard.UnixMilli(),
+	}
+}
+
+func (e *Entry) identity() *ragwortv1.Node {
+	return &ragwortv1.Node{
+		Id: string(e.cfg.Node), Role: "entry", DataCentre: string(e.cfg.DataCentre), Address: e.cfg.Address,
+		Incarnation: uint64(e.cfg.Incarnation), Leaving: e.leaving.Load(),
+	}
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,38 @@
+package entry
+
+// This file defines the calls that reach plain services.
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/problem"
+)
+
+// service serves /services/{route}/...
+func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
+	rq, p := e.readService(time.Now(), r)
+	if p != nil {
+		e.refuse(w, r, p)
+		return
+	}
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	e.dispatch(w, r, rq)
+}
+
+func (e *Entry) readService(now time.Time, r *http.Request) (*request, *problem.Problem) {
+	path := "/" + r.PathValue("path")
+	t := e.deps.State.Rules().ServiceRoute(r.PathValue("route"), r.Method, path)
+	rq, p := e.classify(now, r, t)
+	if p != nil {
+		return nil, p
+	}
+	rq.service = t.Service
+	rq.uri = path
+	if r.URL.RawQuery != "" {
+		rq.uri += "?" + r.URL.RawQuery
+	}
+	rq.body, p = readBody(r)
+	return rq, p
+}
--- /dev/null
+++ b/process/metrics.go
@@ -0,0 +1,81 @@
+package process
+
+// This file defines the metrics pages: JSON as go-metrics writes it, and the
+// Prometheus text format as expfmt writes it.
+
+import (
+	"net/http"
+	"sort"
+	"strings"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+)
+
+const metricPrefix = "ragwort_"
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+func (s Service) json(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(s.Metrics, w)
+}
+
+func (s Service) prometheus(w http.ResponseWriter, r *http.Request) {
+	format := expfmt.NegotiateAccept(r.Header, expfmt.DefaultAcceptedFormats()...)
+	w.Header().Set("Content-Type", string(format))
+	encoder := expfmt.NewEncoder(w, format)
+	for _, family := range families(s.Metrics) {
+		if err := encoder.Encode(family); err != nil {
+			return
+		}
+	}
+}
+
+// families converts a registry, in the order of the names.
+func families(r metrics.Registry) []*dto.MetricFamily {
+	var all []*dto.MetricFamily
+	r.Each(func(name string, m any) {
+		if f := family(name, m); f != nil {
+			all = append(all, f)
+		}
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].GetName() < all[j].GetName() })
+	return all
+}
+
+func family(name string, m any) *dto.MetricFamily {
+	f := &dto.MetricFamily{Name: proto.String(metricPrefix + strings.NewReplacer(".", "_", "-", "_").Replace(name))}
+	switch v := m.(type) {
+	case metrics.Counter:
+		f.Type = dto.MetricType_COUNTER.Enum()
+		f.Metric = []*dto.Metric{{Counter: &dto.Counter{Value: proto.Float64(float64(v.Count()))}}}
+	case metrics.Gauge:
+		f.Type = dto.MetricType_GAUGE.Enum()
+		f.Metric = []*dto.Metric{{Gauge: &dto.Gauge{Value: proto.Float64(float64(v.Value()))}}}
+	case metrics.GaugeFloat64:
+		f.Type = dto.MetricType_GAUGE.Enum()
+		f.Metric = []*dto.Metric{{Gauge: &dto.Gauge{Value: proto.Float64(v.Value())}}}
+	case metrics.Histogram:
+		f.Type = dto.MetricType_SUMMARY.Enum()
+		f.Metric = []*dto.Metric{{Summary: summary(v.Snapshot())}}
+	default:
+		return nil
+	}
+	return f
+}
+
+func summary(h metrics.Histogram) *dto.Summary {
+	s := &dto.Summary{
+		SampleCount: proto.Uint64(uint64(h.Count())),
+		SampleSum:   proto.Float64(float64(h.Sum())),
+	}
+	for i, value := range h.Percentiles(quantiles) {
+		s.Quantile = append(s.Quantile, &dto.Quantile{
+			Quantile: proto.Float64(quantiles[i]), Value: proto.Float64(value),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,156 @@
+// Package process holds what every program does besides its own work: logs,
+// metrics, health pages, and serving until a signal with a graceful shutdown.
+package process
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs an event.
+func NewLogger(program, node string) log.Logger {
+	l := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	return log.With(l, "ts", log.DefaultTimestampUTC, "program", program, "node", node)
+}
+
+// Version returns the version the program was built from.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
+
+// Service is a program's HTTP side and how it shuts down.
+type Service struct {
+	Address string
+	Handler http.Handler
+	Ready   func() error // nil error: ready for work
+	Metrics metrics.Registry
+	Logger  log.Logger
+	Leave   func()        // called once when a signal arrives, before draining
+	Linger  time.Duration // between Leave and refusing new connections
+	Grace   time.Duration // for running requests; zero: without bound
+}
+
+// Signals returns a context that ends at SIGTERM or SIGINT.
+func Signals() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Serve serves until ctx is done, then lets every running request finish.
+func Serve(ctx context.Context, s Service) error {
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", s.Address)
+	}
+	server := NewServer(s.mux())
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(l) }()
+	_ = s.Logger.Log("event", "serving", "address", l.Addr(), "version", Version())
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	return s.shutdown(server)
+}
+
+func (s Service) shutdown(server *http.Server) error {
+	_ = s.Logger.Log("event", "leaving")
+	if s.Leave != nil {
+		s.Leave()
+	}
+	time.Sleep(s.Linger)
+	ctx, cancel := context.Background(), func() {}
+	if s.Grace > 0 {
+		ctx, cancel = context.WithTimeout(ctx, s.Grace)
+	}
+	defer cancel()
+	err := server.Shutdown(ctx)
+	_ = s.Logger.Log("event", "left", "err", err)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// NewServer returns a server that speaks HTTP/1.1 and unencrypted HTTP/2.
+func NewServer(h http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// NewPeerClient returns a client for the router's own processes, which speak
+// unencrypted HTTP/2.
+func NewPeerClient() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		Protocols:          protocols,
+		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression: true,
+		IdleConnTimeout:    idleTimeout,
+	}}
+}
+
+// NewOutsideClient returns a client for upstreams and the platform.
+func NewOutsideClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 256,
+		DisableCompression:  true,
+		IdleConnTimeout:     idleTimeout,
+	}}
+}
+
+func (s Service) mux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.HandleFunc("GET /metrics", s.prometheus)
+	mux.HandleFunc("GET /metrics.json", s.json)
+	mux.Handle("/", s.Handler)
+	return mux
+}
+
+func (s Service) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := s.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
--- /dev/null
+++ b/ragworttest/path_test.go
@@ -0,0 +1,153 @@
+package ragworttest_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/ragworttest"
+	"github.com/ragwortpass/ragwortpass/standin"
+)
+
+// small starts two entries before one sidecar with a model engine.
+func small(t *testing.T) (f *ragworttest.Fleet, entries []*ragworttest.Process, key string) {
+	f = ragworttest.NewFleet(t)
+	f.Publish(ragworttest.Rules(t, "hingeworks.rules"))
+	key, _ = f.Key("bangkok-forge")
+	g, url := f.Engine(standin.DefaultEngineConfig())
+	g.Warm()
+	side := f.Sidecar("s1", "th-a", url, "--models=temper-70b")
+	entries = []*ragworttest.Process{f.Entry("e1", "th-a"), f.Entry("e2", "th-b")}
+	side.Ready(t)
+	for _, e := range entries {
+		e.Ready(t)
+	}
+	return f, entries, key
+}
+
+func client(e *ragworttest.Process, key string) openai.Client {
+	return openai.NewClient(option.WithBaseURL("http://"+e.Address+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+}
+
+func chat(content string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     "temper-70b",
+		MaxTokens: openai.Int(32),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(content)},
+	}
+}
+
+func want(content string) string {
+	return strings.Join(standin.Answer(standin.ChatPrompt(content), 32), "")
+}
+
+func TestOfficialClient(t *testing.T) {
+	_, entries, key := small(t)
+	ctx, cancel := context.WithTimeout(t.Context(), ragworttest.Patience)
+	defer cancel()
+	for _, e := range entries {
+		c := client(e, key)
+
+		whole, err := c.Chat.Completions.New(ctx, chat("a hinge"))
+		require.NoError(t, err)
+		require.Equal(t, want("a hinge"), whole.Choices[0].Message.Content)
+
+		stream := c.Chat.Completions.NewStreaming(ctx, chat("a die"))
+		var got strings.Builder
+		for stream.Next() {
+			if choices := stream.Current().Choices; len(choices) > 0 {
+				got.WriteString(choices[0].Delta.Content)
+			}
+		}
+		require.NoError(t, stream.Err())
+		require.Equal(t, want("a die"), got.String())
+
+		models, err := c.Models.List(ctx)
+		require.NoError(t, err)
+		require.Equal(t, "temper-70b", models.Data[0].ID)
+
+		wrong := client(e, key+"x")
+		_, err = wrong.Chat.Completions.New(ctx, chat("a hinge"))
+		var refusal *openai.Error
+		require.ErrorAs(t, err, &refusal)
+		require.Equal(t, http.StatusUnauthorized, refusal.StatusCode)
+		require.Equal(t, string(problem.NotRun), refusal.Type)
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	_, entries, key := small(t)
+	cases := []struct {
+		name, method, path, body, class string
+		status                          int
+		reason                          problem.Reason
+	}{
+		{"not json", "POST", "/v1/chat/completions", "{", "", 400, problem.BadRequest},
+		{"no messages", "POST", "/v1/chat/completions", `{"model":"temper-70b"}`, "", 400, problem.BadRequest},
+		{"no model", "POST", "/v1/completions", `{"prompt":"x"}`, "", 400, problem.BadRequest},
+		{"other model", "POST", "/v1/completions", `{"prompt":"x","model":"y"}`, "", 404, problem.ModelUnknown},
+		{"other class", "POST", "/v1/completions", `{"prompt":"x","model":"temper-70b"}`, "urgent", 400, problem.ClassUnknown},
+		{"other route", "GET", "/services/nowhere/x", "", "", 404, problem.RouteUnknown},
+		{"other path", "GET", "/v2/chat", "", "", 404, problem.RouteUnknown},
+		{"too large", "POST", "/v1/completions", strings.Repeat("x", 9<<20), "", 413, problem.BodyTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			rq, err := http.NewRequestWithContext(t.Context(), c.method, "http://"+entries[0].Address+c.path, bytes.NewBufferString(c.body))
+			require.NoError(t, err)
+			rq.Header.Set("Authorization", "Bearer "+key)
+			if c.class != "" {
+				rq.Header.Set("X-Class", c.class)
+			}
+			rs, err := http.DefaultClient.Do(rq)
+			require.NoError(t, err)
+			defer rs.Body.Close()
+			var p problem.Problem
+			require.NoError(t, json.NewDecoder(rs.Body).Decode(&p))
+			require.Equal(t, c.status, rs.StatusCode)
+			require.Equal(t, c.reason, p.Reason)
+			require.Equal(t, problem.NotRun, p.Run)
+		})
+	}
+}
+
+func TestCallerCancels(t *testing.T) {
+	f, entries, key := small(t)
+	cfg := standin.DefaultEngineConfig()
+	cfg.Gap = 200 * time.Millisecond
+	slow, url := f.Engine(cfg)
+	f.Publish(strings.ReplaceAll(ragworttest.Rules(t, "hingeworks.rules"), "temper-70b", "slow-70b"))
+	f.Sidecar("s2", "th-a", url, "--models=slow-70b").Ready(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	body := `{"model":"slow-70b","stream":true,"max_tokens":64,"messages":[{"role":"user","content":"x"}]}`
+	var rs *http.Response
+	ragworttest.Eventually(t, func() bool {
+		rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entries[0].Address+"/v1/chat/completions", strings.NewReader(body))
+		require.NoError(t, err)
+		rq.Header.Set("Authorization", "Bearer "+key)
+		rs, err = http.DefaultClient.Do(rq) //nolint:bodyclose // closed below
+		require.NoError(t, err)
+		if rs.StatusCode != http.StatusOK {
+			_, _ = io.Copy(io.Discard, rs.Body)
+			rs.Body.Close()
+		}
+		return rs.StatusCode == http.StatusOK
+	}, "the slow model answers")
+	defer rs.Body.Close()
+	_, err := bufio.NewReader(rs.Body).ReadString('\n')
+	require.NoError(t, err)
+	cancel()
+	ragworttest.Eventually(t, func() bool { return slow.Stats().Cancelled == 1 }, "the engine sees the cancel")
+}
--- /dev/null
+++ b/rule/set.go
@@ -0,0 +1,122 @@
+package rule
+
+// This file defines Set, the rules of a whole file with their cross references
+// checked, and the lookups that the request path makes.
+
+import (
+	"strings"
+
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+// Set is a checked rules file. It is immutable and safe for concurrent use.
+type Set struct {
+	Offset     id.Offset // of the record that published it; zero: not published
+	Text       string
+	Classes    map[id.Class]*Class
+	Routes     map[id.Route]*Route
+	Workspaces map[id.Workspace]*Workspace
+	Models     map[id.Model]*Model
+	Upstreams  []*Upstream
+	Drains     map[id.DataCentre]*Drain
+	Fleets     []*Fleet
+
+	routeOrder []*Route // in the order of the file
+}
+
+func newSet() *Set {
+	return &Set{
+		Classes:    make(map[id.Class]*Class),
+		Routes:     make(map[id.Route]*Route),
+		Workspaces: make(map[id.Workspace]*Workspace),
+		Models:     make(map[id.Model]*Model),
+		Drains:     make(map[id.DataCentre]*Drain),
+	}
+}
+
+// Drained reports whether operators have taken dc out of service.
+func (s *Set) Drained(dc id.DataCentre) bool {
+	_, ok := s.Drains[dc]
+	return ok
+}
+
+// ModelRoute returns the first route to model engines, or nil.
+func (s *Set) ModelRoute() *Route {
+	for _, r := range s.routeOrder {
+		if r.Service == "" {
+			return r
+		}
+	}
+	return nil
+}
+
+// ServiceRoute returns the route for a call to /services/{name}{path}, or nil.
+// A name may have several rules; the first whose method and path match is used.
+func (s *Set) ServiceRoute(name, method, path string) *Route {
+	for _, r := range s.routeOrder {
+		if r.Service != "" && string(r.Service) == name && r.matches(method, path) {
+			return r
+		}
+	}
+	return nil
+}
+
+func (r *Route) matches(method, path string) bool {
+	if r.Method != "" && r.Method != method {
+		return false
+	}
+	return r.Path == "" || path == r.Path || strings.HasPrefix(path, strings.TrimSuffix(r.Path, "/")+"/")
+}
+
+// OpenTo reports whether workspace ws may use the route.
+func (r *Route) OpenTo(ws id.Workspace) bool {
+	if len(r.Workspaces) == 0 {
+		return true
+	}
+	for _, w := range r.Workspaces {
+		if w == ws {
+			return true
+		}
+	}
+	return false
+}
+
+// Allows reports whether the route serves class c.
+func (r *Route) Allows(c id.Class) bool {
+	for _, k := range r.Classes {
+		if k == c {
+			return true
+		}
+	}
+	return false
+}
+
+// UpstreamFor returns the rule that bounds an upstream: one that names it, else
+// one for its service or for one of its models, else nil.
+func (s *Set) UpstreamFor(name id.Upstream, models []id.Model, service id.Service) *Upstream {
+	var kind *Upstream
+	for _, u := range s.Upstreams {
+		if u.Name != "" {
+			if u.Name == name {
+				return u
+			}
+			continue
+		}
+		if kind == nil && u.covers(models, service) {
+			kind = u
+		}
+	}
+	return kind
+}
+
+func (u *Upstream) covers(models []id.Model, service id.Service) bool {
+	if u.Service != "" {
+		return u.Service == service
+	}
+	for _, m := range models {
+		if m == u.Model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/setting/setting.go
@@ -0,0 +1,114 @@
+// Package setting reads a program's settings from flags and environment
+// variables, and names every fault at once.
+package setting
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kong"
+)
+
+// Fault is one setting with a bad value.
+type Fault struct {
+	Flag   string
+	Value  string
+	Expect string
+}
+
+// Error names the flag, its value and what was expected.
+func (f *Fault) Error() string {
+	return fmt.Sprintf("--%s: bad value %q: expected %s", f.Flag, f.Value, f.Expect)
+}
+
+// Faults is every fault of a program's settings.
+type Faults []*Fault
+
+// Error returns one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, x := range f {
+		lines[i] = x.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Checker collects faults.
+type Checker struct{ faults Faults }
+
+// Endpoint checks an IP address with a port.
+func (c *Checker) Endpoint(flag, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fault(flag, value, "IP:port, such as 127.0.0.1:7000")
+	}
+}
+
+// URL checks an http URL whose host is an IP address with a port.
+func (c *Checker) URL(flag, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" {
+		c.fault(flag, value, "a URL such as http://127.0.0.1:7000")
+		return
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		c.fault(flag, value, "a URL such as http://127.0.0.1:7000")
+	}
+}
+
+// Name checks that a value is not empty and has no spaces.
+func (c *Checker) Name(flag, value string) {
+	if value == "" || strings.ContainsAny(value, " \t\n") {
+		c.fault(flag, value, "a name without spaces")
+	}
+}
+
+// Require notes a fault unless ok.
+func (c *Checker) Require(ok bool, flag, value, expect string) {
+	if !ok {
+		c.fault(flag, value, expect)
+	}
+}
+
+func (c *Checker) fault(flag, value, expect string) {
+	c.faults = append(c.faults, &Fault{Flag: flag, Value: value, Expect: expect})
+}
+
+// Err returns the faults as an error of type Faults, or nil.
+func (c *Checker) Err() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return c.faults
+}
+
+// Checked is a program's settings.
+type Checked interface {
+	Check() error
+}
+
+// Exit codes of the programs.
+const (
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+// Parse fills settings from flags and environment variables and checks them. It
+// ends the program with ExitSettings on a fault.
+func Parse(settings Checked, name, description string) *kong.Context {
+	ctx := kong.Parse(settings, kong.Name(name), kong.Description(description), kong.UsageOnError(),
+		kong.DefaultEnvars("RAGWORT"), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = ExitSettings
+			}
+			os.Exit(code)
+		}))
+	if err := settings.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(ExitSettings)
+	}
+	return ctx
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,323 @@
+// Package standin holds small stand-ins for the systems around the router: the
+// platform, a model engine and a plain service. Tests and the demo use them;
+// the router's programs do not.
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/platform"
+)
+
+const maxRecordBytes = 32 << 20
+
+// PlatformFaults are the ways in which the platform misbehaves.
+type PlatformFaults struct {
+	Outage      bool  `json:"outage"`       // the log answers 503
+	SlowMS      int   `json:"slow_ms"`      // every log call takes this much longer
+	LoseAnswers int   `json:"lose_answers"` // the next appends take effect and are not answered
+	LoseReports int   `json:"lose_reports"` // the next orders and reports take effect and are not answered
+	Keep        int   `json:"keep"`         // records kept; zero: all
+	AppendRate  int   `json:"append_rate"`  // appends a second; zero: no limit
+	VMLagMS     int64 `json:"vm_lag_ms"`    // by which the VM list lags
+}
+
+// Platform stands in for the platform's log, orders, usage reports and VM list.
+type Platform struct {
+	mu      sync.Mutex
+	faults  PlatformFaults
+	first   id.Offset
+	records []platform.Record
+	grown   chan struct{}
+	second  int64 // Unix second of the appends counted in appends
+	appends int
+
+	orders  []OrderSeen
+	reports []ReportSeen
+	terms   map[string]id.Term // highest fencing number seen, by interface
+	vms     map[id.Node]vmSeen
+}
+
+// OrderSeen is an order with the time it came and whether it was taken.
+type OrderSeen struct {
+	At    time.Time      `json:"at"`
+	Order platform.Order `json:"order"`
+	Taken bool           `json:"taken"`
+}
+
+// ReportSeen is a usage report with the time it came and whether it was taken.
+type ReportSeen struct {
+	At     time.Time            `json:"at"`
+	Report platform.UsageReport `json:"report"`
+	Taken  bool                 `json:"taken"`
+}
+
+// vmSeen is a VM with its state before and after its last change.
+type vmSeen struct {
+	vm      platform.VM
+	listed  bool // before the change
+	before  platform.VMState
+	changed time.Time
+	removed bool
+}
+
+// NewPlatform returns a platform with an empty log.
+func NewPlatform() *Platform {
+	return &Platform{
+		first: 1,
+		grown: make(chan struct{}),
+		terms: make(map[string]id.Term),
+		vms:   make(map[id.Node]vmSeen),
+	}
+}
+
+// Handler serves the platform's interface, and its admin pages.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/log/records", p.append)
+	mux.HandleFunc("GET /v1/log/records", p.read)
+	mux.HandleFunc("POST /v1/orders", p.order)
+	mux.HandleFunc("POST /v1/usage-reports", p.report)
+	mux.HandleFunc("GET /v1/vms", p.list)
+	mux.HandleFunc("POST /admin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f PlatformFaults
+		if decode(w, r, &f) {
+			p.SetFaults(f)
+		}
+	})
+	mux.HandleFunc("POST /admin/vms", func(w http.ResponseWriter, r *http.Request) {
+		var vm platform.VM
+		if decode(w, r, &vm) {
+			p.SetVM(time.Now(), vm)
+		}
+	})
+	mux.HandleFunc("DELETE /admin/vms/{id}", func(_ http.ResponseWriter, r *http.Request) {
+		p.RemoveVM(time.Now(), id.Node(r.PathValue("id")))
+	})
+	mux.HandleFunc("GET /admin/orders", func(w http.ResponseWriter, _ *http.Request) { encode(w, p.OrdersSeen()) })
+	mux.HandleFunc("GET /admin/reports", func(w http.ResponseWriter, _ *http.Request) { encode(w, p.ReportsSeen()) })
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	return mux
+}
+
+// SetFaults replaces the faults in force.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	p.trim()
+}
+
+// SetVM adds a VM to the list or changes its state.
+func (p *Platform) SetVM(now time.Time, vm platform.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, ok := p.vms[vm.ID]
+	p.vms[vm.ID] = vmSeen{vm: vm, listed: ok && !old.removed, before: old.vm.State, changed: now}
+}
+
+// RemoveVM takes a VM off the list.
+func (p *Platform) RemoveVM(now time.Time, vm id.Node) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old, ok := p.vms[vm]; ok {
+		p.vms[vm] = vmSeen{vm: old.vm, listed: true, before: old.vm.State, changed: now, removed: true}
+	}
+}
+
+// OrdersSeen returns every order that came.
+func (p *Platform) OrdersSeen() []OrderSeen {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]OrderSeen{}, p.orders...)
+}
+
+// ReportsSeen returns every usage report that came.
+func (p *Platform) ReportsSeen() []ReportSeen {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]ReportSeen{}, p.reports...)
+}
+
+// trim drops records beyond those kept. The caller holds the lock.
+func (p *Platform) trim() {
+	if over := len(p.records) - p.faults.Keep; p.faults.Keep > 0 && over > 0 {
+		p.records = p.records[over:]
+		p.first += id.Offset(over)
+	}
+}
+
+// fault applies outage and slowness to a log call; it reports false if the call
+// has been answered.
+func (p *Platform) fault(w http.ResponseWriter) bool {
+	p.mu.Lock()
+	f := p.faults
+	p.mu.Unlock()
+	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+	if f.Outage {
+		http.Error(w, "log outage", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+func (p *Platform) append(w http.ResponseWriter, r *http.Request) {
+	payload, err := io.ReadAll(io.LimitReader(r.Body, maxRecordBytes))
+	if err != nil || !p.fault(w) {
+		return
+	}
+	p.mu.Lock()
+	if p.overRate(time.Now()) {
+		p.mu.Unlock()
+		http.Error(w, "append rate exceeded", http.StatusServiceUnavailable)
+		return
+	}
+	offset := p.first + id.Offset(len(p.records))
+	p.records = append(p.records, platform.Record{Offset: offset, Payload: payload})
+	p.trim()
+	close(p.grown)
+	p.grown = make(chan struct{})
+	lose := p.faults.LoseAnswers > 0
+	if lose {
+		p.faults.LoseAnswers--
+	}
+	p.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	encode(w, map[string]id.Offset{"offset": offset})
+}
+
+// overRate counts an append and reports whether it is over the rate. The caller
+// holds the lock.
+func (p *Platform) overRate(now time.Time) bool {
+	if now.Unix() != p.second {
+		p.second, p.appends = now.Unix(), 0
+	}
+	p.appends++
+	return p.faults.AppendRate > 0 && p.appends > p.faults.AppendRate
+}
+
+func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	waitMS, err2 := strconv.Atoi(r.FormValue("wait_ms"))
+	if err != nil || err2 != nil {
+		http.Error(w, "after, wait_ms: expected whole numbers", http.StatusBadRequest)
+		return
+	}
+	end := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	defer end.Stop()
+	for waiting := true; ; {
+		if !p.fault(w) {
+			return
+		}
+		page, grown := p.page(id.Offset(after))
+		if len(page.Records) > 0 || page.First > id.Offset(after)+1 || !waiting {
+			encode(w, page)
+			return
+		}
+		select {
+		case <-grown:
+		case <-end.C:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// pageRecords is the most records in one page.
+const pageRecords = 1000
+
+func (p *Platform) page(after id.Offset) (platform.Page, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	page := platform.Page{First: p.first, Newest: p.first + id.Offset(len(p.records)) - 1, Records: []platform.Record{}}
+	if after+1 >= p.first && after < page.Newest {
+		rest := p.records[after+1-p.first:]
+		page.Records = append(page.Records, rest[:min(len(rest), pageRecords)]...)
+	}
+	return page, p.grown
+}
+
+func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if !decode(w, r, &o) {
+		return
+	}
+	p.fenced(w, "orders", o.Fencing, func(taken bool) {
+		p.orders = append(p.orders, OrderSeen{At: time.Now(), Order: o, Taken: taken})
+	})
+}
+
+func (p *Platform) report(w http.ResponseWriter, r *http.Request) {
+	var u platform.UsageReport
+	if !decode(w, r, &u) {
+		return
+	}
+	p.fenced(w, "reports", u.Fencing, func(taken bool) {
+		p.reports = append(p.reports, ReportSeen{At: time.Now(), Report: u, Taken: taken})
+	})
+}
+
+// fenced takes a call unless a higher fencing number has been seen, and notes it
+// either way.
+func (p *Platform) fenced(w http.ResponseWriter, name string, term id.Term, note func(taken bool)) {
+	p.mu.Lock()
+	highest := p.terms[name]
+	taken := term >= highest
+	if taken {
+		p.terms[name] = term
+	}
+	note(taken)
+	lose := p.faults.LoseReports > 0
+	if lose {
+		p.faults.LoseReports--
+	}
+	p.mu.Unlock()
+	switch {
+	case lose:
+		panic(http.ErrAbortHandler)
+	case !taken:
+		http.Error(w, "highest fencing number seen is "+strconv.FormatUint(uint64(highest), 10), http.StatusConflict)
+	default:
+		encode(w, struct{}{})
+	}
+}
+
+func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	lag := time.Duration(p.faults.VMLagMS) * time.Millisecond
+	list := []platform.VM{}
+	for _, v := range p.vms {
+		vm, listed := v.vm, !v.removed
+		if now.Sub(v.changed) < lag {
+			vm.State, listed = v.before, v.listed
+		}
+		if listed {
+			list = append(list, vm)
+		}
+	}
+	encode(w, map[string][]platform.VM{"vms": list})
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func encode(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
