--- a/problem/problem.go
+++ b/problem/problem.go
@@ -53,6 +53,7 @@
 	UpstreamDraining Reason = "upstream_draining"
 	UpstreamFailed   Reason = "upstream_failed"
 	UpstreamCut      Reason = "upstream_cut"
+	Preempted        Reason = "preempted"
 	UpstreamEmpty    Reason = "upstream_empty"
 	AnswerCrossed    Reason = "answer_crossed"
 	AnswerTruncated  Reason = "answer_truncated"
--- a/wire/header.go
+++ b/wire/header.go
@@ -34,6 +34,10 @@
 	HeaderRefused   = HeaderPrefix + "Refused" // set: the sidecar refused; the body is its problem
 )
 
+// EventPreempted is the type of the last event of a stream that a sidecar ended
+// to make room for a higher tier. The answer goes on from where it stopped.
+const EventPreempted = "ragwort_preempted"
+
 // HeaderRequestID names a request towards callers and upstreams.
 const HeaderRequestID = "X-Request-Id"
 
