entry, sidecar: keep the wiring of a program in the library

cmd/entry and cmd/sidecar held the wiring in main, so nothing else could run an entry or sidecar inside its own process. Settings and NewProgram move to the packages; process.Service gains Tasks and Abort. Behaviour is the same.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -2,97 +2,23 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
-	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
-	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
-	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/sidecar"
-	"github.com/ragwortpass/ragwortpass/trace"
 )
 
-// settings are the flags and environment variables of the program.
-type settings struct {
-	Node        string        `help:"Name of this process, unique in the fleet." required:""`
-	DataCentre  string        `help:"Data centre this process runs in." required:""`
-	Listen      string        `help:"Address to serve on." default:"127.0.0.1:8081"`
-	Advertise   string        `help:"Address at which entries reach this process; the listen address if empty."`
-	Platform    string        `help:"URL of the platform." required:""`
-	Upstream    string        `help:"Name of the upstream beside this process." required:""`
-	UpstreamURL string        `help:"URL of the upstream." required:""`
-	Models      []string      `help:"Models that the upstream serves."`
-	Service     string        `help:"Plain service that the upstream is."`
-	Traces      int           `help:"Requests whose decisions are kept for explain." default:"5000"`
-	Linger      time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
-}
-
-// Check implements setting.Checked.
-func (s *settings) Check() error {
-	var c setting.Checker
-	c.Name("node", s.Node)
-	c.Name("data-centre", s.DataCentre)
-	c.Name("upstream", s.Upstream)
-	c.Endpoint("listen", s.Listen)
-	if s.Advertise == "" {
-		s.Advertise = s.Listen
-	}
-	c.Endpoint("advertise", s.Advertise)
-	c.URL("platform", s.Platform)
-	c.URL("upstream-url", s.UpstreamURL)
-	c.Require((len(s.Models) > 0) != (s.Service != ""), "models", fmt.Sprint(s.Models), "either models or a service")
-	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
-	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
-	return c.Err()
-}
-
 func main() {
-	var s settings
+	var s sidecar.Settings
 	setting.Parse(&s, "ragwort-sidecar", "Guards one upstream.")
-	if err := run(&s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(setting.ExitFailed)
-	}
-}
-
-func run(s *settings) error {
-	logger := process.NewLogger("sidecar", s.Node)
-	counts := metrics.NewRegistry()
-	now := time.Now()
-	state := journal.NewState()
-	follower := journal.NewFollower(platform.New(s.Platform, process.NewOutsideClient()), state, logger, counts)
-	cfg := sidecar.Config{
-		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
-		Upstream: id.Upstream(s.Upstream), UpstreamURL: s.UpstreamURL, Service: id.Service(s.Service),
-		Incarnation: id.Incarnation(now.UnixNano()),
-	}
-	for _, m := range s.Models {
-		cfg.Models = append(cfg.Models, id.Model(m))
-	}
-	c := sidecar.New(cfg, sidecar.Deps{
-		State: state, Client: process.NewOutsideClient(),
-		Traces: trace.New(cfg.Node, s.Traces), Metrics: counts, Logger: logger,
-	})
-
 	signalled, stop := process.Signals()
 	defer stop()
-	background, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	for _, task := range []func(context.Context){follower.Run, c.Run} {
-		wg.Go(func() { task(background) })
+	p := sidecar.NewProgram(time.Now(), &s, process.NewLogger("sidecar", s.Node))
+	if err := p.Run(signalled); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(setting.ExitFailed)
 	}
-	err := process.Serve(signalled, process.Service{
-		Address: s.Listen, Handler: c.Handler(), Ready: c.Ready, Metrics: counts, Logger: logger,
-		Leave: c.Leave, Linger: s.Linger,
-	})
-	cancel()
-	wg.Wait()
-	return err
 }
--- /dev/null
+++ b/entry/program.go
@@ -0,0 +1,87 @@
+package entry
+
+// This file defines Settings and Program: an entry with everything it works
+// with, as cmd/entry runs it and as a bench runs many in one process.
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/setting"
+	"github.com/ragwortpass/ragwortpass/trace"
+)
+
+// Settings are the flags and environment variables of the program.
+type Settings struct {
+	Node       string        `help:"Name of this process, unique in the fleet." required:""`
+	DataCentre string        `help:"Data centre this process runs in." required:""`
+	Listen     string        `help:"Address to serve on." default:"127.0.0.1:8080"`
+	Advertise  string        `help:"Address at which other processes reach this one; the listen address if empty."`
+	Platform   string        `help:"URL of the platform." required:""`
+	Seeds      []string      `help:"Addresses of other entries and sidecars, besides the platform's VM list."`
+	MaxBody    int64         `help:"Most bytes of a request body." default:"8388608"`
+	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
+	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
+}
+
+// Check implements setting.Checked.
+func (s *Settings) Check() error {
+	var c setting.Checker
+	c.Name("node", s.Node)
+	c.Name("data-centre", s.DataCentre)
+	c.Endpoint("listen", s.Listen)
+	if s.Advertise == "" {
+		s.Advertise = s.Listen
+	}
+	c.Endpoint("advertise", s.Advertise)
+	c.URL("platform", s.Platform)
+	for _, seed := range s.Seeds {
+		c.Endpoint("seeds", seed)
+	}
+	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
+	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
+	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
+	return c.Err()
+}
+
+// Program is an entry with its log reader, its log writer and its server.
+type Program struct {
+	Deps    Deps
+	Service process.Service
+}
+
+// NewProgram returns an entry that has not started yet.
+func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
+	counts := metrics.NewRegistry()
+	p := platform.New(s.Platform, process.NewOutsideClient())
+	state := journal.NewState()
+	follower := journal.NewFollower(p, state, logger, counts)
+	writer := journal.NewWriter(p, state, id.New(s.Node, now), logger, counts)
+	deps := Deps{
+		State: state, Follower: follower, Writer: writer, Platform: p, Peers: process.NewPeerClient(),
+		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
+	}
+	e := New(Config{
+		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
+		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody,
+	}, deps)
+	return &Program{
+		Deps: deps,
+		Service: process.Service{
+			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: counts, Logger: logger,
+			Leave: e.Leave, Linger: s.Linger,
+			Tasks: []func(context.Context){follower.Run, writer.Run, e.Run},
+		},
+	}
+}
+
+// Run serves until ctx is done and every running request has finished.
+func (p *Program) Run(ctx context.Context) error { return process.Serve(ctx, p.Service) }
--- a/process/process.go
+++ b/process/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -51,9 +52,11 @@
 	Ready   func() error // nil error: ready for work
 	Metrics metrics.Registry
 	Logger  log.Logger
-	Leave   func()        // called once when a signal arrives, before draining
-	Linger  time.Duration // between Leave and refusing new connections
-	Grace   time.Duration // for running requests; zero: without bound
+	Leave   func()                  // called once when a signal arrives, before draining
+	Linger  time.Duration           // between Leave and refusing new connections
+	Grace   time.Duration           // for running requests; zero: without bound
+	Abort   <-chan struct{}         // closed: cut what runs and end at once; nil: never
+	Tasks   []func(context.Context) // run beside the server until their context is done
 }
 
 // Signals returns a context that ends at SIGTERM or SIGINT.
@@ -61,24 +64,51 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// Serve serves until ctx is done, then lets every running request finish.
+// Serve serves until ctx is done, then lets every running request finish. The
+// tasks go on until then.
 func Serve(ctx context.Context, s Service) error {
 	l, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Address)
 	}
 	server := NewServer(s.mux())
+	defer s.run(ctx)()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-s.Abort:
+			_ = server.Close()
+		case <-ended:
+		}
+	}()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	_ = s.Logger.Log("event", "serving", "address", l.Addr(), "version", Version())
 	select {
 	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
 		return eris.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
 	return s.shutdown(server)
 }
 
+// run starts the tasks and returns a function that ends them and waits.
+func (s Service) run(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	for _, task := range s.Tasks {
+		wg.Go(func() { task(ctx) })
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 func (s Service) shutdown(server *http.Server) error {
 	_ = s.Logger.Log("event", "leaving")
 	if s.Leave != nil {
--- /dev/null
+++ b/sidecar/program.go
@@ -0,0 +1,91 @@
+package sidecar
+
+// This file defines Settings and Program: a sidecar with everything it works
+// with, as cmd/sidecar runs it and as a bench runs many in one process.
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/setting"
+	"github.com/ragwortpass/ragwortpass/trace"
+)
+
+// Settings are the flags and environment variables of the program.
+type Settings struct {
+	Node        string        `help:"Name of this process, unique in the fleet." required:""`
+	DataCentre  string        `help:"Data centre this process runs in." required:""`
+	Listen      string        `help:"Address to serve on." default:"127.0.0.1:8081"`
+	Advertise   string        `help:"Address at which entries reach this process; the listen address if empty."`
+	Platform    string        `help:"URL of the platform." required:""`
+	Upstream    string        `help:"Name of the upstream beside this process." required:""`
+	UpstreamURL string        `help:"URL of the upstream." required:""`
+	Models      []string      `help:"Models that the upstream serves."`
+	Service     string        `help:"Plain service that the upstream is."`
+	Traces      int           `help:"Requests whose decisions are kept for explain." default:"5000"`
+	Linger      time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
+}
+
+// Check implements setting.Checked.
+func (s *Settings) Check() error {
+	var c setting.Checker
+	c.Name("node", s.Node)
+	c.Name("data-centre", s.DataCentre)
+	c.Name("upstream", s.Upstream)
+	c.Endpoint("listen", s.Listen)
+	if s.Advertise == "" {
+		s.Advertise = s.Listen
+	}
+	c.Endpoint("advertise", s.Advertise)
+	c.URL("platform", s.Platform)
+	c.URL("upstream-url", s.UpstreamURL)
+	c.Require((len(s.Models) > 0) != (s.Service != ""), "models", fmt.Sprint(s.Models), "either models or a service")
+	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
+	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
+	return c.Err()
+}
+
+// Program is a sidecar with its log reader and its server.
+type Program struct {
+	Deps    Deps
+	Service process.Service
+}
+
+// NewProgram returns a sidecar that has not started yet.
+func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
+	counts := metrics.NewRegistry()
+	state := journal.NewState()
+	follower := journal.NewFollower(platform.New(s.Platform, process.NewOutsideClient()), state, logger, counts)
+	cfg := Config{
+		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
+		Upstream: id.Upstream(s.Upstream), UpstreamURL: s.UpstreamURL, Service: id.Service(s.Service),
+		Incarnation: id.Incarnation(now.UnixNano()),
+	}
+	for _, m := range s.Models {
+		cfg.Models = append(cfg.Models, id.Model(m))
+	}
+	deps := Deps{
+		State: state, Client: process.NewOutsideClient(),
+		Traces: trace.New(cfg.Node, s.Traces), Metrics: counts, Logger: logger,
+	}
+	c := New(cfg, deps)
+	return &Program{
+		Deps: deps,
+		Service: process.Service{
+			Address: s.Listen, Handler: c.Handler(), Ready: c.Ready, Metrics: counts, Logger: logger,
+			Leave: c.Leave, Linger: s.Linger,
+			Tasks: []func(context.Context){follower.Run, c.Run},
+		},
+	}
+}
+
+// Run serves until ctx is done and every running request has finished.
+func (p *Program) Run(ctx context.Context) error { return process.Serve(ctx, p.Service) }
