--- a/cmd/ragwortctl/commands.go
+++ b/cmd/ragwortctl/commands.go
@@ -40,7 +40,7 @@
 }
 
 type rulesCheck struct {
-	File string `arg:"" help:"Rules file." type:"existingfile"`
+	File string `arg:"" help:"Rules file."`
 }
 
 // Run checks a file.
@@ -58,7 +58,7 @@
 }
 
 type rulesDiff struct {
-	File string `arg:"" help:"Rules file." type:"existingfile"`
+	File string `arg:"" help:"Rules file."`
 }
 
 // Run compares a file, line by line, with the rules in force.
@@ -105,7 +105,7 @@
 }
 
 type rulesPublish struct {
-	File string `arg:"" help:"Rules file." type:"existingfile"`
+	File string `arg:"" help:"Rules file."`
 	Base int64  `help:"Offset of the rules that the file was made from; those in force if negative." default:"-1"`
 }
 
@@ -259,3 +259,30 @@
 	}
 	return r.print(decisions, b.String())
 }
+
+type drainCommand struct {
+	DataCentre string `arg:"" help:"Data centre."`
+	Comment    string `help:"Who asked for it, and why." required:""`
+}
+
+// Run takes a data centre out of service.
+func (c *drainCommand) Run(r *run) error {
+	offset, err := r.o.Drain(context.Background(), time.Now(), id.DataCentre(c.DataCentre), c.Comment)
+	if err != nil {
+		return err
+	}
+	return r.print(map[string]any{"offset": offset}, fmt.Sprintf("%s drained at offset %d\n", c.DataCentre, offset))
+}
+
+type undrainCommand struct {
+	DataCentre string `arg:"" help:"Data centre."`
+}
+
+// Run puts a data centre back into service.
+func (c *undrainCommand) Run(r *run) error {
+	offset, err := r.o.Undrain(context.Background(), time.Now(), id.DataCentre(c.DataCentre))
+	if err != nil {
+		return err
+	}
+	return r.print(map[string]any{"offset": offset}, fmt.Sprintf("%s back in service at offset %d\n", c.DataCentre, offset))
+}
--- a/cmd/ragwortctl/main.go
+++ b/cmd/ragwortctl/main.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"os"
 
+	"github.com/willabides/kongplete"
+
 	"github.com/ragwortpass/ragwortpass/operator"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/rule"
@@ -33,6 +35,10 @@
 	Key     keyCommand     `cmd:"" help:"Give, withdraw and list keys."`
 	Status  statusCommand  `cmd:"" help:"Show every process and upstream."`
 	Explain explainCommand `cmd:"" help:"Show the decisions taken about a request."`
+	Drain   drainCommand   `cmd:"" help:"Take a data centre out of service: publish the rules with a drain rule."`
+	Undrain undrainCommand `cmd:"" help:"Put a data centre back into service."`
+
+	Completions kongplete.InstallCompletions `cmd:"" help:"Print the lines that make a shell complete commands and flags."`
 }
 
 // Check implements setting.Checked.
@@ -47,7 +53,9 @@
 
 func main() {
 	var s settings
-	ctx := setting.Parse(&s, "ragwortctl", "Operates ragwortpass.")
+	parser := setting.Parser(&s, "ragwortctl", "Operates ragwortpass.")
+	kongplete.Complete(parser)
+	ctx := setting.ParseWith(parser, &s)
 	o := operator.New(operator.Config{Platform: s.Platform, Nodes: s.Nodes, Name: s.Operator},
 		&http.Client{Transport: process.NewOutsideClient().Transport}, process.NewPeerClient())
 	err := ctx.Run(&run{o: o, json: s.Output == "json", out: os.Stdout})
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -95,17 +95,31 @@
 	ExitSettings = 2
 )
 
-// Parse fills settings from flags and environment variables and checks them. It
-// ends the program with ExitSettings on a fault.
-func Parse(settings Checked, name, description string) *kong.Context {
-	ctx := kong.Parse(settings, kong.Name(name), kong.Description(description), kong.UsageOnError(),
-		kong.DefaultEnvars("RAGWORT"), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+// EnvPrefix starts the name of every environment variable.
+const EnvPrefix = "RAGWORT"
+
+// Parser returns the parser of a program's flags and environment variables.
+func Parser(settings Checked, name, description string) *kong.Kong {
+	return kong.Must(settings, kong.Name(name), kong.Description(description), kong.UsageOnError(),
+		kong.DefaultEnvars(EnvPrefix), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Exit(func(code int) {
 			if code != 0 {
 				code = ExitSettings
 			}
 			os.Exit(code)
 		}))
+}
+
+// Parse fills settings from flags and environment variables and checks them. It
+// ends the program with ExitSettings on a fault.
+func Parse(settings Checked, name, description string) *kong.Context {
+	return ParseWith(Parser(settings, name, description), settings)
+}
+
+// ParseWith is Parse with a parser made by Parser.
+func ParseWith(parser *kong.Kong, settings Checked) *kong.Context {
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
 	if err := settings.Check(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(ExitSettings)
