--- /dev/null
+++ b/cmd/ragwortctl/main_test.go
@@ -0,0 +1,11 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/ragwortpass/ragwortpass/setting/settingtest"
+)
+
+func TestSettingsTable(t *testing.T) {
+	settingtest.Compare(t, "../../docs/OPERATORS.md", "ragwortctl", &settings{})
+}
