--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -44,7 +44,7 @@
 
 func TestPublishRefusesFaults(t *testing.T) {
 	o, _ := newOperator(t)
-	_, err := o.Publish(t.Context(), time.Now(), "f", "clas name=a # x", 0)
+	_, err := o.Publish(t.Context(), time.Now(), "f", "group name=a # x", 0)
 	var faults rule.Errors
 	require.ErrorAs(t, err, &faults)
 	require.Equal(t, id.Offset(0), rules(t, o).Offset)
