entry, retry: resume cut answers, and bound retries by a budget for each class

A stream that was cut, preempted, crossed midway or ended without a finish reason goes on at another upstream as the same chat with the text so far as a final assistant message (continue_final_message). What cannot go on (several choices, logprobs, structured output, tool calls) ends in an error event. An empty answer leaves no trace, since nothing is sent before the first content. A 5xx of an engine is no answer. retry.Budget charges attempts that may have run; refused ones are free but bounded. A refusal says not_run only if no earlier attempt may have run. The stand-in engine counts max_tokens of a continued message from the text that is there, as published engines do.

--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,93 @@
+package entry
+
+// This file defines one attempt of a request at one upstream.
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/upstream"
+	"github.com/ragwortpass/ragwortpass/wire"
+)
+
+// statusCallerGone is logged for a caller that has left; nobody receives it.
+const statusCallerGone = 499
+
+// result is how an attempt ended: *answered, *refused or *broken.
+type result interface{ result() }
+
+// answered says that the caller has got the whole answer.
+type answered struct{ used used }
+
+// refused says that the attempt was not run.
+type refused struct{ problem *problem.Problem }
+
+// broken says that the attempt may have run and gave no whole answer.
+type broken struct{ problem *problem.Problem }
+
+func (*answered) result() {}
+func (*refused) result()  {}
+func (*broken) result()   {}
+
+// attempt sends the request to one upstream's sidecar and relays the answer.
+func (e *Entry) attempt(ctx context.Context, a *answer, u *upstream.View, n int) result {
+	defer e.upstreams.Finish(u.ID)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	rq := a.rq
+	hr, err := http.NewRequestWithContext(ctx, rq.method, "http://"+u.Address+rq.uri, bytes.NewReader(a.body()))
+	if err != nil {
+		return &refused{problem.New(problem.Internal, problem.NotRun, http.StatusInternalServerError, "%v", err)}
+	}
+	hr.Header = rq.header.Clone()
+	if rq.once() {
+		hr.GetBody = nil // else the transport may send it a second time
+	}
+	e.envelope(rq, n).Set(hr.Header)
+	rs, err := e.deps.Peers.Do(hr)
+	if err != nil {
+		return sendFailure(ctx, u, err)
+	}
+	defer rs.Body.Close()
+	if l, ok := wire.ParseLoad(rs.Header.Get(wire.HeaderLoad)); ok {
+		e.upstreams.Piggyback(u.ID, l, time.Now())
+	}
+	res := e.relay(a, u, rs)
+	if b, ok := res.(*broken); ok {
+		return brokenWhile(ctx, u, b)
+	}
+	return res
+}
+
+// sendFailure judges a request that got no response. A failed dial means that no
+// byte can have arrived.
+func sendFailure(ctx context.Context, u *upstream.View, err error) result {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &refused{problem.New(problem.UpstreamFailed, problem.NotRun, http.StatusBadGateway, "upstream %s: %v", u.ID, err)}
+	}
+	return brokenWhile(ctx, u, brokenBy(problem.UpstreamFailed, u, err.Error()))
+}
+
+// brokenWhile names the cause of a broken attempt if it lies on the caller's side.
+func brokenWhile(ctx context.Context, u *upstream.View, b *broken) result {
+	if callerGone(ctx) {
+		return &broken{problem.New(problem.CallerGone, problem.Unknown, statusCallerGone, "the caller has left")}
+	}
+	if ctx.Err() != nil {
+		return &broken{problem.New(problem.DeadlineExceeded, problem.Unknown, http.StatusGatewayTimeout, "deadline passed at upstream %s", u.ID)}
+	}
+	return b
+}
+
+func (e *Entry) envelope(rq *request, attempt int) wire.Envelope {
+	return wire.Envelope{
+		Request: rq.id, Key: rq.key.ID, Workspace: rq.workspace(), Class: rq.class.Name, Tier: rq.class.Tier,
+		Deadline: rq.deadline, Attempt: attempt, Config: e.deps.State.Offset(), Once: rq.once(),
+	}
+}
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -37,6 +37,9 @@
 	chat   bool
 	prompt id.Tokens // estimated from the length of the text
 
+	choices   int  // answers asked for in one
+	resumable bool // a cut answer can go on from its text
+
 	// Of plain services.
 	service id.Service
 }
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -58,11 +58,13 @@
 	if e.deps.State.Rules().Models[rq.model] == nil {
 		return nil, problem.New(problem.ModelUnknown, problem.NotRun, http.StatusNotFound, "no model %q", rq.model)
 	}
-	if n := gjson.GetBytes(body, "max_tokens"); n.Exists() && (n.Type != gjson.Number || n.Num < 1) {
-		return nil, badRequest("max_tokens: expected a whole number above zero")
+	if p := checkTokenLimits(body); p != nil {
+		return nil, p
 	}
 	rq.stream = gjson.GetBytes(body, "stream").Bool()
 	rq.usage = gjson.GetBytes(body, "stream_options.include_usage").Bool()
+	rq.choices = max(1, int(gjson.GetBytes(body, "n").Int()))
+	rq.resumable = rq.chat && rq.stream && canResume(body)
 	rq.prompt = id.Tokens(len(body) / bytesPerToken)
 	rq.body, p = engineBody(rq, body)
 	return rq, p
@@ -98,6 +100,15 @@
 	return nil
 }
 
+func checkTokenLimits(body []byte) *problem.Problem {
+	for _, name := range tokenLimits {
+		if n := gjson.GetBytes(body, name); n.Exists() && n.Type != gjson.Null && (n.Type != gjson.Number || n.Num < 1) {
+			return badRequest(name + ": expected a whole number above zero")
+		}
+	}
+	return nil
+}
+
 // engineBody returns the body for the engine: with its priority, and with a usage
 // event, from which the answer is billed.
 func engineBody(rq *request, body []byte) ([]byte, *problem.Problem) {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -4,125 +4,148 @@
 // refused.
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/retry"
 	"github.com/ragwortpass/ragwortpass/upstream"
-	"github.com/ragwortpass/ragwortpass/wire"
 )
 
-const maxAttempts = 3
+// maxAvoid is how many upstreams a request remembers that failed it.
+const maxAvoid = 4
 
-// result is how an attempt ended: *answered, *refused or *broken.
-type result interface{ result() }
-
-// answered says that the caller has got the whole answer.
-type answered struct{ used used }
-
-// refused says that the attempt was not run.
-type refused struct{ problem *problem.Problem }
-
-// broken says that the attempt may have run and gave no whole answer.
-type broken struct {
-	problem *problem.Problem
-	used    used // delivered before it broke
+// run is the attempts of one request.
+type run struct {
+	e       *Entry
+	a       *answer
+	budget  *retry.Budget
+	avoid   []id.Upstream // failed the request, the latest last
+	call    retry.Call
+	arrived bool // an attempt may have run
 }
 
-func (*answered) result() {}
-func (*refused) result()  {}
-func (*broken) result()   {}
-
 // dispatch runs attempts until one answers.
 func (e *Entry) dispatch(w http.ResponseWriter, r *http.Request, rq *request) {
 	ctx, cancel := withDeadline(r.Context(), rq.deadline)
 	defer cancel()
-	a := &answer{w: w, rq: rq}
-	var avoid []id.Upstream
+	now := time.Now()
+	n := &run{e: e, a: &answer{w: w, rq: rq}, budget: e.budgets.Of(now, rq.class.Name)}
+	n.call.Once = rq.once()
+	n.budget.Earn(now)
+	got, p := n.attempts(ctx)
+	if p != nil {
+		n.end(r, p)
+		return
+	}
+	e.meter(rq, got)
+	e.decide(time.Now(), rq.id, "relay", "answered", fmt.Sprintf("output_tokens=%d", got.output))
+}
+
+func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+// attempts runs attempts until the answer is whole or the request is given up.
+func (n *run) attempts(ctx context.Context) (used, *problem.Problem) {
 	for attempt := 1; ; attempt++ {
-		u, p := e.admit(ctx, rq, avoid)
+		u, p := n.e.admit(ctx, n.a.rq, n.avoid)
 		if p != nil {
-			e.end(r, a, p)
-			return
+			return used{}, p
 		}
-		switch res := e.attempt(ctx, a, rq, u, attempt).(type) {
+		before := n.a.output
+		switch res := n.e.attempt(ctx, n.a, u, attempt).(type) {
 		case *answered:
-			e.meter(rq, res.used)
-			e.decide(time.Now(), rq.id, "relay", "answered", "upstream="+string(u.ID)+" output_tokens="+strconv.FormatInt(int64(res.used.output), 10))
-			return
+			return res.used, nil
 		case *refused:
-			e.count("retried_" + string(res.problem.Reason))
-			e.decide(time.Now(), rq.id, "dispatch", string(res.problem.Reason), res.problem.Detail)
-			avoid = nil
-			if res.problem.Reason != problem.UpstreamBusy {
-				avoid = []id.Upstream{u.ID}
-			}
+			n.call.Refused++
+			p = n.again(ctx, u, res.problem)
 		case *broken:
-			e.decide(time.Now(), rq.id, "dispatch", string(res.problem.Reason), res.problem.Detail)
-			if a.started || rq.once() || attempt >= maxAttempts || ctx.Err() != nil {
-				e.meter(rq, res.used)
-				e.end(r, a, res.problem)
-				return
-			}
-			e.count("retried_" + string(res.problem.Reason))
-			avoid = []id.Upstream{u.ID}
+			n.failed(res.problem, before)
+			p = n.again(ctx, u, res.problem)
+		}
+		if p != nil {
+			return used{}, p
+		}
+		if n.a.exhausted() {
+			n.a.event(n.a.finishChunk("length"))
+			return n.e.complete(n.a, "", n.a.output).(*answered).used, nil
 		}
 	}
 }
 
-func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	if deadline.IsZero() {
-		return context.WithCancel(ctx)
+// failed counts an attempt that may have run.
+func (n *run) failed(p *problem.Problem, before id.Tokens) {
+	n.arrived = true
+	switch {
+	case p.Reason == problem.Preempted:
+		n.call.Refused++
+	case n.a.output > before:
+		n.call.Fruitless = 0
+	default:
+		n.call.Fruitless++
 	}
-	return context.WithDeadline(ctx, deadline)
 }
 
-// end finishes an answer that could not be completed: with a refusal if nothing
-// was relayed, else with an explicit error event.
-func (e *Entry) end(r *http.Request, a *answer, p *problem.Problem) {
-	if !a.started {
-		e.refuse(a.w, r, p)
-		return
-	}
-	p.Request = string(a.rq.id)
-	e.count("cut_" + string(p.Reason))
-	if !a.rq.stream {
-		panic(http.ErrAbortHandler)
+// again prepares the next attempt after one at u failed with p; it returns the
+// final refusal if there is none.
+func (n *run) again(ctx context.Context, u *upstream.View, p *problem.Problem) *problem.Problem {
+	now, rq := time.Now(), n.a.rq
+	n.call.Relayed, n.call.Resumable = n.a.started, n.a.resumable()
+	switch d := n.budget.Judge(now, n.call, retry.Failure{Reason: p.Reason, Run: p.Run}).(type) {
+	case *retry.Stop:
+		n.e.decide(now, rq.id, "retry", "stop", fmt.Sprintf("upstream=%s failure=%s run=%s detail=%q", u.ID, p.Reason, p.Run, p.Detail))
+		final := *p
+		final.Reason, final.RetryAfter = d.Reason, d.RetryAfter
+		return &final
+	case *retry.Again:
+		n.e.count("retried_" + string(p.Reason))
+		n.e.decide(now, rq.id, "retry", "again", fmt.Sprintf("upstream=%s failure=%s run=%s resume=%t charged=%t output_tokens=%d", u.ID, p.Reason, p.Run, n.a.started, d.Charged, n.a.output))
+		n.avoid = append(n.avoid, u.ID)
+		n.avoid = n.avoid[max(0, len(n.avoid)-maxAvoid):]
+		if n.a.started {
+			rq.startBy = now.Add(rq.class.Wait) // the wait for the rest counts anew
+		}
+		pause(ctx, d.After)
 	}
-	doc, _ := json.Marshal(p)
-	a.write("event: error\ndata: " + string(doc) + "\n\n")
+	return nil
 }
 
-// attempt sends the request to one upstream's sidecar and relays the answer.
-func (e *Entry) attempt(ctx context.Context, a *answer, rq *request, u *upstream.View, n int) result {
-	defer e.upstreams.Finish(u.ID)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	hr, err := http.NewRequestWithContext(ctx, rq.method, "http://"+u.Address+rq.uri, bytes.NewReader(rq.body))
-	if err != nil {
-		return &refused{problem.New(problem.Internal, problem.NotRun, http.StatusInternalServerError, "%v", err)}
-	}
-	hr.Header = rq.header.Clone()
-	e.envelope(rq, n).Set(hr.Header)
-	rs, err := e.deps.Peers.Do(hr)
-	if err != nil {
-		return sendFailure(ctx, u, err)
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
 	}
-	defer rs.Body.Close()
-	if l, ok := wire.ParseLoad(rs.Header.Get(wire.HeaderLoad)); ok {
-		e.upstreams.Piggyback(u.ID, l, time.Now())
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	return e.relay(a, u, rs)
 }
 
-func (e *Entry) envelope(rq *request, attempt int) wire.Envelope {
-	return wire.Envelope{
-		Request: rq.id, Key: rq.key.ID, Workspace: rq.workspace(), Class: rq.class.Name, Tier: rq.class.Tier,
-		Deadline: rq.deadline, Attempt: attempt, Config: e.deps.State.Offset(), Once: rq.once(),
+// end finishes an answer that could not be completed: with a refusal if nothing
+// was relayed, else with an explicit error event. What was relayed is billed.
+func (n *run) end(r *http.Request, p *problem.Problem) {
+	final := *p
+	if n.arrived {
+		final.Run = problem.Unknown // of an earlier attempt
+	}
+	if !n.a.started {
+		n.e.refuse(n.a.w, r, &final)
+		return
+	}
+	final.Request = string(n.a.rq.id)
+	n.e.meter(n.a.rq, used{output: n.a.output})
+	n.e.count("cut_" + string(final.Reason))
+	n.e.decide(time.Now(), n.a.rq.id, "relay", "cut", "reason="+string(final.Reason))
+	if !n.a.rq.stream {
+		panic(http.ErrAbortHandler)
 	}
+	n.a.fail(&final)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/retry"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
@@ -51,6 +52,7 @@
 	deps      Deps
 	upstreams *upstream.Table
 	members   *members
+	budgets   retry.Budgets
 	leaving   atomic.Bool
 	running   atomic.Int64
 	waiting   atomic.Int64
--- a/route/route.go
+++ b/route/route.go
@@ -2,6 +2,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -39,11 +40,12 @@
 func (*Full) decision()   {}
 func (*None) decision()   {}
 
-// Choose returns the usable upstream with the least load for its limit.
+// Choose returns the usable upstream with the least load for its limit. One that
+// is to be avoided is used only if no other has room.
 func Choose(now time.Time, rules *rule.Set, views []upstream.View, ask Ask) Decision {
 	var best *upstream.View
 	var bestLoad float64
-	usable := false
+	bestAvoided, usable := false, false
 	for i := range views {
 		v := &views[i]
 		if !eligible(now, rules, v, ask) {
@@ -55,8 +57,13 @@
 			continue
 		}
 		load := float64(busy) / float64(max(1, v.Load.Limit))
-		if best == nil || load < bestLoad {
-			best, bestLoad = v, load
+		avoided := slices.Contains(ask.Avoid, v.ID)
+		better := load < bestLoad
+		if avoided != bestAvoided {
+			better = bestAvoided
+		}
+		if best == nil || better {
+			best, bestLoad, bestAvoided = v, load, avoided
 		}
 	}
 	switch {
@@ -72,11 +79,6 @@
 	if v.Leaving || !upstream.State(v.Load.State).TakesWork() || now.Sub(v.Heard) > Staleness || rules.Drained(v.DataCentre) {
 		return false
 	}
-	for _, u := range ask.Avoid {
-		if u == v.ID {
-			return false
-		}
-	}
 	if ask.Service != "" {
 		return v.Service == ask.Service
 	}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -85,10 +86,16 @@
 	rs, err := s.send(r, e)
 	if err != nil {
 		evidence.Failed = r.Context().Err() == nil
-		s.refuse(w, e, problem.New(problem.UpstreamFailed, problem.Unknown, http.StatusBadGateway, "upstream %s: %v", s.cfg.Upstream, err))
+		s.refuse(w, e, s.sendFailure(err))
 		return
 	}
 	defer rs.Body.Close()
+	if s.cfg.Service == "" && rs.StatusCode == http.StatusServiceUnavailable {
+		evidence.Failed = true
+		s.life.Apply(upstream.Lost)
+		s.refuse(w, e, problem.New(problem.UpstreamFailed, problem.Unknown, http.StatusBadGateway, "upstream %s: %s", s.cfg.Upstream, rs.Status))
+		return
+	}
 	wire.DropInternal(rs.Header)
 	copyHeaders(w.Header(), rs.Header)
 	w.Header().Set(wire.HeaderLoad, s.load().String())
@@ -121,6 +128,18 @@
 	return true
 }
 
+// sendFailure judges a request that got no response. A failed dial means that no
+// byte can have arrived, and that the upstream is gone.
+func (s *Sidecar) sendFailure(err error) *problem.Problem {
+	run := problem.Unknown
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		run = problem.NotRun
+		s.life.Apply(upstream.Lost)
+	}
+	return problem.New(problem.UpstreamFailed, run, http.StatusBadGateway, "upstream %s: %v", s.cfg.Upstream, err)
+}
+
 // send passes the request on without the router's own headers.
 func (s *Sidecar) send(r *http.Request, e wire.Envelope) (*http.Response, error) {
 	rq, err := http.NewRequestWithContext(r.Context(), r.Method, s.cfg.UpstreamURL+r.URL.RequestURI(), r.Body)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -143,6 +143,7 @@
 	}
 	_ = rs.Body.Close()
 	if rs.StatusCode != http.StatusOK {
+		s.life.Apply(upstream.Lost)
 		return
 	}
 	s.life.Apply(upstream.Answered)
--- a/standin/completion.go
+++ b/standin/completion.go
@@ -95,9 +95,13 @@
 
 func (g *Engine) newGeneration(w http.ResponseWriter, r *http.Request, call completionCall) *generation {
 	text, have := call.prompt()
+	whole := call.MaxTokens
+	if whole > 0 {
+		whole += have // max_tokens bounds what is added to the text that is there
+	}
 	n := &generation{
 		g: g, w: w, call: call, chat: strings.Contains(r.URL.Path, "chat"),
-		prompt: max(1, len(text)/4), have: have, tokens: Answer(text, call.MaxTokens), cutAt: -1,
+		prompt: max(1, len(text)/4), have: have, tokens: Answer(text, whole), cutAt: -1,
 	}
 	rid := r.Header.Get(wire.HeaderRequestID)
 	g.mu.Lock()
