platform: give the log streams with offsets of their own

Every process follows the one log, so at full size each would read the usage of all entries: 400 entries that append every 5 s are 80 records a second to 3,100 readers, over the 6 KB/s that control may take. The log's streams part what has different readers: control, bookings, usage.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -32,9 +32,7 @@
 type Platform struct {
 	mu      sync.Mutex
 	faults  PlatformFaults
-	first   id.Offset
-	records []platform.Record
-	grown   chan struct{}
+	streams map[string]*stream
 	second  int64 // Unix second of the appends counted in appends
 	appends int
 
@@ -44,6 +42,23 @@
 	vms     map[id.Node]vmSeen
 }
 
+// stream is one stream of the log.
+type stream struct {
+	first   id.Offset
+	records []platform.Record
+	grown   chan struct{} // closed at the next append
+}
+
+// stream returns the stream with the given name. The caller holds the lock.
+func (p *Platform) stream(name string) *stream {
+	s, ok := p.streams[name]
+	if !ok {
+		s = &stream{first: 1, grown: make(chan struct{})}
+		p.streams[name] = s
+	}
+	return s
+}
+
 // OrderSeen is an order with the time it came and whether it was taken.
 type OrderSeen struct {
 	At    time.Time      `json:"at"`
@@ -70,18 +85,17 @@
 // NewPlatform returns a platform with an empty log.
 func NewPlatform() *Platform {
 	return &Platform{
-		first: 1,
-		grown: make(chan struct{}),
-		terms: make(map[string]id.Term),
-		vms:   make(map[id.Node]vmSeen),
+		streams: make(map[string]*stream),
+		terms:   make(map[string]id.Term),
+		vms:     make(map[id.Node]vmSeen),
 	}
 }
 
 // Handler serves the platform's interface, and its admin pages.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/log/records", p.append)
-	mux.HandleFunc("GET /v1/log/records", p.read)
+	mux.HandleFunc("POST /v1/log/{stream}/records", p.append)
+	mux.HandleFunc("GET /v1/log/{stream}/records", p.read)
 	mux.HandleFunc("POST /v1/orders", p.order)
 	mux.HandleFunc("POST /v1/usage-reports", p.report)
 	mux.HandleFunc("GET /v1/vms", p.list)
@@ -111,7 +125,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
-	p.trim()
+	for _, s := range p.streams {
+		s.trim(f.Keep)
+	}
 }
 
 // SetVM adds a VM to the list or changes its state.
@@ -145,11 +161,11 @@
 	return append([]ReportSeen{}, p.reports...)
 }
 
-// trim drops records beyond those kept. The caller holds the lock.
-func (p *Platform) trim() {
-	if over := len(p.records) - p.faults.Keep; p.faults.Keep > 0 && over > 0 {
-		p.records = p.records[over:]
-		p.first += id.Offset(over)
+// trim drops records beyond those kept; keep zero keeps all.
+func (s *stream) trim(keep int) {
+	if over := len(s.records) - keep; keep > 0 && over > 0 {
+		s.records = s.records[over:]
+		s.first += id.Offset(over)
 	}
 }
 
@@ -178,11 +194,12 @@
 		http.Error(w, "append rate exceeded", http.StatusServiceUnavailable)
 		return
 	}
-	offset := p.first + id.Offset(len(p.records))
-	p.records = append(p.records, platform.Record{Offset: offset, Payload: payload})
-	p.trim()
-	close(p.grown)
-	p.grown = make(chan struct{})
+	s := p.stream(r.PathValue("stream"))
+	offset := s.first + id.Offset(len(s.records))
+	s.records = append(s.records, platform.Record{Offset: offset, Payload: payload})
+	s.trim(p.faults.Keep)
+	close(s.grown)
+	s.grown = make(chan struct{})
 	lose := p.faults.LoseAnswers > 0
 	if lose {
 		p.faults.LoseAnswers--
@@ -217,7 +234,7 @@
 		if !p.fault(w) {
 			return
 		}
-		page, grown := p.page(id.Offset(after))
+		page, grown := p.page(r.PathValue("stream"), id.Offset(after))
 		if len(page.Records) > 0 || page.First > id.Offset(after)+1 || !waiting {
 			encode(w, page)
 			return
@@ -235,15 +252,16 @@
 // pageRecords is the most records in one page.
 const pageRecords = 1000
 
-func (p *Platform) page(after id.Offset) (platform.Page, <-chan struct{}) {
+func (p *Platform) page(name string, after id.Offset) (platform.Page, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	page := platform.Page{First: p.first, Newest: p.first + id.Offset(len(p.records)) - 1, Records: []platform.Record{}}
-	if after+1 >= p.first && after < page.Newest {
-		rest := p.records[after+1-p.first:]
+	s := p.stream(name)
+	page := platform.Page{First: s.first, Newest: s.first + id.Offset(len(s.records)) - 1, Records: []platform.Record{}}
+	if after+1 >= s.first && after < page.Newest {
+		rest := s.records[after+1-s.first:]
 		page.Records = append(page.Records, rest[:min(len(rest), pageRecords)]...)
 	}
-	return page, p.grown
+	return page, s.grown
 }
 
 func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
