process, sidecar: send a call that must not be repeated on a connection of its own

Cause: net/http's Transport sends a request again by itself when a kept connection breaks before an answer, if the request carries an Idempotency-Key and has no body to rewind; and a Client follows redirects, which sends a POST again after 307. A booking without a body could so run twice. Shown: the client that keeps connections sent two calls three times (process.TestOnceClient...). Change: sidecars send such calls through a client without kept connections, and no client follows redirects. After: two calls, two requests; one request each under a redirect.

--- /dev/null
+++ b/process/client_test.go
@@ -0,0 +1,88 @@
+package process_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/process"
+)
+
+// breakSecond serves one connection after another. It answers the first request
+// of a connection and breaks the connection at the second, as a service does that
+// fails while it runs a call. It returns its URL and counts the requests.
+func breakSecond(t *testing.T) (url string, runs *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	runs = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for i := range 2 {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					runs.Add(1)
+					if i == 0 {
+						_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+					}
+				}
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String(), runs
+}
+
+func post(t *testing.T, c *http.Client, url string) {
+	rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, http.NoBody)
+	require.NoError(t, err)
+	rq.Header.Set("Idempotency-Key", "k")
+	rs, err := c.Do(rq)
+	if err == nil {
+		rs.Body.Close()
+	}
+}
+
+// TestOnceClientSendsOnce sends two calls. A client that keeps connections sends
+// the second again by itself, which shows that the test provokes the fault.
+func TestOnceClientSendsOnce(t *testing.T) {
+	url, runs := breakSecond(t)
+	keeping := process.NewOutsideClient()
+	post(t, keeping, url)
+	post(t, keeping, url)
+	require.Equal(t, int64(3), runs.Load(), "the keeping client sends the second call twice")
+
+	url, runs = breakSecond(t)
+	once := process.NewOnceClient()
+	post(t, once, url)
+	post(t, once, url)
+	require.Equal(t, int64(2), runs.Load())
+}
+
+func TestClientsDoNotFollowRedirects(t *testing.T) {
+	var runs atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	server.Config.Protocols = process.NewServer(nil).Protocols
+	server.Start()
+	defer server.Close()
+	clients := []*http.Client{process.NewPeerClient(), process.NewOutsideClient(), process.NewOnceClient()}
+	for _, c := range clients {
+		post(t, c, server.URL)
+	}
+	require.Equal(t, int64(len(clients)), runs.Load())
+}
--- a/process/process.go
+++ b/process/process.go
@@ -23,6 +23,7 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	dialTimeout       = time.Second
 )
 
 // NewLogger returns a logger that writes one line of key=value pairs an event.
@@ -147,22 +148,43 @@
 func NewPeerClient() *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
+	return newClient(&http.Transport{
 		Protocols:          protocols,
-		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    idleTimeout,
-	}}
+	})
 }
 
 // NewOutsideClient returns a client for upstreams and the platform.
 func NewOutsideClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	return newClient(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
-	}}
+	})
+}
+
+// NewOnceClient returns a client that sends a request at most once. A client that
+// keeps connections sends a request again by itself when a kept connection breaks,
+// if its method is idempotent or it carries an Idempotency-Key; on a connection of
+// its own a request is never sent twice.
+func NewOnceClient() *http.Client {
+	return newClient(&http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	})
+}
+
+// newClient returns a client that hands redirects to its caller: following one
+// would send a request to an address that no rule names, and send it twice.
+func newClient(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 func (s Service) mux() http.Handler {
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -131,6 +131,9 @@
 	copyHeaders(rq.Header, r.Header)
 	wire.DropInternal(rq.Header)
 	rq.Header.Set(wire.HeaderRequestID, string(e.Request))
+	if e.Once {
+		return s.deps.Once.Do(rq)
+	}
 	return s.deps.Client.Do(rq)
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -44,6 +44,7 @@
 type Deps struct {
 	State   *journal.State
 	Client  *http.Client // towards the upstream
+	Once    *http.Client // towards the upstream, for calls that must not be repeated
 	Traces  *trace.Log
 	Metrics metrics.Registry
 	Logger  log.Logger
