process: notice a process that went silent without closing its connections

Cause: a request on a connection to a lost VM waited until its own deadline, which some classes do not have. Change: the client for our own processes pings a connection that is silent for 2 s and closes it when no answer comes within 2 s.

--- a/process/client_test.go
+++ b/process/client_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -86,3 +90,79 @@
 	}
 	require.Equal(t, int64(len(clients)), runs.Load())
 }
+
+// connKey finds the connection that a request came on.
+type connKey struct{}
+
+// TestPeerClientSendsOnce breaks the connection while a call runs.
+func TestPeerClientSendsOnce(t *testing.T) {
+	var runs atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) > 1 {
+			r.Context().Value(connKey{}).(net.Conn).Close()
+		}
+	}))
+	server.Config.Protocols = process.NewServer(nil).Protocols
+	server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	server.Start()
+	defer server.Close()
+	c := process.NewPeerClient()
+	for _, body := range []string{"", "", "x"} {
+		rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader(body))
+		require.NoError(t, err)
+		rq.Header.Set("Idempotency-Key", "k")
+		if rs, err := c.Do(rq); err == nil {
+			rs.Body.Close()
+		}
+	}
+	require.Equal(t, int64(3), runs.Load())
+}
+
+// silentListener hands out connections whose data is lost once silence is set.
+type silentListener struct {
+	net.Listener
+	silence *atomic.Bool
+}
+
+func (l silentListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return silentConn{Conn: c, silence: l.silence}, err
+}
+
+type silentConn struct {
+	net.Conn
+	silence *atomic.Bool
+}
+
+func (c silentConn) Write(p []byte) (int, error) {
+	if c.silence.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// TestPeerClientNoticesSilence lets a process go silent while it answers, as a VM
+// does that is lost without closing its connections.
+func TestPeerClientNoticesSilence(t *testing.T) {
+	var silence atomic.Bool
+	server := process.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		silence.Store(true)
+		<-r.Context().Done()
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(silentListener{Listener: l, silence: &silence}) }()
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Addr().String(), nil)
+	require.NoError(t, err)
+	rs, err := process.NewPeerClient().Do(rq)
+	if err == nil {
+		_, err = io.ReadAll(rs.Body)
+		rs.Body.Close()
+	}
+	require.Error(t, err)
+	require.NoError(t, ctx.Err(), "noticed by the client, not by the test's timeout")
+}
--- a/process/process.go
+++ b/process/process.go
@@ -24,6 +24,11 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
 	dialTimeout       = time.Second
+
+	// A connection to another process that is silent for pingAfter is asked for a
+	// sign of life, and closed if none comes within pingTimeout.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
 )
 
 // NewLogger returns a logger that writes one line of key=value pairs an event.
@@ -150,6 +155,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return newClient(&http.Transport{
 		Protocols:          protocols,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    idleTimeout,
