--- a/process/process.go
+++ b/process/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -22,6 +23,12 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	dialTimeout       = time.Second
+
+	// A connection to another process that is silent for pingAfter is asked for a
+	// sign of life, and closed if none comes within pingTimeout.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
 )
 
 // NewLogger returns a logger that writes one line of key=value pairs an event.
@@ -51,9 +58,11 @@
 	Ready   func() error // nil error: ready for work
 	Metrics metrics.Registry
 	Logger  log.Logger
-	Leave   func()        // called once when a signal arrives, before draining
-	Linger  time.Duration // between Leave and refusing new connections
-	Grace   time.Duration // for running requests; zero: without bound
+	Leave   func()                  // called once when a signal arrives, before draining
+	Linger  time.Duration           // between Leave and refusing new connections
+	Grace   time.Duration           // for running requests; zero: without bound
+	Abort   <-chan struct{}         // closed: cut what runs and end at once; nil: never
+	Tasks   []func(context.Context) // run beside the server until their context is done
 }
 
 // Signals returns a context that ends at SIGTERM or SIGINT.
@@ -61,24 +70,51 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// Serve serves until ctx is done, then lets every running request finish.
+// Serve serves until ctx is done, then lets every running request finish. The
+// tasks go on until then.
 func Serve(ctx context.Context, s Service) error {
 	l, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", s.Address)
 	}
 	server := NewServer(s.mux())
+	defer s.run(ctx)()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-s.Abort:
+			_ = server.Close()
+		case <-ended:
+		}
+	}()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	_ = s.Logger.Log("event", "serving", "address", l.Addr(), "version", Version())
 	select {
 	case err := <-failed:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
 		return eris.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
 	return s.shutdown(server)
 }
 
+// run starts the tasks and returns a function that ends them and waits.
+func (s Service) run(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	for _, task := range s.Tasks {
+		wg.Go(func() { task(ctx) })
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 func (s Service) shutdown(server *http.Server) error {
 	_ = s.Logger.Log("event", "leaving")
 	if s.Leave != nil {
@@ -117,22 +153,44 @@
 func NewPeerClient() *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
+	return newClient(&http.Transport{
 		Protocols:          protocols,
-		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    idleTimeout,
-	}}
+	})
 }
 
 // NewOutsideClient returns a client for upstreams and the platform.
 func NewOutsideClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	return newClient(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
-	}}
+	})
+}
+
+// NewOnceClient returns a client that sends a request at most once. A client that
+// keeps connections sends a request again by itself when a kept connection breaks,
+// if its method is idempotent or it carries an Idempotency-Key; on a connection of
+// its own a request is never sent twice.
+func NewOnceClient() *http.Client {
+	return newClient(&http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	})
+}
+
+// newClient returns a client that hands redirects to its caller: following one
+// would send a request to an address that no rule names, and send it twice.
+func newClient(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 func (s Service) mux() http.Handler {
