upstream, sidecar: limit by token gap, fall at once when an upstream turns cold

Cause: the limiter judged the first token alone, and against the class's target, so a class with a loose target hid an overload, and a plain answer's whole time counted as its first token. An upstream that refuses connections, answers 503 or misses three probes is gone, and comes back as a new incarnation at the initial limit. Decisions carry limit, running, waiting and state.

--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/key"
@@ -19,9 +17,8 @@
 )
 
 const (
-	slotPoll    = 5 * time.Millisecond
-	slotWait    = 200 * time.Millisecond
-	relayBuffer = 32 << 10
+	slotPoll = 5 * time.Millisecond
+	slotWait = 200 * time.Millisecond
 )
 
 type envelopeKey struct{}
@@ -46,7 +43,7 @@
 
 // judge returns the reason to refuse a request before it runs, or nil.
 func (s *Sidecar) judge(e wire.Envelope) *problem.Problem {
-	if s.leaving.Load() || s.deps.State.Rules().Drained(s.cfg.DataCentre) {
+	if s.state() == upstream.Draining {
 		return problem.New(problem.UpstreamDraining, problem.NotRun, http.StatusServiceUnavailable, "upstream %s takes no new work", s.cfg.Upstream)
 	}
 	var withdrawn *key.WithdrawnError
@@ -62,7 +59,7 @@
 // refuse answers with a problem and the load.
 func (s *Sidecar) refuse(w http.ResponseWriter, e wire.Envelope, p *problem.Problem) {
 	s.count("sidecar_refused_" + string(p.Reason))
-	s.deps.Traces.Add(time.Now(), e.Request, "sidecar", string(p.Reason), p.Detail)
+	s.deps.Traces.Add(time.Now(), e.Request, "sidecar", string(p.Reason), s.inputs()+" "+p.Detail)
 	p.Request = string(e.Request)
 	w.Header().Set(wire.HeaderLoad, s.load().String())
 	w.Header().Set(wire.HeaderRefused, string(p.Reason))
@@ -76,23 +73,18 @@
 		s.refuse(w, e, problem.New(problem.UpstreamBusy, problem.NotRun, http.StatusServiceUnavailable, "upstream %s has no free slot", s.cfg.Upstream))
 		return
 	}
-	evidence := upstream.Evidence{}
-	defer func() { s.limiter.Release(evidence) }()
-	if c := s.deps.State.Rules().Classes[e.Class]; c != nil {
-		evidence.Target = c.TTFT
-	}
-	start := time.Now()
-	s.deps.Traces.Add(start, e.Request, "sidecar", "run", "attempt="+strconv.Itoa(e.Attempt))
+	x := s.begin(time.Now(), e)
+	defer x.end()
 	rs, err := s.send(r, e)
 	if err != nil {
-		evidence.Failed = r.Context().Err() == nil
+		x.evidence.Failed = r.Context().Err() == nil
 		s.refuse(w, e, s.sendFailure(err))
 		return
 	}
 	defer rs.Body.Close()
 	if s.cfg.Service == "" && rs.StatusCode == http.StatusServiceUnavailable {
-		evidence.Failed = true
-		s.life.Apply(upstream.Lost)
+		x.evidence.Failed = true
+		s.lost(rs.Status)
 		s.refuse(w, e, problem.New(problem.UpstreamFailed, problem.Unknown, http.StatusBadGateway, "upstream %s: %s", s.cfg.Upstream, rs.Status))
 		return
 	}
@@ -100,9 +92,8 @@
 	copyHeaders(w.Header(), rs.Header)
 	w.Header().Set(wire.HeaderLoad, s.load().String())
 	w.WriteHeader(rs.StatusCode)
-	evidence.FirstToken, err = relay(w, rs.Body, start)
-	evidence.Failed = err != nil && r.Context().Err() == nil
-	if err != nil {
+	if err := x.relay(w, rs); err != nil {
+		x.evidence.Failed = r.Context().Err() == nil
 		s.count("sidecar_answer_cut")
 		panic(http.ErrAbortHandler) // the entry must not take a cut answer for a whole one
 	}
@@ -135,7 +126,7 @@
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		run = problem.NotRun
-		s.life.Apply(upstream.Lost)
+		s.lost(err.Error())
 	}
 	return problem.New(problem.UpstreamFailed, run, http.StatusBadGateway, "upstream %s: %v", s.cfg.Upstream, err)
 }
@@ -156,31 +147,6 @@
 	return s.deps.Client.Do(rq)
 }
 
-// relay copies the body, flushing as it goes, and returns the time to its first byte.
-func relay(w http.ResponseWriter, body io.Reader, start time.Time) (time.Duration, error) {
-	first := time.Duration(0)
-	flush := http.NewResponseController(w)
-	buf := make([]byte, relayBuffer)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			if first == 0 {
-				first = time.Since(start)
-			}
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return first, werr
-			}
-			_ = flush.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return first, nil
-		}
-		if err != nil {
-			return first, err
-		}
-	}
-}
-
 // connectionHeaders concern one connection only and are not passed on.
 var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,10 +4,8 @@
 package sidecar
 
 import (
-	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/justinas/alice"
@@ -22,8 +20,6 @@
 )
 
 const (
-	probeEvery = 500 * time.Millisecond
-
 	defaultInitial = 2
 	defaultMax     = 16
 )
@@ -58,11 +54,15 @@
 	life    *upstream.Lifecycle
 	leaving atomic.Bool
 	waiting atomic.Int64
+
+	incarnation atomic.Uint64 // of the upstream
+	missed      int           // probes in a row without an answer; used by Run alone
 }
 
 // New returns a sidecar; Run watches its upstream.
 func New(cfg Config, deps Deps) *Sidecar {
 	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
+	s.incarnation.Store(uint64(cfg.Incarnation))
 	s.limiter = upstream.NewLimiter(s.limits())
 	return s
 }
@@ -94,10 +94,7 @@
 
 // Ready returns nil if the upstream takes work.
 func (s *Sidecar) Ready() error {
-	if s.leaving.Load() {
-		return &StateError{State: upstream.Draining}
-	}
-	if st := s.life.State(); !st.TakesWork() {
+	if st := s.state(); !st.TakesWork() {
 		return &StateError{State: st}
 	}
 	return nil
@@ -114,48 +111,11 @@
 	s.life.Apply(upstream.Drain)
 }
 
-// Run probes the upstream and follows the rules until ctx is done.
-func (s *Sidecar) Run(ctx context.Context) {
-	tick := time.NewTicker(probeEvery)
-	defer tick.Stop()
-	for {
-		s.probe(ctx)
-		s.limiter.SetLimits(s.limits())
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
-// probe asks the upstream whether it is healthy.
-func (s *Sidecar) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, probeEvery)
-	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, s.cfg.UpstreamURL+"/health", nil)
-	if err != nil {
-		return
-	}
-	rs, err := s.deps.Client.Do(rq)
-	if err != nil {
-		s.life.Apply(upstream.Lost)
-		return
-	}
-	_ = rs.Body.Close()
-	if rs.StatusCode != http.StatusOK {
-		s.life.Apply(upstream.Lost)
-		return
-	}
-	s.life.Apply(upstream.Answered)
-	s.life.Apply(upstream.Loaded)
-}
-
 // load returns what the sidecar tells of its upstream.
 func (s *Sidecar) load() wire.Load {
 	limit, running := s.limiter.Limit()
 	return wire.Load{
-		Incarnation: s.cfg.Incarnation,
+		Incarnation: id.Incarnation(s.incarnation.Load()),
 		State:       string(s.state()),
 		Limit:       limit,
 		Running:     running,
@@ -164,13 +124,18 @@
 	}
 }
 
+// state returns the upstream's state. A drain counts from the moment the rules
+// say so, before the lifecycle has followed.
 func (s *Sidecar) state() upstream.State {
-	if s.leaving.Load() {
+	st := s.life.State()
+	if st != upstream.Gone && (s.leaving.Load() || s.drained()) {
 		return upstream.Draining
 	}
-	return s.life.State()
+	return st
 }
 
+func (s *Sidecar) drained() bool { return s.deps.State.Rules().Drained(s.cfg.DataCentre) }
+
 func (s *Sidecar) count(name string) {
 	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(1)
 }
--- a/upstream/lifecycle.go
+++ b/upstream/lifecycle.go
@@ -31,7 +31,8 @@
 	Warmed   Event = "warmed"   // the limit has grown on evidence
 	Chilled  Event = "chilled"  // latency shows that it is cold again
 	Drain    Event = "drain"
-	Lost     Event = "lost" // probes or requests fail to connect
+	Restored Event = "restored" // its data centre is back in service
+	Lost     Event = "lost"     // probes or requests fail to connect
 )
 
 // Lifecycle is the state machine of one upstream. It is safe for concurrent use.
@@ -48,6 +49,7 @@
 		{Name: string(Loaded), Src: []string{string(Cold)}, Dst: string(Warming)},
 		{Name: string(Warmed), Src: []string{string(Warming)}, Dst: string(Ready)},
 		{Name: string(Chilled), Src: []string{string(Ready)}, Dst: string(Warming)},
+		{Name: string(Restored), Src: []string{string(Draining)}, Dst: string(Cold)},
 		{Name: string(Drain), Src: alive, Dst: string(Draining)},
 		{Name: string(Lost), Src: append(alive, string(Draining)), Dst: string(Gone)},
 	}, nil)}
