--- a/process/process.go
+++ b/process/process.go
@@ -47,16 +47,17 @@
 
 // Service is a program's HTTP side and how it shuts down.
 type Service struct {
-	Address string
-	Handler http.Handler
-	Ready   func() error // nil error: ready for work
-	Metrics metrics.Registry
-	Logger  log.Logger
-	Leave   func()                  // called once when a signal arrives, before draining
-	Linger  time.Duration           // between Leave and refusing new connections
-	Grace   time.Duration           // for running requests; zero: without bound
-	Abort   <-chan struct{}         // closed: cut what runs and end at once; nil: never
-	Tasks   []func(context.Context) // run beside the server until their context is done
+	Address  string
+	Listener net.Listener // used in place of Address if not nil
+	Handler  http.Handler
+	Ready    func() error // nil error: ready for work
+	Metrics  metrics.Registry
+	Logger   log.Logger
+	Leave    func()                  // called once when a signal arrives, before draining
+	Linger   time.Duration           // between Leave and refusing new connections
+	Grace    time.Duration           // for running requests; zero: without bound
+	Abort    <-chan struct{}         // closed: cut what runs and end at once; nil: never
+	Tasks    []func(context.Context) // run beside the server until their context is done
 }
 
 // Signals returns a context that ends at SIGTERM or SIGINT.
@@ -67,9 +68,12 @@
 // Serve serves until ctx is done, then lets every running request finish. The
 // tasks go on until then.
 func Serve(ctx context.Context, s Service) error {
-	l, err := net.Listen("tcp", s.Address)
-	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.Address)
+	l := s.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", s.Address); err != nil {
+			return eris.Wrapf(err, "listen on %s", s.Address)
+		}
 	}
 	server := NewServer(s.mux())
 	defer s.run(ctx)()
--- a/standin/completion.go
+++ b/standin/completion.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
 
@@ -65,6 +66,7 @@
 	prompt int // tokens
 	have   int // tokens of the answer that the call already held
 	tokens []string
+	sent   int // tokens
 	cutAt  int // tokens after which the answer is cut; negative: never
 }
 
@@ -85,10 +87,11 @@
 	}
 	defer g.end()
 	n := g.newGeneration(w, r, call)
-	if !n.run(r, crash) {
-		g.mu.Lock()
-		g.seen.Cancelled++
-		g.mu.Unlock()
+	run := Run{Request: id.Request(r.Header.Get(wire.HeaderRequestID)), Began: time.Now(), Priority: call.Priority}
+	run.Whole = n.run(r, crash)
+	run.Ended, run.Tokens = time.Now(), n.sent
+	g.note(run)
+	if !run.Whole {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -124,26 +127,25 @@
 	text, _ := n.call.prompt()
 	wait := n.g.prefill(n.prompt+n.have, xxhash.Sum64String(text[:min(len(text), prefixBytes)]))
 	var plain strings.Builder
-	sent := 0
 	for _, t := range n.tokens[min(n.have, len(n.tokens)):] {
-		if !pause(r, crash, wait) || n.cutAt == sent {
+		if !pause(r, crash, wait) || n.cutAt == n.sent {
 			return false
 		}
 		wait = n.g.gap()
-		sent++
+		n.sent++
 		if n.call.Stream {
 			n.event(n.chunk(t, ""))
 		}
 		plain.WriteString(t)
 	}
-	if n.cutAt == sent {
+	if n.cutAt == n.sent {
 		return false
 	}
 	if n.call.Stream {
-		n.finishStream(sent)
+		n.finishStream(n.sent)
 		return true
 	}
-	n.finishPlain(plain.String(), sent)
+	n.finishPlain(plain.String(), n.sent)
 	return true
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -59,6 +59,20 @@
 	cache   []uint64      // prefixes, least recently used first
 
 	seen EngineStats
+	runs []Run
+}
+
+// maxRuns bounds the runs that an engine remembers.
+const maxRuns = 200_000
+
+// Run is one answer that an engine worked on.
+type Run struct {
+	Request  id.Request `json:"request_id"`
+	Began    time.Time  `json:"began"`
+	Ended    time.Time  `json:"ended"`
+	Priority int        `json:"priority"`
+	Tokens   int        `json:"tokens"` // generated
+	Whole    bool       `json:"whole"`  // not cut, and not left by its caller
 }
 
 // EngineStats counts what an engine did.
@@ -86,6 +100,7 @@
 		}
 	})
 	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { encode(w, g.Stats()) })
+	mux.HandleFunc("GET /admin/runs", func(w http.ResponseWriter, _ *http.Request) { encode(w, g.Runs()) })
 	mux.HandleFunc("POST /admin/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f EngineFaults
 		if decode(w, r, &f) {
@@ -147,6 +162,25 @@
 	return g.seen
 }
 
+// Runs returns every answer that has ended, in the order of their ends.
+func (g *Engine) Runs() []Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Run{}, g.runs...)
+}
+
+// note remembers a run.
+func (g *Engine) note(r Run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !r.Whole {
+		g.seen.Cancelled++
+	}
+	if len(g.runs) < maxRuns {
+		g.runs = append(g.runs, r)
+	}
+}
+
 // bears returns how many answers the engine runs well. The caller holds the lock.
 func (g *Engine) bears() float64 {
 	return float64(g.cfg.ColdBatch) + float64(g.cfg.Batch-g.cfg.ColdBatch)*g.warmth
