--- /dev/null
+++ b/bench/load.go
@@ -0,0 +1,76 @@
+package bench
+
+// This file defines Load, which sends the arrivals of a plan at their times.
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+const progressEvery = 2 * time.Second
+
+// Load is a running load.
+type Load struct {
+	Balancer *Balancer
+	Keys     Keys
+	Model    id.Model
+	Progress io.Writer // nil: none
+
+	sent    atomic.Int64
+	ended   atomic.Int64
+	results []*Result
+}
+
+// Run sends every arrival at its time, waits for all ends, and returns the
+// results in the order of the arrivals. It is open loop: no call waits for
+// another.
+func (l *Load) Run(ctx context.Context, arrivals []Arrival) []*Result {
+	watch, stop := context.WithCancel(ctx)
+	defer stop()
+	go l.Balancer.Run(watch)
+	go l.report(watch, len(arrivals))
+	start := time.Now()
+	c := &caller{balancer: l.Balancer, keys: l.Keys, model: l.Model, run: fmt.Sprint("ref-", start.UnixNano())}
+	l.results = make([]*Result, len(arrivals))
+	var wg sync.WaitGroup
+	for i := range arrivals {
+		time.Sleep(time.Until(start.Add(arrivals[i].At)))
+		if ctx.Err() != nil {
+			l.results = l.results[:i]
+			break
+		}
+		l.sent.Add(1)
+		wg.Go(func() {
+			l.results[i] = c.call(ctx, &arrivals[i])
+			l.ended.Add(1)
+		})
+	}
+	wg.Wait()
+	return l.results
+}
+
+// report writes a progress line now and then.
+func (l *Load) report(ctx context.Context, total int) {
+	if l.Progress == nil {
+		return
+	}
+	tick := time.NewTicker(progressEvery)
+	defer tick.Stop()
+	start := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			sent, ended := l.sent.Load(), l.ended.Load()
+			_, _ = fmt.Fprintf(l.Progress, "%5.1fs  sent %d of %d, running %d\n",
+				time.Since(start).Seconds(), sent, total, sent-ended)
+		}
+	}
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -1,4 +1,50 @@
 // Ragwort-bench puts load on a fleet and reports what callers got.
+//
+// Exit codes: 0 every promise held, 1 failed or a promise was broken, 2 bad
+// settings or arguments.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/ragwortpass/ragwortpass/setting"
+)
+
+// settings are the commands of the program.
+type settings struct {
+	Load  loadCommand  `cmd:"" help:"Put a mixed load on a fleet of processes."`
+	Wait  waitCommand  `cmd:"" help:"Wait until processes are ready."`
+	Ports portsCommand `cmd:"" help:"Print free loopback addresses."`
+}
+
+// Check implements setting.Checked.
+func (s *settings) Check() error {
+	var c setting.Checker
+	for _, a := range s.Load.Entries {
+		c.Endpoint("entries", a)
+	}
+	for _, u := range s.Load.Engines {
+		c.URL("engines", u)
+	}
+	for _, u := range s.Load.Services {
+		c.URL("services", u)
+	}
+	for _, a := range s.Wait.Addresses {
+		c.Endpoint("addresses", a)
+	}
+	return c.Err()
+}
+
+// errBroken says that a promise was broken; the lines before it say which.
+var errBroken = errors.New("a promise was broken")
+
+func main() {
+	var s settings
+	ctx := setting.Parse(&s, "ragwort-bench", "Puts load on a fleet and reports what callers got.")
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(setting.ExitFailed)
+	}
+}
