--- a/bench/account.go
+++ b/bench/account.go
@@ -47,6 +47,7 @@
 	Attainment     float64                `json:"attainment"` // in time, of all calls
 	Outcomes       map[Outcome]int        `json:"outcomes"`
 	Reasons        map[problem.Reason]int `json:"reasons,omitempty"`
+	AskedTokens    int                    `json:"asked_tokens"` // that whole answers to all calls would hold
 	GoodTokens     int                    `json:"good_tokens"`  // of answers in time
 	WholeTokens    int                    `json:"whole_tokens"` // of whole answers
 	GoodputTokens  float64                `json:"goodput_tokens_per_second"`
@@ -106,7 +107,7 @@
 }
 
 // maxNotes bounds the wrong and lost answers that a report quotes.
-const maxNotes = 20
+const maxNotes = 6
 
 // Account sums the results of the load proper. Start is when the load proper began.
 func Account(d *Deployment, set *rule.Set, results []*Result, start time.Time, length time.Duration) *Report {
@@ -209,6 +210,7 @@
 func (f *Figures) add(x *Result, good bool) {
 	f.Calls++
 	f.Outcomes[x.Outcome]++
+	f.AskedTokens += len(x.Arrival.answer())
 	if x.Reason != "" {
 		f.Reasons[x.Reason]++
 	}
@@ -221,6 +223,9 @@
 	}
 }
 
+// LostTokens returns the tokens that did not come whole and in time.
+func (f *Figures) LostTokens() int { return f.AskedTokens - f.GoodTokens }
+
 func (f *Figures) finish(seconds float64) {
 	if f.Calls > 0 {
 		f.Attainment = float64(f.InTime) / float64(f.Calls)
--- a/bench/caller.go
+++ b/bench/caller.go
@@ -141,10 +141,18 @@
 			r.token(time.Now())
 		}
 	}
-	want := strings.Join(standin.Answer(standin.ChatPrompt(r.Arrival.Prompt), r.Arrival.Traffic.MaxTokens), "")
+	want := strings.Join(r.Arrival.answer(), "")
 	r.Outcome, r.Detail = judgeText(text.String(), want, done)
 }
 
+// answer returns the tokens of the right answer to a chat; none for other calls.
+func (a *Arrival) answer() []string {
+	if a.Traffic.Kind != Chat {
+		return nil
+	}
+	return standin.Answer(standin.ChatPrompt(a.Prompt), a.Traffic.MaxTokens)
+}
+
 // judgeText compares the text of a stream with the right one.
 func judgeText(got, want string, done bool) (Outcome, string) {
 	switch {
--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,312 @@
+package bench
+
+// This file defines Fleet, a whole fleet inside one process: the platform and
+// upstreams as stand-ins, and entries and sidecars as their programs wire them.
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/operator"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/standin"
+)
+
+// Policy is how entries decide.
+type Policy string
+
+// The policies.
+const (
+	PolicyRagwortpass Policy = "ragwortpass"
+	PolicyNaive       Policy = "naive"
+)
+
+const (
+	fleetEntries = 2
+	readyWithin  = 30 * time.Second
+)
+
+// FleetConfig describes a fleet to start.
+type FleetConfig struct {
+	Deployment *Deployment
+	Policy     Policy
+	Engines    int // zero: the deployment's
+	Warm       bool
+	Log        io.Writer // of the nodes; nil: none
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Deployment  *Deployment
+	Policy      Policy
+	Platform    *standin.Platform
+	PlatformURL string
+	Operator    *operator.Operator
+	Keys        Keys
+	KeyIDs      map[id.Workspace]id.Key
+
+	platformHandler http.Handler
+	naive           *naive
+	logger          log.Logger
+	started         time.Time
+	names           atomic.Int64
+
+	mu        sync.Mutex
+	nodes     []*Node
+	upstreams []*Upstream
+	servers   []*http.Server
+}
+
+// StartFleet starts a fleet under the deployment's rules, with a key for each
+// workspace, and waits until it is ready.
+func StartFleet(ctx context.Context, c FleetConfig) (*Fleet, error) {
+	f := &Fleet{
+		Deployment: c.Deployment, Policy: c.Policy, Platform: standin.NewPlatform(),
+		Keys: make(Keys), KeyIDs: make(map[id.Workspace]id.Key), started: time.Now(), logger: log.NewNopLogger(),
+	}
+	if c.Log != nil {
+		f.logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(c.Log)), "ts", log.DefaultTimestampUTC)
+	}
+	f.platformHandler = f.Platform.Handler()
+	if err := f.start(ctx, c); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context, c FleetConfig) error {
+	var err error
+	if f.PlatformURL, err = f.listen(f.platformHandler); err != nil {
+		return err
+	}
+	f.Operator = operator.New(operator.Config{Platform: f.PlatformURL, Name: "bench"}, process.NewOutsideClient(), process.NewPeerClient())
+	if err := f.configure(ctx); err != nil {
+		return err
+	}
+	engines := c.Engines
+	if engines == 0 {
+		engines = c.Deployment.Engines
+	}
+	if f.naive, err = newNaive(f.Deployment, engines); err != nil {
+		return err
+	}
+	for range engines {
+		if _, err := f.StartEngine(f.nextCentre(), c.Warm); err != nil {
+			return err
+		}
+	}
+	for range c.Deployment.Services {
+		if _, err := f.StartService(f.nextCentre()); err != nil {
+			return err
+		}
+	}
+	for i := range fleetEntries {
+		if _, err := f.StartEntry(f.Deployment.DataCentres[i]); err != nil {
+			return err
+		}
+	}
+	return f.Ready(ctx)
+}
+
+// configure publishes the rules and gives the keys.
+func (f *Fleet) configure(ctx context.Context) error {
+	if _, err := f.Operator.Publish(ctx, time.Now(), f.Deployment.Name, f.Deployment.Rules, 0); err != nil {
+		return err
+	}
+	set, err := f.Deployment.RuleSet()
+	if err != nil {
+		return err
+	}
+	names, _ := shares(set)
+	for _, ws := range names {
+		secret, kid, err := f.Operator.GiveKey(ctx, time.Now(), ws, nil, "bench")
+		if err != nil {
+			return err
+		}
+		f.Keys[ws], f.KeyIDs[ws] = string([]byte(secret)), kid
+	}
+	return nil
+}
+
+// StartEngine starts an engine, with a sidecar unless the policy is naive.
+func (f *Fleet) StartEngine(dc id.DataCentre, warm bool) (*Upstream, error) {
+	g := standin.NewEngine(f.Deployment.Engine())
+	if warm {
+		g.Warm()
+	}
+	return f.startUpstream(&Upstream{Engine: g, DataCentre: dc}, g.Handler())
+}
+
+// StartService starts a plain service, with a sidecar unless the policy is naive.
+func (f *Fleet) StartService(dc id.DataCentre) (*Upstream, error) {
+	s := standin.NewService()
+	return f.startUpstream(&Upstream{Service: s, DataCentre: dc}, s.Handler())
+}
+
+func (f *Fleet) startUpstream(u *Upstream, h http.Handler) (*Upstream, error) {
+	url, err := f.listen(h)
+	if err != nil {
+		return nil, err
+	}
+	u.Name, u.URL, u.Started = id.Upstream(f.name("u")), url, time.Now()
+	f.mu.Lock()
+	f.upstreams = append(f.upstreams, u)
+	f.mu.Unlock()
+	f.naive.setUpstreams(f.Upstreams())
+	if f.Policy == PolicyNaive {
+		return u, nil
+	}
+	_, err = f.StartSidecar(u)
+	return u, err
+}
+
+// nextCentre spreads upstreams over the data centres.
+func (f *Fleet) nextCentre() id.DataCentre {
+	return f.Deployment.DataCentres[len(f.Upstreams())%len(f.Deployment.DataCentres)]
+}
+
+// name returns a name that is unique in the fleet.
+func (f *Fleet) name(prefix string) string { return fmt.Sprint(prefix, f.names.Add(1)) }
+
+// listen serves h on a free loopback port until the fleet closes.
+func (f *Fleet) listen(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopbackAny)
+	if err != nil {
+		return "", err
+	}
+	server := process.NewServer(h)
+	f.mu.Lock()
+	f.servers = append(f.servers, server)
+	f.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
+// Nodes returns the nodes of a role that have not ended.
+func (f *Fleet) Nodes(role string) []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*Node
+	for _, n := range f.nodes {
+		if n.Role == role && !n.ended() {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// allNodes returns every node, ended ones included.
+func (f *Fleet) allNodes() []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.nodes)
+}
+
+func (n *Node) ended() bool {
+	select {
+	case <-n.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Entries returns the addresses of the entries.
+func (f *Fleet) Entries() []string {
+	var list []string
+	for _, n := range f.Nodes(RoleEntry) {
+		list = append(list, n.Address)
+	}
+	return list
+}
+
+// Upstreams returns every upstream in the order of their starts.
+func (f *Fleet) Upstreams() []*Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.upstreams)
+}
+
+// Engines returns the model engines in the order of their starts.
+func (f *Fleet) Engines() []*Upstream {
+	return slices.DeleteFunc(f.Upstreams(), func(u *Upstream) bool { return u.Engine == nil })
+}
+
+// Ready waits until every node is ready.
+func (f *Fleet) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	var addresses []string
+	for _, n := range f.allNodes() {
+		if !n.ended() {
+			addresses = append(addresses, n.Address)
+		}
+	}
+	return eris.Wrap(Wait(ctx, addresses), "fleet")
+}
+
+// Close ends every node and stand-in at once.
+func (f *Fleet) Close() {
+	var wg sync.WaitGroup
+	for _, n := range f.allNodes() {
+		wg.Go(n.Kill)
+	}
+	wg.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
+
+// Publish makes text the rules in force, whichever they are now.
+func (f *Fleet) Publish(ctx context.Context, text string) (id.Offset, error) {
+	s, err := f.Operator.State(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return f.Operator.Publish(ctx, time.Now(), f.Deployment.Name, text, s.Rules().Offset)
+}
+
+// EngineRuns returns what every engine worked on, with the engine's name.
+func (f *Fleet) EngineRuns() []EngineRun {
+	var all []EngineRun
+	for _, u := range f.Engines() {
+		for _, r := range u.Engine.Runs() {
+			all = append(all, EngineRun{Upstream: u, Run: r})
+		}
+	}
+	return all
+}
+
+// EngineRun is an answer that an engine worked on.
+type EngineRun struct {
+	Upstream *Upstream
+	standin.Run
+}
+
+// Bookings returns how often each reference was booked at all services together.
+func (f *Fleet) Bookings() map[string]int {
+	sum := make(map[string]int)
+	for _, u := range f.Upstreams() {
+		if u.Service == nil {
+			continue
+		}
+		for ref, n := range u.Service.Runs() {
+			sum[ref] += n
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/bench/node.go
@@ -0,0 +1,210 @@
+package bench
+
+// This file defines Node, one entry or sidecar that runs inside the bench, and
+// link, its way to the platform, which can be cut.
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/entry"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/setting"
+	"github.com/ragwortpass/ragwortpass/sidecar"
+	"github.com/ragwortpass/ragwortpass/standin"
+	"github.com/ragwortpass/ragwortpass/trace"
+)
+
+// The roles of a node.
+const (
+	RoleEntry   = "entry"
+	RoleSidecar = "sidecar"
+)
+
+// lingerFlag is shorter than in service, where a balancer probes less often.
+const lingerFlag = "--linger=400ms"
+
+// Node is an entry or a sidecar.
+type Node struct {
+	Name       id.Node
+	Role       string
+	DataCentre id.DataCentre
+	Address    string
+	Upstream   *Upstream      // of a sidecar
+	State      *journal.State // nil for the naive policy
+	Traces     *trace.Log     // nil for the naive policy
+	Metrics    metrics.Registry
+
+	link  *link
+	stop  context.CancelFunc
+	abort chan struct{}
+	once  sync.Once
+	done  chan struct{}
+}
+
+// Upstream is a stand-in for a model engine or a plain service.
+type Upstream struct {
+	Name       id.Upstream
+	DataCentre id.DataCentre
+	URL        string
+	Engine     *standin.Engine // nil for a service
+	Service    *standin.Service
+	Started    time.Time
+}
+
+// Stop lets the node finish what it runs and waits for its end.
+func (n *Node) Stop() {
+	n.stop()
+	<-n.done
+}
+
+// Kill ends the node at once, cutting what it runs.
+func (n *Node) Kill() {
+	n.once.Do(func() { close(n.abort) })
+	n.stop()
+	<-n.done
+}
+
+// CutOff breaks or mends the node's way to the platform.
+func (n *Node) CutOff(cut bool) { n.link.cut.Store(cut) }
+
+// serve runs a service until the node is stopped.
+func (n *Node) serve(l net.Listener, s process.Service) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop, n.abort, n.done = cancel, make(chan struct{}), make(chan struct{})
+	s.Listener, s.Abort = l, n.abort
+	go func() {
+		defer close(n.done)
+		if err := process.Serve(ctx, s); err != nil {
+			_ = s.Logger.Log("event", "serve_failed", "err", err)
+		}
+	}()
+}
+
+// link passes calls on to the platform stand-in unless it is cut.
+type link struct {
+	cut   atomic.Bool
+	next  http.Handler
+	calls atomic.Int64
+	bytes atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (l *link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if l.cut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	l.calls.Add(1)
+	l.bytes.Add(max(0, r.ContentLength))
+	l.next.ServeHTTP(&countedWriter{ResponseWriter: w, bytes: &l.bytes}, r)
+}
+
+// countedWriter counts the bytes of an answer.
+type countedWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (w *countedWriter) Write(p []byte) (int, error) {
+	w.bytes.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
+// newNode returns a node with a listener and a way to the platform of its own.
+func (f *Fleet) newNode(role string, name id.Node, dc id.DataCentre) (*Node, net.Listener, error) {
+	l, err := net.Listen("tcp", loopbackAny)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &Node{
+		Name: name, Role: role, DataCentre: dc, Address: l.Addr().String(),
+		link: &link{next: f.platformHandler},
+	}, l, nil
+}
+
+// flags returns the settings that entries and sidecars share.
+func (f *Fleet) flags(n *Node) ([]string, error) {
+	url, err := f.listen(n.link)
+	if err != nil {
+		return nil, err
+	}
+	return []string{
+		"--node=" + string(n.Name), "--data-centre=" + string(n.DataCentre), "--listen=" + n.Address,
+		"--platform=" + url, lingerFlag,
+	}, nil
+}
+
+// StartEntry starts an entry of the fleet's policy and puts it on the VM list.
+func (f *Fleet) StartEntry(dc id.DataCentre) (*Node, error) {
+	n, l, err := f.newNode(RoleEntry, id.Node(f.name("e")), dc)
+	if err != nil {
+		return nil, err
+	}
+	if f.Policy == PolicyNaive {
+		n.Metrics = metrics.NewRegistry()
+		n.serve(l, f.naive.service(n, f.logger))
+		f.add(n)
+		return n, nil
+	}
+	args, err := f.flags(n)
+	if err != nil {
+		return nil, err
+	}
+	var s entry.Settings
+	if err := setting.Defaults(&s, append(args, "--traces=100000")...); err != nil {
+		return nil, err
+	}
+	p := entry.NewProgram(time.Now(), &s, log.With(f.logger, "node", n.Name))
+	n.State, n.Traces, n.Metrics = p.Deps.State, p.Deps.Traces, p.Deps.Metrics
+	n.serve(l, p.Service)
+	f.add(n)
+	return n, nil
+}
+
+// StartSidecar starts a sidecar beside an upstream and puts it on the VM list.
+func (f *Fleet) StartSidecar(u *Upstream) (*Node, error) {
+	n, l, err := f.newNode(RoleSidecar, id.Node(f.name("s")), u.DataCentre)
+	if err != nil {
+		return nil, err
+	}
+	n.Upstream = u
+	args, err := f.flags(n)
+	if err != nil {
+		return nil, err
+	}
+	serves := "--models=" + string(f.Deployment.Model)
+	if u.Service != nil {
+		serves = "--service=" + string(f.Deployment.Service)
+	}
+	args = append(args, "--upstream="+string(u.Name), "--upstream-url="+u.URL, serves)
+	var s sidecar.Settings
+	if err := setting.Defaults(&s, append(args, "--traces=100000")...); err != nil {
+		return nil, err
+	}
+	p := sidecar.NewProgram(time.Now(), &s, log.With(f.logger, "node", n.Name))
+	n.State, n.Traces, n.Metrics = p.Deps.State, p.Deps.Traces, p.Deps.Metrics
+	n.serve(l, p.Service)
+	f.add(n)
+	return n, nil
+}
+
+// add keeps a node and lists it.
+func (f *Fleet) add(n *Node) {
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	f.Platform.SetVM(time.Now(), platform.VM{
+		ID: n.Name, Role: n.Role, DataCentre: n.DataCentre, Address: n.Address, State: platform.VMLive,
+	})
+}
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -15,6 +15,7 @@
 // settings are the commands of the program.
 type settings struct {
 	Load  loadCommand  `cmd:"" help:"Put a mixed load on a fleet of processes."`
+	Run   runCommand   `cmd:"" help:"Run an experiment on a fleet inside this process."`
 	Wait  waitCommand  `cmd:"" help:"Wait until processes are ready."`
 	Ports portsCommand `cmd:"" help:"Print free loopback addresses."`
 }
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -126,3 +126,16 @@
 	}
 	return ctx
 }
+
+// Defaults fills settings from the given flags and the defaults alone, for a
+// program that runs inside another, and checks them.
+func Defaults(settings Checked, args ...string) error {
+	parser, err := kong.New(settings)
+	if err != nil {
+		return err
+	}
+	if _, err := parser.Parse(args); err != nil {
+		return err
+	}
+	return settings.Check()
+}
