--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/rule"
 )
@@ -34,6 +33,7 @@
 	Steps   func(t *Trial) []Step // nil: none
 	Checks  func(t *Trial) []Check
 	Steady  bool // its checks compare with a steady run
+	State   bool // it is about state on the log, and the naive policy has none
 	Alone   bool // its checks compare with a run without the workspace that the plan surges
 }
 
@@ -244,6 +244,3 @@
 func atLeast(name string, value, bound float64) Check {
 	return Check{Name: name, Ok: value >= bound, Value: value, Bound: bound}
 }
-
-// refused counts the calls of the load that were refused for a reason.
-func (t *Trial) refused(reason problem.Reason) int { return t.Report.Total.Reasons[reason] }
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,10 +14,12 @@
 
 // settings are the commands of the program.
 type settings struct {
-	Load  loadCommand  `cmd:"" help:"Put a mixed load on a fleet of processes."`
-	Run   runCommand   `cmd:"" help:"Run an experiment on a fleet inside this process."`
-	Wait  waitCommand  `cmd:"" help:"Wait until processes are ready."`
-	Ports portsCommand `cmd:"" help:"Print free loopback addresses."`
+	Load    loadCommand    `cmd:"" help:"Put a mixed load on a fleet of processes."`
+	Run     runCommand     `cmd:"" help:"Run an experiment on a fleet inside this process."`
+	Compare compareCommand `cmd:"" help:"Set two runs side by side."`
+	Matrix  matrixCommand  `cmd:"" help:"Run every experiment with both policies and print one table."`
+	Wait    waitCommand    `cmd:"" help:"Wait until processes are ready."`
+	Ports   portsCommand   `cmd:"" help:"Print free loopback addresses."`
 }
 
 // Check implements setting.Checked.
--- a/cmd/bench/run.go
+++ b/cmd/bench/run.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	o.Log = log
 	r, err := e.Run(ctx, o)
 	if err != nil {
@@ -67,3 +67,69 @@
 	}
 	return nil
 }
+
+type compareCommand struct {
+	A string `arg:"" help:"Folder of one run." type:"existingdir"`
+	B string `arg:"" help:"Folder of another run." type:"existingdir"`
+}
+
+// Run prints two reports side by side.
+func (c *compareCommand) Run() error {
+	a, err := bench.Open(c.A)
+	if err != nil {
+		return err
+	}
+	b, err := bench.Open(c.B)
+	if err != nil {
+		return err
+	}
+	return bench.Compare(os.Stdout, a, b)
+}
+
+type matrixCommand struct {
+	Experiments []string `help:"Names of the experiments; all if none."`
+	Deployments []string `help:"Names of the deployments." default:"hingeworks,errata"`
+	Seeds       []uint64 `help:"Seeds." default:"1,2,3"`
+	Parallel    int      `help:"Experiments that run side by side." default:"2"`
+	Out         string   `help:"Folder for the reports and matrix.md." required:""`
+}
+
+// Run runs the matrix and prints its table.
+func (c *matrixCommand) Run() error {
+	m := bench.Matrix{Seeds: c.Seeds, Parallel: max(1, c.Parallel), Dir: c.Out, Progress: os.Stderr, Experiments: bench.Experiments()}
+	if len(c.Experiments) > 0 {
+		m.Experiments = nil
+	}
+	for _, name := range c.Experiments {
+		e, err := bench.FindExperiment(name)
+		if err != nil {
+			return err
+		}
+		m.Experiments = append(m.Experiments, e)
+	}
+	for _, name := range c.Deployments {
+		d, err := bench.FindDeployment(name)
+		if err != nil {
+			return err
+		}
+		m.Deployments = append(m.Deployments, d)
+	}
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return err
+	}
+	table, err := os.Create(filepath.Join(c.Out, "matrix.md"))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = table.Close() }()
+	ctx, stop := process.Signals()
+	defer stop()
+	held, err := m.Run(ctx, io.MultiWriter(os.Stdout, table))
+	if err != nil {
+		return err
+	}
+	if !held {
+		return errBroken
+	}
+	return nil
+}
