--- a/journal/state.go
+++ b/journal/state.go
@@ -12,9 +12,12 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
+	"github.com/ragwortpass/ragwortpass/lease"
 	"github.com/ragwortpass/ragwortpass/rule"
+	"github.com/ragwortpass/ragwortpass/usage"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -45,7 +48,10 @@
 // State is the fold of the log. Its tables may be read at any time; Fold has one
 // caller at a time.
 type State struct {
-	Keys *key.Table
+	Keys   *key.Table
+	Leases *lease.Table
+	Usage  *usage.Ledger
+	Orders *fleet.Orders
 
 	mu        sync.Mutex // guards writers, observers and changed
 	writers   map[string]uint64
@@ -60,6 +66,9 @@
 func NewState() *State {
 	s := &State{
 		Keys:    key.NewTable(),
+		Leases:  lease.NewTable(),
+		Usage:   usage.NewLedger(),
+		Orders:  fleet.NewOrders(),
 		writers: make(map[string]uint64),
 		changed: make(chan struct{}),
 	}
@@ -135,11 +144,40 @@
 		return accepted(s.Keys.Give(b.KeyGiven), Conflict)
 	case *ragwortv1.Record_KeyWithdrawn:
 		return accepted(s.Keys.Withdraw(b.KeyWithdrawn), Conflict)
+	default:
+		return s.applyDuty(offset, r)
+	}
+}
+
+// applyDuty folds the records of leases and of what their holders do.
+func (s *State) applyDuty(offset id.Offset, r *ragwortv1.Record) Result {
+	switch b := r.GetBody().(type) {
+	case *ragwortv1.Record_LeaseClaimed:
+		return accepted(s.Leases.Claim(offset, b.LeaseClaimed), Conflict)
+	case *ragwortv1.Record_LeaseRenewed:
+		return accepted(s.Leases.Renew(offset, b.LeaseRenewed), Conflict)
+	case *ragwortv1.Record_LeaseReleased:
+		return accepted(s.Leases.Release(offset, b.LeaseReleased), Conflict)
+	case *ragwortv1.Record_OrderDecided:
+		return accepted(s.Orders.Decide(b.OrderDecided, s.current(id.DutyOrders, b.OrderDecided.GetTerm())), Conflict)
+	case *ragwortv1.Record_OrderSettled:
+		return accepted(s.Orders.Settle(b.OrderSettled, s.current(id.DutyOrders, b.OrderSettled.GetTerm())), Conflict)
+	case *ragwortv1.Record_UsageCounted:
+		return accepted(s.Usage.Count(b.UsageCounted), Invalid)
+	case *ragwortv1.Record_WindowClosed:
+		return accepted(s.Usage.Close(offset, b.WindowClosed, s.current(id.DutyUsage, b.WindowClosed.GetTerm())), Conflict)
+	case *ragwortv1.Record_WindowReported:
+		return accepted(s.Usage.Reported(b.WindowReported), Conflict)
 	default:
 		return Unknown
 	}
 }
 
+// current reports whether term is the fencing number in force for a duty.
+func (s *State) current(duty id.Duty, term uint64) bool {
+	return s.Leases.Current(duty, id.Term(term))
+}
+
 // repeated notes the record's sequence and reports whether it was seen before.
 func (s *State) repeated(r *ragwortv1.Record) bool {
 	s.mu.Lock()
