entry: put use on the log, close and report windows under the usage lease

Cause: what was delivered was counted in a metric only. Change: duty drives a lease candidate with this process's clocks and appends and checks the lease right before each act; billing appends what was counted under one sequence until it is folded, and once more after the last request; reporting closes windows and reports them. An answer that broke off before its first token is no longer counted as answered. Figures: TestDeliveredIsReported with -race passes for 6 faults with real processes (lost answers and acknowledgements, log outage, holder paused, paused with lost acknowledgements, holder leaves, holder killed after a flush): reported equals delivered, no checker fault.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -65,7 +65,7 @@
 		case *broken:
 			e.decide(time.Now(), rq.id, "dispatch", string(res.problem.Reason), res.problem.Detail)
 			if a.started || rq.once() || attempt >= maxAttempts || ctx.Err() != nil {
-				e.meter(rq, res.used)
+				e.meterPart(rq, res.used)
 				e.end(r, a, res.problem)
 				return
 			}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
+	"github.com/ragwortpass/ragwortpass/usage"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
 )
 
@@ -31,6 +33,9 @@
 	Seeds       []string // addresses of entries and sidecars, besides the VM list
 	Incarnation id.Incarnation
 	MaxBody     int64 // bytes of a request body
+	LeaseTTL    time.Duration
+	Usage       usage.Schedule
+	UsageFlush  time.Duration // between two appends of what was counted
 }
 
 // Deps is what an entry works with.
@@ -54,18 +59,38 @@
 	leaving   atomic.Bool
 	running   atomic.Int64
 	waiting   atomic.Int64
+	billing   *billing
+	reporting *reporting
 }
 
 // New returns an entry; Run keeps its view of the other processes.
 func New(cfg Config, deps Deps) *Entry {
 	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
 	e.members = newMembers(e)
+	e.billing = newBilling(e)
+	e.reporting = newReporting(e)
 	return e
 }
 
 // Run keeps the entry's view of the other processes until ctx is done.
 func (e *Entry) Run(ctx context.Context) { e.members.run(ctx) }
 
+// RunDuties puts use on the log and stands for the leases until ctx is done.
+func (e *Entry) RunDuties(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, run := range []func(context.Context){e.billing.run, e.reporting.duty.run} {
+		wg.Go(func() { run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Finish puts the last use on the log and gives the leases up. It is called when
+// every request has ended, while the log is still followed.
+func (e *Entry) Finish(ctx context.Context) {
+	e.billing.finish(ctx)
+	e.reporting.duty.leave(ctx)
+}
+
 // Handler serves callers, and the control calls of other processes.
 func (e *Entry) Handler() http.Handler {
 	chain := alice.New(e.accept, e.identify)
--- a/entry/program.go
+++ b/entry/program.go
@@ -17,6 +17,7 @@
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/trace"
+	"github.com/ragwortpass/ragwortpass/usage"
 )
 
 // Settings are the flags and environment variables of the program.
@@ -30,6 +31,11 @@
 	MaxBody    int64         `help:"Most bytes of a request body." default:"8388608"`
 	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
 	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
+
+	LeaseTTL    time.Duration `help:"Time to live of the leases on orders and usage." default:"10s"`
+	UsageWindow time.Duration `help:"Length of a usage window; the same at every entry." default:"1m"`
+	UsageGrace  time.Duration `help:"Time from the end of a usage window to its close." default:"20s"`
+	UsageFlush  time.Duration `help:"Time between two appends of counted use." default:"5s"`
 }
 
 // Check implements setting.Checked.
@@ -49,6 +55,10 @@
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
+	c.Require(s.LeaseTTL >= time.Second, "lease-ttl", s.LeaseTTL.String(), "a duration from 1s")
+	c.Require(s.UsageWindow >= time.Second && s.UsageWindow%time.Second == 0, "usage-window", s.UsageWindow.String(), "whole seconds")
+	c.Require(s.UsageFlush > 0, "usage-flush", s.UsageFlush.String(), "a duration above zero")
+	c.Require(s.UsageGrace > s.UsageFlush, "usage-grace", s.UsageGrace.String(), "more than usage-flush")
 	return c.Err()
 }
 
@@ -72,13 +82,15 @@
 	e := New(Config{
 		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
 		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody,
+		LeaseTTL: s.LeaseTTL, Usage: usage.Schedule{Length: s.UsageWindow, Grace: s.UsageGrace}, UsageFlush: s.UsageFlush,
 	}, deps)
 	return &Program{
 		Deps: deps,
 		Service: process.Service{
 			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: counts, Logger: logger,
 			Leave: e.Leave, Linger: s.Linger,
-			Tasks: []func(context.Context){follower.Run, writer.Run, e.Run},
+			Finish: e.Finish,
+			Tasks:  []func(context.Context){follower.Run, writer.Run, e.Run, e.RunDuties},
 		},
 	}
 }
--- a/process/process.go
+++ b/process/process.go
@@ -23,6 +23,7 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	finishTimeout     = 10 * time.Second
 	dialTimeout       = time.Second
 )
 
@@ -56,6 +57,7 @@
 	Leave   func()                  // called once when a signal arrives, before draining
 	Linger  time.Duration           // between Leave and refusing new connections
 	Grace   time.Duration           // for running requests; zero: without bound
+	Finish  func(context.Context)   // called once after the last request, while the tasks still run; nil: nothing to do
 	Abort   <-chan struct{}         // closed: cut what runs and end at once; nil: never
 	Tasks   []func(context.Context) // run beside the server until their context is done
 }
@@ -122,6 +124,7 @@
 	}
 	defer cancel()
 	err := server.Shutdown(ctx)
+	s.finish()
 	_ = s.Logger.Log("event", "left", "err", err)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -129,6 +132,16 @@
 	return err
 }
 
+// finish lets the program end its own work in bounded time.
+func (s Service) finish() {
+	if s.Finish == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	s.Finish(ctx)
+}
+
 // NewServer returns a server that speaks HTTP/1.1 and unencrypted HTTP/2.
 func NewServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
--- /dev/null
+++ b/ragworttest/usage_test.go
@@ -0,0 +1,195 @@
+package ragworttest_test
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/ragworttest"
+	"github.com/ragwortpass/ragwortpass/standin"
+	"github.com/ragwortpass/ragwortpass/usage"
+)
+
+// billed is a fleet of three entries with short leases and windows, whose callers
+// belong to two workspaces.
+type billed struct {
+	*ragworttest.Fleet
+	t         *testing.T
+	entries   []*ragworttest.Process
+	keys      map[id.Workspace]string
+	delivered map[id.Workspace]usage.Figures
+}
+
+func newBilled(t *testing.T) *billed {
+	f := ragworttest.NewFleet(t)
+	f.Publish(ragworttest.Rules(t, "hingeworks.rules"))
+	b := &billed{Fleet: f, t: t, keys: make(map[id.Workspace]string), delivered: make(map[id.Workspace]usage.Figures)}
+	for _, ws := range []id.Workspace{"bangkok-forge", "nan-forge"} {
+		b.keys[ws], _ = f.Key(ws)
+	}
+	cfg := standin.DefaultEngineConfig()
+	cfg.Gap = time.Millisecond
+	g, url := f.Engine(cfg)
+	g.Warm()
+	f.Sidecar("s1", "th-a", url, "--models=temper-70b").Ready(t)
+	for i := range 3 {
+		b.entries = append(b.entries, f.Entry(fmt.Sprintf("e%d", i), "th-a",
+			"--lease-ttl=1s", "--usage-window=1s", "--usage-flush=100ms", "--usage-grace=500ms"))
+	}
+	for _, e := range b.entries {
+		e.Ready(t)
+	}
+	return b
+}
+
+// call sends n calls of each workspace through an entry and notes what came back.
+func (b *billed) call(e *ragworttest.Process, n int) {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(b.t.Context(), ragworttest.Patience)
+	defer cancel()
+	for ws, key := range b.keys {
+		c := client(e, key)
+		for range n {
+			answer, err := c.Chat.Completions.New(ctx, chat("a hinge for "+string(ws)))
+			require.NoError(b.t, err)
+			b.delivered[ws] = b.delivered[ws].Add(usage.Figures{
+				Requests: 1, PromptTokens: id.Tokens(answer.Usage.PromptTokens), OutputTokens: id.Tokens(answer.Usage.CompletionTokens),
+			})
+		}
+	}
+}
+
+// holder waits until an entry holds the usage lease under a term above the given
+// one, and returns it.
+func (b *billed) holder(above id.Term) (*ragworttest.Process, id.Term) {
+	b.t.Helper()
+	var held *ragworttest.Process
+	var term id.Term
+	ragworttest.Eventually(b.t, func() bool {
+		g := b.Grant(id.DutyUsage)
+		if g.Term <= above || g.Released {
+			return false
+		}
+		for _, e := range b.entries {
+			if len(g.Holder) > len(e.Node) && g.Holder[:len(e.Node)+1] == e.Node+"_" {
+				held, term = e, g.Term
+				return true
+			}
+		}
+		return false
+	}, "an entry holds the lease")
+	return held, term
+}
+
+func (b *billed) others(e *ragworttest.Process) []*ragworttest.Process {
+	var rest []*ragworttest.Process
+	for _, o := range b.entries {
+		if o != e {
+			rest = append(rest, o)
+		}
+	}
+	return rest
+}
+
+// reconcile requires that exactly what was delivered is reported, once.
+func (b *billed) reconcile() {
+	b.t.Helper()
+	ragworttest.Eventually(b.t, func() bool {
+		return fmt.Sprint(ragworttest.Reported(b.Platform.ReportsSeen())) == fmt.Sprint(b.delivered)
+	}, "reports equal deliveries: %v, delivered %v", ragworttest.Reported(b.Platform.ReportsSeen()), b.delivered)
+	require.Empty(b.t, ragworttest.ReportFaults(b.Platform.ReportsSeen()))
+	require.Empty(b.t, ragworttest.OrderFaults(b.Platform.OrdersSeen()))
+}
+
+func TestDeliveredIsReported(t *testing.T) {
+	faults := []struct {
+		name  string
+		fault func(b *billed)
+	}{
+		{"answers and acknowledgements lost", func(b *billed) {
+			b.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 8, LoseReports: 3})
+			for _, e := range b.entries {
+				b.call(e, 3)
+			}
+		}},
+		{"log outage while windows close", func(b *billed) {
+			b.holder(0)
+			b.call(b.entries[0], 2)
+			b.Platform.SetFaults(standin.PlatformFaults{Outage: true})
+			for _, e := range b.entries {
+				b.call(e, 2)
+			}
+			time.Sleep(2 * time.Second) // past the lease and the close of the window
+			b.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 2})
+			b.call(b.entries[1], 1)
+		}},
+		{"holder paused past its lease", func(b *billed) {
+			held, term := b.holder(0)
+			b.call(held, 2)
+			held.Signal(b.t, syscall.SIGSTOP)
+			b.call(b.others(held)[0], 2)
+			b.holder(term)
+			held.Signal(b.t, syscall.SIGCONT)
+			b.call(held, 2)
+		}},
+		{"holder paused and acknowledgements lost", func(b *billed) {
+			held, term := b.holder(0)
+			b.call(held, 1)
+			b.Platform.SetFaults(standin.PlatformFaults{LoseReports: 2})
+			held.Signal(b.t, syscall.SIGSTOP)
+			b.holder(term)
+			b.call(b.others(held)[0], 2)
+			held.Signal(b.t, syscall.SIGCONT)
+		}},
+		{"holder leaves", func(b *billed) {
+			held, term := b.holder(0)
+			b.call(held, 2)
+			held.Signal(b.t, syscall.SIGTERM)
+			held.Wait(b.t)
+			b.holder(term)
+		}},
+		{"holder killed after its last flush", func(b *billed) {
+			held, term := b.holder(0)
+			b.call(held, 2)
+			ragworttest.Eventually(b.t, func() bool { return b.counted() == b.sum() }, "all is counted on the log")
+			held.Kill(b.t)
+			b.call(b.others(held)[0], 1)
+			b.holder(term)
+		}},
+	}
+	for _, c := range faults {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBilled(t)
+			c.fault(b)
+			b.reconcile()
+		})
+	}
+}
+
+func (b *billed) sum() usage.Figures {
+	var all usage.Figures
+	for _, f := range b.delivered {
+		all = all.Add(f)
+	}
+	return all
+}
+
+// counted returns everything that the log holds, billed or not.
+func (b *billed) counted() usage.Figures {
+	s, err := b.Operator.State(b.t.Context())
+	require.NoError(b.t, err)
+	var all usage.Figures
+	_, open := s.Usage.Open()
+	for _, lines := range open {
+		all = all.Add(lines.Total())
+	}
+	for _, c := range s.Usage.Closed() {
+		all = all.Add(usage.FromWire(c.Record.GetLines()).Total())
+	}
+	return all
+}
