--- a/process/process.go
+++ b/process/process.go
@@ -25,6 +25,11 @@
 	maxHeaderBytes    = 64 << 10
 	finishTimeout     = 10 * time.Second
 	dialTimeout       = time.Second
+
+	// A connection to another process that is silent for pingAfter is asked for a
+	// sign of life, and closed if none comes within pingTimeout.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
 )
 
 // NewLogger returns a logger that writes one line of key=value pairs an event.
@@ -163,6 +168,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return newClient(&http.Transport{
 		Protocols:          protocols,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    idleTimeout,
