--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -141,7 +141,7 @@
 		return
 	}
 	final.Request = string(n.a.rq.id)
-	n.e.meter(n.a.rq, used{output: n.a.output})
+	n.e.meterPart(n.a.rq, used{output: n.a.output})
 	n.e.count("cut_" + string(final.Reason))
 	n.e.decide(time.Now(), n.a.rq.id, "relay", "cut", "reason="+string(final.Reason))
 	if !n.a.rq.stream {
--- a/process/process.go
+++ b/process/process.go
@@ -23,6 +23,7 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	finishTimeout     = 10 * time.Second
 	dialTimeout       = time.Second
 
 	// A connection to another process that is silent for pingAfter is asked for a
@@ -53,16 +54,18 @@
 
 // Service is a program's HTTP side and how it shuts down.
 type Service struct {
-	Address string
-	Handler http.Handler
-	Ready   func() error // nil error: ready for work
-	Metrics metrics.Registry
-	Logger  log.Logger
-	Leave   func()                  // called once when a signal arrives, before draining
-	Linger  time.Duration           // between Leave and refusing new connections
-	Grace   time.Duration           // for running requests; zero: without bound
-	Abort   <-chan struct{}         // closed: cut what runs and end at once; nil: never
-	Tasks   []func(context.Context) // run beside the server until their context is done
+	Address  string
+	Listener net.Listener // used in place of Address if not nil
+	Handler  http.Handler
+	Ready    func() error // nil error: ready for work
+	Metrics  metrics.Registry
+	Logger   log.Logger
+	Leave    func()                  // called once when a signal arrives, before draining
+	Linger   time.Duration           // between Leave and refusing new connections
+	Grace    time.Duration           // for running requests; zero: without bound
+	Finish   func(context.Context)   // called once after the last request, while the tasks still run; nil: nothing to do
+	Abort    <-chan struct{}         // closed: cut what runs and end at once; nil: never
+	Tasks    []func(context.Context) // run beside the server until their context is done
 }
 
 // Signals returns a context that ends at SIGTERM or SIGINT.
@@ -73,9 +76,12 @@
 // Serve serves until ctx is done, then lets every running request finish. The
 // tasks go on until then.
 func Serve(ctx context.Context, s Service) error {
-	l, err := net.Listen("tcp", s.Address)
-	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.Address)
+	l := s.Listener
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", s.Address); err != nil {
+			return eris.Wrapf(err, "listen on %s", s.Address)
+		}
 	}
 	server := NewServer(s.mux())
 	defer s.run(ctx)()
@@ -127,6 +133,7 @@
 	}
 	defer cancel()
 	err := server.Shutdown(ctx)
+	s.finish()
 	_ = s.Logger.Log("event", "left", "err", err)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -134,6 +141,16 @@
 	return err
 }
 
+// finish lets the program end its own work in bounded time.
+func (s Service) finish() {
+	if s.Finish == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	s.Finish(ctx)
+}
+
 // NewServer returns a server that speaks HTTP/1.1 and unencrypted HTTP/2.
 func NewServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
