--- a/ragworttest/usage_test.go
+++ b/ragworttest/usage_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/operator"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 	"github.com/ragwortpass/ragwortpass/usage"
@@ -171,6 +174,32 @@
 	}
 }
 
+func TestUsageShow(t *testing.T) {
+	b := newBilled(t)
+	b.call(b.entries[0], 2)
+	b.reconcile()
+	ctl := func(args ...string) []operator.WindowUsage {
+		args = append([]string{"--platform=" + b.PlatformURL, "--output=json", "usage", "show"}, args...)
+		out, err := exec.Command(ragworttest.Binary(t, "ragwortctl"), args...).Output()
+		require.NoError(t, err)
+		var windows []operator.WindowUsage
+		require.NoError(t, json.Unmarshal(out, &windows))
+		return windows
+	}
+	var shown id.Tokens
+	all := ctl("--workspace=nan-forge")
+	for _, w := range all {
+		for _, l := range w.Lines {
+			require.Equal(t, id.Workspace("nan-forge"), l.Workspace)
+			shown += l.OutputTokens
+		}
+	}
+	require.Equal(t, b.delivered["nan-forge"].OutputTokens, shown)
+	one := ctl("--window=" + all[0].Window.Format(time.RFC3339))
+	require.Len(t, one, 1)
+	require.NotEmpty(t, one[0].Report)
+}
+
 func (b *billed) sum() usage.Figures {
 	var all usage.Figures
 	for _, f := range b.delivered {
