entry, sidecar: decide, give and settle orders under the orders lease

Cause: the fleet's size was nobody's decision. Change: the holder measures the fleet, decides each order on the log with its term and deadline, gives it after checking the lease again, and settles it. Drains, and model loads for upstreams that ignore fencing numbers, go through the sidecar, which refuses terms below the highest it has seen or folded. A drain ends by itself. The platform stand-in starts and stops spare VMs.

--- a/entry/duty.go
+++ b/entry/duty.go
@@ -101,9 +101,14 @@
 // send does one act that must end within the lease: it checks the lease, then
 // calls with the term and a context that ends with the longest order.
 func (d *duty) send(ctx context.Context, call func(context.Context, id.Term) error) error {
+	return d.sendWithin(ctx, d.cfg.LongestOrder, call)
+}
+
+// sendWithin is send for an act after which need must be left of the lease.
+func (d *duty) sendWithin(ctx context.Context, need time.Duration, call func(context.Context, id.Term) error) error {
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.LongestOrder)
 	defer cancel()
-	term, ok := d.holding(d.cfg.LongestOrder)
+	term, ok := d.holding(need)
 	if !ok {
 		d.e.count("duty_" + string(d.name) + "_not_holding")
 		return &NotHoldingError{Duty: d.name}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/justinas/alice"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/platform"
@@ -36,6 +37,8 @@
 	LeaseTTL    time.Duration
 	Usage       usage.Schedule
 	UsageFlush  time.Duration // between two appends of what was counted
+	FleetEvery  time.Duration // between two measurements of the fleet
+	Fleet       fleet.Config
 }
 
 // Deps is what an entry works with.
@@ -61,6 +64,7 @@
 	waiting   atomic.Int64
 	billing   *billing
 	reporting *reporting
+	ordering  *ordering
 }
 
 // New returns an entry; Run keeps its view of the other processes.
@@ -69,6 +73,7 @@
 	e.members = newMembers(e)
 	e.billing = newBilling(e)
 	e.reporting = newReporting(e)
+	e.ordering = newOrdering(e)
 	return e
 }
 
@@ -78,7 +83,7 @@
 // RunDuties puts use on the log and stands for the leases until ctx is done.
 func (e *Entry) RunDuties(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){e.billing.run, e.reporting.duty.run} {
+	for _, run := range []func(context.Context){e.billing.run, e.reporting.duty.run, e.ordering.duty.run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
@@ -89,6 +94,7 @@
 func (e *Entry) Finish(ctx context.Context) {
 	e.billing.finish(ctx)
 	e.reporting.duty.leave(ctx)
+	e.ordering.duty.leave(ctx)
 }
 
 // Handler serves callers, and the control calls of other processes.
--- /dev/null
+++ b/entry/measure.go
@@ -0,0 +1,127 @@
+package entry
+
+// This file defines how the fleet is measured: from the rules, the platform's VM
+// list and the heartbeats of sidecars to the sites that a planner reads.
+
+import (
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/fleet"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/rule"
+	"github.com/ragwortpass/ragwortpass/upstream"
+)
+
+const (
+	// freshFor is how old a heartbeat may be to count as a measurement.
+	freshFor = 3 * time.Second
+	// defaultSlots is assumed of an upstream whose rule sets no concurrency.
+	defaultSlots = 16
+)
+
+// measurement is what is known at one time.
+type measurement struct {
+	now    time.Time
+	rules  *rule.Set
+	views  []upstream.View
+	vms    []platform.VM
+	orders []fleet.Decided
+	order  time.Duration // the longest order
+}
+
+// trusted reports whether enough of the listed sidecars were heard from lately. A
+// process that is cut off must not order replacements for a fleet it cannot see.
+func (m *measurement) trusted() bool {
+	listed, heard := 0, 0
+	for _, vm := range m.vms {
+		if vm.Role == "sidecar" && vm.State == platform.VMLive {
+			listed++
+		}
+	}
+	for i := range m.views {
+		if m.fresh(&m.views[i]) {
+			heard++
+		}
+	}
+	return 2*heard >= listed
+}
+
+func (m *measurement) fresh(v *upstream.View) bool { return m.now.Sub(v.Heard) <= freshFor }
+
+// sites returns every site that a fleet rule names.
+func (m *measurement) sites() []fleet.Site {
+	leaving := make(map[id.Node]bool)
+	for _, vm := range m.vms {
+		leaving[vm.ID] = vm.State == platform.VMLeaving
+	}
+	var sites []fleet.Site
+	for _, f := range m.rules.Fleets {
+		s := fleet.Site{
+			Model: f.Model, DataCentre: f.DataCentre, Min: f.Min, Max: f.Max,
+			Closed: m.rules.Drained(f.DataCentre), Slots: m.slots(f.Model), LastOrder: m.lastOrder(f.Model, f.DataCentre),
+		}
+		for i := range m.views {
+			v := &m.views[i]
+			if v.DataCentre == f.DataCentre && v.Serves(f.Model) && !v.Leaving && !leaving[v.Node] {
+				m.add(&s, v)
+			}
+		}
+		sites = append(sites, s)
+	}
+	return sites
+}
+
+func (m *measurement) slots(model id.Model) int {
+	u := m.rules.UpstreamFor("", []id.Model{model}, "")
+	if u == nil || u.Concurrency == 0 {
+		return defaultSlots
+	}
+	return u.Concurrency
+}
+
+// lastOrder returns the deadline of the newest order at a site that can have taken
+// effect; it is on the log, so a successor knows it too.
+func (m *measurement) lastOrder(model id.Model, dc id.DataCentre) time.Time {
+	var last time.Time
+	for _, d := range m.orders {
+		r := d.Record
+		changes := fleet.Kind(r.GetKind()) == fleet.Start || fleet.Kind(r.GetKind()) == fleet.Stop
+		refused := d.Settled != nil && fleet.Outcome(d.Settled.GetOutcome()) == fleet.Refused
+		if changes && !refused && id.Model(r.GetModel()) == model && id.DataCentre(r.GetDataCentre()) == dc && d.Deadline().After(last) {
+			last = d.Deadline()
+		}
+	}
+	return last
+}
+
+// add counts one upstream. One that was not heard from lately still counts as
+// there until the table forgets it, but its work is not known.
+func (m *measurement) add(s *fleet.Site, v *upstream.View) {
+	busy := 0
+	if m.fresh(v) {
+		busy = v.Load.Running + v.Load.Waiting
+	}
+	switch upstream.State(v.Load.State) {
+	case upstream.Gone:
+	case upstream.Draining:
+		if since, ok := m.drainedSince(v.ID); ok && m.fresh(v) {
+			s.Drained = append(s.Drained, fleet.Drained{ID: v.ID, Busy: busy + v.Outstanding, Age: m.now.Sub(since)})
+		}
+	case upstream.Unknown, upstream.Cold:
+		s.Upstreams = append(s.Upstreams, fleet.Upstream{ID: v.ID, Busy: busy, Warming: true})
+	default:
+		s.Upstreams = append(s.Upstreams, fleet.Upstream{ID: v.ID, Busy: busy})
+	}
+}
+
+// drainedSince returns the earliest time at which the newest drain order of an
+// upstream can have begun.
+func (m *measurement) drainedSince(u id.Upstream) (since time.Time, ok bool) {
+	for _, d := range m.orders {
+		if fleet.Kind(d.Record.GetKind()) == fleet.Drain && id.Upstream(d.Record.GetUpstream()) == u {
+			since, ok = d.Deadline().Add(-m.order), true
+		}
+	}
+	return since, ok
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -48,6 +48,9 @@
 	for _, v := range n.e.upstreams.All() {
 		rs.Upstreams = append(rs.Upstreams, upstreamStatus(v))
 	}
+	var folded ragwortv1.State
+	n.e.deps.State.Leases.Snapshot(&folded)
+	rs.Leases = folded.GetLeases()
 	return connect.NewResponse(rs), nil
 }
 
--- a/entry/program.go
+++ b/entry/program.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/platform"
@@ -36,6 +37,10 @@
 	UsageWindow time.Duration `help:"Length of a usage window; the same at every entry." default:"1m"`
 	UsageGrace  time.Duration `help:"Time from the end of a usage window to its close." default:"20s"`
 	UsageFlush  time.Duration `help:"Time between two appends of counted use." default:"5s"`
+	FleetEvery  time.Duration `help:"Time between two measurements of the fleet." default:"5s"`
+	FleetSteady time.Duration `help:"Time of unbroken measurement before the first order." default:"10s"`
+	FleetHold   time.Duration `help:"Time for which the need must be lower before upstreams are stopped." default:"10m"`
+	FleetSettle time.Duration `help:"Time until the effect of an order can be seen." default:"1m"`
 }
 
 // Check implements setting.Checked.
@@ -59,9 +64,19 @@
 	c.Require(s.UsageWindow >= time.Second && s.UsageWindow%time.Second == 0, "usage-window", s.UsageWindow.String(), "whole seconds")
 	c.Require(s.UsageFlush > 0, "usage-flush", s.UsageFlush.String(), "a duration above zero")
 	c.Require(s.UsageGrace > s.UsageFlush, "usage-grace", s.UsageGrace.String(), "more than usage-flush")
+	c.Require(s.FleetEvery > 0, "fleet-every", s.FleetEvery.String(), "a duration above zero")
+	c.Require(s.FleetHold >= s.FleetSteady, "fleet-hold", s.FleetHold.String(), "at least fleet-steady")
 	return c.Err()
 }
 
+// fleet returns how the fleet is planned.
+func (s *Settings) fleet() fleet.Config {
+	cfg := fleet.DefaultConfig()
+	cfg.Steady, cfg.Hold, cfg.Settle = s.FleetSteady, s.FleetHold, s.FleetSettle
+	cfg.MaxGap = 3 * s.FleetEvery
+	return cfg
+}
+
 // Program is an entry with its log reader, its log writer and its server.
 type Program struct {
 	Deps    Deps
@@ -83,6 +98,7 @@
 		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
 		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody,
 		LeaseTTL: s.LeaseTTL, Usage: usage.Schedule{Length: s.UsageWindow, Grace: s.UsageGrace}, UsageFlush: s.UsageFlush,
+		FleetEvery: s.FleetEvery, Fleet: s.fleet(),
 	}, deps)
 	return &Program{
 		Deps: deps,
--- /dev/null
+++ b/fleet/orders_test.go
@@ -0,0 +1,60 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/ragwortpass/ragwortpass/fleet"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+// TestOrdersAgainstNaive folds random records, with a snapshot and restore after
+// each, and compares with maps of what was first.
+func TestOrdersAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		orders := fleet.NewOrders()
+		decided, settled := make(map[string]bool), make(map[string]string)
+		for range 40 {
+			name := fmt.Sprint("o", rapid.IntRange(0, 9).Draw(rt, "order"))
+			current := rapid.IntRange(0, 4).Draw(rt, "current") > 0
+			if rapid.Bool().Draw(rt, "decide") {
+				want := current && !decided[name]
+				require.Equal(rt, want, orders.Decide(&ragwortv1.OrderDecided{Order: name, Kind: string(fleet.Start)}, current))
+				decided[name] = decided[name] || want
+			} else {
+				outcome := rapid.SampledFrom([]string{"done", "refused", "expired"}).Draw(rt, "outcome")
+				want := current && decided[name] && settled[name] == ""
+				require.Equal(rt, want, orders.Settle(&ragwortv1.OrderSettled{Order: name, Outcome: outcome}, current))
+				if want {
+					settled[name] = outcome
+				}
+			}
+			var s ragwortv1.State
+			orders.Snapshot(&s)
+			orders = fleet.NewOrders()
+			orders.Restore(&s)
+			require.Len(rt, orders.All(), len(decided))
+			require.Len(rt, orders.Open(), len(decided)-len(settled))
+			for _, d := range orders.All() {
+				require.Equal(rt, settled[d.Record.GetOrder()], d.Settled.GetOutcome())
+			}
+		}
+	})
+}
+
+func TestOldestSettledOrdersAreDropped(t *testing.T) {
+	orders := fleet.NewOrders()
+	require.True(t, orders.Decide(&ragwortv1.OrderDecided{Order: "open"}, true))
+	for i := range 100 {
+		name := fmt.Sprint("o", i)
+		require.True(t, orders.Decide(&ragwortv1.OrderDecided{Order: name}, true))
+		require.True(t, orders.Settle(&ragwortv1.OrderSettled{Order: name}, true))
+	}
+	all := orders.All()
+	require.Len(t, all, 65)
+	require.Equal(t, "open", all[0].Record.GetOrder())
+	require.Equal(t, "o99", all[64].Record.GetOrder())
+}
--- /dev/null
+++ b/sidecar/order_test.go
@@ -0,0 +1,63 @@
+package sidecar
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/fleet"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/standin"
+	"github.com/ragwortpass/ragwortpass/upstream"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+func TestOrders(t *testing.T) {
+	engine := standin.NewEngine(standin.DefaultEngineConfig()) // ignores fencing numbers
+	server := httptest.NewServer(engine.Handler())
+	defer server.Close()
+	state := journal.NewState()
+	s := New(Config{Upstream: "u", UpstreamURL: server.URL, Models: []id.Model{"m"}}, Deps{
+		State: state, Client: process.NewOutsideClient(), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+	})
+	order := func(name string, term uint64, kind fleet.Kind, in time.Duration) *ragwortv1.OrderDecided {
+		return &ragwortv1.OrderDecided{Order: name, Term: term, Kind: string(kind), Model: "m", DeadlineUnixMs: time.Now().Add(in).UnixMilli()}
+	}
+	fold := func(term id.Term) {
+		require.True(t, state.Leases.Claim(id.Offset(term), &ragwortv1.LeaseClaimed{
+			Duty: string(id.DutyOrders), Holder: "a", Term: uint64(term), SeenOffset: uint64(term - 1),
+		}))
+	}
+	fold(1)
+	steps := []struct {
+		name   string
+		fold   id.Term // a grant folded before
+		order  *ragwortv1.OrderDecided
+		want   string
+		orders int64 // taken by the engine so far
+	}{
+		{"current", 0, order("o1", 1, fleet.LoadModel, time.Minute), "", 1},
+		{"repeated", 0, order("o1", 1, fleet.LoadModel, time.Minute), "", 1},
+		{"late", 0, order("o2", 1, fleet.LoadModel, -time.Second), orderLate, 1},
+		{"newer than what is folded", 0, order("o3", 3, fleet.LoadModel, time.Minute), "", 2},
+		{"older than what was seen", 0, order("o4", 2, fleet.LoadModel, time.Minute), orderStale, 2},
+		{"unknown kind", 0, order("o5", 3, fleet.Start, time.Minute), orderUnknown, 2},
+		{"drain", 0, order("o6", 3, fleet.Drain, time.Minute), "", 2},
+		{"older than what is folded", 4, order("o7", 3, fleet.LoadModel, time.Minute), orderStale, 2},
+	}
+	for _, c := range steps {
+		for next := state.Leases.Grant(id.DutyOrders).Term + 1; next <= c.fold; next++ {
+			fold(next)
+		}
+		require.Equal(t, c.want, s.orders.carryOut(t.Context(), c.order), c.name)
+		require.Equal(t, c.orders, engine.Stats().Orders, c.name)
+	}
+	require.Equal(t, upstream.Draining, s.state())
+	require.False(t, s.orders.draining(time.Now().Add(fleet.DrainHold)), "a drain ends by itself")
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -58,12 +58,14 @@
 	life    *upstream.Lifecycle
 	leaving atomic.Bool
 	waiting atomic.Int64
+	orders  *orders
 }
 
 // New returns a sidecar; Run watches its upstream.
 func New(cfg Config, deps Deps) *Sidecar {
 	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
 	s.limiter = upstream.NewLimiter(s.limits())
+	s.orders = &orders{s: s}
 	return s
 }
 
@@ -88,6 +90,7 @@
 func (s *Sidecar) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(ragwortv1connect.NewNodeServiceHandler(&node{s: s}))
+	mux.Handle(ragwortv1connect.NewOrderServiceHandler(s.orders))
 	mux.Handle("/", alice.New(s.vet).ThenFunc(s.run))
 	return mux
 }
@@ -97,7 +100,7 @@
 	if s.leaving.Load() {
 		return &StateError{State: upstream.Draining}
 	}
-	if st := s.life.State(); !st.TakesWork() {
+	if st := s.state(); !st.TakesWork() {
 		return &StateError{State: st}
 	}
 	return nil
@@ -164,7 +167,7 @@
 }
 
 func (s *Sidecar) state() upstream.State {
-	if s.leaving.Load() {
+	if s.leaving.Load() || s.orders.draining(time.Now()) {
 		return upstream.Draining
 	}
 	return s.life.State()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/platform"
 )
 
 // EngineConfig is what an engine is like.
@@ -59,6 +60,7 @@
 	cache   []uint64      // prefixes, least recently used first
 
 	seen EngineStats
+	term id.Term // highest fencing number seen
 }
 
 // EngineStats counts what an engine did.
@@ -66,6 +68,7 @@
 	Requests  int64 `json:"requests"`
 	Tokens    int64 `json:"tokens"`
 	Cancelled int64 `json:"cancelled"`
+	Orders    int64 `json:"orders"` // taken
 	Falls     int64 `json:"falls"`
 	MaxBatch  int   `json:"max_batch"`
 }
@@ -85,6 +88,7 @@
 			http.Error(w, "restarting", http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("POST /v1/orders", g.order)
 	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { encode(w, g.Stats()) })
 	mux.HandleFunc("POST /admin/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f EngineFaults
@@ -97,6 +101,24 @@
 	return mux
 }
 
+// order takes an order, unless the engine checks fencing numbers and has seen a
+// higher one.
+func (g *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if !decode(w, r, &o) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cfg.Fencing && o.Fencing < g.term {
+		http.Error(w, "stale fencing number", http.StatusConflict)
+		return
+	}
+	g.term = max(g.term, o.Fencing)
+	g.seen.Orders++
+	encode(w, struct{}{})
+}
+
 // SetFaults replaces the faults in force.
 func (g *Engine) SetFaults(f EngineFaults) {
 	g.mu.Lock()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -40,6 +40,8 @@
 	reports []ReportSeen
 	terms   map[string]id.Term // highest fencing number seen, by interface
 	vms     map[id.Node]vmSeen
+	spares  []Spare
+	done    map[id.Order]bool // orders carried out
 }
 
 // stream is one stream of the log.
@@ -88,6 +90,7 @@
 		streams: make(map[string]*stream),
 		terms:   make(map[string]id.Term),
 		vms:     make(map[id.Node]vmSeen),
+		done:    make(map[id.Order]bool),
 	}
 }
 
@@ -134,6 +137,11 @@
 func (p *Platform) SetVM(now time.Time, vm platform.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.set(now, vm)
+}
+
+// set adds a VM or changes its state. The caller holds the lock.
+func (p *Platform) set(now time.Time, vm platform.VM) {
 	old, ok := p.vms[vm.ID]
 	p.vms[vm.ID] = vmSeen{vm: vm, listed: ok && !old.removed, before: old.vm.State, changed: now}
 }
@@ -270,7 +278,11 @@
 		return
 	}
 	p.fenced(w, "orders", o.Fencing, func(taken bool) {
-		p.orders = append(p.orders, OrderSeen{At: time.Now(), Order: o, Taken: taken})
+		now := time.Now()
+		p.orders = append(p.orders, OrderSeen{At: now, Order: o, Taken: taken})
+		if taken {
+			p.carryOut(now, o)
+		}
 	})
 }
 
