--- a/fleet/orders_test.go
+++ b/fleet/orders_test.go
@@ -23,7 +23,9 @@
 			if rapid.Bool().Draw(rt, "decide") {
 				want := current && !decided[name]
 				require.Equal(rt, want, orders.Decide(&ragwortv1.OrderDecided{Order: name, Kind: string(fleet.Start)}, current))
-				decided[name] = decided[name] || want
+				if want {
+					decided[name] = true
+				}
 			} else {
 				outcome := rapid.SampledFrom([]string{"done", "refused", "expired"}).Draw(rt, "outcome")
 				want := current && decided[name] && settled[name] == ""
