--- a/journal/state.go
+++ b/journal/state.go
@@ -149,35 +149,6 @@
 	}
 }
 
-// applyDuty folds the records of leases and of what their holders do.
-func (s *State) applyDuty(offset id.Offset, r *ragwortv1.Record) Result {
-	switch b := r.GetBody().(type) {
-	case *ragwortv1.Record_LeaseClaimed:
-		return accepted(s.Leases.Claim(offset, b.LeaseClaimed), Conflict)
-	case *ragwortv1.Record_LeaseRenewed:
-		return accepted(s.Leases.Renew(offset, b.LeaseRenewed), Conflict)
-	case *ragwortv1.Record_LeaseReleased:
-		return accepted(s.Leases.Release(offset, b.LeaseReleased), Conflict)
-	case *ragwortv1.Record_OrderDecided:
-		return accepted(s.Orders.Decide(b.OrderDecided, s.current(id.DutyOrders, b.OrderDecided.GetTerm())), Conflict)
-	case *ragwortv1.Record_OrderSettled:
-		return accepted(s.Orders.Settle(b.OrderSettled, s.current(id.DutyOrders, b.OrderSettled.GetTerm())), Conflict)
-	case *ragwortv1.Record_UsageCounted:
-		return accepted(s.Usage.Count(b.UsageCounted), Invalid)
-	case *ragwortv1.Record_WindowClosed:
-		return accepted(s.Usage.Close(offset, b.WindowClosed, s.current(id.DutyUsage, b.WindowClosed.GetTerm())), Conflict)
-	case *ragwortv1.Record_WindowReported:
-		return accepted(s.Usage.Reported(b.WindowReported), Conflict)
-	default:
-		return Unknown
-	}
-}
-
-// current reports whether term is the fencing number in force for a duty.
-func (s *State) current(duty id.Duty, term uint64) bool {
-	return s.Leases.Current(duty, id.Term(term))
-}
-
 // repeated notes the record's sequence and reports whether it was seen before.
 func (s *State) repeated(r *ragwortv1.Record) bool {
 	s.mu.Lock()
