--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -54,6 +54,7 @@
 	life    *upstream.Lifecycle
 	leaving atomic.Bool
 	waiting atomic.Int64
+	orders  *orders
 
 	incarnation atomic.Uint64 // of the upstream
 	missed      int           // probes in a row without an answer; used by Run alone
@@ -64,6 +65,7 @@
 	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
 	s.incarnation.Store(uint64(cfg.Incarnation))
 	s.limiter = upstream.NewLimiter(s.limits())
+	s.orders = &orders{s: s}
 	return s
 }
 
@@ -88,6 +90,7 @@
 func (s *Sidecar) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(ragwortv1connect.NewNodeServiceHandler(&node{s: s}))
+	mux.Handle(ragwortv1connect.NewOrderServiceHandler(s.orders))
 	mux.Handle("/", alice.New(s.vet).ThenFunc(s.run))
 	return mux
 }
@@ -128,7 +131,7 @@
 // say so, before the lifecycle has followed.
 func (s *Sidecar) state() upstream.State {
 	st := s.life.State()
-	if st != upstream.Gone && (s.leaving.Load() || s.drained()) {
+	if st != upstream.Gone && (s.leaving.Load() || s.drained() || s.orders.draining(time.Now())) {
 		return upstream.Draining
 	}
 	return st
