--- a/sidecar/exchange.go
+++ b/sidecar/exchange.go
@@ -64,7 +64,7 @@
 		x.evidence.Gap = x.last.Sub(x.first) / time.Duration(x.events)
 	}
 	x.s.limiter.Release(x.evidence)
-	x.s.follow()
+	x.s.follow(time.Now())
 }
 
 // relay copies the body, flushing as it goes.
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -27,7 +27,7 @@
 	for {
 		s.probe(ctx)
 		s.limiter.SetLimits(s.limits())
-		s.follow()
+		s.follow(time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -86,9 +86,9 @@
 }
 
 // follow moves the lifecycle on by what the limiter and the rules show.
-func (s *Sidecar) follow() {
+func (s *Sidecar) follow(now time.Time) {
 	st, warm := s.life.State(), s.limiter.Warm()
-	out := s.leaving.Load() || s.drained()
+	out := s.closed(now)
 	switch {
 	case out && st != upstream.Draining:
 		s.life.Apply(upstream.Drain)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/justinas/alice"
@@ -131,13 +132,17 @@
 // say so, before the lifecycle has followed.
 func (s *Sidecar) state() upstream.State {
 	st := s.life.State()
-	if st != upstream.Gone && (s.leaving.Load() || s.drained() || s.orders.draining(time.Now())) {
+	if st != upstream.Gone && s.closed(time.Now()) {
 		return upstream.Draining
 	}
 	return st
 }
 
-func (s *Sidecar) drained() bool { return s.deps.State.Rules().Drained(s.cfg.DataCentre) }
+// closed reports whether the sidecar leaves, or its data centre or its upstream is
+// taken out of service.
+func (s *Sidecar) closed(now time.Time) bool {
+	return s.leaving.Load() || s.deps.State.Rules().Drained(s.cfg.DataCentre) || s.orders.draining(now)
+}
 
 func (s *Sidecar) count(name string) {
 	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(1)
