tier: a waiting queue with strict tiers, floors and deficit round robin

Requests wait by tier; within a class deficit round robin over workspaces in expected tokens. A floor goes ahead of higher tiers only while each of these can still start in time; starvation allows one dispatch per period. A full queue sheds the newest of its lowest tier. Hopeless requests are refused early.

--- /dev/null
+++ b/tier/decision.go
@@ -0,0 +1,75 @@
+package tier
+
+// This file defines the decisions of a queue.
+
+import (
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/problem"
+)
+
+// Admission is the outcome of a push: Queued, Displaced, Full or Hopeless.
+type Admission interface{ admission() }
+
+// Queued says that the waiter was added.
+type Queued struct{}
+
+// Displaced says that the waiter was added in the place of another, which is to
+// be refused.
+type Displaced struct{ Waiter *Waiter }
+
+// Full says that the waiter was not added: every one in the queue goes before it.
+type Full struct{}
+
+// Hopeless says that the waiter was not added: it cannot start in time.
+type Hopeless struct {
+	Wait time.Duration // the least that those take that go first
+}
+
+func (Queued) admission()    {}
+func (Displaced) admission() {}
+func (Full) admission()      {}
+func (Hopeless) admission()  {}
+
+// Reason returns why the displaced waiter was shed for w.
+func (d Displaced) Reason(w *Waiter) problem.Reason {
+	if w.Tier.Above(d.Waiter.Tier) {
+		return problem.ShedForTier
+	}
+	return problem.QueueFull
+}
+
+// Turn says who is dispatched next: Idle, InTurn, ForFloor or ForStarvation.
+type Turn interface{ turn() }
+
+// Idle says that no one waits.
+type Idle struct{}
+
+// InTurn says that the waiter is first by tier, class and workspace.
+type InTurn struct{ Waiter *Waiter }
+
+// ForFloor says that the waiter goes ahead of higher tiers since its class is
+// below its floor.
+type ForFloor struct{ Waiter *Waiter }
+
+// ForStarvation says that the waiter goes ahead of higher tiers since its class
+// had no dispatch for too long.
+type ForStarvation struct{ Waiter *Waiter }
+
+func (Idle) turn()          {}
+func (InTurn) turn()        {}
+func (ForFloor) turn()      {}
+func (ForStarvation) turn() {}
+
+// Of returns a turn's waiter, nil if it is Idle, and its reason code.
+func Of(t Turn) (w *Waiter, reason string) {
+	switch t := t.(type) {
+	case InTurn:
+		return t.Waiter, "in_turn"
+	case ForFloor:
+		return t.Waiter, "below_floor"
+	case ForStarvation:
+		return t.Waiter, "starving"
+	}
+	return nil, "idle"
+}
