--- /dev/null
+++ b/entry/program.go
@@ -0,0 +1,99 @@
+package entry
+
+// This file defines Settings and Program: an entry with everything it works
+// with, as cmd/entry runs it and as a bench runs many in one process.
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/setting"
+	"github.com/ragwortpass/ragwortpass/trace"
+	"github.com/ragwortpass/ragwortpass/usage"
+)
+
+// Settings are the flags and environment variables of the program.
+type Settings struct {
+	Node       string        `help:"Name of this process, unique in the fleet." required:""`
+	DataCentre string        `help:"Data centre this process runs in." required:""`
+	Listen     string        `help:"Address to serve on." default:"127.0.0.1:8080"`
+	Advertise  string        `help:"Address at which other processes reach this one; the listen address if empty."`
+	Platform   string        `help:"URL of the platform." required:""`
+	Seeds      []string      `help:"Addresses of other entries and sidecars, besides the platform's VM list."`
+	MaxBody    int64         `help:"Most bytes of a request body." default:"8388608"`
+	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
+	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
+
+	LeaseTTL    time.Duration `help:"Time to live of the leases on orders and usage." default:"10s"`
+	UsageWindow time.Duration `help:"Length of a usage window; the same at every entry." default:"1m"`
+	UsageGrace  time.Duration `help:"Time from the end of a usage window to its close." default:"20s"`
+	UsageFlush  time.Duration `help:"Time between two appends of counted use." default:"5s"`
+}
+
+// Check implements setting.Checked.
+func (s *Settings) Check() error {
+	var c setting.Checker
+	c.Name("node", s.Node)
+	c.Name("data-centre", s.DataCentre)
+	c.Endpoint("listen", s.Listen)
+	if s.Advertise == "" {
+		s.Advertise = s.Listen
+	}
+	c.Endpoint("advertise", s.Advertise)
+	c.URL("platform", s.Platform)
+	for _, seed := range s.Seeds {
+		c.Endpoint("seeds", seed)
+	}
+	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
+	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
+	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
+	c.Require(s.LeaseTTL >= time.Second, "lease-ttl", s.LeaseTTL.String(), "a duration from 1s")
+	c.Require(s.UsageWindow >= time.Second && s.UsageWindow%time.Second == 0, "usage-window", s.UsageWindow.String(), "whole seconds")
+	c.Require(s.UsageFlush > 0, "usage-flush", s.UsageFlush.String(), "a duration above zero")
+	c.Require(s.UsageGrace > s.UsageFlush, "usage-grace", s.UsageGrace.String(), "more than usage-flush")
+	return c.Err()
+}
+
+// Program is an entry with its log reader, its log writer and its server.
+type Program struct {
+	Deps    Deps
+	Service process.Service
+}
+
+// NewProgram returns an entry that has not started yet.
+func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
+	counts := metrics.NewRegistry()
+	p := platform.New(s.Platform, process.NewOutsideClient())
+	state := journal.NewState()
+	follower := journal.NewFollower(p, state, logger, counts)
+	writer := journal.NewWriter(p, state, id.New(s.Node, now), logger, counts)
+	deps := Deps{
+		State: state, Follower: follower, Writer: writer, Platform: p, Peers: process.NewPeerClient(),
+		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
+	}
+	e := New(Config{
+		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
+		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody,
+		LeaseTTL: s.LeaseTTL, Usage: usage.Schedule{Length: s.UsageWindow, Grace: s.UsageGrace}, UsageFlush: s.UsageFlush,
+	}, deps)
+	return &Program{
+		Deps: deps,
+		Service: process.Service{
+			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: counts, Logger: logger,
+			Leave: e.Leave, Linger: s.Linger,
+			Finish: e.Finish,
+			Tasks:  []func(context.Context){follower.Run, writer.Run, e.Run, e.RunDuties},
+		},
+	}
+}
+
+// Run serves until ctx is done and every running request has finished.
+func (p *Program) Run(ctx context.Context) error { return process.Serve(ctx, p.Service) }
