entry: one queue for each model and service in place of polling

A request used to look for room every 20 ms, so arrival order was chance. Now it waits in a tier.Queue; whoever pushes dispatches at once if there is room, and while any wait one goroutine looks again on each change of capacity, at the next expiry and for hopeless requests. A request that comes back from an upstream keeps the place of its arrival.

--- a/entry/classify.go
+++ b/entry/classify.go
@@ -24,6 +24,7 @@
 	arrived  time.Time
 	deadline time.Time // for the whole answer; zero: none
 	startBy  time.Time // refused if it has not been dispatched by then
+	admitted bool      // has been in a queue before
 
 	method string
 	uri    string // towards the upstream
@@ -31,11 +32,12 @@
 	body   []byte
 
 	// Of model calls.
-	model  id.Model
-	stream bool
-	usage  bool // the caller asked for a usage event
-	chat   bool
-	prompt id.Tokens // estimated from the length of the text
+	model    id.Model
+	stream   bool
+	usage    bool // the caller asked for a usage event
+	chat     bool
+	prompt   id.Tokens // estimated from the length of the text
+	expected id.Tokens // output tokens, estimated from earlier answers
 
 	// Of plain services.
 	service id.Service
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,7 @@
 	deps      Deps
 	upstreams *upstream.Table
 	members   *members
+	queues    *queues
 	leaving   atomic.Bool
 	running   atomic.Int64
 	waiting   atomic.Int64
@@ -67,6 +68,7 @@
 func New(cfg Config, deps Deps) *Entry {
 	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
 	e.members = newMembers(e)
+	e.queues = newQueues(e)
 	e.billing = newBilling(e)
 	e.reporting = newReporting(e)
 	return e
