--- a/entry/classify.go
+++ b/entry/classify.go
@@ -39,6 +39,9 @@
 	prompt   id.Tokens // estimated from the length of the text
 	expected id.Tokens // output tokens, estimated from earlier answers
 
+	choices   int  // answers asked for in one
+	resumable bool // a cut answer can go on from its text
+
 	// Of plain services.
 	service id.Service
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/retry"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/usage"
@@ -57,6 +58,7 @@
 	upstreams *upstream.Table
 	members   *members
 	queues    *queues
+	budgets   retry.Budgets
 	leaving   atomic.Bool
 	running   atomic.Int64
 	waiting   atomic.Int64
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -18,7 +18,6 @@
 	maxRetryAfter = time.Minute
 	sweepEvery    = 500 * time.Millisecond // between looks for hopeless waiters
 	maxSweep      = 64                     // waiters refused as hopeless in one sweep
-	maxAside      = 8                      // waiters passed over for want of an upstream they do not avoid
 )
 
 // target is what requests queue for: a model or a service.
@@ -159,23 +158,11 @@
 		q.swept = now
 		q.sweep(now)
 	}
-	var aside []*tier.Waiter
-	for len(aside) < maxAside {
+	for {
 		w, reason := tier.Of(q.waiters.Next(now))
-		if w == nil {
-			break
-		}
-		if q.dispatch(now, w, reason) {
-			continue
-		}
-		if len(w.Owner.(*ticket).ask.Avoid) == 0 {
-			break
+		if w == nil || !q.dispatch(now, w, reason) {
+			return
 		}
-		q.waiters.Take(now, w) // others may use the upstreams that it avoids
-		aside = append(aside, w)
-	}
-	for _, w := range aside {
-		q.waiters.PutBack(now, w)
 	}
 }
 
--- a/tier/class.go
+++ b/tier/class.go
@@ -53,7 +53,6 @@
 	dispatches window
 	others     int       // dispatches of other classes since its own last one
 	lastServed time.Time // or when it began to wait
-	previous   time.Time // lastServed before the last dispatch
 }
 
 func newClass(name id.Class) *class {
@@ -188,15 +187,7 @@
 	c.served += float64(w.Cost)
 	c.dispatches.add(now, 1)
 	c.others = 0
-	c.previous, c.lastServed = c.lastServed, now
-}
-
-// untake takes the charge and the dispatch of w back.
-func (c *class) untake(now time.Time, w *Waiter) {
-	w.flow.deficit += float64(w.Cost)
-	c.served -= float64(w.Cost)
-	c.dispatches.add(now, -1)
-	c.lastServed = c.previous
+	c.lastServed = now
 }
 
 // dueByFloor reports whether the class is below its floor. Its dispatches are
--- a/tier/queue.go
+++ b/tier/queue.go
@@ -290,15 +290,6 @@
 	q.Remove(now, w)
 }
 
-// PutBack returns a waiter that was taken but found no upstream to its place and
-// takes its dispatch back.
-func (q *Queue) PutBack(now time.Time, w *Waiter) {
-	q.share.add(now, -1)
-	q.rate.unserved(now)
-	q.insert(now, w)
-	w.flow.class.untake(now, w)
-}
-
 // Correct charges a workspace's waiting requests for a difference between the
 // expected tokens of an answer and the real ones.
 func (q *Queue) Correct(name id.Class, ws id.Workspace, difference id.Tokens) {
--- a/tier/queue_test.go
+++ b/tier/queue_test.go
@@ -320,17 +320,3 @@
 	require.NotEmpty(t, shed)
 	require.True(t, slices.IsSortedFunc(shed, func(a, b tier.Tier) int { return int(b) - int(a) }), "lowest tier first: %v", shed)
 }
-
-// TestPutBack takes a waiter and puts it back: nothing changes.
-func TestPutBack(t *testing.T) {
-	q := tier.NewQueue(tier.DefaultConfig())
-	for i := range 6 {
-		q.Push(epoch, waiter(i, kinds[0], i%2, epoch, 100, time.Hour))
-	}
-	first, _ := tier.Of(q.Next(epoch))
-	q.Take(epoch, first)
-	q.PutBack(epoch, first)
-	again, _ := tier.Of(q.Next(epoch))
-	require.Same(t, first, again)
-	require.Equal(t, 6, q.Len())
-}
--- a/tier/rate.go
+++ b/tier/rate.go
@@ -91,8 +91,6 @@
 	r.dispatches.add(now, 1)
 }
 
-func (r *rate) unserved(now time.Time) { r.dispatches.add(now, -1) }
-
 // perSecond returns the rate; it reports false while too little has been seen.
 func (r *rate) perSecond(now time.Time) (perSecond float64, known bool) {
 	r.account(now)
