--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -19,6 +19,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/operator"
+	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -257,6 +258,15 @@
 	return eris.Wrap(Wait(ctx, addresses), "fleet")
 }
 
+// Leave lets a node finish, after the platform has said that it is leaving.
+func (f *Fleet) Leave(n *Node) {
+	f.Platform.SetVM(time.Now(), platform.VM{
+		ID: n.Name, Role: n.Role, DataCentre: n.DataCentre, Address: n.Address, State: platform.VMLeaving,
+	})
+	n.Stop()
+	f.Platform.RemoveVM(time.Now(), n.Name)
+}
+
 // Close ends every node and stand-in at once.
 func (f *Fleet) Close() {
 	var wg sync.WaitGroup
--- a/bench/outcome.go
+++ b/bench/outcome.go
@@ -31,6 +31,7 @@
 type Result struct {
 	Arrival *Arrival
 	Request id.Request // as the answer names it; empty: no answer
+	Booking string     // reference of a booking
 	Outcome Outcome
 	Reason  problem.Reason // of a refusal or an error event
 	Detail  string         // of a wrong or lost answer
