--- /dev/null
+++ b/usage/meter_test.go
@@ -0,0 +1,67 @@
+package usage_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/usage"
+)
+
+func TestMeterLosesNothing(t *testing.T) {
+	var m usage.Meter
+	sum := make(usage.Lines)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for n := range 1000 {
+				m.Add(usage.Window(n%3), usage.Line{Workspace: id.Workspace(fmt.Sprint(n % 7))}, usage.Figures{Requests: 1, OutputTokens: id.Tokens(i)})
+			}
+		})
+	}
+	for range 100 {
+		for _, lines := range m.Take() {
+			sum.AddAll(lines)
+		}
+	}
+	wg.Wait()
+	for _, lines := range m.Take() {
+		sum.AddAll(lines)
+	}
+	require.Equal(t, usage.Figures{Requests: 8000, OutputTokens: 28000}, sum.Total())
+	require.Zero(t, m.Pending())
+}
+
+// BenchmarkMeterAdd counts deliveries of 2,100 workspaces from all processors.
+func BenchmarkMeterAdd(b *testing.B) {
+	var m usage.Meter
+	lines := make([]usage.Line, 2100)
+	for i := range lines {
+		lines[i] = usage.Line{Workspace: id.Workspace(fmt.Sprintf("workspace-%04d", i)), Class: "counter", Model: "temper-70b"}
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			m.Add(60, lines[i%len(lines)], usage.Figures{Requests: 1, PromptTokens: 800, OutputTokens: 300})
+		}
+	})
+}
+
+// BenchmarkLedger folds the counts that an entry makes in 5 s at full size: 70 lines.
+func BenchmarkLedger(b *testing.B) {
+	lines := make(usage.Lines)
+	for i := range 70 {
+		lines.Add(usage.Line{Workspace: id.Workspace(fmt.Sprintf("workspace-%04d", i)), Class: "counter", Model: "temper-70b"},
+			usage.Figures{Requests: 1, PromptTokens: 800, OutputTokens: 300})
+	}
+	record := usage.Counted(1_780_000_020, lines)
+	l := usage.NewLedger()
+	for b.Loop() {
+		l.Count(record)
+	}
+	b.ReportMetric(float64(proto.Size(record))/70, "bytes/line")
+}
