entry: hand unfolded usage to other entries when leaving in a log outage

Cause: an entry replaced during a log outage lost what it had delivered since. Change: usage has a writer of its own; what is not folded 5 s after the last request goes to two other entries, which append the same records until they are folded. The fold counts each writer and sequence once, so copies and lost answers do not matter.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,14 +43,15 @@
 
 // Deps is what an entry works with.
 type Deps struct {
-	State    *journal.State
-	Follower *journal.Follower
-	Writer   *journal.Writer
-	Platform platform.Platform
-	Peers    *http.Client // towards sidecars and other entries
-	Traces   *trace.Log
-	Metrics  metrics.Registry
-	Logger   log.Logger
+	State       *journal.State
+	Follower    *journal.Follower
+	Writer      *journal.Writer
+	UsageWriter *journal.Writer // appends usage only
+	Platform    platform.Platform
+	Peers       *http.Client // towards sidecars and other entries
+	Traces      *trace.Log
+	Metrics     metrics.Registry
+	Logger      log.Logger
 }
 
 // Entry serves callers.
@@ -83,7 +84,7 @@
 // RunDuties puts use on the log and stands for the leases until ctx is done.
 func (e *Entry) RunDuties(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){e.billing.run, e.reporting.duty.run, e.ordering.duty.run} {
+	for _, run := range []func(context.Context){e.billing.write, e.billing.run, e.billing.holder.run, e.reporting.duty.run, e.ordering.duty.run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
--- a/ragworttest/usage_test.go
+++ b/ragworttest/usage_test.go
@@ -156,6 +156,15 @@
 			held.Wait(b.t)
 			b.holder(term)
 		}},
+		{"entries replaced in a log outage", func(b *billed) {
+			b.Platform.SetFaults(standin.PlatformFaults{Outage: true})
+			for i := range 2 {
+				b.call(b.entries[i], 2)
+				b.entries[i].Signal(b.t, syscall.SIGTERM)
+				b.entries[i].Wait(b.t) // the second one holds the records of the first
+			}
+			b.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 2})
+		}},
 		{"holder killed after its last flush", func(b *billed) {
 			held, term := b.holder(0)
 			b.call(held, 2)
--- a/wire/ragwortv1/ragwortv1connect/control.connect.go
+++ b/wire/ragwortv1/ragwortv1connect/control.connect.go
@@ -43,6 +43,8 @@
 	NodeServiceFetchProcedure = "/ragwort.v1.NodeService/Fetch"
 	// NodeServiceExplainProcedure is the fully-qualified name of the NodeService's Explain RPC.
 	NodeServiceExplainProcedure = "/ragwort.v1.NodeService/Explain"
+	// NodeServiceHoldProcedure is the fully-qualified name of the NodeService's Hold RPC.
+	NodeServiceHoldProcedure = "/ragwort.v1.NodeService/Hold"
 	// NodeServiceStatusProcedure is the fully-qualified name of the NodeService's Status RPC.
 	NodeServiceStatusProcedure = "/ragwort.v1.NodeService/Status"
 	// OrderServiceApplyProcedure is the fully-qualified name of the OrderService's Apply RPC.
@@ -58,6 +60,9 @@
 	Fetch(context.Context, *connect.Request[ragwortv1.FetchRequest]) (*connect.Response[ragwortv1.FetchResponse], error)
 	// Explain returns the decisions taken about one request.
 	Explain(context.Context, *connect.Request[ragwortv1.ExplainRequest]) (*connect.Response[ragwortv1.ExplainResponse], error)
+	// Hold hands unfolded usage records of a leaving entry to another entry, which
+	// appends them unchanged until they are folded.
+	Hold(context.Context, *connect.Request[ragwortv1.HoldRequest]) (*connect.Response[ragwortv1.HoldResponse], error)
 	// Status describes the process for an operator.
 	Status(context.Context, *connect.Request[ragwortv1.StatusRequest]) (*connect.Response[ragwortv1.StatusResponse], error)
 }
@@ -91,6 +96,12 @@
 			connect.WithSchema(nodeServiceMethods.ByName("Explain")),
 			connect.WithClientOptions(opts...),
 		),
+		hold: connect.NewClient[ragwortv1.HoldRequest, ragwortv1.HoldResponse](
+			httpClient,
+			baseURL+NodeServiceHoldProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("Hold")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[ragwortv1.StatusRequest, ragwortv1.StatusResponse](
 			httpClient,
 			baseURL+NodeServiceStatusProcedure,
@@ -105,6 +116,7 @@
 	heartbeat *connect.Client[ragwortv1.HeartbeatRequest, ragwortv1.HeartbeatResponse]
 	fetch     *connect.Client[ragwortv1.FetchRequest, ragwortv1.FetchResponse]
 	explain   *connect.Client[ragwortv1.ExplainRequest, ragwortv1.ExplainResponse]
+	hold      *connect.Client[ragwortv1.HoldRequest, ragwortv1.HoldResponse]
 	status    *connect.Client[ragwortv1.StatusRequest, ragwortv1.StatusResponse]
 }
 
@@ -123,6 +135,11 @@
 	return c.explain.CallUnary(ctx, req)
 }
 
+// Hold calls ragwort.v1.NodeService.Hold.
+func (c *nodeServiceClient) Hold(ctx context.Context, req *connect.Request[ragwortv1.HoldRequest]) (*connect.Response[ragwortv1.HoldResponse], error) {
+	return c.hold.CallUnary(ctx, req)
+}
+
 // Status calls ragwort.v1.NodeService.Status.
 func (c *nodeServiceClient) Status(ctx context.Context, req *connect.Request[ragwortv1.StatusRequest]) (*connect.Response[ragwortv1.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -137,6 +154,9 @@
 	Fetch(context.Context, *connect.Request[ragwortv1.FetchRequest]) (*connect.Response[ragwortv1.FetchResponse], error)
 	// Explain returns the decisions taken about one request.
 	Explain(context.Context, *connect.Request[ragwortv1.ExplainRequest]) (*connect.Response[ragwortv1.ExplainResponse], error)
+	// Hold hands unfolded usage records of a leaving entry to another entry, which
+	// appends them unchanged until they are folded.
+	Hold(context.Context, *connect.Request[ragwortv1.HoldRequest]) (*connect.Response[ragwortv1.HoldResponse], error)
 	// Status describes the process for an operator.
 	Status(context.Context, *connect.Request[ragwortv1.StatusRequest]) (*connect.Response[ragwortv1.StatusResponse], error)
 }
@@ -166,6 +186,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("Explain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceHoldHandler := connect.NewUnaryHandler(
+		NodeServiceHoldProcedure,
+		svc.Hold,
+		connect.WithSchema(nodeServiceMethods.ByName("Hold")),
+		connect.WithHandlerOptions(opts...),
+	)
 	nodeServiceStatusHandler := connect.NewUnaryHandler(
 		NodeServiceStatusProcedure,
 		svc.Status,
@@ -180,6 +206,8 @@
 			nodeServiceFetchHandler.ServeHTTP(w, r)
 		case NodeServiceExplainProcedure:
 			nodeServiceExplainHandler.ServeHTTP(w, r)
+		case NodeServiceHoldProcedure:
+			nodeServiceHoldHandler.ServeHTTP(w, r)
 		case NodeServiceStatusProcedure:
 			nodeServiceStatusHandler.ServeHTTP(w, r)
 		default:
@@ -203,6 +231,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ragwort.v1.NodeService.Explain is not implemented"))
 }
 
+func (UnimplementedNodeServiceHandler) Hold(context.Context, *connect.Request[ragwortv1.HoldRequest]) (*connect.Response[ragwortv1.HoldResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ragwort.v1.NodeService.Hold is not implemented"))
+}
+
 func (UnimplementedNodeServiceHandler) Status(context.Context, *connect.Request[ragwortv1.StatusRequest]) (*connect.Response[ragwortv1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ragwort.v1.NodeService.Status is not implemented"))
 }
