sidecar: give slots by tier, and preempt a lower tier to save a target

Requests used to look for a slot every 5 ms, so a free one went to whoever looked first.

A request that has no slot by the last moment at which one still saves its target for the first token ends the running answer of the lowest lower tier, least progress first. Only streams that the entry says can be resumed yield, never a call that must run once. The victim's stream ends with wire.EventPreempted at an event's end.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -88,6 +88,6 @@
 func (e *Entry) envelope(rq *request, attempt int) wire.Envelope {
 	return wire.Envelope{
 		Request: rq.id, Key: rq.key.ID, Workspace: rq.workspace(), Class: rq.class.Name, Tier: rq.class.Tier,
-		Deadline: rq.deadline, Attempt: attempt, Config: e.deps.State.Offset(), Once: rq.once(),
+		Deadline: rq.deadline, Attempt: attempt, Config: e.deps.State.Offset(), Once: rq.once(), Resumable: rq.resumable,
 	}
 }
--- a/sidecar/exchange.go
+++ b/sidecar/exchange.go
@@ -31,19 +31,22 @@
 // exchange is one request that holds a slot.
 type exchange struct {
 	s        *Sidecar
+	slot     *slot
 	evidence upstream.Evidence
 
 	last     time.Time // last token
 	first    time.Time // first token; zero: none yet
 	events   int       // after the first token
 	finished bool
+	whole    bool // what was relayed ends with a whole event
+	firm     bool // the answer cannot go on elsewhere
 	bytes    int64
 }
 
 // begin notes the start of a request and its class's targets.
-func (s *Sidecar) begin(now time.Time, e wire.Envelope) *exchange {
+func (s *Sidecar) begin(now time.Time, e wire.Envelope, t *slot) *exchange {
 	s.deps.Traces.Add(now, e.Request, "sidecar", "run", s.inputs()+fmt.Sprintf(" attempt=%d", e.Attempt))
-	x := &exchange{s: s, evidence: upstream.Evidence{Started: now}}
+	x := &exchange{s: s, slot: t, firm: e.Once || !e.Resumable || s.cfg.Service != "", evidence: upstream.Evidence{Started: now}}
 	if c := s.deps.State.Rules().Classes[e.Class]; c != nil {
 		x.evidence.Target = c.TTFT
 		x.evidence.GapTarget = c.Gap
@@ -63,7 +66,11 @@
 	if x.events > 0 {
 		x.evidence.Gap = x.last.Sub(x.first) / time.Duration(x.events)
 	}
+	if x.evidence.FirstToken > 0 {
+		x.s.observeFirstToken(x.evidence.FirstToken)
+	}
 	x.s.limiter.Release(x.evidence)
+	x.s.slots.leave(x.evidence.Ended, x.slot)
 	x.s.follow()
 }
 
@@ -96,6 +103,8 @@
 
 // observe notes the tokens in a piece of a stream.
 func (x *exchange) observe(now time.Time, piece []byte) {
+	x.whole = bytes.HasSuffix(piece, eventEnd)
+	x.firm = x.firm || holdsOpaque(piece)
 	n := bytes.Count(piece, eventEnd)
 	if n == 0 || x.finished {
 		return
@@ -103,9 +112,11 @@
 	for _, mark := range finishMarks {
 		if bytes.Contains(piece, mark) {
 			x.finished = true
+			x.s.slots.firm(x.slot)
 			return
 		}
 	}
+	x.s.slots.relayed(x.slot, x.events+n, !x.firm)
 	if x.first.IsZero() {
 		x.first, x.last = now, now
 		x.evidence.FirstToken = now.Sub(x.evidence.Started)
@@ -119,6 +130,20 @@
 	}
 }
 
+// opaqueMembers are what an entry cannot resume an answer from.
+var opaqueMembers = []string{`"tool_calls":`, `"function_call":`, `"refusal":`, `"reasoning":`, `"reasoning_content":`}
+
+// holdsOpaque reports whether a piece of a stream holds one of these, not null.
+func holdsOpaque(piece []byte) bool {
+	for _, name := range opaqueMembers {
+		n := bytes.Count(piece, []byte(name))
+		if n > 0 && n > bytes.Count(piece, []byte(name+"null"))+bytes.Count(piece, []byte(name+" null")) {
+			return true
+		}
+	}
+	return false
+}
+
 // observeWhole notes the pace of an engine's answer that was not streamed.
 func (x *exchange) observeWhole(streamed bool, status int) {
 	if streamed || x.bytes == 0 || status != http.StatusOK || x.s.cfg.Service != "" {
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -27,6 +27,7 @@
 	for {
 		s.probe(ctx)
 		s.limiter.SetLimits(s.limits())
+		s.slots.offer(time.Now())
 		s.follow()
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/sidecar/queue_test.go
@@ -0,0 +1,240 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/ragworttest"
+	"github.com/ragwortpass/ragwortpass/tier"
+	"github.com/ragwortpass/ragwortpass/trace"
+	"github.com/ragwortpass/ragwortpass/upstream"
+	"github.com/ragwortpass/ragwortpass/wire"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+func newTestSlots(limit int) *slots {
+	return newSlots(upstream.NewLimiter(upstream.Limits{Initial: limit, Max: limit}), "u1")
+}
+
+func envelope(n int, t tier.Tier) wire.Envelope {
+	return wire.Envelope{Request: id.Request(fmt.Sprintf("rq_%03d", n)), Tier: t}
+}
+
+// outcomes reads which slots have been decided: granted or a reason.
+func outcomes(all []*slot) []string {
+	list := make([]string, len(all))
+	for i, t := range all {
+		select {
+		case p := <-t.outcome:
+			list[i] = "granted"
+			if p != nil {
+				list[i] = string(p.Reason)
+			}
+		default:
+		}
+	}
+	return list
+}
+
+// TestSlotOrder fills the queue for a slot and gives slots back one at a time.
+func TestSlotOrder(t *testing.T) {
+	s := newTestSlots(1)
+	now := time.Now()
+	var all []*slot
+	for i, tr := range []tier.Tier{tier.Bronze, tier.Bronze, tier.Silver, tier.Platinum, tier.Gold, tier.Platinum} {
+		all = append(all, s.enter(now, envelope(i, tr)))
+	}
+	require.Equal(t, []string{"granted", "", "", "", "", ""}, outcomes(all))
+	for i, next := range []int{3, 5, 4, 2, 1} {
+		holder := []int{0, 3, 5, 4, 2}[i]
+		s.limiter.Release(upstream.Evidence{Started: now, Ended: now})
+		s.leave(now, all[holder])
+		want := make([]string, len(all))
+		want[next] = "granted"
+		require.Equal(t, want, outcomes(all))
+	}
+}
+
+// TestSlotDisplacement has requests arrive at a full queue.
+func TestSlotDisplacement(t *testing.T) {
+	cases := []struct {
+		name    string
+		waiting tier.Tier
+		arrives tier.Tier
+		last    string // outcome of the newest that waited
+		arrival string
+	}{
+		{"higher displaces", tier.Silver, tier.Gold, string(problem.ShedForTier), ""},
+		{"equal does not", tier.Silver, tier.Silver, "", string(problem.UpstreamBusy)},
+		{"lower does not", tier.Silver, tier.Bronze, "", string(problem.UpstreamBusy)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestSlots(1)
+			now := time.Now()
+			s.enter(now, envelope(0, tier.Platinum))
+			var all []*slot
+			for i := range maxWaiting {
+				all = append(all, s.enter(now, envelope(1+i, c.waiting)))
+			}
+			all = append(all, s.enter(now, envelope(99, c.arrives)))
+			got := outcomes(all)
+			require.Equal(t, c.last, got[maxWaiting-1])
+			require.Equal(t, c.arrival, got[maxWaiting])
+		})
+	}
+}
+
+// TestVictim lists holders and which of them yields.
+func TestVictim(t *testing.T) {
+	type holder struct {
+		tier      tier.Tier
+		tokens    int
+		resumable bool
+	}
+	cases := []struct {
+		name    string
+		holders []holder
+		waits   tier.Tier
+		victim  int // -1: none
+	}{
+		{"lowest tier", []holder{{tier.Silver, 1, true}, {tier.Bronze, 90, true}, {tier.Gold, 1, true}}, tier.Platinum, 1},
+		{"least progress", []holder{{tier.Bronze, 50, true}, {tier.Bronze, 3, true}, {tier.Bronze, 10, true}}, tier.Gold, 1},
+		{"never an equal tier", []holder{{tier.Gold, 1, true}}, tier.Gold, -1},
+		{"never a higher tier", []holder{{tier.Platinum, 1, true}}, tier.Gold, -1},
+		{"never one that cannot be resumed", []holder{{tier.Bronze, 1, false}, {tier.Silver, 70, true}}, tier.Gold, 1},
+		{"none that can be resumed", []holder{{tier.Bronze, 1, false}}, tier.Gold, -1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestSlots(len(c.holders))
+			now := time.Now()
+			var held []*slot
+			for i, h := range c.holders {
+				held = append(held, s.enter(now, envelope(i, h.tier)))
+				s.hold(t.Context(), held[i])
+				s.relayed(held[i], h.tokens, h.resumable)
+			}
+			victim, _ := s.preempt(s.enter(now, envelope(99, c.waits)))
+			if c.victim < 0 {
+				require.Nil(t, victim)
+				return
+			}
+			require.Same(t, held[c.victim], victim)
+		})
+	}
+}
+
+// newTestSidecar returns a sidecar with one slot before an engine that streams
+// without end until it is cancelled.
+func newTestSidecar(t *testing.T) (s *Sidecar, cancelled <-chan struct{}) {
+	state := journal.NewState()
+	payload, err := proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{{Writer: "test", Sequence: 1, Body: &ragwortv1.Record_RulesPublished{
+		RulesPublished: &ragwortv1.RulesPublished{Text: strings.ReplaceAll(ragworttest.Rules(t, "hingeworks.rules"), "concurrency=16", "concurrency=1")},
+	}}}})
+	require.NoError(t, err)
+	state.Fold(1, payload)
+	gone := make(chan struct{}, 10)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for r.Context().Err() == nil && r.Header.Get("X-Whole") == "" {
+			_, _ = fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(time.Millisecond)
+		}
+		gone <- struct{}{}
+	}))
+	t.Cleanup(engine.Close)
+	s = New(Config{Node: "s1", Upstream: "u1", UpstreamURL: engine.URL, Models: []id.Model{"temper-70b"}},
+		Deps{State: state, Client: http.DefaultClient, Once: http.DefaultClient, Traces: trace.New("s1", 100), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+	s.life.Apply(upstream.Answered)
+	s.life.Apply(upstream.Loaded)
+	return s, gone
+}
+
+func call(t *testing.T, e wire.Envelope, whole bool) *http.Request {
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/chat/completions", nil)
+	e.Attempt = 1
+	e.Set(r.Header)
+	if whole {
+		r.Header.Set("X-Whole", "true")
+	}
+	return r
+}
+
+// TestPreemption has a counter request come to an upstream that a clerk's long
+// answer holds.
+func TestPreemption(t *testing.T) {
+	s, gone := newTestSidecar(t)
+	low, high := httptest.NewRecorder(), httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		s.Handler().ServeHTTP(low, call(t, wire.Envelope{Request: id.Request(id.New("rq", time.Now())), Class: "clerk", Tier: tier.Bronze, Resumable: true}, false))
+		close(done)
+	}()
+	ragworttest.Eventually(t, func() bool { return s.slots.resumable() == 1 }, "the clerk's answer streams")
+	s.firstTokens.Store(int64(700 * time.Millisecond)) // of a target of 750 ms: a slot is needed at once
+	s.Handler().ServeHTTP(high, call(t, wire.Envelope{Request: id.Request(id.New("rq", time.Now())), Class: "counter", Tier: tier.Platinum, Resumable: true}, true))
+	<-done
+	<-gone
+	require.Equal(t, http.StatusOK, high.Code)
+	require.Empty(t, high.Header().Get(wire.HeaderRefused))
+	require.True(t, strings.HasSuffix(low.Body.String(), "\n\nevent: "+wire.EventPreempted+"\ndata: {}\n\n"), "the victim's stream ends with the event")
+	require.EqualValues(t, 1, metrics.GetOrRegisterCounter("preempted_bronze", s.deps.Metrics).Count())
+	_, running := s.limiter.Limit()
+	require.Zero(t, running)
+}
+
+// TestNoPreemption has requests come that preempt nothing: those of a class
+// without a target, with time to spare or with a lost target.
+func TestNoPreemption(t *testing.T) {
+	cases := []struct {
+		name  string
+		class id.Class
+		tier  tier.Tier
+		ago   time.Duration
+	}{
+		{"no target", "order", tier.Gold, 0},
+		{"time to spare", "foreman", tier.Silver, 0},
+		{"lost target", "counter", tier.Platinum, time.Second},
+	}
+	s, _ := newTestSidecar(t)
+	go func() {
+		defer func() { _ = recover() }() // the answer is cut at the end of the test
+		s.Handler().ServeHTTP(httptest.NewRecorder(), call(t, wire.Envelope{Request: "rq_1", Class: "clerk", Tier: tier.Bronze, Resumable: true}, false))
+	}()
+	ragworttest.Eventually(t, func() bool { return s.slots.resumable() == 1 }, "the clerk's answer streams")
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			s.Handler().ServeHTTP(w, call(t, wire.Envelope{Request: id.Request(id.New("rq", time.Now().Add(-c.ago))), Class: c.class, Tier: c.tier}, true))
+			require.Equal(t, string(problem.UpstreamBusy), w.Header().Get(wire.HeaderRefused))
+			require.Equal(t, 1, s.slots.resumable())
+		})
+	}
+}
+
+// resumable returns how many holders may be preempted.
+func (s *slots) resumable() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for h := range s.holders {
+		if h.resumable {
+			n++
+		}
+	}
+	return n
+}
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -16,11 +16,6 @@
 	"github.com/ragwortpass/ragwortpass/wire"
 )
 
-const (
-	slotPoll = 5 * time.Millisecond
-	slotWait = 200 * time.Millisecond
-)
-
 type envelopeKey struct{}
 
 // vet refuses a request whose envelope is bad, whose key is withdrawn or which
@@ -69,11 +64,13 @@
 // run waits for a slot, sends the request to the upstream and relays the answer.
 func (s *Sidecar) run(w http.ResponseWriter, r *http.Request) {
 	e := r.Context().Value(envelopeKey{}).(wire.Envelope)
-	if !s.acquire(r.Context()) {
-		s.refuse(w, e, problem.New(problem.UpstreamBusy, problem.NotRun, http.StatusServiceUnavailable, "upstream %s has no free slot", s.cfg.Upstream))
+	ctx, t, p := s.acquire(r.Context(), e)
+	if p != nil {
+		s.refuse(w, e, p)
 		return
 	}
-	x := s.begin(time.Now(), e)
+	r = r.WithContext(ctx)
+	x := s.begin(time.Now(), e, t)
 	defer x.end()
 	rs, err := s.send(r, e)
 	if err != nil {
@@ -93,32 +90,16 @@
 	w.Header().Set(wire.HeaderLoad, s.load().String())
 	w.WriteHeader(rs.StatusCode)
 	if err := x.relay(w, rs); err != nil {
+		if preempted(ctx) && x.whole {
+			endPreempted(w)
+			return
+		}
 		x.evidence.Failed = r.Context().Err() == nil
 		s.count("sidecar_answer_cut")
 		panic(http.ErrAbortHandler) // the entry must not take a cut answer for a whole one
 	}
 }
 
-// acquire waits a short while for a slot.
-func (s *Sidecar) acquire(ctx context.Context) bool {
-	s.waiting.Add(1)
-	defer s.waiting.Add(-1)
-	tick := time.NewTicker(slotPoll)
-	defer tick.Stop()
-	end := time.NewTimer(slotWait)
-	defer end.Stop()
-	for !s.limiter.Acquire() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-end.C:
-			return false
-		case <-tick.C:
-		}
-	}
-	return true
-}
-
 // sendFailure judges a request that got no response. A failed dial means that no
 // byte can have arrived, and that the upstream is gone.
 func (s *Sidecar) sendFailure(err error) *problem.Problem {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -51,10 +51,13 @@
 	cfg     Config
 	deps    Deps
 	limiter *upstream.Limiter
+	slots   *slots
 	life    *upstream.Lifecycle
 	leaving atomic.Bool
 	waiting atomic.Int64
 
+	firstTokens atomic.Int64 // mean time to the first token, in nanoseconds
+
 	incarnation atomic.Uint64 // of the upstream
 	missed      int           // probes in a row without an answer; used by Run alone
 }
@@ -64,6 +67,7 @@
 	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
 	s.incarnation.Store(uint64(cfg.Incarnation))
 	s.limiter = upstream.NewLimiter(s.limits())
+	s.slots = newSlots(s.limiter, cfg.Upstream)
 	return s
 }
 
--- a/wire/header.go
+++ b/wire/header.go
@@ -28,7 +28,8 @@
 	HeaderDeadline  = HeaderPrefix + "Deadline-Unix-Ms"
 	HeaderAttempt   = HeaderPrefix + "Attempt"
 	HeaderConfig    = HeaderPrefix + "Config-Offset"
-	HeaderOnce      = HeaderPrefix + "Once" // set: the call must not be repeated
+	HeaderOnce      = HeaderPrefix + "Once"      // set: the call must not be repeated
+	HeaderResumable = HeaderPrefix + "Resumable" // set: the rest of the answer can be generated elsewhere
 	HeaderLoad      = HeaderPrefix + "Load"
 	HeaderUpstream  = HeaderPrefix + "Upstream"
 	HeaderRefused   = HeaderPrefix + "Refused" // set: the sidecar refused; the body is its problem
@@ -52,6 +53,7 @@
 	Attempt   int       // counted from 1
 	Config    id.Offset // the entry's journal offset
 	Once      bool
+	Resumable bool // a cut stream can go on from its text
 }
 
 // EnvelopeError says that a request to a sidecar lacks a header or has a bad one.
@@ -76,6 +78,9 @@
 	if e.Once {
 		h.Set(HeaderOnce, "true")
 	}
+	if e.Resumable {
+		h.Set(HeaderResumable, "true")
+	}
 }
 
 // ReadEnvelope reads an envelope; its error is an *EnvelopeError.
@@ -86,6 +91,7 @@
 		Workspace: id.Workspace(h.Get(HeaderWorkspace)),
 		Class:     id.Class(h.Get(HeaderClass)),
 		Once:      h.Get(HeaderOnce) == "true",
+		Resumable: h.Get(HeaderResumable) == "true",
 	}
 	if e.Request == "" {
 		return e, &EnvelopeError{Header: HeaderRequest}
