--- a/sidecar/exchange.go
+++ b/sidecar/exchange.go
@@ -71,7 +71,7 @@
 	}
 	x.s.limiter.Release(x.evidence)
 	x.s.slots.leave(x.evidence.Ended, x.slot)
-	x.s.follow()
+	x.s.follow(time.Now())
 }
 
 // relay copies the body, flushing as it goes.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/justinas/alice"
@@ -55,6 +56,7 @@
 	life    *upstream.Lifecycle
 	leaving atomic.Bool
 	waiting atomic.Int64
+	orders  *orders
 
 	firstTokens atomic.Int64 // mean time to the first token, in nanoseconds
 
@@ -68,6 +70,7 @@
 	s.incarnation.Store(uint64(cfg.Incarnation))
 	s.limiter = upstream.NewLimiter(s.limits())
 	s.slots = newSlots(s.limiter, cfg.Upstream)
+	s.orders = &orders{s: s}
 	return s
 }
 
@@ -92,6 +95,7 @@
 func (s *Sidecar) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(ragwortv1connect.NewNodeServiceHandler(&node{s: s}))
+	mux.Handle(ragwortv1connect.NewOrderServiceHandler(s.orders))
 	mux.Handle("/", alice.New(s.vet).ThenFunc(s.run))
 	return mux
 }
@@ -132,13 +136,17 @@
 // say so, before the lifecycle has followed.
 func (s *Sidecar) state() upstream.State {
 	st := s.life.State()
-	if st != upstream.Gone && (s.leaving.Load() || s.drained()) {
+	if st != upstream.Gone && s.closed(time.Now()) {
 		return upstream.Draining
 	}
 	return st
 }
 
-func (s *Sidecar) drained() bool { return s.deps.State.Rules().Drained(s.cfg.DataCentre) }
+// closed reports whether the sidecar leaves, or its data centre or its upstream is
+// taken out of service.
+func (s *Sidecar) closed(now time.Time) bool {
+	return s.leaving.Load() || s.deps.State.Rules().Drained(s.cfg.DataCentre) || s.orders.draining(now)
+}
 
 func (s *Sidecar) count(name string) {
 	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(1)
