--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -52,11 +52,14 @@
 	cfg     Config
 	deps    Deps
 	limiter *upstream.Limiter
+	slots   *slots
 	life    *upstream.Lifecycle
 	leaving atomic.Bool
 	waiting atomic.Int64
 	orders  *orders
 
+	firstTokens atomic.Int64 // mean time to the first token, in nanoseconds
+
 	incarnation atomic.Uint64 // of the upstream
 	missed      int           // probes in a row without an answer; used by Run alone
 }
@@ -66,6 +69,7 @@
 	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
 	s.incarnation.Store(uint64(cfg.Incarnation))
 	s.limiter = upstream.NewLimiter(s.limits())
+	s.slots = newSlots(s.limiter, cfg.Upstream)
 	s.orders = &orders{s: s}
 	return s
 }
