route, upstream: choose from an index per model, and watch a subset

Cause: a decision copied and sorted every view, and every entry sent heartbeats to every sidecar. An entry watches at least two sidecars of each model and data centre, and each sidecar is watched by at least three entries. A VM that the list calls leaving gets no new work.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -23,15 +23,15 @@
 func (e *Entry) admit(ctx context.Context, rq *request, avoid []id.Upstream) (*upstream.View, *problem.Problem) {
 	e.waiting.Add(1)
 	defer e.waiting.Add(-1)
-	ask := route.Ask{Model: rq.model, Service: rq.service, Avoid: avoid}
+	ask := route.Ask{Model: rq.model, Service: rq.service, Prefix: rq.prefix, Avoid: avoid}
 	for {
 		changed := e.upstreams.Changed()
 		now := time.Now()
-		d := route.Choose(now, e.deps.State.Rules(), e.upstreams.All(), ask)
-		if c, ok := d.(*route.Chosen); ok {
+		d := route.Choose(now, e.deps.State.Rules(), e.upstreams, ask)
+		if c, ok := d.(route.Chosen); ok {
 			e.upstreams.Start(c.Upstream.ID)
 			e.decide(now, rq.id, "route", "chosen", "upstream="+string(c.Upstream.ID))
-			return &c.Upstream, nil
+			return c.Upstream, nil
 		}
 		if !now.Before(rq.startBy) {
 			return nil, waitedTooLong(d, rq)
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/problem"
@@ -37,8 +39,9 @@
 	chat   bool
 	prompt id.Tokens // estimated from the length of the text
 
-	choices   int  // answers asked for in one
-	resumable bool // a cut answer can go on from its text
+	prefix    uint64 // hash of the start of the prompt
+	choices   int    // answers asked for in one
+	resumable bool   // a cut answer can go on from its text
 
 	// Of plain services.
 	service id.Service
@@ -75,7 +78,7 @@
 	}
 	c := rules.Classes[name]
 	rq := &request{
-		id: requestID(r.Context()), key: k, route: t, class: c, arrived: now,
+		id: requestID(r.Context()), key: k, route: t, class: c, arrived: now, prefix: xxhash.Sum64String(string(requestID(r.Context()))),
 		startBy: now.Add(c.Wait), method: r.Method, header: r.Header,
 	}
 	if c.Deadline > 0 {
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
 
@@ -17,8 +18,10 @@
 	"github.com/ragwortpass/ragwortpass/problem"
 )
 
-// bytesPerToken estimates a prompt's tokens from its length.
-const bytesPerToken = 4
+const (
+	bytesPerToken = 4   // estimates a prompt's tokens from its length
+	prefixBytes   = 256 // of a prompt, that decide where its cache is
+)
 
 // completions serves chat and text completions.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
@@ -63,6 +66,7 @@
 	}
 	rq.stream = gjson.GetBytes(body, "stream").Bool()
 	rq.usage = gjson.GetBytes(body, "stream_options.include_usage").Bool()
+	rq.prefix = promptPrefix(rq, body)
 	rq.choices = max(1, int(gjson.GetBytes(body, "n").Int()))
 	rq.resumable = rq.chat && rq.stream && canResume(body)
 	rq.prompt = id.Tokens(len(body) / bytesPerToken)
@@ -109,6 +113,19 @@
 	return nil
 }
 
+// promptPrefix returns a hash of the start of the prompt, by which requests find
+// the engine that has it in its cache.
+func promptPrefix(rq *request, body []byte) uint64 {
+	prompt := gjson.GetBytes(body, "prompt").Raw
+	if rq.chat {
+		prompt = gjson.GetBytes(body, "messages").Raw
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(string(rq.model))
+	_, _ = h.WriteString(prompt[:min(len(prompt), prefixBytes)])
+	return h.Sum64()
+}
+
 // engineBody returns the body for the engine: with its priority, and with a usage
 // event, from which the answer is billed.
 func engineBody(rq *request, body []byte) ([]byte, *problem.Problem) {
--- a/entry/members.go
+++ b/entry/members.go
@@ -1,7 +1,8 @@
 package entry
 
 // This file defines members: the other processes an entry knows, from its
-// settings and the platform's VM list, and the heartbeats it sends them.
+// settings and the platform's VM list, and the heartbeats it sends them. Which of
+// the listed it watches is in watch.go.
 
 import (
 	"context"
@@ -20,7 +21,7 @@
 const (
 	heartbeatEvery   = 500 * time.Millisecond
 	heartbeatTimeout = time.Second
-	listEvery        = 2 * time.Second
+	listEvery        = time.Second
 	forgetAfter      = 30 * time.Second
 )
 
@@ -30,10 +31,11 @@
 
 	mu        sync.Mutex
 	addresses map[string]struct{}
+	kinds     kinds
 }
 
 func newMembers(e *Entry) *members {
-	m := &members{e: e, addresses: make(map[string]struct{})}
+	m := &members{e: e, addresses: make(map[string]struct{}), kinds: newKinds()}
 	for _, a := range e.cfg.Seeds {
 		m.addresses[a] = struct{}{}
 	}
@@ -60,20 +62,22 @@
 	}
 }
 
-// list adds the sidecars of the VM list.
+// list takes over the platform's list: whom to watch, and whose VM leaves.
 func (m *members) list(ctx context.Context) {
 	vms, err := m.e.deps.Platform.VMs(ctx)
 	if err != nil {
 		m.e.count("vm_list_failed")
 		return
 	}
+	m.e.upstreams.Depart(departing(vms))
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	watched := m.kinds.watched(m.e.cfg.Node, vms)
 	clear(m.addresses)
 	for _, a := range m.e.cfg.Seeds {
 		m.addresses[a] = struct{}{}
 	}
-	for _, vm := range vms {
+	for _, vm := range watched {
 		if vm.Address != m.e.cfg.Address {
 			m.addresses[vm.Address] = struct{}{}
 		}
@@ -101,6 +105,7 @@
 		return
 	}
 	if rs.Msg.GetLoad() != nil {
+		m.kinds.learn(id.Node(rs.Msg.GetNode().GetId()), rs.Msg.GetLoad())
 		m.e.upstreams.Update(view(time.Now(), rs.Msg))
 	}
 }
--- /dev/null
+++ b/entry/watch_test.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+// bigList lists 400 entries and 2,700 sidecars of 28 models in four data centres.
+func bigList() (vms []platform.VM, models []string) {
+	for i := range 400 {
+		vms = append(vms, platform.VM{ID: id.Node(fmt.Sprint("e", i)), Role: roleEntry})
+		models = append(models, "")
+	}
+	for i := range 2700 {
+		dc := id.DataCentre(fmt.Sprint("dc", i/28%4))
+		vms = append(vms, platform.VM{ID: id.Node(fmt.Sprint("s", i)), Role: "sidecar", DataCentre: dc})
+		models = append(models, fmt.Sprint("m", i%28))
+	}
+	return vms, models
+}
+
+func TestWatchedStaysSmallAndCoversModels(t *testing.T) {
+	vms, models := bigList()
+	k := newKinds()
+	require.LessOrEqual(t, len(k.watched("e7", vms)), maxLearning+10, "unknown kinds are learnt a few at a time")
+	for i, vm := range vms {
+		if models[i] != "" {
+			k.learn(vm.ID, &ragwortv1.UpstreamLoad{Models: []string{models[i]}})
+		}
+	}
+	watched := k.watched("e7", vms)
+	require.Less(t, len(watched), 300)
+	places := make(map[string]int)
+	for _, vm := range watched {
+		places[k.byNode[vm.ID]+string(vm.DataCentre)]++
+	}
+	require.Len(t, places, 28*4+1, "every model in every data centre, and entries")
+	k.watched("e7", vms[:500])
+	require.Len(t, k.byNode, 100, "kinds of those who left the list are forgotten")
+}
+
+func TestSmallFleetIsWatchedWhole(t *testing.T) {
+	k := newKinds()
+	var vms []platform.VM
+	for i := range 18 {
+		vm := platform.VM{ID: id.Node(fmt.Sprint("s", i)), Role: "sidecar", DataCentre: id.DataCentre(fmt.Sprint("dc", i%3))}
+		vms = append(vms, vm)
+		k.learn(vm.ID, &ragwortv1.UpstreamLoad{Models: []string{"m"}})
+	}
+	require.Len(t, k.watched("e1", vms), len(vms))
+}
+
+func BenchmarkWatched(b *testing.B) {
+	vms, models := bigList()
+	k := newKinds()
+	for i, vm := range vms {
+		k.learn(vm.ID, &ragwortv1.UpstreamLoad{Models: []string{models[i]}})
+	}
+	for b.Loop() {
+		k.watched("e7", vms)
+	}
+}
