--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -103,6 +103,9 @@
 		n.e.decide(now, rq.id, "retry", "stop", fmt.Sprintf("upstream=%s failure=%s run=%s detail=%q", u.ID, p.Reason, p.Run, p.Detail))
 		final := *p
 		final.Reason, final.RetryAfter = d.Reason, d.RetryAfter
+		if d.RetryAfter > 0 {
+			final.Status = http.StatusServiceUnavailable
+		}
 		return &final
 	case *retry.Again:
 		n.e.count("retried_" + string(p.Reason))
