--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,7 +4,6 @@
 package sidecar
 
 import (
-	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -22,8 +21,6 @@
 )
 
 const (
-	probeEvery = 500 * time.Millisecond
-
 	defaultInitial = 2
 	defaultMax     = 16
 )
@@ -59,11 +56,15 @@
 	leaving atomic.Bool
 	waiting atomic.Int64
 	orders  *orders
+
+	incarnation atomic.Uint64 // of the upstream
+	missed      int           // probes in a row without an answer; used by Run alone
 }
 
 // New returns a sidecar; Run watches its upstream.
 func New(cfg Config, deps Deps) *Sidecar {
 	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
+	s.incarnation.Store(uint64(cfg.Incarnation))
 	s.limiter = upstream.NewLimiter(s.limits())
 	s.orders = &orders{s: s}
 	return s
@@ -97,9 +98,6 @@
 
 // Ready returns nil if the upstream takes work.
 func (s *Sidecar) Ready() error {
-	if s.leaving.Load() {
-		return &StateError{State: upstream.Draining}
-	}
 	if st := s.state(); !st.TakesWork() {
 		return &StateError{State: st}
 	}
@@ -117,47 +115,11 @@
 	s.life.Apply(upstream.Drain)
 }
 
-// Run probes the upstream and follows the rules until ctx is done.
-func (s *Sidecar) Run(ctx context.Context) {
-	tick := time.NewTicker(probeEvery)
-	defer tick.Stop()
-	for {
-		s.probe(ctx)
-		s.limiter.SetLimits(s.limits())
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
-// probe asks the upstream whether it is healthy.
-func (s *Sidecar) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, probeEvery)
-	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, s.cfg.UpstreamURL+"/health", nil)
-	if err != nil {
-		return
-	}
-	rs, err := s.deps.Client.Do(rq)
-	if err != nil {
-		s.life.Apply(upstream.Lost)
-		return
-	}
-	_ = rs.Body.Close()
-	if rs.StatusCode != http.StatusOK {
-		return
-	}
-	s.life.Apply(upstream.Answered)
-	s.life.Apply(upstream.Loaded)
-}
-
 // load returns what the sidecar tells of its upstream.
 func (s *Sidecar) load() wire.Load {
 	limit, running := s.limiter.Limit()
 	return wire.Load{
-		Incarnation: s.cfg.Incarnation,
+		Incarnation: id.Incarnation(s.incarnation.Load()),
 		State:       string(s.state()),
 		Limit:       limit,
 		Running:     running,
@@ -166,11 +128,20 @@
 	}
 }
 
+// state returns the upstream's state. A drain counts from the moment the rules
+// say so, before the lifecycle has followed.
 func (s *Sidecar) state() upstream.State {
-	if s.leaving.Load() || s.orders.draining(time.Now()) {
+	st := s.life.State()
+	if st != upstream.Gone && s.closed(time.Now()) {
 		return upstream.Draining
 	}
-	return s.life.State()
+	return st
+}
+
+// closed reports whether the sidecar leaves, or its data centre or its upstream is
+// taken out of service.
+func (s *Sidecar) closed(now time.Time) bool {
+	return s.leaving.Load() || s.deps.State.Rules().Drained(s.cfg.DataCentre) || s.orders.draining(now)
 }
 
 func (s *Sidecar) count(name string) {
