--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,7 @@
 	deps      Deps
 	upstreams *upstream.Table
 	members   *members
+	queues    *queues
 	budgets   retry.Budgets
 	leaving   atomic.Bool
 	running   atomic.Int64
@@ -75,6 +76,7 @@
 func New(cfg Config, deps Deps) *Entry {
 	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
 	e.members = newMembers(e)
+	e.queues = newQueues(e)
 	e.billing = newBilling(e, deps.UsageLog)
 	e.reporting = newReporting(e)
 	e.ordering = newOrdering(e)
