--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,7 +47,7 @@
 	State    *journal.State
 	Follower *journal.Follower
 	Writer   *journal.Writer
-	Usage    *Stream      // followed only by candidates for its lease
+	Usage    *Stream      // followed only by candidates for its lease; nil: the control stream
 	UsageLog platform.Log // takes what this entry counts
 	Platform platform.Platform
 	Peers    *http.Client // towards sidecars and other entries
@@ -74,12 +74,16 @@
 
 // New returns an entry; Run keeps its view of the other processes.
 func New(cfg Config, deps Deps) *Entry {
+	control := &Stream{State: deps.State, Follower: deps.Follower, Writer: deps.Writer}
+	if deps.Usage == nil {
+		deps.Usage = control
+	}
 	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
 	e.members = newMembers(e)
 	e.queues = newQueues(e)
 	e.billing = newBilling(e, deps.UsageLog)
 	e.reporting = newReporting(e)
-	e.ordering = newOrdering(e)
+	e.ordering = newOrdering(e, control)
 	return e
 }
 
--- a/entry/ordering.go
+++ b/entry/ordering.go
@@ -45,9 +45,9 @@
 	measured time.Time
 }
 
-func newOrdering(e *Entry) *ordering {
+func newOrdering(e *Entry, control *Stream) *ordering {
 	o := &ordering{e: e, planner: fleet.NewPlanner(e.cfg.Fleet)}
-	o.duty = newDuty(e, &Stream{State: e.deps.State, Follower: e.deps.Follower, Writer: e.deps.Writer}, id.DutyOrders, o.round)
+	o.duty = newDuty(e, control, id.DutyOrders, o.round)
 	return o
 }
 
