--- /dev/null
+++ b/journal/catcher.go
@@ -0,0 +1,123 @@
+package journal
+
+// This file defines Catcher, which keeps the state up to date from peers while the
+// log does not answer.
+//
+// Every heartbeat tells how far the peer has folded. A process that has not reached,
+// by the next heartbeat of any peer, the offset that an earlier one named, fetches
+// the whole state from that peer. While the log answers, the follower is faster, and
+// nothing is fetched.
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
+)
+
+const (
+	behindFor    = 400 * time.Millisecond // after which a peer's offset is overdue
+	fetchTimeout = 2 * time.Second
+)
+
+// Lag judges whether a process is behind its peers. The zero value has heard of
+// none.
+type Lag struct {
+	peer   string
+	offset id.Offset // heard of first, among those not reached yet
+	since  time.Time
+	most   id.Offset
+}
+
+// Heard notes a peer's offset and reports whether the process, which is at own,
+// has to fetch from it.
+func (l *Lag) Heard(now time.Time, own id.Offset, peer string, offset id.Offset) bool {
+	l.most = max(l.most, offset)
+	if own >= l.offset {
+		l.offset = 0
+	}
+	if offset <= own {
+		return false
+	}
+	if l.offset == 0 {
+		l.peer, l.offset, l.since = peer, offset, now
+		return false
+	}
+	return offset >= l.offset && now.Sub(l.since) >= behindFor
+}
+
+// Most returns the highest offset heard of.
+func (l *Lag) Most() id.Offset { return l.most }
+
+// Catcher fetches a peer's state when this process is behind it.
+type Catcher struct {
+	state  *State
+	peers  *http.Client
+	logger log.Logger
+	counts metrics.Registry
+
+	mu       sync.Mutex
+	lag      Lag
+	fetching bool
+}
+
+// NewCatcher returns a catcher.
+func NewCatcher(s *State, peers *http.Client, logger log.Logger, counts metrics.Registry) *Catcher {
+	return &Catcher{state: s, peers: peers, logger: logger, counts: counts}
+}
+
+// Heard takes the offset that a peer's heartbeat named, and fetches the peer's state
+// if that is due. It may take as long as a fetch.
+func (c *Catcher) Heard(ctx context.Context, now time.Time, address string, offset id.Offset) {
+	if !c.due(now, address, offset) {
+		return
+	}
+	defer c.done()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	client := ragwortv1connect.NewNodeServiceClient(c.peers, "http://"+address)
+	rs, err := client.Fetch(ctx, connect.NewRequest(&ragwortv1.FetchRequest{AfterOffset: uint64(c.state.Offset())}))
+	result := "restored"
+	switch {
+	case err != nil:
+		result = "failed"
+	case rs.Msg.GetState() == nil || !c.state.Restore(rs.Msg.GetState()):
+		result = "not_newer"
+	}
+	metrics.GetOrRegisterCounter("journal_fetch_"+result, c.counts).Inc(1)
+	_ = c.logger.Log("event", "journal_fetch", "peer", address, "result", result, "offset", uint64(c.state.Offset()), "err", err)
+}
+
+// due reports whether a fetch starts now; there is one at a time.
+func (c *Catcher) due(now time.Time, address string, offset id.Offset) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lag.Heard(now, c.state.Offset(), address, offset) || c.fetching {
+		return false
+	}
+	c.fetching = true
+	return true
+}
+
+func (c *Catcher) done() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fetching = false
+}
+
+// Answer returns the answer to a peer's fetch.
+func Answer(s *State, rq *ragwortv1.FetchRequest) *ragwortv1.FetchResponse {
+	rs := &ragwortv1.FetchResponse{NewestOffset: uint64(s.Offset())}
+	if s.Offset() > id.Offset(rq.GetAfterOffset()) {
+		rs.State = s.Snapshot()
+	}
+	return rs
+}
--- a/journal/follower.go
+++ b/journal/follower.go
@@ -12,11 +12,13 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/platform"
 )
 
 const (
 	readWait      = time.Second
+	readTimeout   = readWait + time.Second // a half-open connection is given up after this
 	readRetryMax  = time.Second
 	readRetryFrom = 50 * time.Millisecond
 )
@@ -34,10 +36,23 @@
 
 // NewFollower returns a follower; Run starts it.
 func NewFollower(l platform.Log, s *State, logger log.Logger, counts metrics.Registry) *Follower {
-	return &Follower{log: l, state: s, logger: logger, counts: counts}
+	f := &Follower{log: l, state: s, logger: logger, counts: counts}
+	s.Observe(f.observe)
+	return f
 }
 
-// CaughtUp reports whether the state has once held everything the log held.
+// observe counts every folded record and reports those that cannot be used.
+func (f *Follower) observe(o Outcome) {
+	metrics.GetOrRegisterCounter("journal_folded_"+string(o.Result), f.counts).Inc(1)
+	switch o.Result {
+	case Corrupt, Invalid, Unknown:
+		_ = f.logger.Log("event", "journal_record_unusable", "result", string(o.Result),
+			"offset", uint64(o.Offset), "writer", o.Record.GetWriter(), "sequence", o.Record.GetSequence())
+	}
+}
+
+// CaughtUp reports whether the state has once held everything the log held, or
+// everything the peers held while the log did not answer.
 func (f *Follower) CaughtUp() bool { return f.caughtUp.Load() }
 
 // LogAvailable reports whether the log has been read within the given time.
@@ -61,15 +76,14 @@
 
 // read folds one page.
 func (f *Follower) read(ctx context.Context) error {
-	page, err := f.log.Read(ctx, f.state.Offset(), readWait)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	newest, err := foldPage(ctx, f.log, f.state, readWait)
 	if err != nil {
 		return err
 	}
 	f.lastRead.Store(time.Now().UnixNano())
-	for _, r := range page.Records {
-		f.state.Fold(r.Offset, r.Payload)
-	}
-	if f.state.Offset() >= page.Newest {
+	if f.state.Offset() >= newest {
 		f.caughtUp.Store(true)
 	}
 	return nil
@@ -90,6 +104,39 @@
 	sleep(ctx, wait)
 }
 
+// Load folds the log to its present end.
+func Load(ctx context.Context, l platform.Log, s *State) error {
+	for {
+		newest, err := foldPage(ctx, l, s, 0)
+		if err != nil {
+			return err
+		}
+		if s.Offset() >= newest {
+			return nil
+		}
+	}
+}
+
+// foldPage folds the next page, from a checkpoint if the next record is no longer
+// kept. It returns the offset of the log's newest record.
+func foldPage(ctx context.Context, l platform.Log, s *State, wait time.Duration) (id.Offset, error) {
+	page, err := l.Read(ctx, s.Offset(), wait)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		if err := restoreCheckpoint(ctx, l, s, trimmed); err != nil {
+			return 0, err
+		}
+		page, err = l.Read(ctx, s.Offset(), 0)
+	}
+	if err != nil {
+		return 0, err
+	}
+	for _, r := range page.Records {
+		s.Fold(r.Offset, r.Payload)
+	}
+	return page.Newest, nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -98,3 +145,12 @@
 	case <-t.C:
 	}
 }
+
+// HeardAll tells the follower that the peers have been asked: the highest offset
+// that any of them named, or zero if none answered. A process that cannot read the
+// log becomes caught up once it holds what its peers hold.
+func (f *Follower) HeardAll(most id.Offset) {
+	if most > 0 && f.state.Offset() >= most {
+		f.caughtUp.Store(true)
+	}
+}
--- a/journal/state.go
+++ b/journal/state.go
@@ -3,7 +3,9 @@
 //
 // State is the fold: it has no clock, socket or goroutine, and two processes that
 // folded the same records hold the same state. Follower feeds it from the log;
-// Writer appends records and learns what became of them from the fold.
+// Writer appends records and learns what became of them from the fold; Checkpointer
+// keeps a snapshot of it on the log; Catcher feeds it from peers when the log does
+// not answer.
 package journal
 
 import (
@@ -12,6 +14,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ragwortpass/ragwortpass/booking"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/rule"
@@ -29,12 +32,13 @@
 	Invalid  Result = "invalid"  // its content can never be accepted
 	Unknown  Result = "unknown"  // of a kind this version does not know
 	Corrupt  Result = "corrupt"  // cannot be decoded
+	Restored Result = "restored" // the whole state came from a snapshot instead
 )
 
 // Outcome tells what became of one record.
 type Outcome struct {
 	Offset id.Offset
-	Record *ragwortv1.Record // nil if corrupt
+	Record *ragwortv1.Record // nil if corrupt or restored
 	Result Result
 }
 
@@ -42,32 +46,36 @@
 // call the state's Fold.
 type Observer func(Outcome)
 
-// State is the fold of the log. Its tables may be read at any time; Fold has one
-// caller at a time.
+// State is the fold of the log. Its tables may be read at any time.
 type State struct {
-	Keys *key.Table
+	Keys     *key.Table
+	Bookings *booking.Table
 
-	mu        sync.Mutex // guards writers, observers and changed
-	writers   map[string]uint64
+	fold sync.Mutex // one Fold, Snapshot or Restore at a time; guards the next fields
+	// The rules in force as they were published.
+	published *ragwortv1.RulesPublished
+	writers   map[string]*ragwortv1.WriterState
+	clock     clock
+	unknown   []*ragwortv1.KeptRecord
+
+	mu        sync.Mutex // guards observers and changed
 	observers []Observer
 	changed   chan struct{}
 
-	rules  atomic.Pointer[rule.Set]
-	offset atomic.Uint64
+	rules      atomic.Pointer[rule.Set]
+	offset     atomic.Uint64
+	checkpoint atomic.Uint64
 }
 
 // NewState returns the state before the first record.
 func NewState() *State {
 	s := &State{
-		Keys:    key.NewTable(),
-		writers: make(map[string]uint64),
-		changed: make(chan struct{}),
-	}
-	empty, err := rule.Read("rules", "")
-	if err != nil {
-		panic("an empty rules file is valid")
+		Keys:     key.NewTable(),
+		Bookings: booking.NewTable(),
+		writers:  make(map[string]*ragwortv1.WriterState),
+		changed:  make(chan struct{}),
 	}
-	s.rules.Store(empty)
+	s.rules.Store(mustRead(""))
 	return s
 }
 
@@ -77,6 +85,9 @@
 // Offset returns the offset of the last folded record.
 func (s *State) Offset() id.Offset { return id.Offset(s.offset.Load()) }
 
+// Checkpoint returns the offset up to which the newest checkpoint reaches.
+func (s *State) Checkpoint() id.Offset { return id.Offset(s.checkpoint.Load()) }
+
 // Observe adds an observer of folded records.
 func (s *State) Observe(o Observer) {
 	s.mu.Lock()
@@ -94,6 +105,8 @@
 // Fold applies the payload at an offset. An offset that is not above the last one
 // folded is ignored, so the state never goes back.
 func (s *State) Fold(offset id.Offset, payload []byte) {
+	s.fold.Lock()
+	defer s.fold.Unlock()
 	if offset <= s.Offset() {
 		return
 	}
@@ -101,10 +114,12 @@
 	var batch ragwortv1.Batch
 	if err := proto.Unmarshal(payload, &batch); err != nil {
 		outcomes = append(outcomes, Outcome{Offset: offset, Result: Corrupt})
+		batch.Records = nil
 	}
 	for _, r := range batch.GetRecords() {
 		outcomes = append(outcomes, Outcome{Offset: offset, Record: r, Result: s.apply(offset, r)})
 	}
+	s.prune(offset)
 	s.offset.Store(uint64(offset))
 	s.publish(outcomes)
 }
@@ -122,52 +137,3 @@
 		}
 	}
 }
-
-// apply folds one record unless it repeats an earlier one.
-func (s *State) apply(offset id.Offset, r *ragwortv1.Record) Result {
-	if s.repeated(r) {
-		return Repeated
-	}
-	switch b := r.GetBody().(type) {
-	case *ragwortv1.Record_RulesPublished:
-		return s.publishRules(offset, b.RulesPublished)
-	case *ragwortv1.Record_KeyGiven:
-		return accepted(s.Keys.Give(b.KeyGiven), Conflict)
-	case *ragwortv1.Record_KeyWithdrawn:
-		return accepted(s.Keys.Withdraw(b.KeyWithdrawn), Conflict)
-	default:
-		return Unknown
-	}
-}
-
-// repeated notes the record's sequence and reports whether it was seen before.
-func (s *State) repeated(r *ragwortv1.Record) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r.GetSequence() <= s.writers[r.GetWriter()] {
-		return true
-	}
-	s.writers[r.GetWriter()] = r.GetSequence()
-	return false
-}
-
-// publishRules accepts a rules file only if it was made from the one in force.
-func (s *State) publishRules(offset id.Offset, p *ragwortv1.RulesPublished) Result {
-	if id.Offset(p.GetBaseOffset()) != s.Rules().Offset {
-		return Conflict
-	}
-	set, err := rule.Read("rules", p.GetText())
-	if err != nil {
-		return Invalid
-	}
-	set.Offset = offset
-	s.rules.Store(set)
-	return Accepted
-}
-
-func accepted(ok bool, otherwise Result) Result {
-	if ok {
-		return Accepted
-	}
-	return otherwise
-}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -2,8 +2,9 @@
 
 // This file defines Writer, which appends this process's records.
 //
-// A writer has one append in flight. Records that arrive meanwhile form the next
-// batch, so the number of appends stays low however many records there are. A
+// A writer has one append in flight, and starts at most one every appendEvery.
+// Records that arrive meanwhile form the next batch, so the number of appends stays
+// low however many records there are. A
 // failed append is repeated with the same sequences; the fold drops repeats. A
 // record that was given up on can still land, but not after a later record of
 // the same writer has been folded, since its sequence is then too low.
@@ -19,11 +20,13 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
 const (
+	appendEvery     = 50 * time.Millisecond
 	appendRetryFrom = 20 * time.Millisecond
 	appendRetryMax  = 500 * time.Millisecond
 	maxBatchRecords = 1000
@@ -61,6 +64,7 @@
 // Writer appends records to the log.
 type Writer struct {
 	log    platform.Log
+	state  *State
 	name   string
 	logger log.Logger
 	counts metrics.Registry
@@ -74,7 +78,7 @@
 // NewWriter returns a writer whose name no other process, nor an earlier run of
 // this one, has used. It learns the outcome of its records from s. Run starts it.
 func NewWriter(l platform.Log, s *State, name string, logger log.Logger, counts metrics.Registry) *Writer {
-	w := &Writer{log: l, name: name, logger: logger, counts: counts, wake: make(chan struct{}, 1)}
+	w := &Writer{log: l, state: s, name: name, logger: logger, counts: counts, wake: make(chan struct{}, 1)}
 	s.Observe(w.observe)
 	return w
 }
@@ -83,7 +87,9 @@
 func (w *Writer) Name() string { return w.name }
 
 // Append appends a record, whose writer and sequence it sets, and returns what
-// the fold made of it. Its error is a *NotSentError or an *UncertainError.
+// the fold made of it. The result Restored says that the record was folded, but by
+// whom is only to be seen in the state's tables. Its error is a *NotSentError or an
+// *UncertainError.
 func (w *Writer) Append(ctx context.Context, now time.Time, r *ragwortv1.Record) (Outcome, error) {
 	p := &pending{record: r, ctx: ctx, done: make(chan Outcome, 1)}
 	w.mu.Lock()
@@ -128,6 +134,11 @@
 
 // observe hands the outcome of a folded record to whoever waits for it.
 func (w *Writer) observe(o Outcome) {
+	if o.Result == Restored {
+		// Restore holds the state's lock while it calls observers.
+		w.settleUpTo(o.Offset, w.state.writers[w.name].GetSequence())
+		return
+	}
 	if o.Record.GetWriter() != w.name || o.Result == Repeated {
 		return
 	}
@@ -142,8 +153,25 @@
 	}
 }
 
+// settleUpTo ends the wait for records that a restored state has folded.
+func (w *Writer) settleUpTo(offset id.Offset, sequence uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var rest []*pending
+	for _, p := range w.waiting {
+		if p.record.GetSequence() > sequence {
+			rest = append(rest, p)
+			continue
+		}
+		p.done <- Outcome{Offset: offset, Record: p.record, Result: Restored}
+	}
+	w.waiting = rest
+}
+
 // Run appends what is waiting until ctx is done.
 func (w *Writer) Run(ctx context.Context) {
+	pace := time.NewTicker(appendEvery)
+	defer pace.Stop()
 	for ctx.Err() == nil {
 		payload, last := w.batch()
 		if payload == nil {
@@ -153,7 +181,12 @@
 			}
 			continue
 		}
+		pace.Reset(appendEvery)
 		w.send(ctx, payload, last)
+		select {
+		case <-ctx.Done():
+		case <-pace.C:
+		}
 	}
 }
 
--- a/key/key.go
+++ b/key/key.go
@@ -148,10 +148,7 @@
 // Find returns the key with the given id; its error is an *UnknownError or a
 // *WithdrawnError.
 func (t *Table) Find(kid id.Key) (*Key, error) {
-	s := t.shard(kid)
-	s.mu.RLock()
-	k := s.keys[kid]
-	s.mu.RUnlock()
+	k := t.lookup(kid)
 	switch {
 	case k == nil:
 		return nil, &UnknownError{Key: kid}
@@ -161,24 +158,38 @@
 	return k, nil
 }
 
-// Check returns the key that a caller presents. Digests are compared in constant
-// time. Its error is a *MalformedError, *UnknownError or *WithdrawnError.
+// Check returns the key that a caller presents. The secret is compared before
+// anything else is looked at and in constant time, also for an id that was never
+// given: a caller without the right secret learns nothing about the id. Its error
+// is a *MalformedError, *UnknownError or *WithdrawnError.
 func (t *Table) Check(presented Secret) (*Key, error) {
 	kid, secret, ok := split(presented)
 	if !ok {
 		return nil, &MalformedError{}
 	}
-	digest := sha256.Sum256([]byte(secret))
-	k, err := t.Find(kid)
-	if err != nil {
-		return nil, err
+	k := t.lookup(kid)
+	known := 1
+	if k == nil || k.Workspace == "" { // never given
+		k, known = &Key{}, 0
 	}
-	if subtle.ConstantTimeCompare(digest[:], k.Digest[:]) != 1 {
+	digest := sha256.Sum256([]byte(secret))
+	if subtle.ConstantTimeCompare(digest[:], k.Digest[:])&known != 1 {
 		return nil, &UnknownError{Key: kid}
 	}
+	if k.Withdrawn {
+		return nil, &WithdrawnError{Key: kid}
+	}
 	return k, nil
 }
 
+// lookup returns the key with the given id, withdrawn or not, or nil.
+func (t *Table) lookup(kid id.Key) *Key {
+	s := t.shard(kid)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.keys[kid]
+}
+
 // All returns every key in the order of their ids.
 func (t *Table) All() []*Key {
 	var all []*Key
--- /dev/null
+++ b/key/snapshot.go
@@ -0,0 +1,44 @@
+package key
+
+// This file defines how the table is written to a state and read from one.
+
+import "github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+
+// Snapshot writes the table into a state, in the order of the keys' ids.
+func (t *Table) Snapshot(to *ragwortv1.State) {
+	for _, k := range t.All() {
+		if k.Workspace != "" { // it was given, not only withdrawn
+			to.Keys = append(to.Keys, given(k))
+		}
+		if k.Withdrawn {
+			to.WithdrawnKeys = append(to.WithdrawnKeys, string(k.ID))
+		}
+	}
+}
+
+func given(k *Key) *ragwortv1.KeyGiven {
+	g := &ragwortv1.KeyGiven{
+		Key: string(k.ID), Digest: append([]byte(nil), k.Digest[:]...), Workspace: string(k.Workspace), Comment: k.Comment,
+	}
+	for _, c := range k.Classes {
+		g.Classes = append(g.Classes, string(c))
+	}
+	return g
+}
+
+// Restore replaces the table's content by that of a state.
+func (t *Table) Restore(from *ragwortv1.State) {
+	fresh := NewTable()
+	for _, g := range from.GetKeys() {
+		fresh.Give(g)
+	}
+	for _, k := range from.GetWithdrawnKeys() {
+		fresh.Withdraw(&ragwortv1.KeyWithdrawn{Key: k})
+	}
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		s.keys = fresh.shards[i].keys
+		s.mu.Unlock()
+	}
+}
