--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -89,6 +89,7 @@
 		e.refuse(a.w, r, p)
 		return
 	}
+	p = cause(r.Context(), p)
 	p.Request = string(a.rq.id)
 	e.count("cut_" + string(p.Reason))
 	if !a.rq.stream {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/trace"
@@ -36,6 +37,8 @@
 // Deps is what an entry works with.
 type Deps struct {
 	State    *journal.State
+	Bookings *journal.Stream
+	Catcher  *journal.Catcher
 	Follower *journal.Follower
 	Writer   *journal.Writer
 	Platform platform.Platform
@@ -51,6 +54,8 @@
 	deps      Deps
 	upstreams *upstream.Table
 	members   *members
+	uses      *key.Uses
+	intents   *intents
 	leaving   atomic.Bool
 	running   atomic.Int64
 	waiting   atomic.Int64
@@ -60,6 +65,9 @@
 func New(cfg Config, deps Deps) *Entry {
 	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
 	e.members = newMembers(e)
+	e.uses = key.NewUses(deps.State.Keys)
+	e.intents = newIntents(deps.Bookings.State)
+	journal.EndWithdrawn(deps.State, e.uses, func(n int) { e.add("ended_key_withdrawn", n) })
 	return e
 }
 
@@ -105,14 +113,20 @@
 // refuse counts, traces and sends a refusal.
 func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, p *problem.Problem) {
 	rq := requestID(r.Context())
+	p = cause(r.Context(), p)
 	p.Request = string(rq)
 	e.count("refused_" + string(p.Reason))
 	e.deps.Traces.Add(time.Now(), rq, "refuse", string(p.Reason), p.Detail)
+	if t, ok := w.(refusalTaker); ok {
+		t.refused(p)
+	}
 	p.Write(w)
 }
 
-func (e *Entry) count(name string) {
-	metrics.GetOrRegisterCounter(name, e.deps.Metrics).Inc(1)
+func (e *Entry) count(name string) { e.add(name, 1) }
+
+func (e *Entry) add(name string, n int) {
+	metrics.GetOrRegisterCounter(name, e.deps.Metrics).Inc(int64(n))
 }
 
 // decide notes a decision for explain.
--- a/entry/identify.go
+++ b/entry/identify.go
@@ -50,10 +50,11 @@
 	})
 }
 
-// identify refuses a request without a valid key and drops the key from it.
+// identify refuses a request without a valid key and drops the key from it. The
+// request ends when the key is withdrawn, also while it waits or is answered.
 func (e *Entry) identify(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		secret, ok := bearer(r.Header.Get("Authorization"))
 		r.Header.Del("Authorization")
 		if !ok {
 			e.refuse(w, r, problem.New(problem.KeyMissing, problem.NotRun, http.StatusUnauthorized, "expected Authorization: Bearer <key>"))
@@ -66,16 +67,26 @@
 		}
 		now := time.Now()
 		e.decide(now, requestID(r.Context()), "identify", "key_valid", "key="+string(k.ID)+" workspace="+string(k.Workspace))
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), callerKey{}, k)))
+		ctx, done := e.uses.Start(context.WithValue(r.Context(), callerKey{}, k), k.ID)
+		defer done()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
-// keyProblem returns the refusal for a key that did not check.
+// bearer returns the credentials of an Authorization header. The name of the
+// scheme is not case sensitive.
+func bearer(header string) (string, bool) {
+	scheme, credentials, ok := strings.Cut(header, " ")
+	return credentials, ok && strings.EqualFold(scheme, "Bearer")
+}
+
+// keyProblem returns the refusal for a key that did not check. It repeats nothing of
+// what was presented, which may be a secret in the wrong place, unless the secret
+// was right.
 func keyProblem(err error) *problem.Problem {
-	reason := problem.KeyUnknown
 	var withdrawn *key.WithdrawnError
 	if errors.As(err, &withdrawn) {
-		reason = problem.KeyWithdrawn
+		return problem.New(problem.KeyWithdrawn, problem.NotRun, http.StatusUnauthorized, "%v", err)
 	}
-	return problem.New(reason, problem.NotRun, http.StatusUnauthorized, "%v", err)
+	return problem.New(problem.KeyUnknown, problem.NotRun, http.StatusUnauthorized, "the key is not known")
 }
--- /dev/null
+++ b/entry/intents.go
@@ -0,0 +1,53 @@
+package entry
+
+// This file defines intents, how long this process has known of each booking that
+// has not been settled. It counts by this process's own monotonic clock, so that no
+// clock that jumps makes a running call look abandoned.
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+type intents struct {
+	mu    sync.Mutex
+	since map[id.Request]time.Time
+}
+
+func newIntents(s *journal.State) *intents {
+	n := &intents{since: make(map[id.Request]time.Time)}
+	s.Observe(func(o journal.Outcome) { n.observe(time.Now(), o) })
+	return n
+}
+
+// observe notes accepted intents and forgets settled ones.
+func (n *intents) observe(now time.Time, o journal.Outcome) {
+	if o.Result != journal.Accepted {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch b := o.Record.GetBody().(type) {
+	case *ragwortv1.Record_BookingIntended:
+		n.since[id.Request(b.BookingIntended.GetRequest())] = now
+	case *ragwortv1.Record_BookingSettled:
+		delete(n.since, id.Request(b.BookingSettled.GetRequest()))
+	}
+}
+
+// age returns for how long the intent of a request has been known. One that came
+// with a restored state is known from now on.
+func (n *intents) age(now time.Time, rq id.Request) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	since, ok := n.since[rq]
+	if !ok {
+		n.since[rq] = now
+		return 0
+	}
+	return now.Sub(since)
+}
--- a/entry/members.go
+++ b/entry/members.go
@@ -84,12 +84,14 @@
 func (m *members) beat(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	answers := newRound(len(m.addresses), m.e.deps.Follower.HeardAll)
 	for a := range m.addresses {
-		go m.heartbeat(ctx, a)
+		go func() { answers.done(m.heartbeat(ctx, a)) }()
 	}
 }
 
-func (m *members) heartbeat(ctx context.Context, address string) {
+// heartbeat returns the offset that the process named; zero if it did not answer.
+func (m *members) heartbeat(ctx context.Context, address string) id.Offset {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	client := ragwortv1connect.NewNodeServiceClient(m.e.deps.Peers, "http://"+address)
@@ -98,11 +100,14 @@
 	}))
 	if err != nil {
 		m.e.count("heartbeat_failed")
-		return
+		return 0
 	}
 	if rs.Msg.GetLoad() != nil {
 		m.e.upstreams.Update(view(time.Now(), rs.Msg))
 	}
+	offset := id.Offset(rs.Msg.GetJournalOffset())
+	m.e.heard(address, offset)
+	return offset
 }
 
 // view returns what a sidecar's heartbeat tells of its upstream.
--- a/entry/program.go
+++ b/entry/program.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,15 +22,17 @@
 
 // Settings are the flags and environment variables of the program.
 type Settings struct {
-	Node       string        `help:"Name of this process, unique in the fleet." required:""`
-	DataCentre string        `help:"Data centre this process runs in." required:""`
-	Listen     string        `help:"Address to serve on." default:"127.0.0.1:8080"`
-	Advertise  string        `help:"Address at which other processes reach this one; the listen address if empty."`
-	Platform   string        `help:"URL of the platform." required:""`
-	Seeds      []string      `help:"Addresses of other entries and sidecars, besides the platform's VM list."`
-	MaxBody    int64         `help:"Most bytes of a request body." default:"8388608"`
-	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
-	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
+	Node            string        `help:"Name of this process, unique in the fleet." required:""`
+	DataCentre      string        `help:"Data centre this process runs in." required:""`
+	Listen          string        `help:"Address to serve on." default:"127.0.0.1:8080"`
+	Advertise       string        `help:"Address at which other processes reach this one; the listen address if empty."`
+	Platform        string        `help:"URL of the platform." required:""`
+	Seeds           []string      `help:"Addresses of other entries and sidecars, besides the platform's VM list."`
+	MaxBody         int64         `help:"Most bytes of a request body." default:"8388608"`
+	Traces          int           `help:"Requests whose decisions are kept for explain." default:"20000"`
+	CheckpointEvery uint64        `help:"Appends to a stream of the log after which a checkpoint is due; 0: never." default:"10000"`
+	CheckpointDelay time.Duration `help:"Longest random delay before a checkpoint that is due." default:"10s"`
+	Linger          time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
 }
 
 // Check implements setting.Checked.
@@ -48,6 +51,7 @@
 	}
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
+	c.Require(s.CheckpointDelay >= 0, "checkpoint-delay", s.CheckpointDelay.String(), "a duration from zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
 	return c.Err()
 }
@@ -62,11 +66,16 @@
 func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
 	p := platform.New(s.Platform, process.NewOutsideClient())
-	state := journal.NewState()
-	follower := journal.NewFollower(p, state, logger, counts)
-	writer := journal.NewWriter(p, state, id.New(s.Node, now), logger, counts)
+	checkpoint := journal.CheckpointConfig{Every: id.Offset(s.CheckpointEvery), Delay: s.CheckpointDelay}
+	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(now.UnixNano()), stream)) }
+	control := journal.NewStream(journal.StreamConfig{Writer: id.New(s.Node, now), Checkpoint: checkpoint}, p, random(0), logger, counts)
+	state, follower, writer := control.State, control.Follower, control.Writer
+	bookings := journal.NewStream(journal.StreamConfig{Writer: id.New(s.Node, now), Checkpoint: checkpoint},
+		p.Stream(platform.StreamBookings), random(1), logger, metrics.NewPrefixedChildRegistry(counts, "bookings_"))
+	peers := process.NewPeerClient()
 	deps := Deps{
-		State: state, Follower: follower, Writer: writer, Platform: p, Peers: process.NewPeerClient(),
+		Bookings: bookings, Catcher: journal.NewCatcher(state, peers, logger, counts),
+		State: state, Follower: follower, Writer: writer, Platform: p, Peers: peers,
 		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
 	}
 	e := New(Config{
@@ -78,7 +87,7 @@
 		Service: process.Service{
 			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: counts, Logger: logger,
 			Leave: e.Leave, Linger: s.Linger,
-			Tasks: []func(context.Context){follower.Run, writer.Run, e.Run},
+			Tasks: []func(context.Context){control.Run, bookings.Run, e.Run},
 		},
 	}
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -18,6 +18,10 @@
 	}
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	if key := r.Header.Get(IdempotencyHeader); rq.once() && key != "" {
+		e.book(w, r, rq, key)
+		return
+	}
 	e.dispatch(w, r, rq)
 }
 
--- a/journal/follower.go
+++ b/journal/follower.go
@@ -18,7 +18,7 @@
 
 const (
 	readWait      = time.Second
-	readTimeout   = readWait + time.Second // a half-open connection is given up after this
+	readTimeout   = time.Second // beyond the wait; a half-open connection is given up after this
 	readRetryMax  = time.Second
 	readRetryFrom = 50 * time.Millisecond
 )
@@ -76,9 +76,11 @@
 
 // read folds one page.
 func (f *Follower) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	newest, err := foldPage(ctx, f.log, f.state, readWait)
+	wait := readWait
+	if !f.CaughtUp() {
+		wait = 0 // the log may be empty
+	}
+	newest, err := foldPage(ctx, f.log, f.state, wait)
 	if err != nil {
 		return err
 	}
@@ -120,13 +122,13 @@
 // foldPage folds the next page, from a checkpoint if the next record is no longer
 // kept. It returns the offset of the log's newest record.
 func foldPage(ctx context.Context, l platform.Log, s *State, wait time.Duration) (id.Offset, error) {
-	page, err := l.Read(ctx, s.Offset(), wait)
+	page, err := readPage(ctx, l, s.Offset(), wait)
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
 		if err := restoreCheckpoint(ctx, l, s, trimmed); err != nil {
 			return 0, err
 		}
-		page, err = l.Read(ctx, s.Offset(), 0)
+		page, err = readPage(ctx, l, s.Offset(), 0)
 	}
 	if err != nil {
 		return 0, err
@@ -137,6 +139,12 @@
 	return page.Newest, nil
 }
 
+func readPage(ctx context.Context, l platform.Log, after id.Offset, wait time.Duration) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	return l.Read(ctx, after, wait)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/journal/withdrawn.go
@@ -0,0 +1,21 @@
+package journal
+
+// This file defines what ends the requests of a withdrawn key.
+
+import (
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/key"
+)
+
+// EndWithdrawn ends the uses of a key when its withdrawal is folded, and tells how
+// many there were.
+func EndWithdrawn(s *State, uses *key.Uses, ended func(n int)) {
+	s.Observe(func(o Outcome) {
+		switch {
+		case o.Result == Restored:
+			ended(uses.Sweep())
+		case o.Result == Accepted && o.Record.GetKeyWithdrawn() != nil:
+			ended(uses.End(id.Key(o.Record.GetKeyWithdrawn().GetKey())))
+		}
+	})
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -68,18 +68,10 @@
 // State reads the log to its end and returns its fold.
 func (o *Operator) State(ctx context.Context) (*journal.State, error) {
 	s := journal.NewState()
-	for {
-		page, err := o.platform.Read(ctx, s.Offset(), 0)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range page.Records {
-			s.Fold(r.Offset, r.Payload)
-		}
-		if s.Offset() >= page.Newest {
-			return s, nil
-		}
+	if err := journal.Load(ctx, o.platform, s); err != nil {
+		return nil, err
 	}
+	return s, nil
 }
 
 // Publish makes text the rules in force, if the rules in force are still those at
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -64,6 +64,7 @@
 	BookingPending   Reason = "booking_pending"
 	BookingUnknown   Reason = "booking_unknown"
 	BookingConflict  Reason = "booking_conflict"
+	BookingNotKept   Reason = "booking_answer_not_kept"
 	RetryBudget      Reason = "retry_budget_spent"
 	CallerGone       Reason = "caller_gone"
 	Internal         Reason = "internal"
--- a/process/process.go
+++ b/process/process.go
@@ -165,6 +165,16 @@
 	}}
 }
 
+// NewSingleClient returns a client that opens a new connection for each request, so
+// that net/http never sends a request twice by itself.
+func NewSingleClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression: true,
+		DisableKeepAlives:  true,
+	}}
+}
+
 func (s Service) mux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
--- a/ragworttest/fleet.go
+++ b/ragworttest/fleet.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -76,13 +78,30 @@
 	return string(text)
 }
 
+// The ports of FreeAddress lie below those that the system gives to outgoing
+// connections, so that none is taken before the process listens on it.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portCount)) }
+
 // FreeAddress returns a loopback address that nothing listens on.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			l.Close()
+			return address
+		}
+	}
+	require.Fail(t, "no free port")
+	return ""
 }
 
 // Process is a running program.
@@ -154,6 +173,16 @@
 	p.Wait(t)
 }
 
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits for the process to end.
 func (p *Process) Wait(t testing.TB) {
 	t.Helper()
--- /dev/null
+++ b/sidecar/keys.go
@@ -0,0 +1,76 @@
+package sidecar
+
+// This file defines what a sidecar makes of keys and of the offsets that entries
+// name: it checks each request's key again, and ends what a withdrawn key runs.
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/key"
+	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/wire"
+)
+
+// staleWait is how long a request waits for the sidecar to fold what its entry has.
+const staleWait = 500 * time.Millisecond
+
+// use returns a context that ends when the request's key is withdrawn, or the reason
+// to refuse the request. The function returned must be called at the end of the use.
+func (s *Sidecar) use(ctx context.Context, e wire.Envelope) (context.Context, func(), *problem.Problem) {
+	k, err := s.findKey(ctx, e)
+	var withdrawn *key.WithdrawnError
+	switch {
+	case errors.As(err, &withdrawn):
+		return nil, nil, problem.New(problem.KeyWithdrawn, problem.NotRun, http.StatusUnauthorized, "%v", err)
+	case err != nil && s.deps.State.Offset() < e.Config:
+		return nil, nil, problem.New(problem.StaleConfig, problem.NotRun, http.StatusServiceUnavailable,
+			"sidecar is at offset %d, the entry at %d", s.deps.State.Offset(), e.Config)
+	case err != nil:
+		return nil, nil, problem.New(problem.KeyUnknown, problem.NotRun, http.StatusUnauthorized, "%v", err)
+	case k.Workspace != e.Workspace:
+		return nil, nil, problem.New(problem.KeyUnknown, problem.NotRun, http.StatusUnauthorized,
+			"key %q is not of workspace %q", e.Key, e.Workspace)
+	}
+	ctx, done := s.uses.Start(ctx, e.Key)
+	return ctx, done, nil
+}
+
+// findKey looks the request's key up. One that is not known yet is waited for a
+// short while if the entry has folded more than the sidecar.
+func (s *Sidecar) findKey(ctx context.Context, e wire.Envelope) (*key.Key, error) {
+	end := time.NewTimer(staleWait)
+	defer end.Stop()
+	for {
+		changed := s.deps.State.Changed()
+		k, err := s.deps.State.Keys.Find(e.Key)
+		var unknown *key.UnknownError
+		if !errors.As(err, &unknown) || s.deps.State.Offset() >= e.Config {
+			return k, err
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return nil, err
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// heard takes the offset that an entry named; what the sidecar lacks is fetched.
+func (s *Sidecar) heard(address string, offset id.Offset) {
+	if address == "" || offset <= s.deps.State.Offset() {
+		return
+	}
+	go s.deps.Catcher.Heard(context.Background(), time.Now(), address, offset)
+}
+
+// endWithdrawn ends the uses of a key when its withdrawal is folded.
+func (s *Sidecar) endWithdrawn() {
+	journal.EndWithdrawn(s.deps.State, s.uses, func(n int) { s.add("sidecar_ended_key_withdrawn", n) })
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
@@ -21,7 +22,8 @@
 }
 
 // Heartbeat implements the NodeService.
-func (n *node) Heartbeat(_ context.Context, _ *connect.Request[ragwortv1.HeartbeatRequest]) (*connect.Response[ragwortv1.HeartbeatResponse], error) {
+func (n *node) Heartbeat(_ context.Context, rq *connect.Request[ragwortv1.HeartbeatRequest]) (*connect.Response[ragwortv1.HeartbeatResponse], error) {
+	n.s.heard(rq.Msg.GetFrom().GetAddress(), id.Offset(rq.Msg.GetJournalOffset()))
 	return connect.NewResponse(&ragwortv1.HeartbeatResponse{
 		Node:          n.identity(),
 		JournalOffset: uint64(n.s.deps.State.Offset()),
@@ -29,6 +31,11 @@
 	}), nil
 }
 
+// Fetch implements the NodeService.
+func (n *node) Fetch(_ context.Context, rq *connect.Request[ragwortv1.FetchRequest]) (*connect.Response[ragwortv1.FetchResponse], error) {
+	return connect.NewResponse(journal.Answer(n.s.deps.State, rq.Msg)), nil
+}
+
 // Explain implements the NodeService.
 func (n *node) Explain(_ context.Context, rq *connect.Request[ragwortv1.ExplainRequest]) (*connect.Response[ragwortv1.ExplainResponse], error) {
 	decisions := n.s.deps.Traces.Explain(id.Request(rq.Msg.GetRequest()))
--- a/sidecar/program.go
+++ b/sidecar/program.go
@@ -73,7 +73,8 @@
 		cfg.Models = append(cfg.Models, id.Model(m))
 	}
 	deps := Deps{
-		State: state, Client: process.NewOutsideClient(),
+		State: state, Catcher: journal.NewCatcher(state, process.NewPeerClient(), logger, counts),
+		Client: process.NewOutsideClient(), Single: process.NewSingleClient(),
 		Traces: trace.New(cfg.Node, s.Traces), Metrics: counts, Logger: logger,
 	}
 	c := New(cfg, deps)
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -35,23 +35,25 @@
 			s.refuse(w, e, problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "%v", err))
 			return
 		}
-		if p := s.judge(e); p != nil {
+		if p := s.judge(); p != nil {
 			s.refuse(w, e, p)
 			return
 		}
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), envelopeKey{}, e)))
+		ctx, done, p := s.use(r.Context(), e)
+		if p != nil {
+			s.refuse(w, e, p)
+			return
+		}
+		defer done()
+		next.ServeHTTP(w, r.WithContext(context.WithValue(ctx, envelopeKey{}, e)))
 	})
 }
 
 // judge returns the reason to refuse a request before it runs, or nil.
-func (s *Sidecar) judge(e wire.Envelope) *problem.Problem {
+func (s *Sidecar) judge() *problem.Problem {
 	if s.leaving.Load() || s.deps.State.Rules().Drained(s.cfg.DataCentre) {
 		return problem.New(problem.UpstreamDraining, problem.NotRun, http.StatusServiceUnavailable, "upstream %s takes no new work", s.cfg.Upstream)
 	}
-	var withdrawn *key.WithdrawnError
-	if _, err := s.deps.State.Keys.Find(e.Key); errors.As(err, &withdrawn) {
-		return problem.New(problem.KeyWithdrawn, problem.NotRun, http.StatusUnauthorized, "%v", err)
-	}
 	if st := s.state(); !st.TakesWork() {
 		return problem.New(problem.NotReady, problem.NotRun, http.StatusServiceUnavailable, "upstream %s is %s", s.cfg.Upstream, st)
 	}
@@ -72,7 +74,7 @@
 func (s *Sidecar) run(w http.ResponseWriter, r *http.Request) {
 	e := r.Context().Value(envelopeKey{}).(wire.Envelope)
 	if !s.acquire(r.Context()) {
-		s.refuse(w, e, problem.New(problem.UpstreamBusy, problem.NotRun, http.StatusServiceUnavailable, "upstream %s has no free slot", s.cfg.Upstream))
+		s.refuse(w, e, s.noSlot(r.Context()))
 		return
 	}
 	evidence := upstream.Evidence{}
@@ -101,6 +103,15 @@
 	}
 }
 
+// noSlot returns the refusal of a request that got no slot.
+func (s *Sidecar) noSlot(ctx context.Context) *problem.Problem {
+	var withdrawn *key.WithdrawnError
+	if errors.As(context.Cause(ctx), &withdrawn) {
+		return problem.New(problem.KeyWithdrawn, problem.NotRun, http.StatusUnauthorized, "%v", withdrawn)
+	}
+	return problem.New(problem.UpstreamBusy, problem.NotRun, http.StatusServiceUnavailable, "upstream %s has no free slot", s.cfg.Upstream)
+}
+
 // acquire waits a short while for a slot.
 func (s *Sidecar) acquire(ctx context.Context) bool {
 	s.waiting.Add(1)
@@ -131,6 +142,11 @@
 	copyHeaders(rq.Header, r.Header)
 	wire.DropInternal(rq.Header)
 	rq.Header.Set(wire.HeaderRequestID, string(e.Request))
+	if e.Once {
+		// net/http sends a request with an idempotency key again when a kept
+		// connection breaks. It never does so on a new connection.
+		return s.deps.Single.Do(rq)
+	}
 	return s.deps.Client.Do(rq)
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
@@ -43,7 +44,9 @@
 // Deps is what a sidecar works with.
 type Deps struct {
 	State   *journal.State
+	Catcher *journal.Catcher
 	Client  *http.Client // towards the upstream
+	Single  *http.Client // the same, with a new connection for each request
 	Traces  *trace.Log
 	Metrics metrics.Registry
 	Logger  log.Logger
@@ -55,13 +58,15 @@
 	deps    Deps
 	limiter *upstream.Limiter
 	life    *upstream.Lifecycle
+	uses    *key.Uses
 	leaving atomic.Bool
 	waiting atomic.Int64
 }
 
 // New returns a sidecar; Run watches its upstream.
 func New(cfg Config, deps Deps) *Sidecar {
-	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
+	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle(), uses: key.NewUses(deps.State.Keys)}
+	s.endWithdrawn()
 	s.limiter = upstream.NewLimiter(s.limits())
 	return s
 }
@@ -169,6 +174,8 @@
 	return s.life.State()
 }
 
-func (s *Sidecar) count(name string) {
-	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(1)
+func (s *Sidecar) count(name string) { s.add(name, 1) }
+
+func (s *Sidecar) add(name string, n int) {
+	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(int64(n))
 }
