rule: end a bare value where go-logfmt does

FuzzRead found that a control character inside a line made Read panic: go-logfmt ends a value at any byte up to a space, rawLength only at space and tab. A rules record on the log with such a line would have ended every process that folds it.

--- /dev/null
+++ b/journal/fold_test.go
@@ -0,0 +1,264 @@
+package journal_test
+
+// This file defines the random histories of the fold, its naive version, and the
+// fuzz target of records.
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/ragwortpass/ragwortpass/booking"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+const unknownKind = 99 // a field number that no version uses yet
+
+// naive folds a history by keeping every record and searching from the start.
+type naive struct {
+	records []*ragwortv1.Record // not repeated, of every offset
+	offsets []uint64
+	state   *ragwortv1.State
+	expired []bool // beside state.Bookings
+}
+
+func (n *naive) fold(offset uint64, payload []byte) {
+	n.state.Offset = offset
+	var batch ragwortv1.Batch
+	if proto.Unmarshal(payload, &batch) == nil {
+		for _, r := range batch.GetRecords() {
+			n.apply(offset, r)
+		}
+	}
+	for i, b := range n.state.Bookings {
+		if b.GetWrittenUnixMs()+booking.Retention.Milliseconds() <= n.state.ClockUnixMs {
+			n.expired[i] = true
+		}
+	}
+}
+
+func (n *naive) apply(offset uint64, r *ragwortv1.Record) {
+	for _, old := range n.records {
+		if old.GetWriter() == r.GetWriter() && old.GetSequence() >= r.GetSequence() {
+			return
+		}
+	}
+	if r.GetSequence() == 0 {
+		return
+	}
+	n.records = append(n.records, r)
+	n.offsets = append(n.offsets, offset)
+	step := max(min(r.GetWrittenUnixMs()-n.state.ClockUnixMs, 1000), -1000)
+	if len(n.records) == 1 {
+		step = r.GetWrittenUnixMs()
+	}
+	n.state.ClockUnixMs += step
+	stamp := min(max(r.GetWrittenUnixMs(), n.state.ClockUnixMs), n.state.ClockUnixMs+24*time.Hour.Milliseconds())
+	switch b := r.GetBody().(type) {
+	case *ragwortv1.Record_RulesPublished:
+		if b.RulesPublished.GetBaseOffset() == n.state.RulesOffset && strings.HasPrefix(b.RulesPublished.GetText(), "class") {
+			n.state.Rules, n.state.RulesOffset = b.RulesPublished, offset
+		}
+	case *ragwortv1.Record_KeyGiven:
+		used := slices.Contains(n.state.WithdrawnKeys, b.KeyGiven.GetKey())
+		for _, k := range n.state.Keys {
+			used = used || k.GetKey() == b.KeyGiven.GetKey()
+		}
+		if !used {
+			n.state.Keys = append(n.state.Keys, b.KeyGiven)
+		}
+	case *ragwortv1.Record_KeyWithdrawn:
+		if !slices.Contains(n.state.WithdrawnKeys, b.KeyWithdrawn.GetKey()) {
+			n.state.WithdrawnKeys = append(n.state.WithdrawnKeys, b.KeyWithdrawn.GetKey())
+		}
+	case *ragwortv1.Record_BookingIntended:
+		n.intend(offset, stamp, b.BookingIntended)
+	case *ragwortv1.Record_BookingSettled:
+		if i := n.find(b.BookingSettled.GetWorkspace(), b.BookingSettled.GetIdempotencyKey()); i >= 0 {
+			if c := n.state.Bookings[i]; c.GetSettled() == nil && c.GetIntent().GetRequest() == b.BookingSettled.GetRequest() {
+				c.Settled, c.WrittenUnixMs = b.BookingSettled, stamp
+			}
+		}
+	case *ragwortv1.Record_CheckpointTaken:
+		if u := b.CheckpointTaken.GetUpToOffset(); u < offset && u > n.state.CheckpointOffset && u == b.CheckpointTaken.GetState().GetOffset() {
+			n.state.CheckpointOffset = u
+		}
+	default:
+		n.state.Unknown = append(n.state.Unknown, &ragwortv1.KeptRecord{Offset: offset, Record: r})
+	}
+}
+
+func (n *naive) find(ws, key string) int {
+	for i, b := range n.state.Bookings {
+		if b.GetIntent().GetWorkspace() == ws && b.GetIntent().GetIdempotencyKey() == key && !n.expired[i] {
+			return i
+		}
+	}
+	return -1
+}
+
+func (n *naive) intend(offset uint64, stamp int64, b *ragwortv1.BookingIntended) {
+	if i := n.find(b.GetWorkspace(), b.GetIdempotencyKey()); i >= 0 {
+		if n.state.Bookings[i].GetSettled().GetOutcome() != string(booking.NotRun) {
+			return
+		}
+		n.expired[i] = true
+	}
+	n.state.Bookings = append(n.state.Bookings, &ragwortv1.BookingState{Intent: b, IntentOffset: offset, WrittenUnixMs: stamp})
+	n.expired = append(n.expired, false)
+}
+
+// whole returns the state with what has expired dropped and the rest in order.
+func (n *naive) whole() *ragwortv1.State {
+	out := proto.CloneOf(n.state)
+	out.Bookings = nil
+	for i, b := range n.state.Bookings {
+		if !n.expired[i] {
+			out.Bookings = append(out.Bookings, b)
+		}
+	}
+	slices.SortFunc(out.Bookings, func(a, b *ragwortv1.BookingState) int {
+		return strings.Compare(a.GetIntent().GetWorkspace()+"\x00"+a.GetIntent().GetIdempotencyKey(), b.GetIntent().GetWorkspace()+"\x00"+b.GetIntent().GetIdempotencyKey())
+	})
+	slices.SortFunc(out.Keys, func(a, b *ragwortv1.KeyGiven) int { return strings.Compare(a.GetKey(), b.GetKey()) })
+	slices.Sort(out.WithdrawnKeys)
+	last := make(map[string]*ragwortv1.WriterState)
+	for i, r := range n.records {
+		last[r.GetWriter()] = &ragwortv1.WriterState{Writer: r.GetWriter(), Sequence: r.GetSequence(), Offset: n.offsets[i]}
+	}
+	for _, w := range last {
+		out.Writers = append(out.Writers, w)
+	}
+	slices.SortFunc(out.Writers, func(a, b *ragwortv1.WriterState) int { return strings.Compare(a.GetWriter(), b.GetWriter()) })
+	return out
+}
+
+// drawHistory returns the payloads of a random log.
+func drawHistory(t *rapid.T) [][]byte {
+	name := func(prefix string, n int) string { return fmt.Sprintf("%s%d", prefix, rapid.IntRange(0, n).Draw(t, prefix)) }
+	sequences := make(map[string]uint64)
+	var history [][]byte
+	now := int64(1_800_000_000_000)
+	for range rapid.IntRange(1, 60).Draw(t, "appends") {
+		if rapid.IntRange(0, 19).Draw(t, "corrupt") == 0 {
+			history = append(history, []byte{0xff, 0x01, 0x02})
+			continue
+		}
+		var batch ragwortv1.Batch
+		for range rapid.IntRange(0, 3).Draw(t, "records") {
+			now += rapid.SampledFrom([]int64{0, 1, 900, 40_000, -40_000, 90_000_000}).Draw(t, "step")
+			r := drawRecord(t, name, uint64(len(history)))
+			r.Writer, r.WrittenUnixMs = name("w", 3), now
+			sequences[r.Writer] += uint64(rapid.IntRange(0, 2).Draw(t, "sequence")) // 0: a repeat
+			r.Sequence = sequences[r.Writer]
+			batch.Records = append(batch.Records, r)
+		}
+		payload, err := proto.Marshal(&batch)
+		require.NoError(t, err)
+		history = append(history, payload)
+	}
+	return history
+}
+
+func drawRecord(t *rapid.T, name func(string, int) string, offset uint64) *ragwortv1.Record {
+	digest := sha256.Sum256([]byte(name("d", 1)))
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	case 0:
+		text := rapid.SampledFrom([]string{"class name=a tier=gold # Malee", "bad"}).Draw(t, "text")
+		return &ragwortv1.Record{Body: &ragwortv1.Record_RulesPublished{RulesPublished: &ragwortv1.RulesPublished{
+			Text: text, BaseOffset: uint64(rapid.IntRange(0, 3).Draw(t, "base")), Operator: name("o", 1),
+		}}}
+	case 1:
+		return &ragwortv1.Record{Body: &ragwortv1.Record_KeyGiven{KeyGiven: &ragwortv1.KeyGiven{
+			Key: name("k", 4), Workspace: name("ws", 1), Digest: digest[:], Classes: []string{"a"},
+		}}}
+	case 2:
+		return &ragwortv1.Record{Body: &ragwortv1.Record_KeyWithdrawn{KeyWithdrawn: &ragwortv1.KeyWithdrawn{Key: name("k", 4)}}}
+	case 3, 4:
+		return &ragwortv1.Record{Body: &ragwortv1.Record_BookingIntended{BookingIntended: &ragwortv1.BookingIntended{
+			Workspace: name("ws", 1), IdempotencyKey: name("b", 2), Request: name("rq", 5), BodyDigest: digest[:],
+		}}}
+	case 5:
+		outcome := rapid.SampledFrom([]booking.Outcome{booking.Answered, booking.NotRun, booking.Unknown}).Draw(t, "outcome")
+		return &ragwortv1.Record{Body: &ragwortv1.Record_BookingSettled{BookingSettled: &ragwortv1.BookingSettled{
+			Workspace: name("ws", 1), IdempotencyKey: name("b", 2), Request: name("rq", 5), Outcome: string(outcome), Body: []byte("x"),
+		}}}
+	case 6:
+		upTo := uint64(rapid.IntRange(0, int(offset)+1).Draw(t, "up to"))
+		return &ragwortv1.Record{Body: &ragwortv1.Record_CheckpointTaken{CheckpointTaken: &ragwortv1.CheckpointTaken{
+			UpToOffset: upTo, State: &ragwortv1.State{Offset: upTo},
+		}}}
+	default:
+		r := &ragwortv1.Record{}
+		r.ProtoReflect().SetUnknown(protowire.AppendString(protowire.AppendTag(nil, unknownKind, protowire.BytesType), "later"))
+		return r
+	}
+}
+
+// TestFoldEqualsNaive folds random histories whole, and from a snapshot at a random
+// offset, and compares both with the naive version byte for byte.
+func TestFoldEqualsNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		cut := rapid.IntRange(0, len(history)).Draw(t, "cut")
+		whole, restored := journal.NewState(), journal.NewState()
+		reference := &naive{state: &ragwortv1.State{}}
+		fold := func(s *journal.State, from int) {
+			for i := from; i < len(history); i++ {
+				s.Fold(id.Offset(i+1), history[i])
+			}
+		}
+		for i, payload := range history {
+			if i == cut && cut > 0 {
+				require.True(t, restored.Restore(whole.Snapshot()))
+			}
+			whole.Fold(id.Offset(i+1), payload)
+			reference.fold(uint64(i+1), payload)
+		}
+		if cut == len(history) {
+			require.True(t, restored.Restore(whole.Snapshot()))
+		}
+		fold(restored, max(0, cut-3)) // what the snapshot holds is folded again and changes nothing
+		want := reference.whole()
+		require.Equal(t, want.String(), whole.Snapshot().String())
+		require.True(t, bytes.Equal(journal.Marshal(want), journal.Marshal(whole.Snapshot())))
+		require.True(t, bytes.Equal(journal.Marshal(want), journal.Marshal(restored.Snapshot())), "restored at %d", cut)
+		require.False(t, restored.Restore(whole.Snapshot()), "a state never goes back")
+	})
+}
+
+// FuzzFold folds any payload: nothing may panic, and what was folded must survive a
+// snapshot.
+func FuzzFold(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0x01})
+	for seed := range 20 {
+		for _, payload := range rapid.Custom(drawHistory).Example(seed) {
+			f.Add(payload)
+		}
+	}
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		s := journal.NewState()
+		s.Fold(1, payload)
+		s.Fold(2, payload)
+		snapshot := s.Snapshot()
+		back := journal.NewState()
+		if !back.Restore(snapshot) {
+			t.Fatal("a snapshot cannot be restored")
+		}
+		if !bytes.Equal(journal.Marshal(snapshot), journal.Marshal(back.Snapshot())) {
+			t.Fatalf("restored state differs:\n%v\n%v", snapshot, back.Snapshot())
+		}
+	})
+}
--- a/rule/read.go
+++ b/rule/read.go
@@ -168,7 +168,8 @@
 // rawLength returns the length of the value at the start of s as written.
 func rawLength(s string) int {
 	if !strings.HasPrefix(s, `"`) {
-		if i := strings.IndexAny(s, " \t"); i >= 0 {
+		// As go-logfmt does, take a space and any control character for the end.
+		if i := strings.IndexFunc(s, func(c rune) bool { return c <= ' ' }); i >= 0 {
 			return i
 		}
 		return len(s)
