key, entry, sidecar: end everything a withdrawn key runs, also without the log

A key stopped only at the next request, and only at processes that read the log. Now each use of a key is cancelled when its withdrawal is folded; a process that is behind a peer's offset at its next heartbeat fetches the peer's state.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -58,8 +58,12 @@
 		case *refused:
 			e.count("retried_" + string(res.problem.Reason))
 			e.decide(time.Now(), rq.id, "dispatch", string(res.problem.Reason), res.problem.Detail)
+			if res.problem.Reason == problem.KeyWithdrawn {
+				e.end(r, a, res.problem)
+				return
+			}
 			avoid = nil
-			if res.problem.Reason != problem.UpstreamBusy {
+			if res.problem.Reason != problem.UpstreamBusy && res.problem.Reason != problem.StaleConfig {
 				avoid = []id.Upstream{u.ID}
 			}
 		case *broken:
@@ -118,7 +122,7 @@
 	if l, ok := wire.ParseLoad(rs.Header.Get(wire.HeaderLoad)); ok {
 		e.upstreams.Piggyback(u.ID, l, time.Now())
 	}
-	return e.relay(a, u, rs)
+	return refusedLate(u, rs, e.relay(a, u, rs))
 }
 
 func (e *Entry) envelope(rq *request, attempt int) wire.Envelope {
--- /dev/null
+++ b/ragworttest/key_test.go
@@ -0,0 +1,203 @@
+package ragworttest_test
+
+// This file defines the process tests of keys: a withdrawn one stops everywhere, and
+// none is seen where it does not belong.
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/ragworttest"
+	"github.com/ragwortpass/ragwortpass/standin"
+)
+
+// withdrawnWithin is the time in which a withdrawn key stops working.
+const withdrawnWithin = 3 * time.Second
+
+const streamBody = `{"model":"temper-70b","stream":true,"max_tokens":256,"messages":[{"role":"user","content":"a long die history"}]}`
+
+func post(t *testing.T, e *ragworttest.Process, key, body string) *http.Response {
+	rq, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Address+"/v1/chat/completions", strings.NewReader(body))
+	require.NoError(t, err)
+	rq.Header.Set("Authorization", "Bearer "+key)
+	rs, err := http.DefaultClient.Do(rq)
+	require.NoError(t, err)
+	return rs
+}
+
+func readProblem(t *testing.T, rs *http.Response) problem.Problem {
+	defer rs.Body.Close()
+	var p problem.Problem
+	require.NoError(t, json.NewDecoder(rs.Body).Decode(&p))
+	return p
+}
+
+// lastEvent reads a stream to its end.
+func lastEvent(t *testing.T, rs *http.Response) (event, data string) {
+	defer rs.Body.Close()
+	lines := bufio.NewScanner(rs.Body)
+	for lines.Scan() {
+		line := lines.Text()
+		if e, ok := strings.CutPrefix(line, "event: "); ok {
+			event = e
+		}
+		if d, ok := strings.CutPrefix(line, "data: "); ok {
+			data = d
+		}
+	}
+	require.NoError(t, lines.Err())
+	return event, data
+}
+
+// TestWithdrawnKey withdraws a key while it is in use through an entry that reads the
+// log and through one that is cut off from it.
+func TestWithdrawnKey(t *testing.T) {
+	cuts := map[string]func(p *ragworttest.Proxy){
+		"log in reach": func(*ragworttest.Proxy) {},
+		"cut off":      func(p *ragworttest.Proxy) { p.Cut() },
+		"half open":    func(p *ragworttest.Proxy) { p.HalfOpen("downstream") },
+		"slow":         func(p *ragworttest.Proxy) { p.Slow(10 * time.Second) },
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := ragworttest.NewFleet(t)
+			f.Publish(strings.ReplaceAll(ragworttest.Rules(t, "hingeworks.rules"), "model name=temper-70b", "model name=idle-70b # Wichai (platform): has no engine\nmodel name=temper-70b"))
+			secret, kid := f.Key("bangkok-forge")
+			cfg := standin.DefaultEngineConfig()
+			cfg.Gap = 100 * time.Millisecond
+			g, url := f.Engine(cfg)
+			g.Warm()
+			proxy := ragworttest.NewProxy(t, strings.TrimPrefix(f.PlatformURL, "http://"))
+			through := "--platform=http://" + proxy.Address()
+			f.Sidecar("s1", "th-a", url, "--models=temper-70b", through).Ready(t)
+			entries := []*ragworttest.Process{f.Entry("e1", "th-a"), f.Entry("e2", "th-b", through)}
+			for _, e := range entries {
+				e.Ready(t)
+				whole(t, e, secret)
+			}
+			var streams []*http.Response
+			for _, e := range entries {
+				rs := post(t, e, secret, streamBody)
+				require.Equal(t, http.StatusOK, rs.StatusCode)
+				streams = append(streams, rs)
+			}
+			waiting := make(chan problem.Problem, len(entries))
+			for _, e := range entries {
+				go func() { waiting <- readProblem(t, post(t, e, secret, strings.ReplaceAll(streamBody, "temper", "idle"))) }()
+			}
+			time.Sleep(200 * time.Millisecond) // they wait now
+			cut(proxy)
+			ctx, cancel := context.WithTimeout(t.Context(), ragworttest.Patience)
+			defer cancel()
+			require.NoError(t, f.Operator.WithdrawKey(ctx, time.Now(), kid, "test"))
+			begin := time.Now()
+			for _, rs := range streams {
+				event, data := lastEvent(t, rs)
+				require.Equal(t, "error", event, data)
+				var p problem.Problem
+				require.NoError(t, json.Unmarshal([]byte(data), &p))
+				require.Equal(t, problem.KeyWithdrawn, p.Reason)
+			}
+			for range entries {
+				p := <-waiting
+				require.Equal(t, problem.KeyWithdrawn, p.Reason, p.Detail)
+				require.Equal(t, problem.NotRun, p.Run)
+			}
+			for _, e := range entries {
+				p := readProblem(t, post(t, e, secret, streamBody))
+				require.Equal(t, problem.KeyWithdrawn, p.Reason)
+			}
+			require.Less(t, time.Since(begin), withdrawnWithin)
+			t.Logf("stopped everywhere %v after the withdrawal was folded", time.Since(begin))
+			other, _ := f.Key("korat-forge")
+			whole(t, entries[0], other)
+		})
+	}
+}
+
+// whole waits until an entry answers a short call.
+func whole(t *testing.T, e *ragworttest.Process, key string) {
+	t.Helper()
+	last := ""
+	defer func() {
+		if t.Failed() {
+			t.Log("last answer: " + last)
+		}
+	}()
+	ragworttest.Eventually(t, func() bool {
+		rs := post(t, e, key, `{"model":"temper-70b","max_tokens":4,"messages":[{"role":"user","content":"x"}]}`)
+		defer rs.Body.Close()
+		body, _ := io.ReadAll(rs.Body)
+		last = string(body)
+		return rs.StatusCode == http.StatusOK
+	}, "%s answers", e.Node)
+}
+
+// TestKeyStaysHere checks that no key reaches an upstream or a log, and that a wrong
+// secret is told the same whatever the id.
+func TestKeyStaysHere(t *testing.T) {
+	f := ragworttest.NewFleet(t)
+	f.Publish(ragworttest.Rules(t, "hingeworks.rules"))
+	secret, kid := f.Key("bangkok-forge")
+	gone, goneID := f.Key("bangkok-forge")
+	ctx, cancel := context.WithTimeout(t.Context(), ragworttest.Patience)
+	defer cancel()
+	require.NoError(t, f.Operator.WithdrawKey(ctx, time.Now(), goneID, "test"))
+	g := standin.NewEngine(standin.DefaultEngineConfig())
+	g.Warm()
+	var mu sync.Mutex
+	seen := make(http.Header)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		for name, values := range r.Header {
+			seen[name] = append(seen[name], values...)
+		}
+		mu.Unlock()
+		g.Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(engine.Close)
+	side := f.Sidecar("s1", "th-a", engine.URL, "--models=temper-70b")
+	e := f.Entry("e1", "th-a")
+	side.Ready(t)
+	e.Ready(t)
+	whole(t, e, secret)
+
+	bodies := make(map[string]bool)
+	for _, wrong := range []string{secret + "x", gone + "x", "rw_nobody_x", "rw_" + string(kid) + "_x", "sk-other", "rw_"} {
+		rs := post(t, e, wrong, streamBody)
+		require.Equal(t, http.StatusUnauthorized, rs.StatusCode)
+		p := readProblem(t, rs)
+		p.Request = ""
+		text, err := json.Marshal(&p)
+		require.NoError(t, err)
+		bodies[string(text)] = true
+	}
+	require.Len(t, bodies, 1, bodies)
+	require.Equal(t, problem.KeyWithdrawn, readProblem(t, post(t, e, gone, streamBody)).Reason)
+
+	mu.Lock()
+	defer mu.Unlock()
+	require.NotEmpty(t, seen)
+	for name, values := range seen {
+		require.NotEqual(t, "Authorization", name)
+		require.False(t, strings.HasPrefix(name, "Ragwort-"), name)
+		require.NotContains(t, strings.Join(values, " "), string(kid))
+	}
+	for _, p := range []*ragworttest.Process{e, side} {
+		for _, s := range []string{secret, gone} {
+			require.NotContains(t, p.Log.String(), strings.SplitN(s, "_", 3)[2])
+		}
+	}
+}
--- a/sidecar/keys.go
+++ b/sidecar/keys.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -16,8 +17,9 @@
 	"github.com/ragwortpass/ragwortpass/wire"
 )
 
-// staleWait is how long a request waits for the sidecar to fold what its entry has.
-const staleWait = 500 * time.Millisecond
+// staleWait is how long a request waits for the sidecar to fold what its entry has:
+// time to hear of the offset and to fetch the state.
+const staleWait = 1500 * time.Millisecond
 
 // use returns a context that ends when the request's key is withdrawn, or the reason
 // to refuse the request. The function returned must be called at the end of the use.
@@ -62,6 +64,18 @@
 	}
 }
 
+// endedByWithdrawal ends a stream whose key has been withdrawn, and tells the entry
+// why in a trailer. Only a stream may end without its last byte: the entry misses its
+// last event and does not take it for whole.
+func (s *Sidecar) endedByWithdrawal(ctx context.Context, w http.ResponseWriter) bool {
+	var withdrawn *key.WithdrawnError
+	if !errors.As(context.Cause(ctx), &withdrawn) || !strings.HasPrefix(w.Header().Get("Content-Type"), "text/event-stream") {
+		return false
+	}
+	w.Header().Set(http.TrailerPrefix+wire.HeaderRefused, string(problem.KeyWithdrawn))
+	return true
+}
+
 // heard takes the offset that an entry named; what the sidecar lacks is fetched.
 func (s *Sidecar) heard(address string, offset id.Offset) {
 	if address == "" || offset <= s.deps.State.Offset() {
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -99,6 +99,9 @@
 	evidence.Failed = err != nil && r.Context().Err() == nil
 	if err != nil {
 		s.count("sidecar_answer_cut")
+		if s.endedByWithdrawal(r.Context(), w) {
+			return
+		}
 		panic(http.ErrAbortHandler) // the entry must not take a cut answer for a whole one
 	}
 }
