--- a/entry/program.go
+++ b/entry/program.go
@@ -18,21 +18,28 @@
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/trace"
+	"github.com/ragwortpass/ragwortpass/usage"
 )
 
 // Settings are the flags and environment variables of the program.
 type Settings struct {
-	Node            string        `help:"Name of this process, unique in the fleet." required:""`
-	DataCentre      string        `help:"Data centre this process runs in." required:""`
-	Listen          string        `help:"Address to serve on." default:"127.0.0.1:8080"`
-	Advertise       string        `help:"Address at which other processes reach this one; the listen address if empty."`
-	Platform        string        `help:"URL of the platform." required:""`
-	Seeds           []string      `help:"Addresses of other entries and sidecars, besides the platform's VM list."`
-	MaxBody         int64         `help:"Most bytes of a request body." default:"8388608"`
-	Traces          int           `help:"Requests whose decisions are kept for explain." default:"20000"`
+	Node       string        `help:"Name of this process, unique in the fleet." required:""`
+	DataCentre string        `help:"Data centre this process runs in." required:""`
+	Listen     string        `help:"Address to serve on." default:"127.0.0.1:8080"`
+	Advertise  string        `help:"Address at which other processes reach this one; the listen address if empty."`
+	Platform   string        `help:"URL of the platform." required:""`
+	Seeds      []string      `help:"Addresses of other entries and sidecars, besides the platform's VM list."`
+	MaxBody    int64         `help:"Most bytes of a request body." default:"8388608"`
+	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
+	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
+
+	LeaseTTL    time.Duration `help:"Time to live of the leases on orders and usage." default:"10s"`
+	UsageWindow time.Duration `help:"Length of a usage window; the same at every entry." default:"1m"`
+	UsageGrace  time.Duration `help:"Time from the end of a usage window to its close." default:"20s"`
+	UsageFlush  time.Duration `help:"Time between two appends of counted use." default:"5s"`
+
 	CheckpointEvery uint64        `help:"Appends to a stream of the log after which a checkpoint is due; 0: never." default:"10000"`
 	CheckpointDelay time.Duration `help:"Longest random delay before a checkpoint that is due." default:"10s"`
-	Linger          time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
 }
 
 // Check implements setting.Checked.
@@ -53,6 +60,10 @@
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
 	c.Require(s.CheckpointDelay >= 0, "checkpoint-delay", s.CheckpointDelay.String(), "a duration from zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
+	c.Require(s.LeaseTTL >= time.Second, "lease-ttl", s.LeaseTTL.String(), "a duration from 1s")
+	c.Require(s.UsageWindow >= time.Second && s.UsageWindow%time.Second == 0, "usage-window", s.UsageWindow.String(), "whole seconds")
+	c.Require(s.UsageFlush > 0, "usage-flush", s.UsageFlush.String(), "a duration above zero")
+	c.Require(s.UsageGrace > s.UsageFlush, "usage-grace", s.UsageGrace.String(), "more than usage-flush")
 	return c.Err()
 }
 
@@ -81,13 +92,15 @@
 	e := New(Config{
 		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
 		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody,
+		LeaseTTL: s.LeaseTTL, Usage: usage.Schedule{Length: s.UsageWindow, Grace: s.UsageGrace}, UsageFlush: s.UsageFlush,
 	}, deps)
 	return &Program{
 		Deps: deps,
 		Service: process.Service{
 			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: counts, Logger: logger,
 			Leave: e.Leave, Linger: s.Linger,
-			Tasks: []func(context.Context){control.Run, bookings.Run, e.Run},
+			Finish: e.Finish,
+			Tasks:  []func(context.Context){control.Run, bookings.Run, e.Run, e.RunDuties},
 		},
 	}
 }
--- a/journal/fold_test.go
+++ b/journal/fold_test.go
@@ -146,7 +146,9 @@
 
 // drawHistory returns the payloads of a random log.
 func drawHistory(t *rapid.T) [][]byte {
-	name := func(prefix string, n int) string { return fmt.Sprintf("%s%d", prefix, rapid.IntRange(0, n).Draw(t, prefix)) }
+	name := func(prefix string, n int) string {
+		return fmt.Sprintf("%s%d", prefix, rapid.IntRange(0, n).Draw(t, prefix))
+	}
 	sequences := make(map[string]uint64)
 	var history [][]byte
 	now := int64(1_800_000_000_000)
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -23,7 +23,7 @@
 }
 
 // tables returns the parts of the state that package journal does not fold itself.
-func (s *State) tables() []table { return []table{s.Keys, s.Bookings} }
+func (s *State) tables() []table { return []table{s.Keys, s.Leases, s.Usage, s.Orders, s.Bookings} }
 
 // Snapshot returns the state at its present offset.
 func (s *State) Snapshot() *ragwortv1.State {
--- a/journal/state.go
+++ b/journal/state.go
@@ -15,9 +15,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragwortpass/ragwortpass/booking"
+	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
+	"github.com/ragwortpass/ragwortpass/lease"
 	"github.com/ragwortpass/ragwortpass/rule"
+	"github.com/ragwortpass/ragwortpass/usage"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -49,6 +52,9 @@
 // State is the fold of the log. Its tables may be read at any time.
 type State struct {
 	Keys     *key.Table
+	Leases   *lease.Table
+	Usage    *usage.Ledger
+	Orders   *fleet.Orders
 	Bookings *booking.Table
 
 	fold sync.Mutex // one Fold, Snapshot or Restore at a time; guards the next fields
@@ -71,6 +77,9 @@
 func NewState() *State {
 	s := &State{
 		Keys:     key.NewTable(),
+		Leases:   lease.NewTable(),
+		Usage:    usage.NewLedger(),
+		Orders:   fleet.NewOrders(),
 		Bookings: booking.NewTable(),
 		writers:  make(map[string]*ragwortv1.WriterState),
 		changed:  make(chan struct{}),
--- a/ragworttest/key_test.go
+++ b/ragworttest/key_test.go
@@ -95,7 +95,9 @@
 			}
 			waiting := make(chan problem.Problem, len(entries))
 			for _, e := range entries {
-				go func() { waiting <- readProblem(t, post(t, e, secret, strings.ReplaceAll(streamBody, "temper", "idle"))) }()
+				go func() {
+					waiting <- readProblem(t, post(t, e, secret, strings.ReplaceAll(streamBody, "temper", "idle")))
+				}()
 			}
 			time.Sleep(200 * time.Millisecond) // they wait now
 			cut(proxy)
--- a/sidecar/program.go
+++ b/sidecar/program.go
@@ -74,7 +74,7 @@
 	}
 	deps := Deps{
 		State: state, Catcher: journal.NewCatcher(state, process.NewPeerClient(), logger, counts),
-		Client: process.NewOutsideClient(), Single: process.NewSingleClient(),
+		Client: process.NewOutsideClient(), Once: process.NewOnceClient(),
 		Traces: trace.New(cfg.Node, s.Traces), Metrics: counts, Logger: logger,
 	}
 	c := New(cfg, deps)
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -146,9 +146,7 @@
 	wire.DropInternal(rq.Header)
 	rq.Header.Set(wire.HeaderRequestID, string(e.Request))
 	if e.Once {
-		// net/http sends a request with an idempotency key again when a kept
-		// connection breaks. It never does so on a new connection.
-		return s.deps.Single.Do(rq)
+		return s.deps.Once.Do(rq)
 	}
 	return s.deps.Client.Do(rq)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -46,7 +46,7 @@
 	State   *journal.State
 	Catcher *journal.Catcher
 	Client  *http.Client // towards the upstream
-	Single  *http.Client // the same, with a new connection for each request
+	Once    *http.Client // towards the upstream, for calls that must not be repeated
 	Traces  *trace.Log
 	Metrics metrics.Registry
 	Logger  log.Logger
