--- a/entry/capture.go
+++ b/entry/capture.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 
 	"github.com/ragwortpass/ragwortpass/booking"
@@ -52,11 +53,14 @@
 // dispatchInto dispatches rq and captures how it ended.
 func (e *Entry) dispatchInto(c *capture, r *http.Request, rq *request) {
 	defer func() {
-		if x := recover(); x != nil {
-			c.cut = true // dispatch gives up a cut answer with a panic
-			if x != http.ErrAbortHandler {
-				e.count("booking_panicked")
-			}
+		x := recover()
+		if x == nil {
+			return
+		}
+		c.cut = true // dispatch gives up a cut answer with a panic
+		if err, ok := x.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+			e.count("booking_panicked")
+			_ = e.deps.Logger.Log("event", "booking_panicked", "panic", x, "request", rq.id)
 		}
 	}()
 	e.dispatch(c, r, rq)
