--- a/journal/catcher.go
+++ b/journal/catcher.go
@@ -3,9 +3,9 @@
 // This file defines Catcher, which keeps the state up to date from peers while the
 // log does not answer.
 //
-// Every heartbeat tells how far the peer has folded. A process that has not reached,
-// by the next heartbeat of any peer, the offset that an earlier one named, fetches
-// the whole state from that peer. While the log answers, the follower is faster, and
+// Every heartbeat tells how far the peer has folded. A process that has not reached
+// the offset that a heartbeat named, when behindFor later another one names as much,
+// fetches the whole state from that peer. While the log answers, the follower is faster, and
 // nothing is fetched.
 
 import (
@@ -31,16 +31,13 @@
 // Lag judges whether a process is behind its peers. The zero value has heard of
 // none.
 type Lag struct {
-	peer   string
 	offset id.Offset // heard of first, among those not reached yet
 	since  time.Time
-	most   id.Offset
 }
 
-// Heard notes a peer's offset and reports whether the process, which is at own,
-// has to fetch from it.
-func (l *Lag) Heard(now time.Time, own id.Offset, peer string, offset id.Offset) bool {
-	l.most = max(l.most, offset)
+// Heard notes the offset that a peer has reached and reports whether the process,
+// which is at own, has to fetch from that peer.
+func (l *Lag) Heard(now time.Time, own, offset id.Offset) bool {
 	if own >= l.offset {
 		l.offset = 0
 	}
@@ -48,15 +45,12 @@
 		return false
 	}
 	if l.offset == 0 {
-		l.peer, l.offset, l.since = peer, offset, now
+		l.offset, l.since = offset, now
 		return false
 	}
 	return offset >= l.offset && now.Sub(l.since) >= behindFor
 }
 
-// Most returns the highest offset heard of.
-func (l *Lag) Most() id.Offset { return l.most }
-
 // Catcher fetches a peer's state when this process is behind it.
 type Catcher struct {
 	state  *State
@@ -77,7 +71,7 @@
 // Heard takes the offset that a peer's heartbeat named, and fetches the peer's state
 // if that is due. It may take as long as a fetch.
 func (c *Catcher) Heard(ctx context.Context, now time.Time, address string, offset id.Offset) {
-	if !c.due(now, address, offset) {
+	if !c.due(now, offset) {
 		return
 	}
 	defer c.done()
@@ -97,10 +91,10 @@
 }
 
 // due reports whether a fetch starts now; there is one at a time.
-func (c *Catcher) due(now time.Time, address string, offset id.Offset) bool {
+func (c *Catcher) due(now time.Time, offset id.Offset) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.lag.Heard(now, c.state.Offset(), address, offset) || c.fetching {
+	if !c.lag.Heard(now, c.state.Offset(), offset) || c.fetching {
 		return false
 	}
 	c.fetching = true
--- /dev/null
+++ b/journal/checkpoint_test.go
@@ -0,0 +1,123 @@
+package journal_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+// memory is a log in memory that keeps its records from first on.
+type memory struct {
+	first   id.Offset
+	records [][]byte // from offset 1
+}
+
+func (m *memory) Append(context.Context, []byte) (id.Offset, error) { panic("unreachable") }
+
+func (m *memory) Read(_ context.Context, after id.Offset, _ time.Duration) (platform.Page, error) {
+	page := platform.Page{First: m.first, Newest: id.Offset(len(m.records))}
+	if after+1 < m.first {
+		return page, &platform.TrimmedError{After: after, First: m.first}
+	}
+	for i := after; i < page.Newest && len(page.Records) < 7; i++ {
+		page.Records = append(page.Records, platform.Record{Offset: i + 1, Payload: m.records[i]})
+	}
+	return page, nil
+}
+
+// TestStartFromCheckpoint drops the first records of random logs that hold a
+// checkpoint anywhere after the records it covers.
+func TestStartFromCheckpoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawKinds(t, honestKinds)
+		upTo := rapid.IntRange(1, len(history)).Draw(t, "covered")
+		covered := journal.NewState()
+		for i := range upTo {
+			covered.Fold(id.Offset(i+1), history[i])
+		}
+		payload, err := proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{{
+			Writer: "checkpointer", Sequence: 1,
+			Body: &ragwortv1.Record_CheckpointTaken{CheckpointTaken: &ragwortv1.CheckpointTaken{
+				UpToOffset: uint64(upTo), State: covered.Snapshot(),
+			}},
+		}}})
+		require.NoError(t, err)
+		history = slices.Insert(history, rapid.IntRange(upTo, len(history)).Draw(t, "place"), payload)
+		whole := journal.NewState()
+		for i, p := range history {
+			whole.Fold(id.Offset(i+1), p)
+		}
+		l := &memory{first: id.Offset(rapid.IntRange(1, upTo+1).Draw(t, "first")), records: history}
+		started := journal.NewState()
+		require.NoError(t, journal.Load(context.Background(), l, started))
+		require.Equal(t, whole.Snapshot().String(), started.Snapshot().String())
+	})
+}
+
+// TestTrimmedWithoutCheckpoint must not take a part of the log for the whole.
+func TestTrimmedWithoutCheckpoint(t *testing.T) {
+	l := &memory{first: 3, records: [][]byte{{}, {}, {}, {}}}
+	s := journal.NewState()
+	var trimmed *platform.TrimmedError
+	require.ErrorAs(t, journal.Load(t.Context(), l, s), &trimmed)
+	require.Zero(t, s.Offset())
+}
+
+// TestSilentWritersAreForgotten bounds the writers that the state remembers.
+func TestSilentWritersAreForgotten(t *testing.T) {
+	s := journal.NewState()
+	fold := func(at id.Offset, writer string) {
+		payload, err := proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{{Writer: writer, Sequence: 1}}})
+		require.NoError(t, err)
+		s.Fold(at, payload)
+	}
+	fold(1, "old")
+	fold(1<<19, "new")
+	fold(1<<20, "newer")
+	require.Len(t, s.Snapshot().GetWriters(), 3)
+	fold(1<<20+1<<12, "newest")
+	require.Len(t, s.Snapshot().GetWriters(), 3)
+}
+
+func TestCheckpointDue(t *testing.T) {
+	c := journal.CheckpointConfig{Every: 10}
+	require.False(t, c.Due(9, 0))
+	require.True(t, c.Due(10, 0))
+	require.False(t, c.Due(19, 10))
+	require.False(t, journal.CheckpointConfig{}.Due(1000, 0))
+}
+
+// TestLag checks when a process fetches from a peer.
+func TestLag(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	cases := []struct {
+		name  string
+		after []time.Duration // of each heartbeat
+		own   []id.Offset
+		peer  []id.Offset
+		fetch []bool
+	}{
+		{"never behind", []time.Duration{0, 500, 1000}, []id.Offset{5, 5, 6}, []id.Offset{5, 5, 6}, []bool{false, false, false}},
+		{"log in time", []time.Duration{0, 500}, []id.Offset{5, 6}, []id.Offset{6, 6}, []bool{false, false}},
+		{"busy log", []time.Duration{0, 500, 1000, 1500}, []id.Offset{5, 8, 11, 14}, []id.Offset{6, 9, 12, 15}, []bool{false, false, false, false}},
+		{"no log", []time.Duration{0, 500, 1000}, []id.Offset{5, 5, 9}, []id.Offset{6, 9, 9}, []bool{false, true, false}},
+		{"two peers at once", []time.Duration{0, 1, 500}, []id.Offset{5, 5, 5}, []id.Offset{6, 6, 6}, []bool{false, false, true}},
+	}
+	for _, c := range cases {
+		var lag journal.Lag
+		for i := range c.after {
+			now := start.Add(c.after[i] * time.Millisecond)
+			require.Equal(t, c.fetch[i], lag.Heard(now, c.own[i], c.peer[i]), "%s: heartbeat %d", c.name, i)
+		}
+	}
+}
--- a/journal/fold_test.go
+++ b/journal/fold_test.go
@@ -144,8 +144,16 @@
 	return out
 }
 
+// The kinds of record that drawRecord draws; the last ones are false checkpoints.
+const (
+	honestKinds = 6
+	allKinds    = 7
+)
+
 // drawHistory returns the payloads of a random log.
-func drawHistory(t *rapid.T) [][]byte {
+func drawHistory(t *rapid.T) [][]byte { return drawKinds(t, allKinds) }
+
+func drawKinds(t *rapid.T, kinds int) [][]byte {
 	name := func(prefix string, n int) string {
 		return fmt.Sprintf("%s%d", prefix, rapid.IntRange(0, n).Draw(t, prefix))
 	}
@@ -160,7 +168,7 @@
 		var batch ragwortv1.Batch
 		for range rapid.IntRange(0, 3).Draw(t, "records") {
 			now += rapid.SampledFrom([]int64{0, 1, 900, 40_000, -40_000, 90_000_000}).Draw(t, "step")
-			r := drawRecord(t, name, uint64(len(history)))
+			r := drawRecord(t, name, kinds, uint64(len(history)))
 			r.Writer, r.WrittenUnixMs = name("w", 3), now
 			sequences[r.Writer] += uint64(rapid.IntRange(0, 2).Draw(t, "sequence")) // 0: a repeat
 			r.Sequence = sequences[r.Writer]
@@ -173,9 +181,9 @@
 	return history
 }
 
-func drawRecord(t *rapid.T, name func(string, int) string, offset uint64) *ragwortv1.Record {
+func drawRecord(t *rapid.T, name func(string, int) string, kinds int, offset uint64) *ragwortv1.Record {
 	digest := sha256.Sum256([]byte(name("d", 1)))
-	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	switch rapid.IntRange(0, kinds).Draw(t, "kind") {
 	case 0:
 		text := rapid.SampledFrom([]string{"class name=a tier=gold # Malee", "bad"}).Draw(t, "text")
 		return &ragwortv1.Record{Body: &ragwortv1.Record_RulesPublished{RulesPublished: &ragwortv1.RulesPublished{
@@ -196,7 +204,7 @@
 		return &ragwortv1.Record{Body: &ragwortv1.Record_BookingSettled{BookingSettled: &ragwortv1.BookingSettled{
 			Workspace: name("ws", 1), IdempotencyKey: name("b", 2), Request: name("rq", 5), Outcome: string(outcome), Body: []byte("x"),
 		}}}
-	case 6:
+	case allKinds:
 		upTo := uint64(rapid.IntRange(0, int(offset)+1).Draw(t, "up to"))
 		return &ragwortv1.Record{Body: &ragwortv1.Record_CheckpointTaken{CheckpointTaken: &ragwortv1.CheckpointTaken{
 			UpToOffset: upTo, State: &ragwortv1.State{Offset: upTo},
--- a/ragworttest/key_test.go
+++ b/ragworttest/key_test.go
@@ -91,7 +91,7 @@
 			}
 			var streams []*http.Response
 			for _, e := range entries {
-				rs := post(t, e, secret, streamBody)
+				rs := post(t, e, secret, streamBody) //nolint:bodyclose // lastEvent closes it
 				require.Equal(t, http.StatusOK, rs.StatusCode)
 				streams = append(streams, rs) //nolint:bodyclose // lastEvent closes it
 			}
