--- a/entry/book.go
+++ b/entry/book.go
@@ -207,7 +207,7 @@
 func (b *booked) settle(ctx context.Context, now time.Time, s *ragwortv1.BookingSettled, owner id.Request) <-chan journal.Outcome {
 	s.Workspace, s.IdempotencyKey, s.Request = string(b.name.Workspace), b.name.Key, string(owner)
 	done := make(chan journal.Outcome, 1)
-	go func() {
+	b.e.settles.start(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 		defer cancel()
 		o, err := b.e.deps.Bookings.Writer.Append(ctx, now, &ragwortv1.Record{
@@ -219,7 +219,7 @@
 		}
 		b.e.count("booking_settled_" + s.GetOutcome() + "_" + string(o.Result))
 		done <- o
-	}()
+	})
 	return done
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,11 +15,13 @@
 	"github.com/justinas/alice"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/retry"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/usage"
@@ -37,6 +39,8 @@
 	LeaseTTL    time.Duration
 	Usage       usage.Schedule
 	UsageFlush  time.Duration // between two appends of what was counted
+	FleetEvery  time.Duration // between two measurements of the fleet
+	Fleet       fleet.Config
 }
 
 // Deps is what an entry works with.
@@ -61,11 +65,15 @@
 	members   *members
 	uses      *key.Uses
 	intents   *intents
+	settles   settles
+	queues    *queues
+	budgets   retry.Budgets
 	leaving   atomic.Bool
 	running   atomic.Int64
 	waiting   atomic.Int64
 	billing   *billing
 	reporting *reporting
+	ordering  *ordering
 }
 
 // New returns an entry; Run keeps its view of the other processes.
@@ -75,8 +83,10 @@
 	e.uses = key.NewUses(deps.State.Keys)
 	e.intents = newIntents(deps.Bookings.State)
 	journal.EndWithdrawn(deps.State, e.uses, func(n int) { e.add("ended_key_withdrawn", n) })
+	e.queues = newQueues(e)
 	e.billing = newBilling(e)
 	e.reporting = newReporting(e)
+	e.ordering = newOrdering(e)
 	return e
 }
 
@@ -86,7 +96,7 @@
 // RunDuties puts use on the log and stands for the leases until ctx is done.
 func (e *Entry) RunDuties(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){e.billing.run, e.reporting.duty.run} {
+	for _, run := range []func(context.Context){e.billing.run, e.reporting.duty.run, e.ordering.duty.run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
@@ -95,8 +105,10 @@
 // Finish puts the last use on the log and gives the leases up. It is called when
 // every request has ended, while the log is still followed.
 func (e *Entry) Finish(ctx context.Context) {
+	e.settles.wait(ctx)
 	e.billing.finish(ctx)
 	e.reporting.duty.leave(ctx)
+	e.ordering.duty.leave(ctx)
 }
 
 // Handler serves callers, and the control calls of other processes.
--- a/entry/intents.go
+++ b/entry/intents.go
@@ -1,10 +1,12 @@
 package entry
 
-// This file defines intents, how long this process has known of each booking that
-// has not been settled. It counts by this process's own monotonic clock, so that no
-// clock that jumps makes a running call look abandoned.
+// This file defines what an entry remembers of bookings besides the fold: intents, how
+// long it has known of each booking that has not been settled, and settles, the
+// outcomes on their way to the log. Time counts by the entry's own monotonic clock, so
+// that no clock that jumps makes a running call look abandoned.
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -51,3 +53,21 @@
 	}
 	return now.Sub(since)
 }
+
+// settles counts the outcomes that are on their way to the log.
+type settles struct{ running sync.WaitGroup }
+
+func (s *settles) start(settle func()) { s.running.Go(settle) }
+
+// wait waits until every outcome has reached the log, or ctx is done.
+func (s *settles) wait(ctx context.Context) {
+	all := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(all)
+	}()
+	select {
+	case <-all:
+	case <-ctx.Done():
+	}
+}
