--- a/entry/program.go
+++ b/entry/program.go
@@ -96,12 +96,13 @@
 	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(now.UnixNano()), stream)) }
 	control := journal.NewStream(journal.StreamConfig{Writer: id.New(s.Node, now), Checkpoint: checkpoint}, p, random(0), logger, counts)
 	state, follower, writer := control.State, control.Follower, control.Writer
+	usageWriter := journal.NewWriter(p, state, id.New(s.Node+"-usage", now), logger, counts)
 	bookings := journal.NewStream(journal.StreamConfig{Writer: id.New(s.Node, now), Checkpoint: checkpoint},
 		p.Stream(platform.StreamBookings), random(1), logger, metrics.NewPrefixedChildRegistry(counts, "bookings_"))
 	peers := process.NewPeerClient()
 	deps := Deps{
 		Bookings: bookings, Catcher: journal.NewCatcher(state, peers, logger, counts),
-		State: state, Follower: follower, Writer: writer, Platform: p, Peers: peers,
+		State: state, Follower: follower, Writer: writer, UsageWriter: usageWriter, Platform: p, Peers: peers,
 		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
 	}
 	e := New(Config{
--- a/journal/catcher.go
+++ b/journal/catcher.go
@@ -5,7 +5,8 @@
 //
 // Every heartbeat tells how far the peer has folded. A process that has not reached
 // the offset that a heartbeat named, when behindFor later another one names as much,
-// fetches the whole state from that peer. While the log answers, the follower is faster, and
+// fetches from that peer: the records that it lacks, or the whole state if the peer
+// no longer holds them. While the log answers, the follower is faster, and
 // nothing is fetched.
 
 import (
@@ -79,12 +80,9 @@
 	defer cancel()
 	client := ragwortv1connect.NewNodeServiceClient(c.peers, "http://"+address)
 	rs, err := client.Fetch(ctx, connect.NewRequest(&ragwortv1.FetchRequest{AfterOffset: uint64(c.state.Offset())}))
-	result := "restored"
-	switch {
-	case err != nil:
-		result = "failed"
-	case rs.Msg.GetState() == nil || !c.state.Restore(rs.Msg.GetState()):
-		result = "not_newer"
+	result := "failed"
+	if err == nil {
+		result = Take(c.state, rs.Msg)
 	}
 	metrics.GetOrRegisterCounter("journal_fetch_"+result, c.counts).Inc(1)
 	_ = c.logger.Log("event", "journal_fetch", "peer", address, "result", result, "offset", uint64(c.state.Offset()), "err", err)
@@ -110,8 +108,34 @@
 // Answer returns the answer to a peer's fetch.
 func Answer(s *State, rq *ragwortv1.FetchRequest) *ragwortv1.FetchResponse {
 	rs := &ragwortv1.FetchResponse{NewestOffset: uint64(s.Offset())}
-	if s.Offset() > id.Offset(rq.GetAfterOffset()) {
+	after := id.Offset(rq.GetAfterOffset())
+	if s.Offset() <= after {
+		return rs
+	}
+	records, ok := s.recordsAfter(after)
+	if !ok {
 		rs.State = s.Snapshot()
 	}
+	rs.Records = records
 	return rs
 }
+
+// Take folds the answer of a peer and returns a word for what it held.
+func Take(s *State, rs *ragwortv1.FetchResponse) string {
+	before := s.Offset()
+	result := "records"
+	if rs.GetState() != nil {
+		s.Restore(rs.GetState())
+		result = "state"
+	}
+	for _, r := range rs.GetRecords() {
+		if id.Offset(r.GetOffset()) > s.Offset()+1 {
+			break // a gap: the peer answered another question
+		}
+		s.Fold(id.Offset(r.GetOffset()), r.GetPayload())
+	}
+	if s.Offset() == before {
+		return "not_newer"
+	}
+	return result
+}
--- a/journal/checkpoint_test.go
+++ b/journal/checkpoint_test.go
@@ -121,3 +121,31 @@
 		}
 	}
 }
+
+// TestFetch brings a process up to date from a peer, whether or not the peer still
+// holds the records.
+func TestFetch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		behind := rapid.IntRange(0, len(history)).Draw(t, "behind at")
+		lost := rapid.IntRange(0, len(history)).Draw(t, "peer restored at")
+		own, peer, source := journal.NewState(), journal.NewState(), journal.NewState()
+		for i, payload := range history {
+			offset := id.Offset(i + 1)
+			source.Fold(offset, payload)
+			if i < behind {
+				own.Fold(offset, payload)
+			}
+			if i+1 == lost {
+				peer.Restore(source.Snapshot())
+			} else {
+				peer.Fold(offset, payload)
+			}
+		}
+		rs := journal.Answer(peer, &ragwortv1.FetchRequest{AfterOffset: uint64(own.Offset())})
+		require.Equal(t, behind < lost && behind < len(history), rs.GetState() != nil)
+		journal.Take(own, rs)
+		require.Equal(t, source.Snapshot().String(), own.Snapshot().String())
+		require.Equal(t, "not_newer", journal.Take(own, rs))
+	})
+}
--- a/journal/snapshot.go
+++ b/journal/snapshot.go
@@ -87,6 +87,7 @@
 	}
 	s.checkpoint.Store(from.GetCheckpointOffset())
 	s.foldKept(from.GetUnknown())
+	s.recent.clear()
 	s.offset.Store(from.GetOffset())
 	s.publish([]Outcome{{Offset: id.Offset(from.GetOffset()), Result: Restored}})
 	return true
--- a/journal/state.go
+++ b/journal/state.go
@@ -63,6 +63,7 @@
 	writers   map[string]*ragwortv1.WriterState
 	clock     clock
 	unknown   []*ragwortv1.KeptRecord
+	recent    recent
 
 	mu        sync.Mutex // guards observers and changed
 	observers []Observer
@@ -129,6 +130,7 @@
 		outcomes = append(outcomes, Outcome{Offset: offset, Record: r, Result: s.apply(offset, r)})
 	}
 	s.prune(offset)
+	s.recent.add(offset, payload)
 	s.offset.Store(uint64(offset))
 	s.publish(outcomes)
 }
--- a/sidecar/keys.go
+++ b/sidecar/keys.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// cause returns p, or the refusal for a withdrawn key if that is why the request was
+// given up before it ran.
+func cause(ctx context.Context, p *problem.Problem) *problem.Problem {
+	var withdrawn *key.WithdrawnError
+	if !errors.As(context.Cause(ctx), &withdrawn) {
+		return p
+	}
+	return problem.New(problem.KeyWithdrawn, problem.NotRun, http.StatusUnauthorized, "%v", withdrawn)
+}
+
 // endedByWithdrawal ends a stream whose key has been withdrawn, and tells the entry
 // why in a trailer. Only a stream may end without its last byte: the entry misses its
 // last event and does not take it for whole.
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -10,17 +10,11 @@
 	"net/http"
 	"time"
 
-	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
 
-const (
-	slotPoll = 5 * time.Millisecond
-	slotWait = 200 * time.Millisecond
-)
-
 type envelopeKey struct{}
 
 // vet refuses a request whose envelope is bad, whose key is withdrawn or which
@@ -71,11 +65,13 @@
 // run waits for a slot, sends the request to the upstream and relays the answer.
 func (s *Sidecar) run(w http.ResponseWriter, r *http.Request) {
 	e := r.Context().Value(envelopeKey{}).(wire.Envelope)
-	if !s.acquire(r.Context()) {
-		s.refuse(w, e, s.noSlot(r.Context()))
+	ctx, t, p := s.acquire(r.Context(), e)
+	if p != nil {
+		s.refuse(w, e, cause(r.Context(), p))
 		return
 	}
-	x := s.begin(time.Now(), e)
+	r = r.WithContext(ctx)
+	x := s.begin(time.Now(), e, t)
 	defer x.end()
 	rs, err := s.send(r, e)
 	if err != nil {
@@ -95,6 +91,10 @@
 	w.Header().Set(wire.HeaderLoad, s.load().String())
 	w.WriteHeader(rs.StatusCode)
 	if err := x.relay(w, rs); err != nil {
+		if preempted(ctx) && x.whole {
+			endPreempted(w)
+			return
+		}
 		x.evidence.Failed = r.Context().Err() == nil
 		s.count("sidecar_answer_cut")
 		if s.endedByWithdrawal(r.Context(), w) {
@@ -104,35 +104,6 @@
 	}
 }
 
-// noSlot returns the refusal of a request that got no slot.
-func (s *Sidecar) noSlot(ctx context.Context) *problem.Problem {
-	var withdrawn *key.WithdrawnError
-	if errors.As(context.Cause(ctx), &withdrawn) {
-		return problem.New(problem.KeyWithdrawn, problem.NotRun, http.StatusUnauthorized, "%v", withdrawn)
-	}
-	return problem.New(problem.UpstreamBusy, problem.NotRun, http.StatusServiceUnavailable, "upstream %s has no free slot", s.cfg.Upstream)
-}
-
-// acquire waits a short while for a slot.
-func (s *Sidecar) acquire(ctx context.Context) bool {
-	s.waiting.Add(1)
-	defer s.waiting.Add(-1)
-	tick := time.NewTicker(slotPoll)
-	defer tick.Stop()
-	end := time.NewTimer(slotWait)
-	defer end.Stop()
-	for !s.limiter.Acquire() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-end.C:
-			return false
-		case <-tick.C:
-		}
-	}
-	return true
-}
-
 // sendFailure judges a request that got no response. A failed dial means that no
 // byte can have arrived, and that the upstream is gone.
 func (s *Sidecar) sendFailure(err error) *problem.Problem {
