--- /dev/null
+++ b/booking/bench_test.go
@@ -0,0 +1,48 @@
+package booking_test
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragwortpass/ragwortpass/booking"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+// BenchmarkSettledCall reports what one settled call costs: time to fold both records,
+// bytes of heap, and bytes of a checkpoint.
+func BenchmarkSettledCall(b *testing.B) {
+	table := booking.NewTable()
+	now := time.Unix(1_800_000_000, 0)
+	body := []byte(`{"reference":"steel bar 40mm","run":1}`)
+	digest := make([]byte, 32)
+	before := heap()
+	b.ResetTimer()
+	for i := range b.N {
+		key, rq := fmt.Sprintf("idempotency-key-%024d", i), fmt.Sprintf("rq_%026d", i)
+		table.Intend(id.Offset(i), now, &ragwortv1.BookingIntended{
+			Workspace: "bangkok-forge", IdempotencyKey: key, Request: rq, Route: "book", BodyDigest: bytes.Clone(digest), Entry: "e1",
+		})
+		table.Settle(now, &ragwortv1.BookingSettled{
+			Workspace: "bangkok-forge", IdempotencyKey: key, Request: rq, Outcome: "answered", Status: 201,
+			ContentType: "application/json", Body: bytes.Clone(body), BodyBytes: uint64(len(body)),
+		})
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(heap()-before)/float64(b.N), "heap_B/call")
+	var s ragwortv1.State
+	table.Snapshot(&s)
+	b.ReportMetric(float64(proto.Size(&s))/float64(b.N), "checkpoint_B/call")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/booking/booking_test.go
@@ -0,0 +1,88 @@
+package booking_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/booking"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+var (
+	start  = time.Unix(1_800_000_000, 0)
+	digest = booking.DigestOf("POST", "/bookings", []byte("a"))
+	other  = booking.DigestOf("POST", "/bookings", []byte("b"))
+	name   = booking.Name{Workspace: "forge", Key: "key"}
+)
+
+func intend(t *booking.Table, rq string, d booking.Digest) bool {
+	return t.Intend(1, start, &ragwortv1.BookingIntended{Workspace: "forge", IdempotencyKey: "key", Request: rq, BodyDigest: d[:]})
+}
+
+func settle(t *booking.Table, rq string, o booking.Outcome) bool {
+	return t.Settle(start, &ragwortv1.BookingSettled{Workspace: "forge", IdempotencyKey: "key", Request: rq, Outcome: string(o)})
+}
+
+// TestJudge folds records and asks what becomes of two requests.
+func TestJudge(t *testing.T) {
+	type step func(t *booking.Table) bool
+	intended := func(rq string) step { return func(t *booking.Table) bool { return intend(t, rq, digest) } }
+	settled := func(rq string, o booking.Outcome) step {
+		return func(t *booking.Table) bool { return settle(t, rq, o) }
+	}
+	refused := func(s step) step { return func(t *booking.Table) bool { return !s(t) } }
+	cases := []struct {
+		name  string
+		steps []step
+		one   booking.Decision
+		two   booking.Decision
+	}{
+		{"nothing", nil, &booking.Free{}, &booking.Free{}},
+		{"one intends", []step{intended("one")}, &booking.Owned{}, &booking.Pending{}},
+		{"both intend", []step{intended("one"), refused(intended("two"))}, &booking.Owned{}, &booking.Pending{}},
+		{"answered", []step{intended("one"), settled("one", booking.Answered)}, &booking.Repeat{}, &booking.Repeat{}},
+		{"unknown", []step{intended("one"), settled("one", booking.Unknown)}, &booking.Repeat{}, &booking.Repeat{}},
+		{"first settlement holds", []step{
+			intended("one"), settled("one", booking.Unknown), refused(settled("one", booking.Answered)), refused(settled("one", booking.NotRun)),
+		}, &booking.Repeat{}, &booking.Repeat{}},
+		{"not run is free", []step{intended("one"), settled("one", booking.NotRun)}, &booking.Free{}, &booking.Free{}},
+		{"tried again", []step{intended("one"), settled("one", booking.NotRun), intended("two")}, &booking.Pending{}, &booking.Owned{}},
+		{"late settlement of a given up intent", []step{
+			intended("one"), settled("one", booking.NotRun), intended("two"), refused(settled("one", booking.Unknown)),
+		}, &booking.Pending{}, &booking.Owned{}},
+		{"settlement by no owner", []step{refused(settled("one", booking.Answered)), intended("one"), refused(settled("two", booking.NotRun))}, &booking.Owned{}, &booking.Pending{}},
+	}
+	for _, c := range cases {
+		table := booking.NewTable()
+		for i, s := range c.steps {
+			require.True(t, s(table), "%s: step %d", c.name, i)
+		}
+		require.IsType(t, c.one, booking.Judge(table.Find(name), "one", digest), c.name)
+		require.IsType(t, c.two, booking.Judge(table.Find(name), "two", digest), c.name)
+		if table.Find(name) != nil && !isFree(c.one) {
+			require.IsType(t, &booking.Mismatch{}, booking.Judge(table.Find(name), "two", other), c.name)
+		}
+	}
+}
+
+func isFree(d booking.Decision) bool {
+	_, ok := d.(*booking.Free)
+	return ok
+}
+
+// TestRetention keeps a call for its whole retention after its last record.
+func TestRetention(t *testing.T) {
+	table := booking.NewTable()
+	require.True(t, intend(table, "one", digest))
+	table.Expire(start.Add(booking.Retention - time.Second))
+	require.Equal(t, 1, table.Len())
+	require.True(t, table.Settle(start.Add(time.Hour), &ragwortv1.BookingSettled{
+		Workspace: "forge", IdempotencyKey: "key", Request: "one", Outcome: string(booking.Answered),
+	}))
+	table.Expire(start.Add(booking.Retention))
+	require.Equal(t, 1, table.Len(), "the settlement counts anew")
+	table.Expire(start.Add(booking.Retention + time.Hour))
+	require.Zero(t, table.Len())
+}
--- /dev/null
+++ b/journal/bench_test.go
@@ -0,0 +1,59 @@
+package journal_test
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+// keysOf returns a state with n keys and the payload of one more.
+func keysOf(n int) (*journal.State, []byte) {
+	s := journal.NewState()
+	var last []byte
+	for i := range n + 1 {
+		last, _ = proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{{
+			Writer: "ctl", Sequence: uint64(i + 1), WrittenUnixMs: 1_800_000_000_000,
+			Body: &ragwortv1.Record_KeyGiven{KeyGiven: &ragwortv1.KeyGiven{
+				Key: fmt.Sprintf("%026d", i), Digest: make([]byte, 32), Workspace: fmt.Sprintf("workspace-%d", i%2100), Comment: "for the forge",
+			}},
+		}}})
+		if i < n {
+			s.Fold(id.Offset(i+1), last)
+		}
+	}
+	return s, last
+}
+
+// BenchmarkFetch compares what a peer that is one record behind costs, by records and
+// by the whole state, with 10,000 keys.
+func BenchmarkFetch(b *testing.B) {
+	const keys = 10_000
+	s, _ := keysOf(keys)
+	restored := journal.NewState()
+	restored.Restore(s.Snapshot()) // it holds no records
+	for name, peer := range map[string]*journal.State{"records": s, "state": restored} {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				size = proto.Size(journal.Answer(peer, &ragwortv1.FetchRequest{AfterOffset: keys - 1}))
+			}
+			b.ReportMetric(float64(size), "B/fetch")
+		})
+	}
+}
+
+// BenchmarkFold folds one record into a state with 10,000 keys.
+func BenchmarkFold(b *testing.B) {
+	const keys = 10_000
+	s, payload := keysOf(keys)
+	at := id.Offset(keys)
+	for b.Loop() {
+		at++
+		s.Fold(at, payload)
+	}
+}
