--- a/entry/duty.go
+++ b/entry/duty.go
@@ -34,7 +34,7 @@
 // duty is safe for concurrent use.
 type duty struct {
 	e     *Entry
-	log   *Stream // that holds the lease
+	log   *journal.Stream // that holds the lease
 	name  id.Duty
 	cfg   lease.Config
 	round func(ctx context.Context) // one round of work; called only while the lease is held
@@ -52,7 +52,7 @@
 
 // newDuty returns a duty that does not stand yet. Its holder name is that of the
 // writer, which no other run of this process has.
-func newDuty(e *Entry, l *Stream, name id.Duty, round func(context.Context)) *duty {
+func newDuty(e *Entry, l *journal.Stream, name id.Duty, round func(context.Context)) *duty {
 	holder := id.Node(l.Writer.Name())
 	cfg := lease.DefaultConfig(holder, e.cfg.LeaseTTL, stagger(holder, name, e.cfg.LeaseTTL))
 	d := &duty{
--- a/entry/ordering.go
+++ b/entry/ordering.go
@@ -45,7 +45,7 @@
 	measured time.Time
 }
 
-func newOrdering(e *Entry, control *Stream) *ordering {
+func newOrdering(e *Entry, control *journal.Stream) *ordering {
 	o := &ordering{e: e, planner: fleet.NewPlanner(e.cfg.Fleet)}
 	o.duty = newDuty(e, control, id.DutyOrders, o.round)
 	return o
--- a/entry/program.go
+++ b/entry/program.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log"
@@ -41,6 +42,9 @@
 	FleetSteady time.Duration `help:"Time of unbroken measurement before the first order." default:"10s"`
 	FleetHold   time.Duration `help:"Time for which the need must be lower before upstreams are stopped." default:"10m"`
 	FleetSettle time.Duration `help:"Time until the effect of an order can be seen." default:"1m"`
+
+	CheckpointEvery uint64        `help:"Appends to a stream of the log after which a checkpoint is due; 0: never." default:"10000"`
+	CheckpointDelay time.Duration `help:"Longest random delay before a checkpoint that is due." default:"10s"`
 }
 
 // Check implements setting.Checked.
@@ -59,6 +63,7 @@
 	}
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
+	c.Require(s.CheckpointDelay >= 0, "checkpoint-delay", s.CheckpointDelay.String(), "a duration from zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
 	c.Require(s.LeaseTTL >= time.Second, "lease-ttl", s.LeaseTTL.String(), "a duration from 1s")
 	c.Require(s.UsageWindow >= time.Second && s.UsageWindow%time.Second == 0, "usage-window", s.UsageWindow.String(), "whole seconds")
@@ -87,17 +92,15 @@
 func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
 	p := platform.New(s.Platform, process.NewOutsideClient())
-	state := journal.NewState()
-	follower := journal.NewFollower(p, state, logger, counts)
-	writer := journal.NewWriter(p, state, id.New(s.Node, now), logger, counts)
-	usageLog, usageState := p.Stream(platform.StreamUsage), journal.NewState()
-	usageCounts := metrics.NewPrefixedChildRegistry(counts, "usage_")
-	usageStream := &Stream{
-		State: usageState, Follower: journal.NewFollower(usageLog, usageState, logger, usageCounts),
-		Writer: journal.NewWriter(usageLog, usageState, id.New(s.Node, now), logger, usageCounts),
-	}
+	open := s.streams(now, logger, counts)
+	control := open(p, 0, "")
+	bookings := open(p.Stream(platform.StreamBookings), 1, "bookings_")
+	usageStream := open(p.Stream(platform.StreamUsage), 2, "usage_")
+	peers := process.NewPeerClient()
 	deps := Deps{
-		State: state, Follower: follower, Writer: writer, Usage: usageStream, UsageLog: usageLog, Platform: p, Peers: process.NewPeerClient(),
+		State: control.State, Follower: control.Follower, Writer: control.Writer, Bookings: bookings,
+		Usage: usageStream, UsageLog: p.Stream(platform.StreamUsage),
+		Catcher: journal.NewCatcher(control.State, peers, logger, counts), Platform: p, Peers: peers,
 		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
 	}
 	e := New(Config{
@@ -112,10 +115,23 @@
 			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: counts, Logger: logger,
 			Leave: e.Leave, Linger: s.Linger,
 			Finish: e.Finish,
-			Tasks:  []func(context.Context){follower.Run, writer.Run, e.Run, e.RunDuties},
+			Tasks:  []func(context.Context){control.Run, bookings.Run, e.Run, e.RunDuties},
 		},
 	}
 }
 
+// streams returns what opens a stream of the log, given its place in the order of
+// streams and the prefix of its metrics.
+func (s *Settings) streams(now time.Time, logger log.Logger, counts metrics.Registry) func(platform.Log, uint64, string) *journal.Stream {
+	cfg := journal.StreamConfig{
+		Writer:     id.New(s.Node, now),
+		Checkpoint: journal.CheckpointConfig{Every: id.Offset(s.CheckpointEvery), Delay: s.CheckpointDelay},
+	}
+	return func(l platform.Log, place uint64, prefix string) *journal.Stream {
+		random := rand.New(rand.NewPCG(uint64(now.UnixNano()), place))
+		return journal.NewStream(cfg, l, random, logger, metrics.NewPrefixedChildRegistry(counts, prefix))
+	}
+}
+
 // Run serves until ctx is done and every running request has finished.
 func (p *Program) Run(ctx context.Context) error { return process.Serve(ctx, p.Service) }
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"time"
 
-	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
@@ -28,23 +27,25 @@
 			s.refuse(w, e, problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "%v", err))
 			return
 		}
-		if p := s.judge(e); p != nil {
+		if p := s.judge(); p != nil {
 			s.refuse(w, e, p)
 			return
 		}
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), envelopeKey{}, e)))
+		ctx, done, p := s.use(r.Context(), e)
+		if p != nil {
+			s.refuse(w, e, p)
+			return
+		}
+		defer done()
+		next.ServeHTTP(w, r.WithContext(context.WithValue(ctx, envelopeKey{}, e)))
 	})
 }
 
 // judge returns the reason to refuse a request before it runs, or nil.
-func (s *Sidecar) judge(e wire.Envelope) *problem.Problem {
+func (s *Sidecar) judge() *problem.Problem {
 	if s.state() == upstream.Draining {
 		return problem.New(problem.UpstreamDraining, problem.NotRun, http.StatusServiceUnavailable, "upstream %s takes no new work", s.cfg.Upstream)
 	}
-	var withdrawn *key.WithdrawnError
-	if _, err := s.deps.State.Keys.Find(e.Key); errors.As(err, &withdrawn) {
-		return problem.New(problem.KeyWithdrawn, problem.NotRun, http.StatusUnauthorized, "%v", err)
-	}
 	if st := s.state(); !st.TakesWork() {
 		return problem.New(problem.NotReady, problem.NotRun, http.StatusServiceUnavailable, "upstream %s is %s", s.cfg.Upstream, st)
 	}
@@ -66,7 +67,7 @@
 	e := r.Context().Value(envelopeKey{}).(wire.Envelope)
 	ctx, t, p := s.acquire(r.Context(), e)
 	if p != nil {
-		s.refuse(w, e, p)
+		s.refuse(w, e, cause(r.Context(), p))
 		return
 	}
 	r = r.WithContext(ctx)
@@ -96,6 +97,9 @@
 		}
 		x.evidence.Failed = r.Context().Err() == nil
 		s.count("sidecar_answer_cut")
+		if s.endedByWithdrawal(r.Context(), w) {
+			return
+		}
 		panic(http.ErrAbortHandler) // the entry must not take a cut answer for a whole one
 	}
 }
