--- a/bench/account.go
+++ b/bench/account.go
@@ -33,6 +33,7 @@
 	Total      Figures  `json:"total"`
 	Classes    []Class  `json:"classes"`
 	Workspaces []Share  `json:"workspaces"`
+	Overtakes  float64  `json:"overtakes_beyond_floor"` // see Priorities.BeyondFloor
 	Engines    *Engines `json:"engines,omitempty"`
 	Usage      *Usage   `json:"usage,omitempty"`
 	Series     []Bin    `json:"series"`
--- a/bench/table.go
+++ b/bench/table.go
@@ -47,6 +47,7 @@
 	}
 	if e := r.Engines; e != nil {
 		_, _ = fmt.Fprintf(out, "wasted: %d of %d generated tokens; falls %d; upstream-seconds %.0f\n", e.Wasted, e.Generated, e.Falls, e.UpstreamSeconds)
+		_, _ = fmt.Fprintf(out, "overtakes beyond floors: %.1f %%\n", r.Overtakes*percent)
 		_, _ = fmt.Fprintf(out, "false not_run: %d; doubled bookings: %d\n", e.FalseNotRun, e.DoubledBookings)
 	}
 	if u := r.Usage; u != nil {
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -18,6 +18,7 @@
 	Run     runCommand     `cmd:"" help:"Run an experiment on a fleet inside this process."`
 	Compare compareCommand `cmd:"" help:"Set two runs side by side."`
 	Matrix  matrixCommand  `cmd:"" help:"Run every experiment with both policies and print one table."`
+	Slope   slopeCommand   `cmd:"" help:"Measure what control costs as a fleet and its state grow."`
 	Wait    waitCommand    `cmd:"" help:"Wait until processes are ready."`
 	Ports   portsCommand   `cmd:"" help:"Print free loopback addresses."`
 }
