--- a/sidecar/exchange.go
+++ b/sidecar/exchange.go
@@ -108,8 +108,7 @@
 	}
 	if x.first.IsZero() {
 		x.first, x.last = now, now
-		x.evidence.FirstToken = max(1, now.Sub(x.evidence.Started))
-		x.s.limiter.First(now)
+		x.evidence.FirstToken = now.Sub(x.evidence.Started)
 		return
 	}
 	gap := now.Sub(x.last) / time.Duration(n)
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -107,7 +107,7 @@
 	defer tick.Stop()
 	end := time.NewTimer(slotWait)
 	defer end.Stop()
-	for !s.limiter.AcquireAt(time.Now()) {
+	for !s.limiter.Acquire() {
 		select {
 		case <-ctx.Done():
 			return false
--- a/upstream/limiter.go
+++ b/upstream/limiter.go
@@ -33,9 +33,7 @@
 // second condition does not depend on the class, so that a loose target hides no
 // trouble. Tokens that come much slower than that show an upstream that turned
 // cold: the limit falls to its initial value at once. A failed or late answer
-// halves the limit, once for all answers that ran at the time. While every running
-// answer is silent for longer than a warm upstream's tokens take, no more is added:
-// the tokens that come next will tell.
+// halves the limit, once for all answers that ran at the time.
 type Limiter struct {
 	mu      sync.Mutex
 	limits  Limits
@@ -45,9 +43,6 @@
 	plain   gauge     // a byte of an answer that was not streamed, in seconds
 	slow    int       // samples in a row that showed a cold upstream
 	lowered time.Time // last time the limit was lowered
-
-	streams int       // answers that have had their first token
-	token   time.Time // last token of any of them
 }
 
 const (
@@ -88,30 +83,10 @@
 	l.fall(now)
 }
 
-// AcquireAt takes a slot if one is free and the running answers are not silent.
-func (l *Limiter) AcquireAt(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.silent(now) && l.acquire()
-}
-
 // Acquire takes a slot if one is free.
 func (l *Limiter) Acquire() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.acquire()
-}
-
-// silent reports whether the running answers have had no token for so long that
-// the upstream may have turned cold. The caller holds the lock.
-func (l *Limiter) silent(now time.Time) bool {
-	if l.streams <= 0 || l.idle() || !l.gaps.trusted() {
-		return false
-	}
-	return now.Sub(l.token).Seconds() > coldAbove*l.gaps.baseline
-}
-
-func (l *Limiter) acquire() bool {
 	if l.running >= int(l.limit) {
 		return false
 	}
@@ -119,19 +94,10 @@
 	return true
 }
 
-// First notes the first token of a running answer.
-func (l *Limiter) First(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.streams++
-	l.token = now
-}
-
 // Token notes the time between two tokens of a running answer.
 func (l *Limiter) Token(now time.Time, gap time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.token = now
 	l.gaps.observe(gap.Seconds(), l.idle())
 	l.judge(now, &l.gaps, coldAbove)
 }
@@ -146,9 +112,6 @@
 		l.judge(e.Ended, &l.plain, coldPlain)
 	}
 	l.running--
-	if e.FirstToken > 0 {
-		l.streams--
-	}
 	late := e.Target > 0 && e.FirstToken > lateFactor*e.Target
 	tooSlow := e.GapTarget > 0 && e.Gap > e.GapTarget
 	switch {
