platform: ask for the VM list only if it has changed

Cause: every entry reads the whole list every second; at full size (3,100 VMs) that is 296 kB a read, where control may take 6 kB a second.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -7,10 +7,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/platform"
 )
@@ -321,10 +325,26 @@
 	}
 }
 
-func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+// list serves the VM list, or nothing but its tag if the caller has it already.
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	body, err := json.Marshal(map[string][]platform.VM{"vms": p.listed(time.Now())})
+	if err != nil {
+		panic("VM lists always encode")
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// listed returns the list as it is served, in the order of the ids.
+func (p *Platform) listed(now time.Time) []platform.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
 	lag := time.Duration(p.faults.VMLagMS) * time.Millisecond
 	list := []platform.VM{}
 	for _, v := range p.vms {
@@ -336,7 +356,8 @@
 			list = append(list, vm)
 		}
 	}
-	encode(w, map[string][]platform.VM{"vms": list})
+	slices.SortFunc(list, func(a, b platform.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
 }
 
 func decode(w http.ResponseWriter, r *http.Request, v any) bool {
