--- a/ragworttest/fleet_test.go
+++ b/ragworttest/fleet_test.go
@@ -140,6 +140,7 @@
 	}
 	for _, c := range faults {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			p := newPlanned(t)
 			var held *ragworttest.Process
 			var term id.Term
--- a/ragworttest/usage_test.go
+++ b/ragworttest/usage_test.go
@@ -176,6 +176,7 @@
 	}
 	for _, c := range faults {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			b := newBilled(t)
 			c.fault(b)
 			b.reconcile()
@@ -183,6 +184,28 @@
 	}
 }
 
+// TestCrashLosesAtMostAFlush kills an entry right after its last answer: what was
+// on the log is reported, and nothing that was not delivered.
+func TestCrashLosesAtMostAFlush(t *testing.T) {
+	b := newBilled(t)
+	b.call(b.entries[0], 2)
+	ragworttest.Eventually(t, func() bool { return b.counted() == b.sum() }, "all is counted on the log")
+	before := b.sum()
+	b.call(b.entries[0], 1)
+	b.entries[0].Kill(t)
+	var reported usage.Figures
+	ragworttest.Eventually(t, func() bool {
+		reported = usage.Figures{}
+		for _, f := range ragworttest.Reported(b.Platform.ReportsSeen()) {
+			reported = reported.Add(f)
+		}
+		return reported.Requests >= before.Requests
+	}, "what was on the log is reported")
+	require.GreaterOrEqual(t, reported.OutputTokens, before.OutputTokens)
+	require.LessOrEqual(t, reported.OutputTokens, b.sum().OutputTokens)
+	require.Empty(t, ragworttest.ReportFaults(b.Platform.ReportsSeen()))
+}
+
 func TestUsageShow(t *testing.T) {
 	b := newBilled(t)
 	b.call(b.entries[0], 2)
