--- a/entry/admit.go
+++ b/entry/admit.go
@@ -55,7 +55,7 @@
 func (e *Entry) newTicket(rq *request, avoid []id.Upstream) *ticket {
 	t := &ticket{
 		rq:      rq,
-		ask:     route.Ask{Model: rq.model, Service: rq.service, Avoid: avoid},
+		ask:     route.Ask{Model: rq.model, Service: rq.service, Prefix: rq.prefix, Avoid: avoid},
 		outcome: make(chan outcome, 1),
 	}
 	t.waiter = tier.Waiter{
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -188,7 +188,7 @@
 		t.outcome <- outcome{problem: p}
 		return true
 	}
-	c, ok := q.e.choose(now, t.ask).(*route.Chosen)
+	c, ok := q.e.choose(now, t.ask).(route.Chosen)
 	if !ok {
 		return false
 	}
@@ -197,7 +197,7 @@
 	q.e.count("dispatched_" + reason)
 	q.e.decide(now, t.rq.id, "admit", reason, fmt.Sprintf("tier=%v waited=%v cost=%d queue=%d", w.Tier, now.Sub(w.Arrived), w.Cost, q.waiters.Len()))
 	q.e.decide(now, t.rq.id, "route", "chosen", "upstream="+string(c.Upstream.ID))
-	t.outcome <- outcome{upstream: &c.Upstream}
+	t.outcome <- outcome{upstream: c.Upstream}
 	return true
 }
 
@@ -213,5 +213,5 @@
 
 // choose returns the upstream for a request now.
 func (e *Entry) choose(now time.Time, ask route.Ask) route.Decision {
-	return route.Choose(now, e.deps.State.Rules(), e.upstreams.All(), ask)
+	return route.Choose(now, e.deps.State.Rules(), e.upstreams, ask)
 }
