entry, fleet: ask every sidecar, and start nothing on one lost answer

Cause: an entry now watches a subset of the sidecars, so the holder measured a part of the fleet; and a missed answer would have started an upstream. Change: the holder asks every listed sidecar at each measurement; upstreams are started once they were missing for 10 s.

--- a/entry/measure.go
+++ b/entry/measure.go
@@ -1,7 +1,7 @@
 package entry
 
 // This file defines how the fleet is measured: from the rules, the platform's VM
-// list and the heartbeats of sidecars to the sites that a planner reads.
+// list and the answers of sidecars to the sites that a planner reads.
 
 import (
 	"time"
@@ -13,12 +13,8 @@
 	"github.com/ragwortpass/ragwortpass/upstream"
 )
 
-const (
-	// freshFor is how old a heartbeat may be to count as a measurement.
-	freshFor = 3 * time.Second
-	// defaultSlots is assumed of an upstream whose rule sets no concurrency.
-	defaultSlots = 16
-)
+// defaultSlots is assumed of an upstream whose rule sets no concurrency.
+const defaultSlots = 16
 
 // measurement is what is known at one time.
 type measurement struct {
@@ -30,25 +26,18 @@
 	order  time.Duration // the longest order
 }
 
-// trusted reports whether enough of the listed sidecars were heard from lately. A
-// process that is cut off must not order replacements for a fleet it cannot see.
+// trusted reports whether enough of the listed sidecars have answered. A process
+// that is cut off must not order replacements for a fleet it cannot see.
 func (m *measurement) trusted() bool {
-	listed, heard := 0, 0
+	listed := 0
 	for _, vm := range m.vms {
-		if vm.Role == "sidecar" && vm.State == platform.VMLive {
+		if vm.Role == roleSidecar && vm.State == platform.VMLive {
 			listed++
 		}
 	}
-	for i := range m.views {
-		if m.fresh(&m.views[i]) {
-			heard++
-		}
-	}
-	return 2*heard >= listed
+	return 2*len(m.views) >= listed
 }
 
-func (m *measurement) fresh(v *upstream.View) bool { return m.now.Sub(v.Heard) <= freshFor }
-
 // sites returns every site that a fleet rule names.
 func (m *measurement) sites() []fleet.Site {
 	leaving := make(map[id.Node]bool)
@@ -95,18 +84,14 @@
 	return last
 }
 
-// add counts one upstream. One that was not heard from lately still counts as
-// there until the table forgets it, but its work is not known.
+// add counts one upstream.
 func (m *measurement) add(s *fleet.Site, v *upstream.View) {
-	busy := 0
-	if m.fresh(v) {
-		busy = v.Load.Running + v.Load.Waiting
-	}
+	busy := v.Load.Running + v.Load.Waiting
 	switch upstream.State(v.Load.State) {
 	case upstream.Gone:
 	case upstream.Draining:
-		if since, ok := m.drainedSince(v.ID); ok && m.fresh(v) {
-			s.Drained = append(s.Drained, fleet.Drained{ID: v.ID, Busy: busy + v.Outstanding, Age: m.now.Sub(since)})
+		if since, ok := m.drainedSince(v.ID); ok {
+			s.Drained = append(s.Drained, fleet.Drained{ID: v.ID, Busy: busy, Age: m.now.Sub(since)})
 		}
 	case upstream.Unknown, upstream.Cold:
 		s.Upstreams = append(s.Upstreams, fleet.Upstream{ID: v.ID, Busy: busy, Warming: true})
--- a/entry/ordering.go
+++ b/entry/ordering.go
@@ -39,10 +39,11 @@
 
 // ordering does the work of the orders lease.
 type ordering struct {
-	e        *Entry
-	duty     *duty
-	planner  *fleet.Planner
-	measured time.Time
+	e         *Entry
+	duty      *duty
+	planner   *fleet.Planner
+	measured  time.Time
+	addresses map[id.Upstream]string // of the sidecars, when last measured
 }
 
 func newOrdering(e *Entry, control *Stream) *ordering {
@@ -79,9 +80,13 @@
 		return nil, false
 	}
 	m := &measurement{
-		now: now, rules: o.e.deps.State.Rules(), views: o.e.upstreams.All(), vms: vms,
+		now: now, rules: o.e.deps.State.Rules(), views: o.e.survey(ctx, vms), vms: vms,
 		orders: o.e.deps.State.Orders.All(), order: 2 * o.duty.cfg.LongestOrder,
 	}
+	o.addresses = make(map[id.Upstream]string, len(m.views))
+	for i := range m.views {
+		o.addresses[m.views[i].ID] = m.views[i].Address
+	}
 	return m, m.trusted()
 }
 
@@ -164,21 +169,20 @@
 }
 
 func (o *ordering) giveSidecar(ctx context.Context, r *ragwortv1.OrderDecided) error {
-	for _, v := range o.e.upstreams.All() {
-		if string(v.ID) != r.GetUpstream() {
-			continue
-		}
-		client := ragwortv1connect.NewOrderServiceClient(o.e.deps.Peers, "http://"+v.Address)
-		rs, err := client.Apply(ctx, connect.NewRequest(&ragwortv1.ApplyRequest{Order: r}))
-		switch {
-		case err != nil:
-			return &platform.UnavailableError{Call: "apply", Cause: err}
-		case !rs.Msg.GetApplied():
-			return &OrderRefusedError{Upstream: v.ID, Reason: rs.Msg.GetReason()}
-		}
-		return nil
+	u := id.Upstream(r.GetUpstream())
+	address, ok := o.addresses[u]
+	if !ok {
+		return &UpstreamUnknownError{Upstream: u}
+	}
+	client := ragwortv1connect.NewOrderServiceClient(o.e.deps.Peers, "http://"+address)
+	rs, err := client.Apply(ctx, connect.NewRequest(&ragwortv1.ApplyRequest{Order: r}))
+	switch {
+	case err != nil:
+		return &platform.UnavailableError{Call: "apply", Cause: err}
+	case !rs.Msg.GetApplied():
+		return &OrderRefusedError{Upstream: u, Reason: rs.Msg.GetReason()}
 	}
-	return &UpstreamUnknownError{Upstream: id.Upstream(r.GetUpstream())}
+	return nil
 }
 
 // settle notes on the log how an order ended.
--- a/entry/program.go
+++ b/entry/program.go
@@ -38,7 +38,7 @@
 	UsageGrace  time.Duration `help:"Time from the end of a usage window to its close." default:"20s"`
 	UsageFlush  time.Duration `help:"Time between two appends of counted use." default:"5s"`
 	FleetEvery  time.Duration `help:"Time between two measurements of the fleet." default:"5s"`
-	FleetSteady time.Duration `help:"Time of unbroken measurement before the first order." default:"10s"`
+	FleetSteady time.Duration `help:"Time for which upstreams must be missing before any is started." default:"10s"`
 	FleetHold   time.Duration `help:"Time for which the need must be lower before upstreams are stopped." default:"10m"`
 	FleetSettle time.Duration `help:"Time until the effect of an order can be seen." default:"1m"`
 }
--- a/entry/stand.go
+++ b/entry/stand.go
@@ -14,7 +14,6 @@
 )
 
 const (
-	roleEntry = "entry"
 	// usageCandidates is how many entries follow the usage stream.
 	usageCandidates = 5
 	standEvery      = 2 * time.Second
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -5,10 +5,11 @@
 //
 // Demand is the number of requests that run or wait, in all data centres together:
 // requests go wherever there is room. The need is the upstreams that serve it at
-// the target use. It goes up at once and down only when it was lower for the whole
-// hold time, since starting an upstream is slow and costs the weight store. The
-// need is spread evenly, so that any one data centre can be lost: with k of them,
-// each gets the need divided by k-1.
+// the target use. Upstreams are started when they were missing for a few
+// measurements and stopped only when the need was lower for the whole hold time,
+// since starting an upstream is slow and costs the weight store. The need is
+// spread evenly, so that any one data centre can be lost: with k of them, each
+// gets the need divided by k-1.
 
 import (
 	"cmp"
@@ -23,7 +24,7 @@
 type Config struct {
 	TargetUse   float64       // part of an upstream's slots that demand should take
 	Hold        time.Duration // for which the need must be lower before upstreams are stopped
-	Steady      time.Duration // of unbroken measurement before the first order
+	Steady      time.Duration // for which upstreams must be missing, in unbroken measurement, before any is started
 	MaxGap      time.Duration // between two measurements; a longer one starts over
 	Settle      time.Duration // after an order at a site, until its effect can be seen
 	MaxStarting int           // upstreams of a model that load weights at once
@@ -108,11 +109,18 @@
 	first time.Time // of the unbroken run of measurements; zero: none
 	last  time.Time
 	needs map[id.Model][]sample // falling needs of rising times
+	short map[place]time.Time   // since when upstreams are missing
+}
+
+// place names a site.
+type place struct {
+	model      id.Model
+	dataCentre id.DataCentre
 }
 
 // NewPlanner returns a planner that has measured nothing.
 func NewPlanner(cfg Config) *Planner {
-	return &Planner{cfg: cfg, needs: make(map[id.Model][]sample)}
+	return &Planner{cfg: cfg, needs: make(map[id.Model][]sample), short: make(map[place]time.Time)}
 }
 
 // Step takes one measurement of every site and returns what to order. Sites must
@@ -121,14 +129,13 @@
 	if p.first.IsZero() || now.Sub(p.last) > p.cfg.MaxGap || now.Before(p.last) {
 		p.first = now
 		clear(p.needs)
+		clear(p.short)
 	}
 	p.last = now
 	var moves []Move
 	for _, model := range byModel(sites) {
 		peak := p.remember(now, model[0].Model, need(model, p.cfg.TargetUse))
-		if now.Sub(p.first) >= p.cfg.Steady {
-			moves = append(moves, p.plan(now, model, peak)...)
-		}
+		moves = append(moves, p.plan(now, model, peak)...)
 	}
 	return moves
 }
@@ -192,10 +199,11 @@
 	for _, s := range model {
 		want := min(max(share, s.Min), s.Max)
 		have := len(s.Upstreams)
+		missing := p.missing(now, place{s.Model, s.DataCentre}, have < want)
 		switch {
 		case s.Closed || now.Sub(s.LastOrder) < p.cfg.Settle:
 		case have < want:
-			if n := min(want-have, room); n > 0 {
+			if n := min(want-have, room); n > 0 && missing >= p.cfg.Steady {
 				room -= n
 				moves = append(moves, &StartMove{Model: s.Model, DataCentre: s.DataCentre, Count: n})
 			}
@@ -208,6 +216,19 @@
 	return moves
 }
 
+// missing returns for how long upstreams have been missing at a site. One lost
+// answer of a sidecar must not start another upstream.
+func (p *Planner) missing(now time.Time, at place, short bool) time.Duration {
+	if !short {
+		delete(p.short, at)
+		return 0
+	}
+	if _, ok := p.short[at]; !ok {
+		p.short[at] = now
+	}
+	return now.Sub(p.short[at])
+}
+
 func (s *Site) warming() int {
 	n := 0
 	for _, u := range s.Upstreams {
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -82,6 +82,18 @@
 	require.Empty(t, steady(p, now.Add(time.Hour), 9*time.Minute, site("a", 0, 0)))
 }
 
+func TestOneLostAnswerStartsNothing(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := fleet.NewPlanner(fleet.DefaultConfig())
+	whole, lost := site("a", 1, 1), site("a", 1)
+	whole.Min, lost.Min = 2, 2
+	require.Empty(t, steady(p, now, time.Minute, whole))
+	require.Empty(t, p.Step(now.Add(65*time.Second), []fleet.Site{lost}))
+	require.Empty(t, p.Step(now.Add(70*time.Second), []fleet.Site{whole}))
+	require.Empty(t, p.Step(now.Add(75*time.Second), []fleet.Site{lost}))
+	require.NotEmpty(t, p.Step(now.Add(85*time.Second), []fleet.Site{lost}))
+}
+
 // TestBounds lets random demand pass and requires of each move that it keeps the
 // bounds of the rules and stops nothing that was not drained.
 func TestBounds(t *testing.T) {
