--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/retry"
@@ -45,10 +46,12 @@
 // Deps is what an entry works with.
 type Deps struct {
 	State    *journal.State
+	Bookings *journal.Stream
+	Usage    *journal.Stream // followed only by candidates for its lease; nil: the control stream
+	UsageLog platform.Log    // takes what this entry counts
+	Catcher  *journal.Catcher
 	Follower *journal.Follower
 	Writer   *journal.Writer
-	Usage    *Stream      // followed only by candidates for its lease; nil: the control stream
-	UsageLog platform.Log // takes what this entry counts
 	Platform platform.Platform
 	Peers    *http.Client // towards sidecars and other entries
 	Traces   *trace.Log
@@ -62,6 +65,9 @@
 	deps      Deps
 	upstreams *upstream.Table
 	members   *members
+	uses      *key.Uses
+	intents   *intents
+	settles   settles
 	queues    *queues
 	budgets   retry.Budgets
 	leaving   atomic.Bool
@@ -74,12 +80,15 @@
 
 // New returns an entry; Run keeps its view of the other processes.
 func New(cfg Config, deps Deps) *Entry {
-	control := &Stream{State: deps.State, Follower: deps.Follower, Writer: deps.Writer}
+	control := &journal.Stream{State: deps.State, Follower: deps.Follower, Writer: deps.Writer}
 	if deps.Usage == nil {
 		deps.Usage = control
 	}
 	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
 	e.members = newMembers(e)
+	e.uses = key.NewUses(deps.State.Keys)
+	e.intents = newIntents(deps.Bookings.State)
+	journal.EndWithdrawn(deps.State, e.uses, func(n int) { e.add("ended_key_withdrawn", n) })
 	e.queues = newQueues(e)
 	e.billing = newBilling(e, deps.UsageLog)
 	e.reporting = newReporting(e)
@@ -102,6 +111,7 @@
 // Finish puts the last use on the log and gives the leases up. It is called when
 // every request has ended, while the log is still followed.
 func (e *Entry) Finish(ctx context.Context) {
+	e.settles.wait(ctx)
 	e.billing.finish(ctx)
 	e.reporting.duty.leave(ctx)
 	e.ordering.duty.leave(ctx)
@@ -146,14 +156,20 @@
 // refuse counts, traces and sends a refusal.
 func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, p *problem.Problem) {
 	rq := requestID(r.Context())
+	p = cause(r.Context(), p)
 	p.Request = string(rq)
 	e.count("refused_" + string(p.Reason))
 	e.deps.Traces.Add(time.Now(), rq, "refuse", string(p.Reason), p.Detail)
+	if t, ok := w.(refusalTaker); ok {
+		t.refused(p)
+	}
 	p.Write(w)
 }
 
-func (e *Entry) count(name string) {
-	metrics.GetOrRegisterCounter(name, e.deps.Metrics).Inc(1)
+func (e *Entry) count(name string) { e.add(name, 1) }
+
+func (e *Entry) add(name string, n int) {
+	metrics.GetOrRegisterCounter(name, e.deps.Metrics).Inc(int64(n))
 }
 
 // decide notes a decision for explain.
--- a/entry/ordering.go
+++ b/entry/ordering.go
@@ -46,7 +46,7 @@
 	addresses map[id.Upstream]string // of the sidecars, when last measured
 }
 
-func newOrdering(e *Entry, control *Stream) *ordering {
+func newOrdering(e *Entry, control *journal.Stream) *ordering {
 	o := &ordering{e: e, planner: fleet.NewPlanner(e.cfg.Fleet)}
 	o.duty = newDuty(e, control, id.DutyOrders, o.round)
 	return o
--- a/entry/stand.go
+++ b/entry/stand.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/lease"
 	"github.com/ragwortpass/ragwortpass/platform"
 )
@@ -19,21 +18,6 @@
 	standEvery      = 2 * time.Second
 )
 
-// Stream is a stream of the log as this process holds it.
-type Stream struct {
-	State    *journal.State
-	Follower *journal.Follower
-	Writer   *journal.Writer
-}
-
-func (s *Stream) run(ctx context.Context) {
-	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){s.Follower.Run, s.Writer.Run} {
-		wg.Go(func() { run(ctx) })
-	}
-	wg.Wait()
-}
-
 // standForUsage waits until this entry ranks among the candidates, then follows the
 // usage stream and stands for its lease until ctx is done. It goes on when others
 // outrank it later, so that candidates do not change with every VM.
@@ -46,7 +30,7 @@
 	}
 	_ = e.deps.Logger.Log("event", "usage_candidate")
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){e.deps.Usage.run, e.reporting.duty.run} {
+	for _, run := range []func(context.Context){e.deps.Usage.Run, e.reporting.duty.run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -75,18 +75,10 @@
 
 func read(ctx context.Context, l platform.Log) (*journal.State, error) {
 	s := journal.NewState()
-	for {
-		page, err := l.Read(ctx, s.Offset(), 0)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range page.Records {
-			s.Fold(r.Offset, r.Payload)
-		}
-		if s.Offset() >= page.Newest {
-			return s, nil
-		}
+	if err := journal.Load(ctx, l, s); err != nil {
+		return nil, err
 	}
+	return s, nil
 }
 
 // Publish makes text the rules in force, if the rules in force are still those at
