workspace: limits over all entries, enforced by each from its own part

A tenth of a limit is split evenly, the rest by demand. Reports carry versions; an entry counts its own demand at the least that any other may still believe, so that parts add up to one at most however reports are delayed or lost (TestPartsSumToOne; it fails when the entry counts its newest demand at once).

--- /dev/null
+++ b/workspace/limits_test.go
@@ -0,0 +1,278 @@
+package workspace_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/rule"
+	"github.com/ragwortpass/ragwortpass/workspace"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+const (
+	step      = 50 * time.Millisecond
+	perSecond = 1000.0 // requests and tokens of the rule
+	notice    = 2 * time.Second
+)
+
+func limit() *rule.Workspace {
+	return &rule.Workspace{Name: "nan", Requests: perSecond, Tokens: perSecond, Burst: time.Second}
+}
+
+// cluster is a few entries that exchange reports, some of which are lost.
+type cluster struct {
+	entries map[id.Node]*workspace.Limits
+	cut     map[[2]id.Node]bool
+	lost    func() bool
+}
+
+func newCluster(lost func() bool) *cluster {
+	return &cluster{entries: map[id.Node]*workspace.Limits{}, cut: map[[2]id.Node]bool{}, lost: lost}
+}
+
+func node(i int) id.Node { return id.Node(fmt.Sprint("e", i)) }
+
+func (c *cluster) join(now time.Time, n id.Node) {
+	c.entries[n] = workspace.New(now, id.Incarnation(now.UnixNano()))
+}
+
+// beat lets every pair exchange a request and an answer.
+func (c *cluster) beat(now time.Time) {
+	for n, l := range c.entries {
+		var others []id.Node
+		for o := range c.entries {
+			if o != n {
+				others = append(others, o)
+			}
+		}
+		l.Expect(now, others)
+	}
+	for a, la := range c.entries {
+		for b, lb := range c.entries {
+			if a == b || c.cut[[2]id.Node{a, b}] || c.cut[[2]id.Node{b, a}] || c.lost() {
+				continue
+			}
+			lb.Receive(now, a, la.ReportTo(b))
+			if !c.lost() {
+				la.Receive(now, b, lb.ReportTo(a))
+			}
+		}
+	}
+	for _, l := range c.entries {
+		l.Tick(now)
+	}
+}
+
+// TestSumWithinLimit runs entries with changing demand that join, leave, part and
+// meet again, with reports lost, and adds up what they let through.
+func TestSumWithinLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		loss := rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		c := newCluster(func() bool { return random.Float64() < loss })
+		entries := rapid.IntRange(1, 5).Draw(t, "entries")
+		for i := range entries {
+			c.join(epoch, node(i))
+		}
+		rule := limit()
+		stable := rapid.Bool().Draw(t, "stable")
+		spent, changes := 0.0, 0
+		weights := make([]float64, 10)
+		now := epoch
+		for i := 0; now.Before(epoch.Add(60 * time.Second)); i++ {
+			now = now.Add(step)
+			if i%10 == 0 {
+				c.beat(now)
+			}
+			if i%100 == 0 {
+				for w := range weights {
+					weights[w] = float64(rapid.IntRange(0, 3).Draw(t, "weight"))
+				}
+				if !stable {
+					changes += c.change(t, now, &entries)
+				}
+			}
+			for n, l := range c.entries {
+				for range int(40 * weights[int(n[1]-'0')]) {
+					if _, ok := l.Charge(now, rule, 1).(workspace.Allowed); ok {
+						spent++
+					}
+				}
+			}
+			// A burst of each entry that ever was, and for each change the limit of
+			// the time until all have noticed.
+			bound := perSecond * (now.Sub(epoch).Seconds() + float64(entries)*rule.Burst.Seconds() + float64(changes)*notice.Seconds())
+			require.LessOrEqual(t, spent, bound)
+		}
+	})
+}
+
+// TestPartsSumToOne changes demand among entries that stay the same, with reports
+// lost. As long as none is out of touch, their parts add up to one at most.
+func TestPartsSumToOne(t *testing.T) {
+	checked := 0
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		loss := rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		c := newCluster(func() bool { return random.Float64() < loss })
+		for i := range rapid.IntRange(2, 5).Draw(t, "entries") {
+			c.join(epoch, node(i))
+		}
+		now, touch := epoch, epoch
+		weight := map[id.Node]int{}
+		for range 100 {
+			now = now.Add(workspace.TickEvery)
+			for n, l := range c.entries {
+				if random.IntN(5) == 0 {
+					weight[n] = random.IntN(4) * random.IntN(300)
+				}
+				for range weight[n] {
+					l.Charge(now, limit(), 1)
+				}
+			}
+			c.beat(now)
+			sum := 0.0
+			for _, l := range c.entries {
+				sum += l.Part("nan")
+				if l.ReportTo("").Parted {
+					touch = now
+				}
+			}
+			if now.Sub(touch) >= notice {
+				checked++
+				require.LessOrEqual(t, sum, 1+1e-9)
+			}
+		}
+	})
+	require.NotZero(t, checked)
+}
+
+// change parts two entries, lets them meet, or has one join or leave.
+func (c *cluster) change(t *rapid.T, now time.Time, entries *int) int {
+	pair := [2]id.Node{node(rapid.IntRange(0, 4).Draw(t, "from")), node(rapid.IntRange(0, 4).Draw(t, "to"))}
+	switch rapid.IntRange(0, 5).Draw(t, "change") {
+	case 0:
+		c.cut[pair] = true
+	case 1:
+		clear(c.cut)
+	case 2:
+		if *entries < 9 {
+			c.join(now, node(*entries))
+			*entries++
+		}
+	case 3:
+		if len(c.entries) > 1 {
+			delete(c.entries, pair[0])
+		}
+	default:
+		return 0
+	}
+	return 1
+}
+
+// run serves demand for a while and returns what each entry let through a second
+// in its second half.
+func (c *cluster) run(from time.Time, span time.Duration, demand map[id.Node]int) map[id.Node]float64 {
+	got := map[id.Node]float64{}
+	rule := limit()
+	for i := 0; i < int(span/step); i++ {
+		now := from.Add(time.Duration(i) * step)
+		if i%10 == 0 {
+			c.beat(now)
+		}
+		for n, l := range c.entries {
+			for range demand[n] {
+				if _, ok := l.Charge(now, rule, 1).(workspace.Allowed); ok && i >= int(span/step)/2 {
+					got[n] += 2 / span.Seconds()
+				}
+			}
+		}
+	}
+	return got
+}
+
+// TestPartsFollowDemand moves all demand from one entry to another.
+func TestPartsFollowDemand(t *testing.T) {
+	c := newCluster(func() bool { return false })
+	for i := range 4 {
+		c.join(epoch, node(i))
+	}
+	cases := []struct {
+		name   string
+		demand map[id.Node]int // in each step, of 50 that the limit gives
+		want   map[id.Node]float64
+	}{
+		{"one entry", map[id.Node]int{"e0": 100}, map[id.Node]float64{"e0": 925}},
+		{"another entry", map[id.Node]int{"e2": 100}, map[id.Node]float64{"e2": 925}},
+		{"two unevenly", map[id.Node]int{"e1": 150, "e2": 50}, map[id.Node]float64{"e1": 700, "e2": 250}},
+		{"all evenly", map[id.Node]int{"e0": 50, "e1": 50, "e2": 50, "e3": 50}, map[id.Node]float64{"e0": 250, "e1": 250, "e2": 250, "e3": 250}},
+	}
+	now := epoch
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			got := c.run(now, 20*time.Second, k.demand)
+			now = now.Add(20 * time.Second)
+			for n, want := range k.want {
+				require.InEpsilon(t, want, got[n], 0.15, "%v of %v", n, got)
+			}
+		})
+	}
+}
+
+// TestParted cuts two entries off: each gets the limit over the number of entries.
+func TestParted(t *testing.T) {
+	c := newCluster(func() bool { return false })
+	demand := map[id.Node]int{}
+	for i := range 4 {
+		c.join(epoch, node(i))
+		demand[node(i)] = 100
+	}
+	demand["e0"] = 1000
+	c.run(epoch, 10*time.Second, demand)
+	c.cut[[2]id.Node{"e0", "e1"}] = true
+	got := c.run(epoch.Add(10*time.Second), 20*time.Second, demand)
+	for n, g := range got {
+		require.InEpsilon(t, perSecond/4, g, 0.05, "%v of %v", n, got)
+	}
+}
+
+// TestTokens charges by estimate and settles.
+func TestTokens(t *testing.T) {
+	rule := &rule.Workspace{Name: "nan", Tokens: 100, Burst: time.Second}
+	l := workspace.New(epoch, 1)
+	now := epoch.Add(10 * time.Second)
+	l.Tick(now) // alone
+	require.Equal(t, workspace.Allowed{}, l.Charge(now, rule, 60))
+	require.IsType(t, workspace.Limited{}, l.Charge(now, rule, 60))
+	l.Settle("nan", 60, 10)
+	require.Equal(t, workspace.Allowed{}, l.Charge(now, rule, 60), "50 tokens came back")
+	l.Settle("nan", 60, 260)
+	limited, ok := l.Charge(now.Add(time.Second), rule, 1).(workspace.Limited)
+	require.True(t, ok, "owes 200 tokens more than it had")
+	require.Positive(t, limited.RetryAfter)
+	require.IsType(t, workspace.Limited{}, l.Charge(now.Add(2*time.Second), rule, 1), "has just paid its debt")
+	require.Equal(t, workspace.Allowed{}, l.Charge(now.Add(2100*time.Millisecond), rule, 1))
+	require.Equal(t, workspace.Allowed{}, l.Charge(now.Add(20*time.Second), rule, 5000), "dearer than a burst")
+	require.IsType(t, workspace.Limited{}, l.Charge(now.Add(30*time.Second), rule, 1))
+}
+
+func BenchmarkCharge(b *testing.B) {
+	l := workspace.New(epoch, 1)
+	rules := make([]*rule.Workspace, 2100)
+	for i := range rules {
+		rules[i] = &rule.Workspace{Name: id.Workspace(fmt.Sprint("ws-", i)), Requests: 100, Tokens: 1e6, Burst: time.Second}
+	}
+	now := epoch
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(100 * time.Microsecond)
+		l.Charge(now, rules[i%len(rules)], 300)
+	}
+}
