entry: enforce workspace limits, with expected tokens settled when answers end

limit charges one request and its expected tokens to the entry's part of the workspace's limits and refuses with workspace_limit (429) and Retry-After. What an answer delivered corrects the charge, the deficit of the workspace's waiting requests and the estimate.

--- a/entry/classify.go
+++ b/entry/classify.go
@@ -34,12 +34,13 @@
 	body   []byte
 
 	// Of model calls.
-	model    id.Model
-	stream   bool
-	usage    bool // the caller asked for a usage event
-	chat     bool
-	prompt   id.Tokens // estimated from the length of the text
-	expected id.Tokens // output tokens, estimated from earlier answers
+	model     id.Model
+	stream    bool
+	usage     bool // the caller asked for a usage event
+	chat      bool
+	prompt    id.Tokens // estimated from the length of the text
+	expected  id.Tokens // output tokens, estimated from earlier answers
+	delivered id.Tokens // output tokens
 
 	prefix    uint64 // hash of the start of the prompt
 	choices   int    // answers asked for in one
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -26,10 +26,14 @@
 // completions serves chat and text completions.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
 	rq, p := e.readCompletion(time.Now(), r)
+	if p == nil {
+		p = e.limit(time.Now(), rq)
+	}
 	if p != nil {
 		e.refuse(w, r, p)
 		return
 	}
+	defer e.settle(rq)
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	e.dispatch(w, r, rq)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/justinas/alice"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/estimate"
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
@@ -25,6 +26,7 @@
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/usage"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
+	"github.com/ragwortpass/ragwortpass/workspace"
 )
 
 // Config is what an entry learns from its settings.
@@ -62,6 +64,8 @@
 	upstreams *upstream.Table
 	members   *members
 	queues    *queues
+	limits    *workspace.Limits
+	lengths   *estimate.Lengths
 	budgets   retry.Budgets
 	leaving   atomic.Bool
 	running   atomic.Int64
@@ -76,6 +80,8 @@
 	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
 	e.members = newMembers(e)
 	e.queues = newQueues(e)
+	e.limits = workspace.New(time.Now(), cfg.Incarnation)
+	e.lengths = estimate.New()
 	e.billing = newBilling(e)
 	e.reporting = newReporting(e)
 	e.ordering = newOrdering(e)
--- a/entry/members.go
+++ b/entry/members.go
@@ -16,10 +16,11 @@
 	"github.com/ragwortpass/ragwortpass/wire"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
+	"github.com/ragwortpass/ragwortpass/workspace"
 )
 
 const (
-	heartbeatEvery   = 500 * time.Millisecond
+	heartbeatEvery   = workspace.TickEvery
 	heartbeatTimeout = time.Second
 	listEvery        = time.Second
 	forgetAfter      = 30 * time.Second
@@ -32,10 +33,11 @@
 	mu        sync.Mutex
 	addresses map[string]struct{}
 	kinds     kinds
+	nodes     map[string]id.Node // entries by their address
 }
 
 func newMembers(e *Entry) *members {
-	m := &members{e: e, addresses: make(map[string]struct{}), kinds: newKinds()}
+	m := &members{e: e, addresses: make(map[string]struct{}), nodes: make(map[string]id.Node), kinds: newKinds()}
 	for _, a := range e.cfg.Seeds {
 		m.addresses[a] = struct{}{}
 	}
@@ -51,6 +53,7 @@
 	m.list(ctx)
 	for {
 		m.beat(ctx)
+		m.e.limits.Tick(time.Now())
 		m.e.upstreams.Forget(time.Now().Add(-forgetAfter))
 		select {
 		case <-ctx.Done():
@@ -77,6 +80,9 @@
 	for _, a := range m.e.cfg.Seeds {
 		m.addresses[a] = struct{}{}
 	}
+	for _, a := range m.e.expectEntries(time.Now(), vms) {
+		m.addresses[a] = struct{}{}
+	}
 	for _, vm := range watched {
 		if vm.Address != m.e.cfg.Address {
 			m.addresses[vm.Address] = struct{}{}
@@ -98,18 +104,37 @@
 	defer cancel()
 	client := ragwortv1connect.NewNodeServiceClient(m.e.deps.Peers, "http://"+address)
 	rs, err := client.Heartbeat(ctx, connect.NewRequest(&ragwortv1.HeartbeatRequest{
-		From: m.e.identity(), JournalOffset: uint64(m.e.deps.State.Offset()),
+		From: m.e.identity(), JournalOffset: uint64(m.e.deps.State.Offset()), Demand: m.e.demandFor(m.entryAt(address)),
 	}))
 	if err != nil {
 		m.e.count("heartbeat_failed")
 		return
 	}
+	m.meet(address, rs.Msg.GetNode())
+	m.e.heardDemand(time.Now(), rs.Msg.GetNode(), rs.Msg.GetDemand())
 	if rs.Msg.GetLoad() != nil {
 		m.kinds.learn(id.Node(rs.Msg.GetNode().GetId()), rs.Msg.GetLoad())
 		m.e.upstreams.Update(view(time.Now(), rs.Msg))
 	}
 }
 
+// entryAt returns the entry at an address, or nothing while none was met there.
+func (m *members) entryAt(address string) id.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.nodes[address]
+}
+
+// meet notes which entry is at an address.
+func (m *members) meet(address string, n *ragwortv1.Node) {
+	if n.GetRole() != roleEntry {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes[address] = id.Node(n.GetId())
+}
+
 // view returns what a sidecar's heartbeat tells of its upstream.
 func view(now time.Time, hb *ragwortv1.HeartbeatResponse) upstream.View {
 	l, n := hb.GetLoad(), hb.GetNode()
--- a/entry/meter.go
+++ b/entry/meter.go
@@ -13,6 +13,9 @@
 // meter counts a whole answer.
 func (e *Entry) meter(rq *request, u used) {
 	metrics.GetOrRegisterCounter("answered_"+string(rq.class.Name), e.deps.Metrics).Inc(1)
+	if rq.service == "" {
+		e.lengths.Observe(rq.class.Name, rq.workspace(), u.output)
+	}
 	e.bill(rq, u)
 }
 
@@ -25,6 +28,7 @@
 }
 
 func (e *Entry) bill(rq *request, u used) {
+	rq.delivered = u.output
 	metrics.GetOrRegisterCounter("output_tokens", e.deps.Metrics).Inc(int64(u.output))
 	w := usage.WindowAt(time.Now(), e.cfg.Usage.Length)
 	line := usage.Line{Workspace: rq.workspace(), Class: rq.class.Name, Model: rq.model}
--- a/entry/node.go
+++ b/entry/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -22,9 +23,11 @@
 }
 
 // Heartbeat implements the NodeService.
-func (n *node) Heartbeat(_ context.Context, _ *connect.Request[ragwortv1.HeartbeatRequest]) (*connect.Response[ragwortv1.HeartbeatResponse], error) {
+func (n *node) Heartbeat(_ context.Context, rq *connect.Request[ragwortv1.HeartbeatRequest]) (*connect.Response[ragwortv1.HeartbeatResponse], error) {
+	from := rq.Msg.GetFrom()
+	n.e.heardDemand(time.Now(), from, rq.Msg.GetDemand())
 	return connect.NewResponse(&ragwortv1.HeartbeatResponse{
-		Node: n.e.identity(), JournalOffset: uint64(n.e.deps.State.Offset()),
+		Node: n.e.identity(), JournalOffset: uint64(n.e.deps.State.Offset()), Demand: n.e.demandFor(id.Node(from.GetId())),
 	}), nil
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,10 +12,14 @@
 // service serves /services/{route}/...
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
 	rq, p := e.readService(time.Now(), r)
+	if p == nil {
+		p = e.limit(time.Now(), rq)
+	}
 	if p != nil {
 		e.refuse(w, r, p)
 		return
 	}
+	defer e.settle(rq)
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	e.dispatch(w, r, rq)
--- a/workspace/demand.go
+++ b/workspace/demand.go
@@ -4,10 +4,8 @@
 // it asks of the others, with the exchange of reports between entries.
 
 import (
-	"math"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -82,12 +80,13 @@
 type peers struct {
 	incarnation id.Incarnation
 	begun       time.Time
-	first       atomic.Uint64 // bits of the part of a workspace not seen here before
 
 	mu      sync.Mutex // taken before that of a shard
 	version uint64     // of the newest value of this entry
 	known   map[id.Node]*peer
+	listed  bool // has been told which entries exist
 	parted  bool // out of touch with an entry at the last tick
+	last    standing
 }
 
 type peer struct {
@@ -97,6 +96,7 @@
 	heard       time.Time
 	confirmed   time.Time // last ack
 	parted      bool
+	told        bool // its demand is known
 	demand      map[id.Workspace]float64
 }
 
@@ -104,7 +104,7 @@
 	s.incarnation = incarnation
 	s.begun = now
 	s.known = make(map[id.Node]*peer)
-	s.setFirst(standing{entries: 1, starting: true})
+	s.last = standing{entries: 1, starting: true}
 }
 
 // Expect names the other entries that exist. Those that are not named and out of
@@ -113,6 +113,7 @@
 	s := &l.peers
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.listed = true
 	for _, n := range entries {
 		if s.known[n] == nil {
 			s.known[n] = &peer{heard: now, confirmed: now, demand: make(map[id.Workspace]float64)}
@@ -148,6 +149,7 @@
 		return // values are missing in between, or it was overtaken
 	}
 	p.version = r.Version
+	p.told = true
 	for ws, d := range r.Demand {
 		if d == 0 {
 			delete(p.demand, ws)
@@ -196,11 +198,12 @@
 	version  uint64 // for changes of this tick
 	parted   bool   // this entry, or one it hears, is out of touch with some entry
 	starting bool   // others may exist that are not known yet
+	told     bool   // the demand of every other entry is known
 }
 
 // stand drops entries that were out of touch for long, and judges the others.
 func (s *peers) stand(now time.Time) standing {
-	st := standing{entries: 1, known: s.version, version: s.version + 1, starting: now.Sub(s.begun) < noticeAfter}
+	st := standing{entries: 1, known: s.version, version: s.version + 1, starting: !s.listed && now.Sub(s.begun) < noticeAfter, told: true}
 	s.parted = false
 	for n, p := range s.known {
 		if now.Sub(p.heard) > forgetAfter {
@@ -209,21 +212,22 @@
 		}
 		st.entries++
 		st.known = min(st.known, p.acked)
+		st.told = st.told && p.told
 		st.parted = st.parted || p.parted
 		s.parted = s.parted || now.Sub(p.heard) > noticeAfter || now.Sub(p.confirmed) > noticeAfter
 	}
 	st.parted = st.parted || s.parted
-	s.setFirst(st)
+	s.last = st
 	return st
 }
 
-// setFirst sets the part of a workspace that was not seen here before.
-func (s *peers) setFirst(st standing) {
-	s.first.Store(math.Float64bits(s.part("", 0, st)))
+// firstPart returns the part of a workspace that was not seen here before.
+func (s *peers) firstPart(ws id.Workspace) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.part(ws, 0, s.last)
 }
 
-func (s *peers) firstPart() float64 { return math.Float64frombits(s.first.Load()) }
-
 // Tick computes this entry's part of every limit anew.
 func (l *Limits) Tick(now time.Time) {
 	s := &l.peers
@@ -243,13 +247,20 @@
 
 // Part returns this entry's part of a workspace's limits.
 func (l *Limits) Part(ws id.Workspace) float64 {
-	s := l.shard(ws)
+	if part, ok := l.shard(ws).part(ws); ok {
+		return part
+	}
+	return l.peers.firstPart(ws)
+}
+
+func (s *shard) part(ws id.Workspace) (float64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a := s.accounts[ws]; a != nil {
-		return a.part
+	a := s.accounts[ws]
+	if a == nil {
+		return 0, false
 	}
-	return l.peers.firstPart()
+	return a.part, true
 }
 
 func (s *shard) tick(p *peers, st standing) (changed bool) {
@@ -278,7 +289,10 @@
 	for _, p := range s.known {
 		others += p.demand[ws]
 	}
-	if own == 0 {
+	switch {
+	case own == 0 && others == 0 && st.told:
+		return 1 / n // no entry counts any demand
+	case own == 0:
 		return evenPart / n
 	}
 	return evenPart/n + (1-evenPart)*own/(own+others)
--- a/workspace/limits.go
+++ b/workspace/limits.go
@@ -2,8 +2,9 @@
 // entries, which each entry enforces by itself: it spends from a part of the
 // limit.
 //
-// A tenth of a limit is split evenly among the entries, so that a workspace can
-// turn to any of them; the rest follows demand. Entries tell each other the
+// The limit of an idle workspace is split evenly among the entries. That of a busy
+// one follows demand, but for a tenth that stays split evenly, so that it can turn
+// to any entry. Entries tell each other the
 // demand they see (Report), and each computes its own part. The parts never add
 // up to more than the limit, whatever is delayed or lost, since an entry counts
 // its own demand at the least that any other entry may still believe, and others'
@@ -94,14 +95,27 @@
 	defer s.mu.Unlock()
 	a := s.accounts[r.Name]
 	if a == nil {
-		a = newAccount(r, l.peers.firstPart())
-		s.accounts[r.Name] = a
+		a = l.open(s, r)
 	}
 	a.demand.add(float64(max(1, expected)))
 	a.follow(now, r)
 	return a.charge(now, r, float64(expected))
 }
 
+// open adds an account. The caller holds the lock of s, which is released in
+// between: that of the peers is taken first.
+func (l *Limits) open(s *shard, r *rule.Workspace) *account {
+	s.mu.Unlock()
+	part := l.peers.firstPart(r.Name)
+	s.mu.Lock()
+	a := s.accounts[r.Name]
+	if a == nil {
+		a = newAccount(r, part)
+		s.accounts[r.Name] = a
+	}
+	return a
+}
+
 // Settle corrects a charge when the answer has ended.
 func (l *Limits) Settle(ws id.Workspace, expected, got id.Tokens) {
 	s := l.shard(ws)
--- a/workspace/limits_test.go
+++ b/workspace/limits_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,19 +45,24 @@
 	c.entries[n] = workspace.New(now, id.Incarnation(now.UnixNano()))
 }
 
+// nodes returns the entries in order, so that a seed gives the same run again.
+func (c *cluster) nodes() []id.Node { return slices.Sorted(maps.Keys(c.entries)) }
+
 // beat lets every pair exchange a request and an answer.
 func (c *cluster) beat(now time.Time) {
-	for n, l := range c.entries {
+	for _, n := range c.nodes() {
+		l := c.entries[n]
 		var others []id.Node
-		for o := range c.entries {
+		for _, o := range c.nodes() {
 			if o != n {
 				others = append(others, o)
 			}
 		}
 		l.Expect(now, others)
 	}
-	for a, la := range c.entries {
-		for b, lb := range c.entries {
+	for _, a := range c.nodes() {
+		for _, b := range c.nodes() {
+			la, lb := c.entries[a], c.entries[b]
 			if a == b || c.cut[[2]id.Node{a, b}] || c.cut[[2]id.Node{b, a}] || c.lost() {
 				continue
 			}
@@ -129,7 +136,8 @@
 		weight := map[id.Node]int{}
 		for range 100 {
 			now = now.Add(workspace.TickEvery)
-			for n, l := range c.entries {
+			for _, n := range c.nodes() {
+				l := c.entries[n]
 				if random.IntN(5) == 0 {
 					weight[n] = random.IntN(4) * random.IntN(300)
 				}
