--- a/entry/limit.go
+++ b/entry/limit.go
@@ -69,8 +69,8 @@
 	q.waiters.Correct(rq.class.Name, rq.workspace(), rq.delivered-rq.expected)
 }
 
-// otherEntries returns the entries of the list besides this one that do not leave.
-func (e *Entry) otherEntries(vms []platform.VM) []platform.VM {
+// listedEntries returns the entries of the list besides this one that do not leave.
+func (e *Entry) listedEntries(vms []platform.VM) []platform.VM {
 	var others []platform.VM
 	for _, vm := range vms {
 		if vm.Role == roleEntry && vm.ID != e.cfg.Node && vm.State != platform.VMLeaving {
@@ -83,7 +83,7 @@
 // expectEntries tells the limits which other entries exist, and returns the
 // addresses of those to exchange reports with.
 func (e *Entry) expectEntries(now time.Time, vms []platform.VM) []string {
-	others := e.otherEntries(vms)
+	others := e.listedEntries(vms)
 	nodes := make([]id.Node, len(others))
 	addresses := make([]string, len(others))
 	for i, vm := range others {
--- a/entry/node.go
+++ b/entry/node.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
@@ -26,11 +27,17 @@
 func (n *node) Heartbeat(_ context.Context, rq *connect.Request[ragwortv1.HeartbeatRequest]) (*connect.Response[ragwortv1.HeartbeatResponse], error) {
 	from := rq.Msg.GetFrom()
 	n.e.heardDemand(time.Now(), from, rq.Msg.GetDemand())
+	n.e.heard(rq.Msg.GetFrom().GetAddress(), id.Offset(rq.Msg.GetJournalOffset()))
 	return connect.NewResponse(&ragwortv1.HeartbeatResponse{
 		Node: n.e.identity(), JournalOffset: uint64(n.e.deps.State.Offset()), Demand: n.e.demandFor(id.Node(from.GetId())),
 	}), nil
 }
 
+// Fetch implements the NodeService.
+func (n *node) Fetch(_ context.Context, rq *connect.Request[ragwortv1.FetchRequest]) (*connect.Response[ragwortv1.FetchResponse], error) {
+	return connect.NewResponse(journal.Answer(n.e.deps.State, rq.Msg)), nil
+}
+
 // Explain implements the NodeService.
 func (n *node) Explain(_ context.Context, rq *connect.Request[ragwortv1.ExplainRequest]) (*connect.Response[ragwortv1.ExplainResponse], error) {
 	decisions := n.e.deps.Traces.Explain(id.Request(rq.Msg.GetRequest()))
@@ -52,8 +59,10 @@
 		rs.Upstreams = append(rs.Upstreams, upstreamStatus(v))
 	}
 	var folded ragwortv1.State
-	n.e.deps.State.Leases.Snapshot(&folded)
-	rs.Leases = folded.GetLeases()
+	for _, s := range []*journal.State{n.e.deps.State, n.e.deps.Usage.State} {
+		s.Leases.Snapshot(&folded)
+		rs.Leases = append(rs.Leases, folded.GetLeases()...)
+	}
 	return connect.NewResponse(rs), nil
 }
 
@@ -74,7 +83,7 @@
 
 func (e *Entry) identity() *ragwortv1.Node {
 	return &ragwortv1.Node{
-		Id: string(e.cfg.Node), Role: "entry", DataCentre: string(e.cfg.DataCentre), Address: e.cfg.Address,
+		Id: string(e.cfg.Node), Role: roleEntry, DataCentre: string(e.cfg.DataCentre), Address: e.cfg.Address,
 		Incarnation: uint64(e.cfg.Incarnation), Leaving: e.leaving.Load(),
 	}
 }
--- a/entry/queue_test.go
+++ b/entry/queue_test.go
@@ -40,7 +40,7 @@
 	k, err := state.Keys.Find(id.Key(given.GetKey()))
 	require.NoError(t, err)
 	writer := journal.NewWriter(nil, state, "e1", log.NewNopLogger(), metrics.NewRegistry())
-	e := New(Config{Node: "e1", LeaseTTL: time.Minute}, Deps{State: state, Writer: writer, Traces: trace.New("e1", 1000), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+	e := New(Config{Node: "e1", LeaseTTL: time.Minute}, Deps{State: state, Bookings: &journal.Stream{State: journal.NewState()}, Writer: writer, Traces: trace.New("e1", 1000), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
 	return &desk{Entry: e, t: t, key: k}
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -111,11 +111,12 @@
 			continue
 		}
 		busy := v.Outstanding + v.Load.Running + v.Load.Waiting
-		busySum, limitSum = busySum+busy, limitSum+v.Load.Limit
+		limit := max(1, v.Load.Limit)
+		busySum, limitSum = busySum+busy, limitSum+limit
 		if busy > v.Load.Limit {
 			continue
 		}
-		x := row{v, float64(busy+1) / float64(v.Load.Limit), score(xxhash.Sum64String(string(v.ID)), ask.Prefix) % (1 << 63)}
+		x := row{v, float64(busy+1) / float64(limit), score(xxhash.Sum64String(string(v.ID)), ask.Prefix) % (1 << 63)}
 		if slices.Contains(ask.Avoid, v.ID) {
 			avoided = append(avoided, x)
 		} else {
@@ -134,7 +135,7 @@
 	slices.SortStableFunc(top, func(a, b row) int { return cmp.Compare(b.score, a.score) })
 	top = top[:min(3, len(top))]
 	mean := float64(busySum+1) / float64(limitSum)
-	if top[0].pressure <= 1 && top[0].pressure <= 1.25*mean+1/float64(top[0].v.Load.Limit) {
+	if top[0].pressure <= 1 && top[0].pressure <= 1.25*mean+1/float64(max(1, top[0].v.Load.Limit)) {
 		return top[0].v.ID, true
 	}
 	slices.SortStableFunc(top, byPressure)
@@ -152,7 +153,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		table := upstream.NewTable()
 		for i := range rapid.IntRange(0, 12).Draw(t, "upstreams") {
-			v := ready(fmt.Sprint("u", i), rapid.IntRange(1, 8).Draw(t, "limit"), rapid.IntRange(0, 9).Draw(t, "running"))
+			v := ready(fmt.Sprint("u", i), rapid.IntRange(0, 8).Draw(t, "limit"), rapid.IntRange(0, 9).Draw(t, "running"))
 			v.Load.State = string(rapid.SampledFrom(states).Draw(t, "state"))
 			v.DataCentre = rapid.SampledFrom([]id.DataCentre{"a", "a", "b"}).Draw(t, "dc")
 			v.Models = rapid.SampledFrom([][]id.Model{{"m"}, {"m", "n"}, {"n"}}).Draw(t, "models")
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
@@ -40,6 +41,7 @@
 // Deps is what a sidecar works with.
 type Deps struct {
 	State   *journal.State
+	Catcher *journal.Catcher
 	Client  *http.Client // towards the upstream
 	Once    *http.Client // towards the upstream, for calls that must not be repeated
 	Traces  *trace.Log
@@ -54,6 +56,7 @@
 	limiter *upstream.Limiter
 	slots   *slots
 	life    *upstream.Lifecycle
+	uses    *key.Uses
 	leaving atomic.Bool
 	waiting atomic.Int64
 	orders  *orders
@@ -66,8 +69,9 @@
 
 // New returns a sidecar; Run watches its upstream.
 func New(cfg Config, deps Deps) *Sidecar {
-	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
+	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle(), uses: key.NewUses(deps.State.Keys)}
 	s.incarnation.Store(uint64(cfg.Incarnation))
+	s.endWithdrawn()
 	s.limiter = upstream.NewLimiter(s.limits())
 	s.slots = newSlots(s.limiter, cfg.Upstream)
 	s.orders = &orders{s: s}
@@ -148,6 +152,8 @@
 	return s.leaving.Load() || s.deps.State.Rules().Drained(s.cfg.DataCentre) || s.orders.draining(now)
 }
 
-func (s *Sidecar) count(name string) {
-	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(1)
+func (s *Sidecar) count(name string) { s.add(name, 1) }
+
+func (s *Sidecar) add(name string, n int) {
+	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(int64(n))
 }
