--- /dev/null
+++ b/entry/measure_test.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/fleet"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/rule"
+	"github.com/ragwortpass/ragwortpass/upstream"
+	"github.com/ragwortpass/ragwortpass/wire"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+const measureRules = `
+model name=m context=10                                      # test
+upstream model=m concurrency=7 initial=1 fencing=checks      # test
+fleet model=m data_centre=a min=1 max=4                      # test
+fleet model=m data_centre=b min=1 max=4                      # test
+drain data_centre=b                                          # test
+`
+
+func TestMeasure(t *testing.T) {
+	now := time.UnixMilli(10_000_000)
+	rules, err := rule.Read("rules", measureRules)
+	require.NoError(t, err)
+	see := func(name string, dc id.DataCentre, state upstream.State, running int) upstream.View {
+		return upstream.View{
+			ID: id.Upstream(name), Node: id.Node("n" + name), DataCentre: dc, Models: []id.Model{"m"},
+			Load: wire.Load{State: string(state), Running: running, Waiting: 1},
+		}
+	}
+	order := func(kind fleet.Kind, u, outcome string, ago time.Duration) fleet.Decided {
+		d := fleet.Decided{Record: &ragwortv1.OrderDecided{
+			Kind: string(kind), Model: "m", DataCentre: "a", Upstream: u, DeadlineUnixMs: now.Add(-ago).UnixMilli(),
+		}}
+		if outcome != "" {
+			d.Settled = &ragwortv1.OrderSettled{Outcome: outcome}
+		}
+		return d
+	}
+	m := &measurement{
+		now: now, rules: rules, order: time.Second,
+		views: []upstream.View{
+			see("ready", "a", upstream.Ready, 3), see("cold", "a", upstream.Cold, 0), see("gone", "a", upstream.Gone, 0),
+			see("leaving", "a", upstream.Ready, 0), see("drained", "a", upstream.Draining, 2),
+			see("shutting-down", "a", upstream.Draining, 2), see("other", "b", upstream.Draining, 1),
+		},
+		vms: []platform.VM{{ID: "nleaving", Role: roleSidecar, State: platform.VMLeaving}},
+		orders: []fleet.Decided{
+			order(fleet.Start, "", "expired", 30*time.Second), order(fleet.Start, "", "refused", 5*time.Second),
+			order(fleet.Drain, "drained", "done", 9*time.Second),
+		},
+	}
+	require.Equal(t, []fleet.Site{
+		{
+			Model: "m", DataCentre: "a", Min: 1, Max: 4, Slots: 7, LastOrder: now.Add(-30 * time.Second),
+			Upstreams: []fleet.Upstream{{ID: "ready", Busy: 4}, {ID: "cold", Busy: 1, Warming: true}},
+			Drained:   []fleet.Drained{{ID: "drained", Busy: 3, Age: 10 * time.Second}},
+		},
+		{Model: "m", DataCentre: "b", Min: 1, Max: 4, Slots: 7, Closed: true},
+	}, m.sites())
+}
+
+func TestMeasurementOfAProcessThatIsCutOff(t *testing.T) {
+	live := platform.VM{Role: roleSidecar, State: platform.VMLive}
+	m := &measurement{vms: []platform.VM{live, live, live, {Role: roleEntry, State: platform.VMLive}}}
+	require.False(t, m.trusted())
+	m.views = make([]upstream.View, 1)
+	require.False(t, m.trusted())
+	m.views = make([]upstream.View, 2)
+	require.True(t, m.trusted())
+}
--- a/ragworttest/usage_test.go
+++ b/ragworttest/usage_test.go
@@ -40,9 +40,8 @@
 	g, url := f.Engine(cfg)
 	g.Warm()
 	f.Sidecar("s1", "th-a", url, "--models=temper-70b").Ready(t)
-	for i := range 3 {
-		b.entries = append(b.entries, f.Entry(fmt.Sprintf("e%d", i), "th-a",
-			"--lease-ttl=1s", "--usage-window=1s", "--usage-flush=100ms", "--usage-grace=500ms"))
+	for range 3 {
+		b.start()
 	}
 	for _, e := range b.entries {
 		e.Ready(t)
@@ -50,6 +49,15 @@
 	return b
 }
 
+// start adds an entry.
+func (b *billed) start() *ragworttest.Process {
+	b.t.Helper()
+	e := b.Entry(fmt.Sprintf("e%d", len(b.entries)), "th-a", "--lease-ttl=1s", "--usage-window=1s", "--usage-flush=100ms",
+		"--usage-grace=500ms", "--checkpoint-every=10", "--checkpoint-delay=10ms")
+	b.entries = append(b.entries, e)
+	return e
+}
+
 // call sends n calls of each workspace through an entry and notes what came back.
 func (b *billed) call(e *ragworttest.Process, n int) {
 	b.t.Helper()
@@ -165,6 +173,17 @@
 			}
 			b.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: 2})
 		}},
+		{"every entry replaced while the log is trimmed", func(b *billed) {
+			b.Platform.SetFaults(standin.PlatformFaults{Keep: 60, LoseAnswers: 2})
+			for i := range 3 {
+				b.call(b.entries[i], 2)
+				b.start().Ready(b.t)
+				b.entries[i].Signal(b.t, syscall.SIGTERM)
+				b.entries[i].Wait(b.t)
+				b.Platform.RemoveVM(time.Now(), b.entries[i].Node)
+			}
+			b.call(b.entries[3], 1)
+		}},
 		{"holder killed after its last flush", func(b *billed) {
 			held, term := b.holder(0)
 			b.call(held, 2)
