entry: heartbeats keep to a number of bytes a second

Change: a schedule asks small fleets at every tick as before and larger ones as often as 3.3 kB/s to sidecars and 1.2 kB/s to entries allow. What is known of a sidecar is used for three of its intervals; one that cannot be connected to is left alone until it is heard from. Heartbeats have a client of their own that does not ping; request connections close before a ping without a request. What is left at 250 is the survey of the holder of the orders lease, which asks every sidecar each 5 s; it is not paced yet.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -51,7 +51,7 @@
 	e.envelope(rq, n).Set(hr.Header)
 	rs, err := e.deps.Peers.Do(hr)
 	if err != nil {
-		return sendFailure(ctx, u, err)
+		return e.sendFailure(ctx, u, err)
 	}
 	defer rs.Body.Close()
 	if l, ok := wire.ParseLoad(rs.Header.Get(wire.HeaderLoad)); ok {
@@ -65,10 +65,11 @@
 }
 
 // sendFailure judges a request that got no response. A failed dial means that no
-// byte can have arrived.
-func sendFailure(ctx context.Context, u *upstream.View, err error) result {
+// byte can have arrived; nothing more is sent there until it is heard from.
+func (e *Entry) sendFailure(ctx context.Context, u *upstream.View, err error) result {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
+		e.upstreams.Unreachable(u.ID)
 		return &refused{problem.New(problem.UpstreamFailed, problem.NotRun, http.StatusBadGateway, "upstream %s: %v", u.ID, err)}
 	}
 	return brokenWhile(ctx, u, brokenBy(problem.UpstreamFailed, u, err.Error()))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,7 @@
 	Writer   *journal.Writer
 	Platform platform.Platform
 	Peers    *http.Client // towards sidecars and other entries
+	Control  *http.Client // towards the same, for heartbeats
 	Traces   *trace.Log
 	Metrics  metrics.Registry
 	Logger   log.Logger
--- a/entry/members.go
+++ b/entry/members.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -24,23 +25,24 @@
 	heartbeatTimeout = time.Second
 	listEvery        = time.Second
 	forgetAfter      = 30 * time.Second
+
+	// missedHeartbeats in a row make what is known of a sidecar too old to use.
+	missedHeartbeats = 3
 )
 
 // members sends heartbeats to every known process.
 type members struct {
 	e *Entry
 
-	mu        sync.Mutex
-	addresses map[string]struct{}
-	kinds     kinds
-	nodes     map[string]id.Node // entries by their address
+	mu       sync.Mutex
+	schedule *schedule
+	kinds    kinds
+	nodes    map[string]id.Node // entries by their address
 }
 
 func newMembers(e *Entry) *members {
-	m := &members{e: e, addresses: make(map[string]struct{}), nodes: make(map[string]id.Node), kinds: newKinds()}
-	for _, a := range e.cfg.Seeds {
-		m.addresses[a] = struct{}{}
-	}
+	m := &members{e: e, schedule: newSchedule(), nodes: make(map[string]id.Node), kinds: newKinds()}
+	m.schedule.set(time.Time{}, nil, e.cfg.Seeds)
 	return m
 }
 
@@ -52,9 +54,10 @@
 	defer list.Stop()
 	m.list(ctx)
 	for {
-		m.beat(ctx)
-		m.e.limits.Tick(time.Now())
-		m.e.upstreams.Forget(time.Now().Add(-forgetAfter))
+		now := time.Now()
+		m.beat(ctx, now)
+		m.e.limits.Tick(now)
+		m.e.upstreams.Forget(now.Add(-max(forgetAfter, 2*m.e.upstreams.Staleness())))
 		select {
 		case <-ctx.Done():
 			return
@@ -75,27 +78,35 @@
 	m.e.upstreams.Depart(departing(vms))
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	watched := m.kinds.watched(m.e.cfg.Node, vms)
-	clear(m.addresses)
-	for _, a := range m.e.cfg.Seeds {
-		m.addresses[a] = struct{}{}
-	}
-	for _, a := range m.e.expectEntries(time.Now(), vms) {
-		m.addresses[a] = struct{}{}
-	}
-	for _, vm := range watched {
-		if vm.Address != m.e.cfg.Address {
-			m.addresses[vm.Address] = struct{}{}
+	now := time.Now()
+	entries, others := m.e.expectEntries(now, vms), m.e.cfg.Seeds
+	for _, vm := range m.kinds.watched(m.e.cfg.Node, vms) {
+		switch {
+		case vm.Address == m.e.cfg.Address:
+		case vm.Role == roleEntry:
+			entries = append(entries, vm.Address)
+		default:
+			others = append(others, vm.Address)
 		}
 	}
+	m.schedule.set(now, entries, others)
+	maps.DeleteFunc(m.nodes, func(address string, _ id.Node) bool { return m.schedule.peers[address] == nil })
+	m.e.upstreams.SetStaleness(missedHeartbeats * m.schedule.interval(false))
 }
 
-// beat sends one heartbeat to every process, side by side.
-func (m *members) beat(ctx context.Context) {
+// beat sends the heartbeats that are due, side by side. A process that has not
+// caught up asks everyone: it becomes ready when it holds what all of them hold.
+func (m *members) beat(ctx context.Context, now time.Time) {
+	caughtUp := m.e.deps.Follower.CaughtUp()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	answers := newRound(len(m.addresses), m.e.deps.Follower.HeardAll)
-	for a := range m.addresses {
+	due := m.schedule.due(now, !caughtUp)
+	m.mu.Unlock()
+	ended := func(id.Offset) {}
+	if !caughtUp {
+		ended = m.e.deps.Follower.HeardAll
+	}
+	answers := newRound(len(due), ended)
+	for _, a := range due {
 		go func() { answers.done(m.heartbeat(ctx, a)) }()
 	}
 }
@@ -104,12 +115,13 @@
 func (m *members) heartbeat(ctx context.Context, address string) id.Offset {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	client := ragwortv1connect.NewNodeServiceClient(m.e.deps.Peers, "http://"+address)
+	client := ragwortv1connect.NewNodeServiceClient(m.e.deps.Control, "http://"+address)
 	rs, err := client.Heartbeat(ctx, connect.NewRequest(&ragwortv1.HeartbeatRequest{
 		From: m.e.identity(), JournalOffset: uint64(m.e.deps.State.Offset()), Demand: m.e.demandFor(m.entryAt(address)),
 	}))
 	if err != nil {
 		m.e.count("heartbeat_failed")
+		m.missed(time.Now(), address)
 		return 0
 	}
 	m.meet(address, rs.Msg.GetNode())
@@ -123,6 +135,13 @@
 	return offset
 }
 
+// missed notes a heartbeat that failed.
+func (m *members) missed(now time.Time, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.schedule.failed(now, address)
+}
+
 // entryAt returns the entry at an address, or nothing while none was met there.
 func (m *members) entryAt(address string) id.Node {
 	m.mu.Lock()
--- a/entry/program.go
+++ b/entry/program.go
@@ -100,7 +100,7 @@
 	deps := Deps{
 		State: control.State, Follower: control.Follower, Writer: control.Writer, Bookings: bookings,
 		Usage: usageStream, UsageLog: p.Stream(platform.StreamUsage),
-		Catcher: journal.NewCatcher(control.State, peers, logger, counts), Platform: p, Peers: peers,
+		Catcher: journal.NewCatcher(control.State, peers, logger, counts), Platform: p, Peers: peers, Control: process.NewControlClient(),
 		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
 	}
 	e := New(Config{
--- a/process/process.go
+++ b/process/process.go
@@ -165,20 +165,36 @@
 	}
 }
 
-// NewPeerClient returns a client for the router's own processes, which speak
-// unencrypted HTTP/2.
+// NewPeerClient returns a client for requests to the router's own processes, which
+// speak unencrypted HTTP/2. It closes a connection before it would have to ask for a
+// sign of life on it without a request.
 func NewPeerClient() *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
 	return newClient(&http.Transport{
-		Protocols:          protocols,
+		Protocols:          unencryptedHTTP2(),
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
+		IdleConnTimeout:    pingAfter,
+	})
+}
+
+// NewControlClient returns a client for heartbeats, which have a timeout of their
+// own. It keeps connections without asking for signs of life.
+func NewControlClient() *http.Client {
+	return newClient(&http.Transport{
+		Protocols:          unencryptedHTTP2(),
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression: true,
 		IdleConnTimeout:    idleTimeout,
 	})
 }
 
+func unencryptedHTTP2() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
 // NewOutsideClient returns a client for upstreams and the platform.
 func NewOutsideClient() *http.Client {
 	return newClient(&http.Transport{
--- a/route/route.go
+++ b/route/route.go
@@ -14,9 +14,6 @@
 	"github.com/ragwortpass/ragwortpass/upstream"
 )
 
-// Staleness is how long an upstream is used after it was last heard from.
-const Staleness = 3 * time.Second
-
 // QueueAhead is how many requests beyond its limit an upstream is sent, so that
 // it does not idle while an answer travels.
 const QueueAhead = 1
@@ -79,7 +76,7 @@
 // least expected wait among the next few by hash, and among all if these are full.
 func Choose(now time.Time, rules *rule.Set, t *upstream.Table, ask Ask) Decision {
 	var o options
-	since := now.Add(-Staleness).UnixNano()
+	since := now.Add(-t.Staleness()).UnixNano()
 	for _, r := range t.Group(ask.Model, ask.Service) {
 		v := r.View()
 		if v.Open(since) && (len(rules.Drains) == 0 || !rules.Drained(v.DataCentre)) {
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -80,7 +80,8 @@
 // index of the records by model and service, which is replaced when an upstream
 // appears, disappears or serves something else.
 type Table struct {
-	index atomic.Pointer[map[target][]*Record]
+	index     atomic.Pointer[map[target][]*Record]
+	staleness atomic.Int64 // nanoseconds
 
 	mu        sync.RWMutex // guards records and departing
 	records   map[id.Upstream]*Record
@@ -94,9 +95,34 @@
 func NewTable() *Table {
 	t := &Table{records: make(map[id.Upstream]*Record), changed: make(chan struct{})}
 	t.index.Store(&map[target][]*Record{})
+	t.SetStaleness(0)
 	return t
 }
 
+// LeastStaleness is the shortest time for which an upstream is used after it was
+// last heard from.
+const LeastStaleness = 3 * time.Second
+
+// SetStaleness sets how long an upstream is used after it was last heard from; at
+// least LeastStaleness. It is longer where heartbeats are rarer: a sidecar refuses
+// by itself what it must not run, so an old view costs an attempt, not an answer.
+func (t *Table) SetStaleness(d time.Duration) { t.staleness.Store(int64(max(d, LeastStaleness))) }
+
+// Staleness returns how long an upstream is used after it was last heard from.
+func (t *Table) Staleness() time.Duration { return time.Duration(t.staleness.Load()) }
+
+// Unreachable keeps new work from an upstream whose sidecar cannot be connected to,
+// until it is heard from again.
+func (t *Table) Unreachable(u id.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[u]; r != nil {
+		v := *r.View()
+		v.Load.State = string(Gone)
+		r.set(&v)
+	}
+}
+
 // Group returns the records of the upstreams that serve a model or a service; one
 // of the two is empty. The caller must not change the slice.
 func (t *Table) Group(m id.Model, s id.Service) []*Record {
