entry: a stream that stalls goes on elsewhere

An engine that hangs with its connection open held its callers until their deadline. After 10 s without an event (--stall) a stream that can go on is closed and resumed, as a charged retry.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -84,10 +84,10 @@
 func (n *run) failed(p *problem.Problem, before id.Tokens) {
 	n.arrived = true
 	switch {
+	case n.a.output > before:
+		n.call.Fruitless, n.call.Refused = 0, 0
 	case p.Reason == problem.Preempted:
 		n.call.Refused++
-	case n.a.output > before:
-		n.call.Fruitless = 0
 	default:
 		n.call.Fruitless++
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,7 +34,8 @@
 	Address     string   // IP and port at which other processes reach it
 	Seeds       []string // addresses of entries and sidecars, besides the VM list
 	Incarnation id.Incarnation
-	MaxBody     int64 // bytes of a request body
+	MaxBody     int64         // bytes of a request body
+	Stall       time.Duration // without an event, after which a stream goes on elsewhere; zero: none
 	LeaseTTL    time.Duration
 	Usage       usage.Schedule
 	UsageFlush  time.Duration // between two appends of what was counted
--- a/entry/events.go
+++ b/entry/events.go
@@ -36,30 +36,18 @@
 // empty answer leaves no trace.
 func (e *Entry) relayEvents(a *answer, u *upstream.View, rs *http.Response) result {
 	s := &stream{e: e, a: a, u: u, rs: rs, before: a.output}
-	body := &flushingReader{from: rs.Body, a: a}
+	body := &eventReader{from: rs.Body, a: a, patience: e.cfg.Stall}
+	defer body.stop()
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
-			return s.cut(err.Error())
+			return s.cut(body.why(err))
 		}
 		if res := s.event(ev); res != nil {
 			a.flush()
 			return res
 		}
 	}
-	return s.cut("stream ended early")
-}
-
-// flushingReader sends the caller what was written before it waits for more, so
-// that events which came together leave together.
-type flushingReader struct {
-	from io.Reader
-	a    *answer
-}
-
-// Read implements io.Reader.
-func (r *flushingReader) Read(p []byte) (int, error) {
-	r.a.flush()
-	return r.from.Read(p)
+	return s.cut(body.why(io.ErrUnexpectedEOF))
 }
 
 // event passes on one event; it returns a result if the attempt is over.
--- a/entry/events_test.go
+++ b/entry/events_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
@@ -62,11 +63,18 @@
 func feed(e *Entry, a *answer, body io.Reader) result {
 	h := http.Header{"Content-Type": {eventStream}}
 	h.Set(wire.HeaderRequestID, "rq_1")
-	rs := &http.Response{StatusCode: http.StatusOK, Header: h, Body: io.NopCloser(body)}
+	rs := &http.Response{StatusCode: http.StatusOK, Header: h, Body: closer(body)}
 	defer rs.Body.Close()
 	return e.relay(a, &upstream.View{ID: "u"}, rs)
 }
 
+func closer(r io.Reader) io.ReadCloser {
+	if c, ok := r.(io.ReadCloser); ok {
+		return c
+	}
+	return io.NopCloser(r)
+}
+
 // textOf returns the text that a caller makes of a stream.
 func textOf(body string) string {
 	var text strings.Builder
@@ -120,6 +128,20 @@
 	}
 }
 
+// A stream that stalls after its first content is given up, and goes on elsewhere.
+func TestStalledStream(t *testing.T) {
+	e, a, w := testAnswer()
+	e.cfg.Stall = 20 * time.Millisecond
+	from, to := io.Pipe()
+	go func() { _, _ = io.WriteString(to, events(opening(), content("a"))) }()
+	b, ok := feed(e, a, from).(*broken)
+	require.True(t, ok)
+	require.Equal(t, problem.UpstreamCut, b.problem.Reason)
+	require.Contains(t, b.problem.Detail, "no event for 20ms")
+	require.IsType(t, &answered{}, feed(e, a, strings.NewReader(events(content("b"), finish(), usageOf(6, 1), "[DONE]"))))
+	require.Equal(t, "ab", textOf(w.Body.String()))
+}
+
 func TestResumedBody(t *testing.T) {
 	e, a, _ := testAnswer()
 	feed(e, a, strings.NewReader(events(content("a "), content("b "))))
--- a/entry/program.go
+++ b/entry/program.go
@@ -33,6 +33,8 @@
 	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
 	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
 
+	Stall time.Duration `help:"Time without an event after which a stream that can be resumed goes on elsewhere; zero: no bound." default:"10s"`
+
 	LeaseTTL    time.Duration `help:"Time to live of the leases on orders and usage." default:"10s"`
 	UsageWindow time.Duration `help:"Length of a usage window; the same at every entry." default:"1m"`
 	UsageGrace  time.Duration `help:"Time from the end of a usage window to its close." default:"20s"`
@@ -60,6 +62,7 @@
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
+	c.Require(s.Stall >= 0, "stall", s.Stall.String(), "a duration from zero")
 	c.Require(s.LeaseTTL >= time.Second, "lease-ttl", s.LeaseTTL.String(), "a duration from 1s")
 	c.Require(s.UsageWindow >= time.Second && s.UsageWindow%time.Second == 0, "usage-window", s.UsageWindow.String(), "whole seconds")
 	c.Require(s.UsageFlush > 0, "usage-flush", s.UsageFlush.String(), "a duration above zero")
@@ -97,7 +100,7 @@
 	}
 	e := New(Config{
 		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
-		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody,
+		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody, Stall: s.Stall,
 		LeaseTTL: s.LeaseTTL, Usage: usage.Schedule{Length: s.UsageWindow, Grace: s.UsageGrace}, UsageFlush: s.UsageFlush,
 		FleetEvery: s.FleetEvery, Fleet: s.fleet(),
 	}, deps)
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -12,6 +12,7 @@
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/route"
 	"github.com/ragwortpass/ragwortpass/tier"
+	"github.com/ragwortpass/ragwortpass/upstream"
 )
 
 const (
@@ -196,7 +197,7 @@
 	q.e.upstreams.Start(c.Upstream.ID)
 	q.e.count("dispatched_" + reason)
 	q.e.decide(now, t.rq.id, "admit", reason, fmt.Sprintf("tier=%v waited=%v cost=%d queue=%d", w.Tier, now.Sub(w.Arrived), w.Cost, q.waiters.Len()))
-	q.e.decide(now, t.rq.id, "route", "chosen", "upstream="+string(c.Upstream.ID))
+	q.e.decide(now, t.rq.id, "route", "chosen", chosen(c.Upstream))
 	t.outcome <- outcome{upstream: c.Upstream}
 	return true
 }
@@ -215,3 +216,9 @@
 func (e *Entry) choose(now time.Time, ask route.Ask) route.Decision {
 	return route.Choose(now, e.deps.State.Rules(), e.upstreams, ask)
 }
+
+// chosen returns what a choice rested on, for explain.
+func chosen(v *upstream.View) string {
+	l := v.Load
+	return fmt.Sprintf("upstream=%s data_centre=%s state=%s limit=%d running=%d waiting=%d", v.ID, v.DataCentre, l.State, l.Limit, l.Running, l.Waiting)
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -35,7 +35,7 @@
 	Relayed   bool // a part of the answer has reached the caller
 	Resumable bool // the answer can go on from what has reached the caller
 	Fruitless int  // attempts in a row that may have run and delivered nothing
-	Refused   int  // attempts that were refused as not run, or preempted
+	Refused   int  // attempts that were refused as not run or preempted, since one delivered something
 }
 
 // Decision is what to do after a failed attempt: *Again or *Stop.
