--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -57,7 +57,7 @@
 	if l, ok := wire.ParseLoad(rs.Header.Get(wire.HeaderLoad)); ok {
 		e.upstreams.Piggyback(u.ID, l, time.Now())
 	}
-	res := e.relay(a, u, rs)
+	res := refusedLate(u, rs, e.relay(a, u, rs))
 	if b, ok := res.(*broken); ok {
 		return brokenWhile(ctx, u, b)
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -135,7 +135,7 @@
 // end finishes an answer that could not be completed: with a refusal if nothing
 // was relayed, else with an explicit error event. What was relayed is billed.
 func (n *run) end(r *http.Request, p *problem.Problem) {
-	final := *p
+	final := *cause(r.Context(), p)
 	if n.arrived {
 		final.Run = problem.Unknown // of an earlier attempt
 	}
