--- /dev/null
+++ b/ragworttest/preempt_test.go
@@ -0,0 +1,57 @@
+package ragworttest_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/ragworttest"
+	"github.com/ragwortpass/ragwortpass/standin"
+)
+
+// An answer of a lower tier that is preempted goes on, and its caller gets it
+// whole.
+func TestPreemptedAnswerIsWhole(t *testing.T) {
+	f := ragworttest.NewFleet(t)
+	f.Publish(strings.Replace(ragworttest.Rules(t, "hingeworks.rules"), "concurrency=16 initial=2", "concurrency=2 initial=2", 1))
+	key, _ := f.Key("bangkok-forge")
+	cfg := standin.DefaultEngineConfig()
+	cfg.Gap = 100 * time.Millisecond
+	g, url := f.Engine(cfg)
+	g.Warm()
+	side := f.Sidecar("s1", "th-a", url, "--models=temper-70b")
+	e := f.Entry("e1", "th-a")
+	side.Ready(t)
+	e.Ready(t)
+	requireWhole(t, ask(t, e, key, "first", streamed), "first")
+	var wg sync.WaitGroup
+	for i := range 2 {
+		content := fmt.Sprint("foreman ", i)
+		rs := send(t, e, key, content, streamed)
+		wg.Go(func() {
+			defer rs.Body.Close()
+			requireWhole(t, listen(t, rs), content)
+		})
+	}
+	rs := sendAs(t, e, key, "counter", "counter", streamed)
+	requireWhole(t, listen(t, rs), "counter")
+	rs.Body.Close()
+	wg.Wait()
+	require.Positive(t, counter(t, side, "preempted_silver"))
+	require.Positive(t, counter(t, e, "retried_preempted"))
+}
+
+// An engine at a quarter of its speed goes on working.
+func TestSlowEngineGoesOn(t *testing.T) {
+	e, side, g, key := single(t, standin.DefaultEngineConfig())
+	g.Warm()
+	crowd(t, e, key, 12, 2)
+	g.SetFaults(standin.EngineFaults{Slowness: 4})
+	crowd(t, e, key, 12, 1)
+	require.Zero(t, counter(t, side, "upstream_lost"))
+	require.Zero(t, g.Stats().Falls)
+}
--- a/ragworttest/resume_test.go
+++ b/ragworttest/resume_test.go
@@ -37,6 +37,12 @@
 }
 
 func send(t *testing.T, e *ragworttest.Process, key, content, extra string) *http.Response {
+	t.Helper()
+	return sendAs(t, e, key, "", content, extra)
+}
+
+// sendAs asks for a class, unless that is empty.
+func sendAs(t *testing.T, e *ragworttest.Process, key, class, content, extra string) *http.Response {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), ragworttest.Patience)
 	t.Cleanup(cancel)
@@ -44,6 +50,9 @@
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+"/v1/chat/completions", strings.NewReader(body))
 	require.NoError(t, err)
 	rq.Header.Set("Authorization", "Bearer "+key)
+	if class != "" {
+		rq.Header.Set("X-Class", class)
+	}
 	rs, err := http.DefaultClient.Do(rq)
 	require.NoError(t, err)
 	return rs
