entry, retry: a service's own error is its answer

A 500 of a plain service cost four attempts and reached the caller as ours. Only 502, 503 and 504 of a service are tried again. A passed deadline is refused with Retry-After.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -103,7 +103,7 @@
 		n.e.decide(now, rq.id, "retry", "stop", fmt.Sprintf("upstream=%s failure=%s run=%s detail=%q", u.ID, p.Reason, p.Run, p.Detail))
 		final := *p
 		final.Reason, final.RetryAfter = d.Reason, d.RetryAfter
-		if d.RetryAfter > 0 {
+		if d.RetryAfter > 0 && final.Status == http.StatusBadGateway {
 			final.Status = http.StatusServiceUnavailable
 		}
 		return &final
--- a/entry/events_test.go
+++ b/entry/events_test.go
@@ -16,6 +16,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
@@ -55,7 +56,7 @@
 
 func testAnswer() (*Entry, *answer, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
-	rq := &request{id: "rq_1", stream: true, usage: true, chat: true, choices: 1, resumable: true, prompt: 3, body: []byte(testBody)}
+	rq := &request{id: "rq_1", stream: true, usage: true, chat: true, choices: 1, resumable: true, route: &rule.Route{}, prompt: 3, body: []byte(testBody)}
 	return &Entry{deps: Deps{Metrics: metrics.NewRegistry()}}, &answer{w: w, rq: rq}, w
 }
 
@@ -199,3 +200,20 @@
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
 }
+
+func TestFailedStatus(t *testing.T) {
+	model, service := &request{route: &rule.Route{}}, &request{service: "s", route: &rule.Route{}}
+	booking := &request{service: "s", route: &rule.Route{Repeat: rule.RepeatNever}}
+	cases := []struct {
+		rq     *request
+		status int
+		want   bool
+	}{
+		{model, 200, false}, {model, 400, false}, {model, 500, true}, {model, 503, true},
+		{service, 404, false}, {service, 500, false}, {service, 503, true}, {service, 504, true},
+		{booking, 500, false}, {booking, 503, false},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, failed(c.rq, c.status), "%v %d", c.rq.service, c.status)
+	}
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -28,7 +28,7 @@
 	if rs.Header.Get(wire.HeaderRefused) != "" {
 		return sidecarRefusal(u, rs)
 	}
-	if rs.StatusCode >= http.StatusInternalServerError && !a.rq.once() {
+	if failed(a.rq, rs.StatusCode) {
 		return brokenBy(problem.UpstreamFailed, u, rs.Status)
 	}
 	if rid := rs.Header.Get(wire.HeaderRequestID); rid != string(a.rq.id) {
@@ -41,6 +41,19 @@
 	return e.relayPlain(a, u, rs)
 }
 
+// failed reports whether a status says that an upstream did not serve the request.
+// Other errors of a plain service are its answer, as is all that a call gets which
+// must not be repeated.
+func failed(rq *request, status int) bool {
+	switch {
+	case rq.once():
+		return false
+	case rq.service == "":
+		return status >= http.StatusInternalServerError
+	}
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
 func brokenBy(reason problem.Reason, u *upstream.View, detail string) *broken {
 	return &broken{problem.New(reason, problem.Unknown, http.StatusBadGateway, "upstream %s: %s", u.ID, detail)}
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -66,7 +66,10 @@
 	stop := &Stop{Reason: f.Reason}
 	free := f.Run == problem.NotRun || f.Reason == problem.Preempted
 	switch {
-	case f.Reason == problem.CallerGone || f.Reason == problem.DeadlineExceeded || f.Reason == problem.KeyWithdrawn:
+	case f.Reason == problem.CallerGone || f.Reason == problem.KeyWithdrawn:
+		return stop
+	case f.Reason == problem.DeadlineExceeded:
+		stop.RetryAfter = comeBack
 		return stop
 	case c.Relayed && !c.Resumable:
 		return stop
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -34,7 +34,7 @@
 		{"preempted", Call{Relayed: true, Resumable: true}, preempted, &Again{}},
 		{"preempted for good", Call{Relayed: true}, preempted, &Stop{Reason: problem.Preempted}},
 		{"caller gone", Call{}, Failure{problem.CallerGone, problem.Unknown}, &Stop{Reason: problem.CallerGone}},
-		{"too late", Call{}, Failure{problem.DeadlineExceeded, problem.Unknown}, &Stop{Reason: problem.DeadlineExceeded}},
+		{"too late", Call{}, Failure{problem.DeadlineExceeded, problem.Unknown}, &Stop{Reason: problem.DeadlineExceeded, RetryAfter: comeBack}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, NewBudget(t0).Judge(t0, c.call, c.f)) })
