--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/justinas/alice"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/estimate"
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
@@ -26,6 +27,7 @@
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/usage"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
+	"github.com/ragwortpass/ragwortpass/workspace"
 )
 
 // Config is what an entry learns from its settings.
@@ -70,6 +72,8 @@
 	intents   *intents
 	settles   settles
 	queues    *queues
+	limits    *workspace.Limits
+	lengths   *estimate.Lengths
 	budgets   retry.Budgets
 	leaving   atomic.Bool
 	running   atomic.Int64
@@ -91,6 +95,8 @@
 	e.intents = newIntents(deps.Bookings.State)
 	journal.EndWithdrawn(deps.State, e.uses, func(n int) { e.add("ended_key_withdrawn", n) })
 	e.queues = newQueues(e)
+	e.limits = workspace.New(time.Now(), cfg.Incarnation)
+	e.lengths = estimate.New()
 	e.billing = newBilling(e, deps.UsageLog)
 	e.reporting = newReporting(e)
 	e.ordering = newOrdering(e, control)
