--- a/entry/events_test.go
+++ b/entry/events_test.go
@@ -9,12 +9,14 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"github.com/tidwall/gjson"
 
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
@@ -54,7 +56,7 @@
 
 func testAnswer() (*Entry, *answer, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
-	rq := &request{id: "rq_1", stream: true, usage: true, chat: true, choices: 1, resumable: true, prompt: 3, body: []byte(testBody)}
+	rq := &request{id: "rq_1", stream: true, usage: true, chat: true, choices: 1, resumable: true, route: &rule.Route{}, prompt: 3, body: []byte(testBody)}
 	return &Entry{deps: Deps{Metrics: metrics.NewRegistry()}}, &answer{w: w, rq: rq}, w
 }
 
@@ -62,11 +64,18 @@
 func feed(e *Entry, a *answer, body io.Reader) result {
 	h := http.Header{"Content-Type": {eventStream}}
 	h.Set(wire.HeaderRequestID, "rq_1")
-	rs := &http.Response{StatusCode: http.StatusOK, Header: h, Body: io.NopCloser(body)}
+	rs := &http.Response{StatusCode: http.StatusOK, Header: h, Body: closer(body)}
 	defer rs.Body.Close()
 	return e.relay(a, &upstream.View{ID: "u"}, rs)
 }
 
+func closer(r io.Reader) io.ReadCloser {
+	if c, ok := r.(io.ReadCloser); ok {
+		return c
+	}
+	return io.NopCloser(r)
+}
+
 // textOf returns the text that a caller makes of a stream.
 func textOf(body string) string {
 	var text strings.Builder
@@ -120,6 +129,20 @@
 	}
 }
 
+// A stream that stalls after its first content is given up, and goes on elsewhere.
+func TestStalledStream(t *testing.T) {
+	e, a, w := testAnswer()
+	e.cfg.Stall = 20 * time.Millisecond
+	from, to := io.Pipe()
+	go func() { _, _ = io.WriteString(to, events(opening(), content("a"))) }()
+	b, ok := feed(e, a, from).(*broken)
+	require.True(t, ok)
+	require.Equal(t, problem.UpstreamCut, b.problem.Reason)
+	require.Contains(t, b.problem.Detail, "no event for 20ms")
+	require.IsType(t, &answered{}, feed(e, a, strings.NewReader(events(content("b"), finish(), usageOf(6, 1), "[DONE]"))))
+	require.Equal(t, "ab", textOf(w.Body.String()))
+}
+
 func TestResumedBody(t *testing.T) {
 	e, a, _ := testAnswer()
 	feed(e, a, strings.NewReader(events(content("a "), content("b "))))
@@ -177,3 +200,20 @@
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
 }
+
+func TestFailedStatus(t *testing.T) {
+	model, service := &request{route: &rule.Route{}}, &request{service: "s", route: &rule.Route{}}
+	booking := &request{service: "s", route: &rule.Route{Repeat: rule.RepeatNever}}
+	cases := []struct {
+		rq     *request
+		status int
+		want   bool
+	}{
+		{model, 200, false}, {model, 400, false}, {model, 500, true}, {model, 503, true},
+		{service, 404, false}, {service, 500, false}, {service, 503, true}, {service, 504, true},
+		{booking, 500, false}, {booking, 503, false},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, failed(c.rq, c.status), "%v %d", c.rq.service, c.status)
+	}
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -35,7 +35,7 @@
 	Relayed   bool // a part of the answer has reached the caller
 	Resumable bool // the answer can go on from what has reached the caller
 	Fruitless int  // attempts in a row that may have run and delivered nothing
-	Refused   int  // attempts that were refused as not run, or preempted
+	Refused   int  // attempts that were refused as not run or preempted, since one delivered something
 }
 
 // Decision is what to do after a failed attempt: *Again or *Stop.
@@ -66,7 +66,10 @@
 	stop := &Stop{Reason: f.Reason}
 	free := f.Run == problem.NotRun || f.Reason == problem.Preempted
 	switch {
-	case f.Reason == problem.CallerGone || f.Reason == problem.DeadlineExceeded || f.Reason == problem.KeyWithdrawn:
+	case f.Reason == problem.CallerGone || f.Reason == problem.KeyWithdrawn:
+		return stop
+	case f.Reason == problem.DeadlineExceeded:
+		stop.RetryAfter = comeBack
 		return stop
 	case c.Relayed && !c.Resumable:
 		return stop
