fleet, entry: expect what was ordered and do not order it again

Change: upstreams ordered in the last 10 min that have not appeared count as there. 1024 settled orders are kept for that. ragwortctl status prints leases.

--- a/cmd/ragwortctl/commands.go
+++ b/cmd/ragwortctl/commands.go
@@ -226,6 +226,9 @@
 		lines = append(lines, line{Address: a.Address, Status: m})
 		fmt.Fprintf(&b, "%s node=%s role=%s data_centre=%s ready=%t offset=%d rules=%d running=%d waiting=%d\n", a.Address,
 			m.GetNode().GetId(), m.GetNode().GetRole(), m.GetNode().GetDataCentre(), m.GetReady(), m.GetJournalOffset(), m.GetRulesOffset(), m.GetRunning(), m.GetWaiting())
+		for _, l := range m.GetLeases() {
+			fmt.Fprintf(&b, "  lease=%s holder=%s term=%d offset=%d released=%t\n", l.GetDuty(), l.GetHolder(), l.GetTerm(), l.GetOffset(), l.GetReleased())
+		}
 		for _, u := range m.GetUpstreams() {
 			l := u.GetLoad()
 			fmt.Fprintf(&b, "  upstream=%s data_centre=%s state=%s limit=%d running=%d waiting=%d outstanding=%d\n",
--- a/entry/measure.go
+++ b/entry/measure.go
@@ -23,7 +23,8 @@
 	views  []upstream.View
 	vms    []platform.VM
 	orders []fleet.Decided
-	order  time.Duration // the longest order
+	order  time.Duration // from an order's decision to its deadline
+	expect time.Duration // for which an ordered upstream is expected
 }
 
 // trusted reports whether enough of the listed sidecars have answered. A process
@@ -56,6 +57,7 @@
 				m.add(&s, v)
 			}
 		}
+		s.Pending = m.pending(f.Model, f.DataCentre)
 		sites = append(sites, s)
 	}
 	return sites
@@ -69,15 +71,34 @@
 	return u.Concurrency
 }
 
+// pending returns how many upstreams were ordered at a site lately and have not
+// appeared: what the platform is slow to start must not be ordered again.
+func (m *measurement) pending(model id.Model, dc id.DataCentre) int {
+	ordered, oldest := 0, m.now
+	for _, d := range m.orders {
+		decided := d.Deadline().Add(-m.order)
+		if d.CanChange(model, dc) && fleet.Kind(d.Record.GetKind()) == fleet.Start && m.now.Sub(decided) <= m.expect {
+			ordered += int(d.Record.GetCount())
+			if decided.Before(oldest) {
+				oldest = decided
+			}
+		}
+	}
+	for i := range m.views {
+		v := &m.views[i]
+		if v.DataCentre == dc && v.Serves(model) && int64(v.Load.Incarnation) >= oldest.UnixNano() {
+			ordered--
+		}
+	}
+	return max(0, ordered)
+}
+
 // lastOrder returns the deadline of the newest order at a site that can have taken
 // effect; it is on the log, so a successor knows it too.
 func (m *measurement) lastOrder(model id.Model, dc id.DataCentre) time.Time {
 	var last time.Time
 	for _, d := range m.orders {
-		r := d.Record
-		changes := fleet.Kind(r.GetKind()) == fleet.Start || fleet.Kind(r.GetKind()) == fleet.Stop
-		refused := d.Settled != nil && fleet.Outcome(d.Settled.GetOutcome()) == fleet.Refused
-		if changes && !refused && id.Model(r.GetModel()) == model && id.DataCentre(r.GetDataCentre()) == dc && d.Deadline().After(last) {
+		if d.CanChange(model, dc) && d.Deadline().After(last) {
 			last = d.Deadline()
 		}
 	}
--- a/entry/measure_test.go
+++ b/entry/measure_test.go
@@ -35,23 +35,26 @@
 	}
 	order := func(kind fleet.Kind, u, outcome string, ago time.Duration) fleet.Decided {
 		d := fleet.Decided{Record: &ragwortv1.OrderDecided{
-			Kind: string(kind), Model: "m", DataCentre: "a", Upstream: u, DeadlineUnixMs: now.Add(-ago).UnixMilli(),
+			Kind: string(kind), Model: "m", DataCentre: "a", Upstream: u, Count: 1, DeadlineUnixMs: now.Add(-ago).UnixMilli(),
 		}}
 		if outcome != "" {
 			d.Settled = &ragwortv1.OrderSettled{Outcome: outcome}
 		}
 		return d
 	}
+	cold := see("cold", "a", upstream.Cold, 0)
+	cold.Load.Incarnation = id.Incarnation(now.Add(-time.Second).UnixNano())
 	m := &measurement{
-		now: now, rules: rules, order: time.Second,
+		now: now, rules: rules, order: time.Second, expect: time.Minute,
 		views: []upstream.View{
-			see("ready", "a", upstream.Ready, 3), see("cold", "a", upstream.Cold, 0), see("gone", "a", upstream.Gone, 0),
+			see("ready", "a", upstream.Ready, 3), cold, see("gone", "a", upstream.Gone, 0),
 			see("leaving", "a", upstream.Ready, 0), see("drained", "a", upstream.Draining, 2),
 			see("shutting-down", "a", upstream.Draining, 2), see("other", "b", upstream.Draining, 1),
 		},
 		vms: []platform.VM{{ID: "nleaving", Role: roleSidecar, State: platform.VMLeaving}},
 		orders: []fleet.Decided{
-			order(fleet.Start, "", "expired", 30*time.Second), order(fleet.Start, "", "refused", 5*time.Second),
+			order(fleet.Start, "", "done", 2*time.Minute), order(fleet.Start, "", "expired", 30*time.Second),
+			order(fleet.Start, "", "done", 31*time.Second), order(fleet.Start, "", "refused", 5*time.Second),
 			order(fleet.Drain, "drained", "done", 9*time.Second),
 		},
 	}
@@ -60,6 +63,7 @@
 			Model: "m", DataCentre: "a", Min: 1, Max: 4, Slots: 7, LastOrder: now.Add(-30 * time.Second),
 			Upstreams: []fleet.Upstream{{ID: "ready", Busy: 4}, {ID: "cold", Busy: 1, Warming: true}},
 			Drained:   []fleet.Drained{{ID: "drained", Busy: 3, Age: 10 * time.Second}},
+			Pending:   1, // two were ordered in the last minute, and one has started since
 		},
 		{Model: "m", DataCentre: "b", Min: 1, Max: 4, Slots: 7, Closed: true},
 	}, m.sites())
--- a/entry/ordering.go
+++ b/entry/ordering.go
@@ -82,6 +82,7 @@
 	m := &measurement{
 		now: now, rules: o.e.deps.State.Rules(), views: o.e.survey(ctx, vms), vms: vms,
 		orders: o.e.deps.State.Orders.All(), order: 2 * o.duty.cfg.LongestOrder,
+		expect: o.e.cfg.Fleet.Pending,
 	}
 	o.addresses = make(map[id.Upstream]string, len(m.views))
 	for i := range m.views {
--- a/entry/program.go
+++ b/entry/program.go
@@ -78,7 +78,7 @@
 func (s *Settings) fleet() fleet.Config {
 	cfg := fleet.DefaultConfig()
 	cfg.Steady, cfg.Hold, cfg.Settle = s.FleetSteady, s.FleetHold, s.FleetSettle
-	cfg.MaxGap = 3 * s.FleetEvery
+	cfg.MaxGap, cfg.Pending = 3*s.FleetEvery, 10*s.FleetSettle
 	return cfg
 }
 
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -37,8 +38,9 @@
 	Expired Outcome = "expired"
 )
 
-// keepSettled is how many settled orders are kept, for operators.
-const keepSettled = 64
+// keepSettled is how many settled orders are kept: those of the last minutes tell
+// what is still expected to start, the older ones are for operators.
+const keepSettled = 1024
 
 // Decided is an order on the log. Its records are never changed.
 type Decided struct {
@@ -49,6 +51,15 @@
 // Deadline returns the time after which the order is not sent any more.
 func (d Decided) Deadline() time.Time { return time.UnixMilli(d.Record.GetDeadlineUnixMs()) }
 
+// CanChange reports whether the order can have changed how many upstreams a site
+// runs.
+func (d Decided) CanChange(model id.Model, dc id.DataCentre) bool {
+	kind := Kind(d.Record.GetKind())
+	refused := Outcome(d.Settled.GetOutcome()) == Refused
+	return (kind == Start || kind == Stop) && !refused &&
+		id.Model(d.Record.GetModel()) == model && id.DataCentre(d.Record.GetDataCentre()) == dc
+}
+
 // Orders is safe for concurrent use.
 type Orders struct {
 	mu     sync.Mutex
--- a/fleet/orders_test.go
+++ b/fleet/orders_test.go
@@ -50,13 +50,13 @@
 func TestOldestSettledOrdersAreDropped(t *testing.T) {
 	orders := fleet.NewOrders()
 	require.True(t, orders.Decide(&ragwortv1.OrderDecided{Order: "open"}, true))
-	for i := range 100 {
+	for i := range 1100 {
 		name := fmt.Sprint("o", i)
 		require.True(t, orders.Decide(&ragwortv1.OrderDecided{Order: name}, true))
 		require.True(t, orders.Settle(&ragwortv1.OrderSettled{Order: name}, true))
 	}
 	all := orders.All()
-	require.Len(t, all, 65)
+	require.Len(t, all, 1025)
 	require.Equal(t, "open", all[0].Record.GetOrder())
-	require.Equal(t, "o99", all[64].Record.GetOrder())
+	require.Equal(t, "o1099", all[1024].Record.GetOrder())
 }
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -27,6 +27,7 @@
 	Steady      time.Duration // for which upstreams must be missing, in unbroken measurement, before any is started
 	MaxGap      time.Duration // between two measurements; a longer one starts over
 	Settle      time.Duration // after an order at a site, until its effect can be seen
+	Pending     time.Duration // for which an upstream that was ordered and not seen yet is expected
 	MaxStarting int           // upstreams of a model that load weights at once
 	DrainHold   time.Duration // for which a drained upstream takes no work
 }
@@ -36,7 +37,7 @@
 func DefaultConfig() Config {
 	return Config{
 		TargetUse: 0.7, Hold: 10 * time.Minute, Steady: 10 * time.Second, MaxGap: 15 * time.Second,
-		Settle: time.Minute, MaxStarting: 4, DrainHold: DrainHold,
+		Settle: time.Minute, Pending: 10 * time.Minute, MaxStarting: 4, DrainHold: DrainHold,
 	}
 }
 
@@ -66,6 +67,7 @@
 	Slots      int  // requests that one warm upstream runs at once
 	Upstreams  []Upstream
 	Drained    []Drained
+	Pending    int       // upstreams that were ordered and are still expected
 	LastOrder  time.Time // of the newest start or stop here; zero: none
 }
 
@@ -188,7 +190,7 @@
 		if !s.Closed {
 			open++
 		}
-		starting += s.warming()
+		starting += s.warming() + s.Pending
 	}
 	share := peak
 	if open > 1 {
@@ -199,11 +201,12 @@
 	for _, s := range model {
 		want := min(max(share, s.Min), s.Max)
 		have := len(s.Upstreams)
-		missing := p.missing(now, place{s.Model, s.DataCentre}, have < want)
+		short := want - have - s.Pending
+		missing := p.missing(now, place{s.Model, s.DataCentre}, short > 0)
 		switch {
 		case s.Closed || now.Sub(s.LastOrder) < p.cfg.Settle:
-		case have < want:
-			if n := min(want-have, room); n > 0 && missing >= p.cfg.Steady {
+		case short > 0:
+			if n := min(short, room); n > 0 && missing >= p.cfg.Steady {
 				room -= n
 				moves = append(moves, &StartMove{Model: s.Model, DataCentre: s.DataCentre, Count: n})
 			}
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -40,6 +40,8 @@
 	for i := range 3 {
 		warming.Upstreams = append(warming.Upstreams, fleet.Upstream{ID: id.Upstream(fmt.Sprint("w", i)), Warming: true})
 	}
+	pending := site("a", 10)
+	pending.Pending = 1
 	idle := site("a", 0)
 	idle.Drained = []fleet.Drained{{ID: "x", Age: time.Second}}
 	busy := site("a", 0)
@@ -58,6 +60,7 @@
 			&fleet.StartMove{Model: "m", DataCentre: "a", Count: 1}, &fleet.StartMove{Model: "m", DataCentre: "b", Count: 1},
 		}},
 		{"the last order has not settled", short, []fleet.Site{settling}, nil},
+		{"ordered and not seen yet", short, []fleet.Site{pending}, nil},
 		{"taken out by operators", short, []fleet.Site{closed}, nil},
 		{"the weight store is busy", short, []fleet.Site{warming, site("b", 10, 10)}, []fleet.Move{&fleet.StartMove{Model: "m", DataCentre: "a", Count: 1}}},
 		{"lower only for a while", time.Minute, []fleet.Site{site("a", 0, 0)}, nil},
