--- a/route/route.go
+++ b/route/route.go
@@ -106,7 +106,7 @@
 	busy, limit := r.Busy(v), max(1, v.Load.Limit)
 	o.busy += busy
 	o.limit += limit
-	if busy >= limit+QueueAhead {
+	if busy >= v.Load.Limit+QueueAhead {
 		return
 	}
 	x := option{view: v, pressure: float64(busy+1) / float64(limit)}
