--- a/ragworttest/booking_test.go
+++ b/ragworttest/booking_test.go
@@ -353,3 +353,24 @@
 	require.Equal(t, http.StatusCreated, d.final(d.entries[1], "outage").status)
 	d.check()
 }
+
+// TestEntryDiesWhileBooking kills the entry that runs a booking: a repeat waits for
+// the longest run and is then told that the outcome is not known.
+func TestEntryDiesWhileBooking(t *testing.T) {
+	t.Parallel()
+	d := newDesk(t)
+	d.service.SetFaults(standin.ServiceFaults{DelayMS: 1000})
+	first := make(chan reply, 1)
+	go func() { first <- d.book(d.entries[0], "steel") }()
+	ragworttest.Eventually(t, func() bool { return d.service.Runs()["steel"] == 1 }, "the service runs it")
+	d.entries[0].Kill(t)
+	require.Zero(t, (<-first).status)
+	pending := d.book(d.entries[1], "steel")
+	require.Equal(t, problem.BookingPending, pending.reason)
+	require.Equal(t, problem.Unknown, pending.run)
+	require.NotEmpty(t, pending.header.Get("Retry-After"))
+	require.Equal(t, problem.BookingUnknown, d.final(d.entries[1], "steel").reason)
+	d.restart()
+	require.Equal(t, problem.BookingUnknown, d.final(d.entries[0], "steel").reason)
+	d.check()
+}
--- a/ragworttest/key_test.go
+++ b/ragworttest/key_test.go
@@ -65,13 +65,17 @@
 // TestWithdrawnKey withdraws a key while it is in use through an entry that reads the
 // log and through one that is cut off from it.
 func TestWithdrawnKey(t *testing.T) {
-	cuts := map[string]func(p *ragworttest.Proxy){
-		"log in reach": func(*ragworttest.Proxy) {},
-		"cut off":      func(p *ragworttest.Proxy) { p.Cut() },
-		"half open":    func(p *ragworttest.Proxy) { p.HalfOpen("downstream") },
-		"slow":         func(p *ragworttest.Proxy) { p.Slow(10 * time.Second) },
+	cases := map[string]struct {
+		cut func(p *ragworttest.Proxy)
+		out bool // the log goes out once one entry has read the withdrawal
+	}{
+		"log in reach":     {cut: func(*ragworttest.Proxy) {}},
+		"cut off":          {cut: func(p *ragworttest.Proxy) { p.Cut() }},
+		"cut off, log out": {cut: func(p *ragworttest.Proxy) { p.Cut() }, out: true},
+		"half open":        {cut: func(p *ragworttest.Proxy) { p.HalfOpen("downstream") }},
+		"slow":             {cut: func(p *ragworttest.Proxy) { p.Slow(10 * time.Second) }},
 	}
-	for name, cut := range cuts {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := ragworttest.NewFleet(t)
@@ -102,11 +106,17 @@
 				}()
 			}
 			time.Sleep(200 * time.Millisecond) // they wait now
-			cut(proxy)
+			c.cut(proxy)
 			ctx, cancel := context.WithTimeout(t.Context(), ragworttest.Patience)
 			defer cancel()
 			require.NoError(t, f.Operator.WithdrawKey(ctx, time.Now(), kid, "test"))
 			begin := time.Now()
+			if c.out {
+				s, err := f.Operator.State(ctx)
+				require.NoError(t, err)
+				ragworttest.Eventually(t, func() bool { return status(t, entries[0]).GetJournalOffset() >= uint64(s.Offset()) }, "e1 has read it")
+				f.Platform.SetFaults(standin.PlatformFaults{Outage: true})
+			}
 			for _, rs := range streams {
 				event, data := lastEvent(t, rs)
 				require.Equal(t, "error", event, data)
@@ -125,6 +135,7 @@
 			}
 			require.Less(t, time.Since(begin), withdrawnWithin)
 			t.Logf("stopped everywhere %v after the withdrawal was folded", time.Since(begin))
+			f.Platform.SetFaults(standin.PlatformFaults{})
 			other, _ := f.Key("korat-forge")
 			whole(t, entries[0], other)
 		})
