--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,17 +45,18 @@
 
 // Deps is what an entry works with.
 type Deps struct {
-	State       *journal.State
-	Bookings    *journal.Stream
-	Catcher     *journal.Catcher
-	Follower    *journal.Follower
-	Writer      *journal.Writer
-	UsageWriter *journal.Writer // appends usage only
-	Platform    platform.Platform
-	Peers       *http.Client // towards sidecars and other entries
-	Traces      *trace.Log
-	Metrics     metrics.Registry
-	Logger      log.Logger
+	State    *journal.State
+	Bookings *journal.Stream
+	Usage    *journal.Stream // followed only by candidates for its lease; nil: the control stream
+	UsageLog platform.Log    // takes what this entry counts
+	Catcher  *journal.Catcher
+	Follower *journal.Follower
+	Writer   *journal.Writer
+	Platform platform.Platform
+	Peers    *http.Client // towards sidecars and other entries
+	Traces   *trace.Log
+	Metrics  metrics.Registry
+	Logger   log.Logger
 }
 
 // Entry serves callers.
@@ -79,15 +80,19 @@
 
 // New returns an entry; Run keeps its view of the other processes.
 func New(cfg Config, deps Deps) *Entry {
+	control := &journal.Stream{State: deps.State, Follower: deps.Follower, Writer: deps.Writer}
+	if deps.Usage == nil {
+		deps.Usage = control
+	}
 	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
 	e.members = newMembers(e)
 	e.uses = key.NewUses(deps.State.Keys)
 	e.intents = newIntents(deps.Bookings.State)
 	journal.EndWithdrawn(deps.State, e.uses, func(n int) { e.add("ended_key_withdrawn", n) })
 	e.queues = newQueues(e)
-	e.billing = newBilling(e)
+	e.billing = newBilling(e, deps.UsageLog)
 	e.reporting = newReporting(e)
-	e.ordering = newOrdering(e)
+	e.ordering = newOrdering(e, control)
 	return e
 }
 
@@ -97,7 +102,7 @@
 // RunDuties puts use on the log and stands for the leases until ctx is done.
 func (e *Entry) RunDuties(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){e.billing.write, e.billing.run, e.billing.holder.run, e.reporting.duty.run, e.ordering.duty.run} {
+	for _, run := range []func(context.Context){e.billing.run, e.standForUsage, e.ordering.duty.run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
--- a/entry/program.go
+++ b/entry/program.go
@@ -92,17 +92,15 @@
 func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
 	p := platform.New(s.Platform, process.NewOutsideClient())
-	checkpoint := journal.CheckpointConfig{Every: id.Offset(s.CheckpointEvery), Delay: s.CheckpointDelay}
-	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(now.UnixNano()), stream)) }
-	control := journal.NewStream(journal.StreamConfig{Writer: id.New(s.Node, now), Checkpoint: checkpoint}, p, random(0), logger, counts)
-	state, follower, writer := control.State, control.Follower, control.Writer
-	usageWriter := journal.NewWriter(p, state, id.New(s.Node+"-usage", now), logger, counts)
-	bookings := journal.NewStream(journal.StreamConfig{Writer: id.New(s.Node, now), Checkpoint: checkpoint},
-		p.Stream(platform.StreamBookings), random(1), logger, metrics.NewPrefixedChildRegistry(counts, "bookings_"))
+	open := s.streams(now, logger, counts)
+	control := open(p, 0, "")
+	bookings := open(p.Stream(platform.StreamBookings), 1, "bookings_")
+	usageStream := open(p.Stream(platform.StreamUsage), 2, "usage_")
 	peers := process.NewPeerClient()
 	deps := Deps{
-		Bookings: bookings, Catcher: journal.NewCatcher(state, peers, logger, counts),
-		State: state, Follower: follower, Writer: writer, UsageWriter: usageWriter, Platform: p, Peers: peers,
+		State: control.State, Follower: control.Follower, Writer: control.Writer, Bookings: bookings,
+		Usage: usageStream, UsageLog: p.Stream(platform.StreamUsage),
+		Catcher: journal.NewCatcher(control.State, peers, logger, counts), Platform: p, Peers: peers,
 		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
 	}
 	e := New(Config{
@@ -122,5 +120,18 @@
 	}
 }
 
+// streams returns what opens a stream of the log, given its place in the order of
+// streams and the prefix of its metrics.
+func (s *Settings) streams(now time.Time, logger log.Logger, counts metrics.Registry) func(platform.Log, uint64, string) *journal.Stream {
+	cfg := journal.StreamConfig{
+		Writer:     id.New(s.Node, now),
+		Checkpoint: journal.CheckpointConfig{Every: id.Offset(s.CheckpointEvery), Delay: s.CheckpointDelay},
+	}
+	return func(l platform.Log, place uint64, prefix string) *journal.Stream {
+		random := rand.New(rand.NewPCG(uint64(now.UnixNano()), place))
+		return journal.NewStream(cfg, l, random, logger, metrics.NewPrefixedChildRegistry(counts, prefix))
+	}
+}
+
 // Run serves until ctx is done and every running request has finished.
 func (p *Program) Run(ctx context.Context) error { return process.Serve(ctx, p.Service) }
--- a/sidecar/queue.go
+++ b/sidecar/queue.go
@@ -91,7 +91,7 @@
 
 // grant gives free slots to the first waiters. The caller holds the lock.
 func (s *slots) grant(now time.Time) {
-	for len(s.waiting) > 0 && s.limiter.AcquireAt(now) {
+	for len(s.waiting) > 0 && s.limiter.Acquire() {
 		t := s.waiting[0]
 		s.waiting = slices.Delete(s.waiting, 0, 1)
 		t.begun = now
