--- a/tier/decision.go
+++ b/tier/decision.go
@@ -61,15 +61,23 @@
 func (ForFloor) turn()      {}
 func (ForStarvation) turn() {}
 
+// The reason codes of turns.
+const (
+	ReasonIdle       = "idle"
+	ReasonInTurn     = "in_turn"
+	ReasonFloor      = "below_floor"
+	ReasonStarvation = "starving"
+)
+
 // Of returns a turn's waiter, nil if it is Idle, and its reason code.
 func Of(t Turn) (w *Waiter, reason string) {
 	switch t := t.(type) {
 	case InTurn:
-		return t.Waiter, "in_turn"
+		return t.Waiter, ReasonInTurn
 	case ForFloor:
-		return t.Waiter, "below_floor"
+		return t.Waiter, ReasonFloor
 	case ForStarvation:
-		return t.Waiter, "starving"
+		return t.Waiter, ReasonStarvation
 	}
-	return nil, "idle"
+	return nil, ReasonIdle
 }
