sidecar: wait for the moment to preempt if it is near

A request with a target was sent back after 200 ms like any other and came again, so whether it was there at its last moment was chance. It now waits on if that is less than a second off.

--- a/sidecar/queue.go
+++ b/sidecar/queue.go
@@ -21,7 +21,8 @@
 
 const (
 	slotWait   = 200 * time.Millisecond
-	maxWaiting = 8 // for a slot
+	saveWait   = time.Second // to wait longer for the moment to preempt
+	maxWaiting = 8           // for a slot
 )
 
 // errPreempted is the cause with which a running request's context ends.
@@ -151,7 +152,7 @@
 	defer s.waiting.Add(-1)
 	now := time.Now()
 	t := s.slots.enter(now, e)
-	p, done := s.await(ctx, t, s.saveBy(now, e))
+	p, done := s.await(ctx, t, now, s.saveBy(now, e))
 	if !done {
 		p = s.giveUp(ctx, t)
 	}
@@ -187,17 +188,19 @@
 }
 
 // await waits for the outcome of t. Done is false if there is none within
-// slotWait or before the caller leaves. At saveBy, unless that is zero, t may
-// preempt a lower tier.
-func (s *Sidecar) await(ctx context.Context, t *slot, saveBy time.Time) (p *problem.Problem, done bool) {
-	end := time.NewTimer(slotWait)
-	defer end.Stop()
+// slotWait or before the caller leaves. If saveBy is near, t waits on until then,
+// when it may preempt a lower tier.
+func (s *Sidecar) await(ctx context.Context, t *slot, now, saveBy time.Time) (p *problem.Problem, done bool) {
+	wait := slotWait
 	var save <-chan time.Time
-	if !saveBy.IsZero() {
-		timer := time.NewTimer(time.Until(saveBy))
+	if left := saveBy.Sub(now); !saveBy.IsZero() && left <= saveWait {
+		timer := time.NewTimer(left)
 		defer timer.Stop()
 		save = timer.C
+		wait += left
 	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
 	for {
 		select {
 		case p := <-t.outcome:
