--- a/entry/admit.go
+++ b/entry/admit.go
@@ -19,13 +19,6 @@
 
 const retryAfter = time.Second // the least advice
 
-// The higher its tier, the more requests ahead of a request an upstream may have:
-// its sidecar gives slots to the highest tier first.
-const (
-	highest = tier.Platinum
-	lowest  = tier.Tier(tier.Count - 1)
-)
-
 // ticket is one request in a queue. Its outcome is sent once.
 type ticket struct {
 	waiter  tier.Waiter
@@ -69,7 +62,6 @@
 		Request: rq.id, Workspace: rq.workspace(), Class: rq.class.Name, Tier: rq.class.Tier, Floor: rq.class.Floor,
 		Cost: rq.cost(), Arrived: rq.arrived, StartBy: rq.startBy, Again: rq.admitted, Owner: t,
 	}
-	t.ask.Ahead = int(lowest - rq.class.Tier)
 	if ws := e.deps.State.Rules().Workspaces[rq.workspace()]; ws != nil {
 		t.waiter.Share = ws.Share
 	}
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -178,8 +178,7 @@
 }
 
 // dispatch gives the waiter an upstream; it reports false if none has room. A
-// waiter whose key was withdrawn meanwhile is refused. One that goes ahead of
-// higher tiers needs no more room than these do: else it would hold them up.
+// waiter whose key was withdrawn meanwhile is refused.
 func (q *queue) dispatch(now time.Time, w *tier.Waiter, reason string) bool {
 	t := w.Owner.(*ticket)
 	if _, err := q.e.deps.State.Keys.Find(t.rq.key.ID); err != nil {
@@ -189,11 +188,7 @@
 		t.outcome <- outcome{problem: p}
 		return true
 	}
-	ask := t.ask
-	if reason != tier.ReasonInTurn {
-		ask.Ahead = int(lowest - highest)
-	}
-	c, ok := q.e.choose(now, ask).(route.Chosen)
+	c, ok := q.e.choose(now, t.ask).(route.Chosen)
 	if !ok {
 		return false
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -39,7 +39,6 @@
 	// number that differs from call to call.
 	Prefix uint64
 	Avoid  []id.Upstream // used only if no other has room
-	Ahead  int           // requests beyond QueueAhead that an upstream may be sent
 }
 
 // Decision is the outcome of a choice: Chosen, *Full or *None.
@@ -107,7 +106,7 @@
 	busy, limit := r.Busy(v), max(1, v.Load.Limit)
 	o.busy += busy
 	o.limit += limit
-	if busy >= v.Load.Limit+QueueAhead+ask.Ahead {
+	if busy >= v.Load.Limit+QueueAhead {
 		return
 	}
 	x := option{view: v, pressure: float64(busy+1) / float64(limit)}
--- a/tier/decision.go
+++ b/tier/decision.go
@@ -61,23 +61,15 @@
 func (ForFloor) turn()      {}
 func (ForStarvation) turn() {}
 
-// The reason codes of turns.
-const (
-	ReasonIdle       = "idle"
-	ReasonInTurn     = "in_turn"
-	ReasonFloor      = "below_floor"
-	ReasonStarvation = "starving"
-)
-
 // Of returns a turn's waiter, nil if it is Idle, and its reason code.
 func Of(t Turn) (w *Waiter, reason string) {
 	switch t := t.(type) {
 	case InTurn:
-		return t.Waiter, ReasonInTurn
+		return t.Waiter, "in_turn"
 	case ForFloor:
-		return t.Waiter, ReasonFloor
+		return t.Waiter, "below_floor"
 	case ForStarvation:
-		return t.Waiter, ReasonStarvation
+		return t.Waiter, "starving"
 	}
-	return nil, ReasonIdle
+	return nil, "idle"
 }
