tier: break ties of expiry by place

TestLikeNaive found two waiters of one tier that expire at the same time: the heap gave either first, the naive version the older. The order is now defined. go test ./tier -run TestLikeNaive -rapid.checks=3000 passes.

--- a/tier/line.go
+++ b/tier/line.go
@@ -60,11 +60,19 @@
 	w.older, w.newer = nil, nil
 }
 
-// expiries is a heap.Interface with the earliest StartBy first.
+// expiries is a heap.Interface with the earliest StartBy first, and the older of two
+// that are equal.
 type expiries []*Waiter
 
-func (h expiries) Len() int           { return len(h) }
-func (h expiries) Less(i, j int) bool { return h[i].StartBy.Before(h[j].StartBy) }
+func (h expiries) Len() int { return len(h) }
+
+func (h expiries) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if !a.StartBy.Equal(b.StartBy) {
+		return a.StartBy.Before(b.StartBy)
+	}
+	return a.before(b)
+}
 
 func (h expiries) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
