--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/ragwortpass/ragwortpass/estimate"
 	"github.com/ragwortpass/ragwortpass/id"
+	_ "github.com/ragwortpass/ragwortpass/ragworttest/fixedseed"
 )
 
 // TestExpect observes answers of one length and asks for an estimate.
--- a/fleet/orders_test.go
+++ b/fleet/orders_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/ragwortpass/ragwortpass/fleet"
+	_ "github.com/ragwortpass/ragwortpass/ragworttest/fixedseed"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
--- a/lease/history_test.go
+++ b/lease/history_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/lease"
+	_ "github.com/ragwortpass/ragwortpass/ragworttest/fixedseed"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/ragwortpass/ragwortpass/problem"
+	_ "github.com/ragwortpass/ragwortpass/ragworttest/fixedseed"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
--- a/tier/queue_test.go
+++ b/tier/queue_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/problem"
+	_ "github.com/ragwortpass/ragwortpass/ragworttest/fixedseed"
 	"github.com/ragwortpass/ragwortpass/tier"
 )
 
--- a/upstream/limiter_test.go
+++ b/upstream/limiter_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/ragwortpass/ragwortpass/ragworttest/fixedseed"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
--- a/workspace/limits_test.go
+++ b/workspace/limits_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	_ "github.com/ragwortpass/ragwortpass/ragworttest/fixedseed"
 	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/workspace"
 )
