--- a/sidecar/queue_test.go
+++ b/sidecar/queue_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -141,9 +142,14 @@
 // without end until it is cancelled.
 func newTestSidecar(t *testing.T) (s *Sidecar, cancelled <-chan struct{}) {
 	state := journal.NewState()
-	payload, err := proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{{Writer: "test", Sequence: 1, Body: &ragwortv1.Record_RulesPublished{
-		RulesPublished: &ragwortv1.RulesPublished{Text: strings.ReplaceAll(ragworttest.Rules(t, "hingeworks.rules"), "concurrency=16", "concurrency=1")},
-	}}}})
+	payload, err := proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{
+		{Writer: "test", Sequence: 1, Body: &ragwortv1.Record_RulesPublished{
+			RulesPublished: &ragwortv1.RulesPublished{Text: strings.ReplaceAll(ragworttest.Rules(t, "hingeworks.rules"), "concurrency=16", "concurrency=1")},
+		}},
+		{Writer: "test", Sequence: 2, Body: &ragwortv1.Record_KeyGiven{
+			KeyGiven: &ragwortv1.KeyGiven{Key: "k1", Workspace: "bangkok-forge", Digest: make([]byte, sha256.Size)},
+		}},
+	}})
 	require.NoError(t, err)
 	state.Fold(1, payload)
 	gone := make(chan struct{}, 10)
@@ -166,7 +172,7 @@
 
 func call(t *testing.T, e wire.Envelope, whole bool) *http.Request {
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/chat/completions", nil)
-	e.Attempt = 1
+	e.Attempt, e.Key, e.Workspace = 1, "k1", "bangkok-forge"
 	e.Set(r.Header)
 	if whole {
 		r.Header.Set("X-Whole", "true")
