--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -69,11 +69,15 @@
 }
 
 const (
-	tracesKept   = 100_000 // more than a load sends
-	warmup       = 8 * time.Second
-	usageWindows = 3 * time.Second // left for usage reports after the load
+	tracesKept = 100_000 // more than a load sends
+	warmup     = 8 * time.Second
+	usageWait  = 15 * time.Second // for the last usage reports
 )
 
+// shortWindows are settings of entries by which leases change hands and usage is
+// reported within a load.
+var shortWindows = []string{"--lease-ttl=3s", "--usage-window=2s", "--usage-grace=2s", "--usage-flush=500ms"}
+
 // Run runs an experiment and returns its report. An error means that it could not
 // be run, not that a promise was broken.
 func (e *Experiment) Run(ctx context.Context, o Options) (*Report, error) {
@@ -135,7 +139,7 @@
 	var err error
 	t.Fleet, err = StartFleet(ctx, FleetConfig{
 		Deployment: t.Deployment, Policy: t.Policy, Engines: t.Deployment.Engines - t.Experiment.Reserve, Warm: true, Log: t.Log,
-		Traces: tracesKept,
+		Traces: tracesKept, EntryArgs: shortWindows,
 	})
 	if err != nil {
 		return err
@@ -154,7 +158,11 @@
 	if err := <-steps; err != nil {
 		return err
 	}
-	time.Sleep(usageWindows)
+	if t.Policy == PolicyRagwortpass {
+		wait, cancel := context.WithTimeout(ctx, usageWait)
+		defer cancel()
+		AwaitUsage(wait, t.Fleet.Platform.ReportsSeen, t.Results)
+	}
 	t.report(time.Since(begin))
 	return ctx.Err()
 }
@@ -231,6 +239,9 @@
 	}
 	if u := t.Report.Usage; u != nil {
 		checks = append(checks, none("windows_reported_differently", u.Differing))
+		if len(t.killed) == 0 {
+			checks = append(checks, none("usage_tokens_off", int(u.Off)))
+		}
 	}
 	return checks
 }
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -45,6 +45,7 @@
 	Engines    int // zero: the deployment's
 	Entries    int // zero: two
 	Warm       bool
+	EntryArgs  []string  // settings of entries, besides the usual ones
 	Traces     int       // requests that a node remembers; zero: as in service
 	Log        io.Writer // of the nodes; nil: none
 }
@@ -63,6 +64,7 @@
 	naive           *naive
 	logger          log.Logger
 	traces          int
+	entryArgs       []string
 	names           atomic.Int64
 
 	mu        sync.Mutex
@@ -76,7 +78,7 @@
 func StartFleet(ctx context.Context, c FleetConfig) (*Fleet, error) {
 	f := &Fleet{
 		Deployment: c.Deployment, Policy: c.Policy, Platform: standin.NewPlatform(),
-		Keys: make(Keys), KeyIDs: make(map[id.Workspace]id.Key), traces: c.Traces, logger: log.NewNopLogger(),
+		Keys: make(Keys), KeyIDs: make(map[id.Workspace]id.Key), traces: c.Traces, entryArgs: c.EntryArgs, logger: log.NewNopLogger(),
 	}
 	if c.Log != nil {
 		f.logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(c.Log)), "ts", log.DefaultTimestampUTC)
--- a/bench/remote.go
+++ b/bench/remote.go
@@ -33,6 +33,8 @@
 	Engines  []string // URLs of stand-in engines; empty: no figures of engines
 	Services []string // URLs of stand-in services
 	Platform string   // URL of the stand-in platform; empty: no figures of usage
+
+	UsageWait time.Duration // for the last usage reports
 }
 
 // ReadKeys reads a file with a workspace and its key on each line.
@@ -146,6 +148,12 @@
 		r.Engines.UpstreamSeconds = float64(len(m.Engines)) * length.Seconds()
 	}
 	if m.Platform != "" {
+		wait, cancel := context.WithTimeout(ctx, m.UsageWait)
+		defer cancel()
+		AwaitUsage(wait, func() []standin.ReportSeen {
+			seen, _ := ask[[]standin.ReportSeen](ctx, m.Platform+"/admin/reports")
+			return seen
+		}, results)
 		seen, err := ask[[]standin.ReportSeen](ctx, m.Platform+"/admin/reports")
 		if err != nil {
 			return err
--- a/bench/table.go
+++ b/bench/table.go
@@ -51,8 +51,8 @@
 		_, _ = fmt.Fprintf(out, "false not_run: %d; doubled bookings: %d\n", e.FalseNotRun, e.DoubledBookings)
 	}
 	if u := r.Usage; u != nil {
-		_, _ = fmt.Fprintf(out, "usage: %d reports of %d windows, %d differing; %d tokens reported, %d delivered\n",
-			u.Reports, u.Windows, u.Differing, u.Reported, u.Delivered)
+		_, _ = fmt.Fprintf(out, "usage: %d reports of %d windows, %d differing; %d tokens reported, %d delivered, off by %d over workspaces\n",
+			u.Reports, u.Windows, u.Differing, u.Reported, u.Delivered, u.Off)
 	}
 	if len(r.Total.Reasons) > 0 {
 		_, _ = fmt.Fprintf(out, "refusal reasons: %v\n", r.Total.Reasons)
--- a/cmd/bench/load.go
+++ b/cmd/bench/load.go
@@ -23,6 +23,7 @@
 	Engines    []string      `help:"URLs of the stand-in engines, for wasted tokens."`
 	Services   []string      `help:"URLs of the stand-in services, for doubled bookings."`
 	Platform   string        `help:"URL of the stand-in platform, for usage reports."`
+	UsageWait  time.Duration `help:"Longest wait for the last usage reports." default:"15s"`
 	Out        string        `help:"Folder for report.json and the plot; none if empty."`
 }
 
@@ -38,7 +39,7 @@
 	}
 	ctx, stop := process.Signals()
 	defer stop()
-	remote := bench.Remote{Entries: c.Entries, Engines: c.Engines, Services: c.Services, Platform: c.Platform}
+	remote := bench.Remote{Entries: c.Entries, Engines: c.Engines, Services: c.Services, Platform: c.Platform, UsageWait: c.UsageWait}
 	plan := &bench.Plan{Deployment: d, Seed: c.Seed, Factor: c.Factor, Warmup: c.Warmup, Length: c.Duration}
 	r, err := remote.Run(ctx, plan, keys, &bench.Load{Progress: os.Stderr})
 	if err != nil {
--- a/demo.sh
+++ b/demo.sh
@@ -75,7 +75,8 @@
 seeds=$(IFS=,; echo "${sidecars[*]},${entries[*]}")
 for i in 0 1; do
 	start "entry-$i" bin/ragwort-entry --node="entry-$i" --data-centre="${centres[i]}" \
-		--listen="${entries[i]}" --seeds="$seeds"
+		--listen="${entries[i]}" --seeds="$seeds" \
+		--lease-ttl=4s --usage-window=4s --usage-grace=3s --usage-flush=1s
 	[ "$i" -eq 1 ] && leaving_entry=$last
 done
 bin/ragwort-bench wait "${sidecars[@]}" "${entries[@]}"
