--- a/bench/account.go
+++ b/bench/account.go
@@ -3,6 +3,7 @@
 // This file defines Account, which sums results to a Report.
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -88,6 +89,8 @@
 	Falls           int64   `json:"falls"`
 	FalseNotRun     int     `json:"false_not_run"` // refused with not_run although an upstream ran it
 	DoubledBookings int     `json:"doubled_bookings"`
+
+	FalseRefusals []string `json:"false_refusals,omitempty"` // the first ones
 }
 
 // Bin is one second of the load: calls of a class that were sent in it.
@@ -312,6 +315,10 @@
 		}
 		if x.Outcome == RefusedNotRun && (ran[x.Request] > 0 || bookings[x.Booking] > 0) {
 			e.FalseNotRun++
+			if len(e.FalseRefusals) < maxNotes {
+				e.FalseRefusals = append(e.FalseRefusals, fmt.Sprintf("false not_run request=%s reason=%s booking=%q tries=%d tokens=%d: %s",
+					x.Request, x.Reason, x.Booking, x.Tries, ran[x.Request], x.Detail))
+			}
 		}
 	}
 	e.Wasted = e.Generated - delivered
--- a/bench/caller.go
+++ b/bench/caller.go
@@ -49,11 +49,12 @@
 	defer cancel()
 	sent := time.Now()
 	r := c.try(ctx, a)
-	for n := 1; n < bookingTries && keyed(a) && (r.Outcome == RefusedUnknown || r.Outcome == Lost); n++ {
+	n := 1
+	for ; n < bookingTries && keyed(a) && (r.Outcome == RefusedUnknown || r.Outcome == Lost); n++ {
 		time.Sleep(bookingPause)
 		r = c.try(ctx, a)
 	}
-	r.Sent = sent
+	r.Sent, r.Tries = sent, n
 	return r
 }
 
--- a/bench/outcome.go
+++ b/bench/outcome.go
@@ -32,6 +32,7 @@
 	Arrival *Arrival
 	Request id.Request // as the answer names it; empty: no answer
 	Booking string     // reference of a booking
+	Tries   int        // calls made for it; more than one only for a booking with a key
 	Outcome Outcome
 	Reason  problem.Reason // of a refusal or an error event
 	Detail  string         // of a wrong or lost answer
--- a/bench/table.go
+++ b/bench/table.go
@@ -57,6 +57,11 @@
 	if len(r.Total.Reasons) > 0 {
 		_, _ = fmt.Fprintf(out, "refusal reasons: %v\n", r.Total.Reasons)
 	}
+	if r.Engines != nil {
+		for _, n := range r.Engines.FalseRefusals {
+			_, _ = fmt.Fprintln(out, n)
+		}
+	}
 	for _, n := range r.Notes {
 		_, _ = fmt.Fprintln(out, n)
 	}
