--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,7 +37,8 @@
 	Address     string   // IP and port at which other processes reach it
 	Seeds       []string // addresses of entries and sidecars, besides the VM list
 	Incarnation id.Incarnation
-	MaxBody     int64 // bytes of a request body
+	MaxBody     int64         // bytes of a request body
+	Stall       time.Duration // without an event, after which a stream goes on elsewhere; zero: none
 	LeaseTTL    time.Duration
 	Usage       usage.Schedule
 	UsageFlush  time.Duration // between two appends of what was counted
@@ -56,6 +57,7 @@
 	Writer   *journal.Writer
 	Platform platform.Platform
 	Peers    *http.Client // towards sidecars and other entries
+	Control  *http.Client // towards the same, for heartbeats
 	Traces   *trace.Log
 	Metrics  metrics.Registry
 	Logger   log.Logger
