upstream: a new upstream's limit grows by half a round until it is lowered

Cause: the limit grew by one a round from 2, so that 18 engines of errata stayed underused for 20 s and calls waited at six tenths of the capacity. Ruled out: routing (all 18 engines were in use).

--- a/upstream/limiter.go
+++ b/upstream/limiter.go
@@ -28,8 +28,11 @@
 
 // Limiter is a concurrency limit.
 //
-// It grows by one for each full round of answers, as long as they are within
-// their targets and tokens come about as fast as they did under little load. The
+// It grows by half in each full round of answers until it is lowered for the first
+// time, and by one in each round from then on, as long as answers are within
+// their targets and tokens come about as fast as they did under little load. As it
+// stops at growBelow times what the upstream bears, a round takes it to twice that
+// at most. The
 // second condition does not depend on the class, so that a loose target hides no
 // trouble. Tokens that come much slower than that show an upstream that turned
 // cold: the limit falls to its initial value at once. A failed or late answer
@@ -43,6 +46,7 @@
 	plain   gauge     // a byte of an answer that was not streamed, in seconds
 	slow    int       // samples in a row that showed a cold upstream
 	lowered time.Time // last time the limit was lowered
+	probed  bool      // it has been lowered since the incarnation began
 }
 
 const (
@@ -50,6 +54,7 @@
 	ease       = 0.9 // for answers whose tokens came too late
 	lateFactor = 2   // an answer this many times its target lowers the limit
 
+	growEach   = 0.5 // for each answer, until the limit is lowered for the first time
 	growBelow  = 1.3 // times the baseline
 	coldAbove  = 2.0
 	coldPlain  = 3.0 // answers that were not streamed vary more
@@ -81,6 +86,7 @@
 	defer l.mu.Unlock()
 	l.gaps, l.plain = gauge{}, gauge{}
 	l.fall(now)
+	l.probed = false
 }
 
 // Acquire takes a slot if one is free.
@@ -120,10 +126,18 @@
 	case tooSlow:
 		l.lower(e, ease)
 	case full && l.gaps.ratio() <= growBelow && l.plain.ratio() <= growBelow:
-		l.limit = min(float64(l.limits.Max), l.limit+1/l.limit)
+		l.limit = min(float64(l.limits.Max), l.limit+l.step())
 	}
 }
 
+// step returns what one answer adds to the limit.
+func (l *Limiter) step() float64 {
+	if l.probed {
+		return 1 / l.limit
+	}
+	return growEach
+}
+
 // lower multiplies the limit, unless it was lowered while the answer ran: what
 // the answer shows may have been mended by that.
 func (l *Limiter) lower(e Evidence, factor float64) {
@@ -132,6 +146,7 @@
 	}
 	l.limit = max(1, l.limit*factor)
 	l.lowered = e.Ended
+	l.probed = true
 }
 
 // judge falls to the initial limit when a gauge shows an upstream that turned cold.
@@ -150,6 +165,7 @@
 	l.limit = float64(l.limits.Initial)
 	l.lowered = now
 	l.slow = 0
+	l.probed = true
 }
 
 // idle reports whether the upstream has little to do.
--- a/upstream/limiter_test.go
+++ b/upstream/limiter_test.go
@@ -179,6 +179,7 @@
 
 func (n *naiveLimiter) limit() int {
 	limit, lowered, slow := float64(n.limits.Initial), time.Time{}, 0
+	quick := true
 	for i, s := range n.steps {
 		ratio := n.ratio(n.steps[:i+1])
 		if s.end == nil {
@@ -187,13 +188,15 @@
 				slow = 0
 			}
 			if slow >= slowInARow && limit > float64(n.limits.Initial) {
-				limit, lowered, slow = float64(n.limits.Initial), s.now, 0
+				limit, lowered, slow, quick = float64(n.limits.Initial), s.now, 0, false
 			}
 			continue
 		}
 		switch bad := s.end.Failed || s.end.FirstToken > 2*s.end.Target; {
 		case bad && !s.end.Started.Before(lowered):
-			limit, lowered = max(1, limit/2), s.now
+			limit, lowered, quick = max(1, limit/2), s.now, false
+		case !bad && s.running >= int(limit) && ratio <= growBelow && quick:
+			limit = min(float64(n.limits.Max), limit+0.5)
 		case !bad && s.running >= int(limit) && ratio <= growBelow:
 			limit = min(float64(n.limits.Max), limit+1/limit)
 		}
