entry: a repeat of a booking is not limited

Change: a call that is known under its key is not charged, and gets what became of it. Shown by TestRepeatsAreNotLimited, which fails before with workspace_limit (not_run) and passes after.

--- a/entry/book.go
+++ b/entry/book.go
@@ -41,6 +41,25 @@
 	digest booking.Digest
 }
 
+// bookedBefore reports whether rq repeats a call that is known. A repeat is told what
+// became of the call whatever its workspace has spent: a refusal that says not_run
+// would be false of the call.
+func (e *Entry) bookedBefore(rq *request, key string) bool {
+	if !rq.once() || key == "" {
+		return false
+	}
+	_, free := booking.Judge(e.deps.Bookings.State.Bookings.Find(bookingName(rq, key)), rq.id, bookingDigest(rq)).(*booking.Free)
+	return !free
+}
+
+func bookingName(rq *request, key string) booking.Name {
+	return booking.Name{Workspace: rq.workspace(), Key: key}
+}
+
+func bookingDigest(rq *request) booking.Digest {
+	return booking.DigestOf(rq.method, string(rq.service)+rq.uri, rq.body)
+}
+
 // book serves a request that carries an idempotency key.
 func (e *Entry) book(w http.ResponseWriter, r *http.Request, rq *request, key string) {
 	if len(key) > booking.MaxKeyBytes {
@@ -50,10 +69,7 @@
 	// The run goes on when its caller leaves, so that a repeat learns its outcome.
 	ctx, done := e.uses.Start(context.WithoutCancel(r.Context()), rq.key.ID)
 	defer done()
-	b := &booked{
-		e: e, rq: rq, name: booking.Name{Workspace: rq.workspace(), Key: key},
-		digest: booking.DigestOf(rq.method, string(rq.service)+rq.uri, rq.body),
-	}
+	b := &booked{e: e, rq: rq, name: bookingName(rq, key), digest: bookingDigest(rq)}
 	if p := b.serve(ctx, w, r.WithContext(ctx)); p != nil {
 		e.refuse(w, r, p)
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,7 +12,8 @@
 // service serves /services/{route}/...
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
 	rq, p := e.readService(time.Now(), r)
-	if p == nil {
+	key := r.Header.Get(IdempotencyHeader)
+	if p == nil && !e.bookedBefore(rq, key) {
 		p = e.limit(time.Now(), rq)
 	}
 	if p != nil {
@@ -22,7 +23,7 @@
 	defer e.settle(rq)
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	if key := r.Header.Get(IdempotencyHeader); rq.once() && key != "" {
+	if rq.once() && key != "" {
 		e.book(w, r, rq, key)
 		return
 	}
--- a/ragworttest/booking_test.go
+++ b/ragworttest/booking_test.go
@@ -374,3 +374,22 @@
 	require.Equal(t, problem.BookingUnknown, d.final(d.entries[0], "steel").reason)
 	d.check()
 }
+
+// TestRepeatsAreNotLimited repeats a booking beyond what its workspace may send.
+func TestRepeatsAreNotLimited(t *testing.T) {
+	t.Parallel()
+	d := newDesk(t)
+	d.Publish(strings.Replace(ragworttest.Rules(t, "hingeworks.rules"), "share=4 requests=200", "share=4 burst=1s requests=1", 1))
+	e := d.entries[0]
+	first := d.final(e, "steel")
+	require.Equal(t, http.StatusCreated, first.status)
+	var limited reply
+	ragworttest.Eventually(t, func() bool {
+		limited = d.send(e, http.MethodGet, "/services/order-desk/stock/bars", "", "")
+		return limited.reason == problem.WorkspaceLimit
+	}, "the workspace has spent its limit")
+	for range 5 {
+		require.Equal(t, first.body, d.book(e, "steel").body)
+	}
+	d.check()
+}
