--- a/entry/classify.go
+++ b/entry/classify.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/problem"
@@ -24,6 +26,7 @@
 	arrived  time.Time
 	deadline time.Time // for the whole answer; zero: none
 	startBy  time.Time // refused if it has not been dispatched by then
+	admitted bool      // has been in a queue before
 
 	method string
 	uri    string // towards the upstream
@@ -31,11 +34,17 @@
 	body   []byte
 
 	// Of model calls.
-	model  id.Model
-	stream bool
-	usage  bool // the caller asked for a usage event
-	chat   bool
-	prompt id.Tokens // estimated from the length of the text
+	model     id.Model
+	stream    bool
+	usage     bool // the caller asked for a usage event
+	chat      bool
+	prompt    id.Tokens // estimated from the length of the text
+	expected  id.Tokens // output tokens, estimated from earlier answers
+	delivered id.Tokens // output tokens
+
+	prefix    uint64 // hash of the start of the prompt
+	choices   int    // answers asked for in one
+	resumable bool   // a cut answer can go on from its text
 
 	// Of plain services.
 	service id.Service
@@ -72,7 +81,7 @@
 	}
 	c := rules.Classes[name]
 	rq := &request{
-		id: requestID(r.Context()), key: k, route: t, class: c, arrived: now,
+		id: requestID(r.Context()), key: k, route: t, class: c, arrived: now, prefix: xxhash.Sum64String(string(requestID(r.Context()))),
 		startBy: now.Add(c.Wait), method: r.Method, header: r.Header,
 	}
 	if c.Deadline > 0 {
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
 
@@ -17,16 +18,22 @@
 	"github.com/ragwortpass/ragwortpass/problem"
 )
 
-// bytesPerToken estimates a prompt's tokens from its length.
-const bytesPerToken = 4
+const (
+	bytesPerToken = 4   // estimates a prompt's tokens from its length
+	prefixBytes   = 256 // of a prompt, that decide where its cache is
+)
 
 // completions serves chat and text completions.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
 	rq, p := e.readCompletion(time.Now(), r)
+	if p == nil {
+		p = e.limit(time.Now(), rq)
+	}
 	if p != nil {
 		e.refuse(w, r, p)
 		return
 	}
+	defer e.settle(rq)
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	e.dispatch(w, r, rq)
@@ -58,11 +65,14 @@
 	if e.deps.State.Rules().Models[rq.model] == nil {
 		return nil, problem.New(problem.ModelUnknown, problem.NotRun, http.StatusNotFound, "no model %q", rq.model)
 	}
-	if n := gjson.GetBytes(body, "max_tokens"); n.Exists() && (n.Type != gjson.Number || n.Num < 1) {
-		return nil, badRequest("max_tokens: expected a whole number above zero")
+	if p := checkTokenLimits(body); p != nil {
+		return nil, p
 	}
 	rq.stream = gjson.GetBytes(body, "stream").Bool()
 	rq.usage = gjson.GetBytes(body, "stream_options.include_usage").Bool()
+	rq.prefix = promptPrefix(rq, body)
+	rq.choices = max(1, int(gjson.GetBytes(body, "n").Int()))
+	rq.resumable = rq.chat && rq.stream && canResume(body)
 	rq.prompt = id.Tokens(len(body) / bytesPerToken)
 	rq.body, p = engineBody(rq, body)
 	return rq, p
@@ -98,6 +108,28 @@
 	return nil
 }
 
+func checkTokenLimits(body []byte) *problem.Problem {
+	for _, name := range tokenLimits {
+		if n := gjson.GetBytes(body, name); n.Exists() && n.Type != gjson.Null && (n.Type != gjson.Number || n.Num < 1) {
+			return badRequest(name + ": expected a whole number above zero")
+		}
+	}
+	return nil
+}
+
+// promptPrefix returns a hash of the start of the prompt, by which requests find
+// the engine that has it in its cache.
+func promptPrefix(rq *request, body []byte) uint64 {
+	prompt := gjson.GetBytes(body, "prompt").Raw
+	if rq.chat {
+		prompt = gjson.GetBytes(body, "messages").Raw
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(string(rq.model))
+	_, _ = h.WriteString(prompt[:min(len(prompt), prefixBytes)])
+	return h.Sum64()
+}
+
 // engineBody returns the body for the engine: with its priority, and with a usage
 // event, from which the answer is billed.
 func engineBody(rq *request, body []byte) ([]byte, *problem.Problem) {
--- a/entry/program.go
+++ b/entry/program.go
@@ -6,17 +6,20 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/trace"
+	"github.com/ragwortpass/ragwortpass/usage"
 )
 
 // Settings are the flags and environment variables of the program.
@@ -30,6 +33,20 @@
 	MaxBody    int64         `help:"Most bytes of a request body." default:"8388608"`
 	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
 	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
+
+	Stall time.Duration `help:"Time without an event after which a stream that can be resumed goes on elsewhere; zero: no bound." default:"10s"`
+
+	LeaseTTL    time.Duration `help:"Time to live of the leases on orders and usage." default:"10s"`
+	UsageWindow time.Duration `help:"Length of a usage window; the same at every entry." default:"1m"`
+	UsageGrace  time.Duration `help:"Time from the end of a usage window to its close." default:"20s"`
+	UsageFlush  time.Duration `help:"Time between two appends of counted use." default:"5s"`
+	FleetEvery  time.Duration `help:"Time between two measurements of the fleet." default:"5s"`
+	FleetSteady time.Duration `help:"Time for which upstreams must be missing before any is started." default:"10s"`
+	FleetHold   time.Duration `help:"Time for which the need must be lower before upstreams are stopped." default:"10m"`
+	FleetSettle time.Duration `help:"Time until the effect of an order can be seen." default:"1m"`
+
+	CheckpointEvery uint64        `help:"Appends to a stream of the log after which a checkpoint is due; 0: never." default:"10000"`
+	CheckpointDelay time.Duration `help:"Longest random delay before a checkpoint that is due." default:"10s"`
 }
 
 // Check implements setting.Checked.
@@ -48,10 +65,26 @@
 	}
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
+	c.Require(s.CheckpointDelay >= 0, "checkpoint-delay", s.CheckpointDelay.String(), "a duration from zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
+	c.Require(s.Stall >= 0, "stall", s.Stall.String(), "a duration from zero")
+	c.Require(s.LeaseTTL >= time.Second, "lease-ttl", s.LeaseTTL.String(), "a duration from 1s")
+	c.Require(s.UsageWindow >= time.Second && s.UsageWindow%time.Second == 0, "usage-window", s.UsageWindow.String(), "whole seconds")
+	c.Require(s.UsageFlush > 0, "usage-flush", s.UsageFlush.String(), "a duration above zero")
+	c.Require(s.UsageGrace > s.UsageFlush, "usage-grace", s.UsageGrace.String(), "more than usage-flush")
+	c.Require(s.FleetEvery > 0, "fleet-every", s.FleetEvery.String(), "a duration above zero")
+	c.Require(s.FleetHold >= s.FleetSteady, "fleet-hold", s.FleetHold.String(), "at least fleet-steady")
 	return c.Err()
 }
 
+// fleet returns how the fleet is planned.
+func (s *Settings) fleet() fleet.Config {
+	cfg := fleet.DefaultConfig()
+	cfg.Steady, cfg.Hold, cfg.Settle = s.FleetSteady, s.FleetHold, s.FleetSettle
+	cfg.MaxGap, cfg.Pending = 3*s.FleetEvery, 10*s.FleetSettle
+	return cfg
+}
+
 // Program is an entry with its log reader, its log writer and its server.
 type Program struct {
 	Deps    Deps
@@ -62,26 +95,46 @@
 func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
 	p := platform.New(s.Platform, process.NewOutsideClient())
-	state := journal.NewState()
-	follower := journal.NewFollower(p, state, logger, counts)
-	writer := journal.NewWriter(p, state, id.New(s.Node, now), logger, counts)
+	open := s.streams(now, logger, counts)
+	control := open(p, 0, "")
+	bookings := open(p.Stream(platform.StreamBookings), 1, "bookings_")
+	usageStream := open(p.Stream(platform.StreamUsage), 2, "usage_")
+	peers := process.NewPeerClient()
 	deps := Deps{
-		State: state, Follower: follower, Writer: writer, Platform: p, Peers: process.NewPeerClient(),
+		State: control.State, Follower: control.Follower, Writer: control.Writer, Bookings: bookings,
+		Usage: usageStream, UsageLog: p.Stream(platform.StreamUsage),
+		Catcher: journal.NewCatcher(control.State, peers, logger, counts), Platform: p, Peers: peers, Control: process.NewControlClient(),
 		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
 	}
 	e := New(Config{
 		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
-		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody,
+		Seeds: s.Seeds, Incarnation: id.Incarnation(now.UnixNano()), MaxBody: s.MaxBody, Stall: s.Stall,
+		LeaseTTL: s.LeaseTTL, Usage: usage.Schedule{Length: s.UsageWindow, Grace: s.UsageGrace}, UsageFlush: s.UsageFlush,
+		FleetEvery: s.FleetEvery, Fleet: s.fleet(),
 	}, deps)
 	return &Program{
 		Deps: deps,
 		Service: process.Service{
 			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: counts, Logger: logger,
 			Leave: e.Leave, Linger: s.Linger,
-			Tasks: []func(context.Context){follower.Run, writer.Run, e.Run},
+			Finish: e.Finish,
+			Tasks:  []func(context.Context){control.Run, bookings.Run, e.Run, e.RunDuties},
 		},
 	}
 }
 
+// streams returns what opens a stream of the log, given its place in the order of
+// streams and the prefix of its metrics.
+func (s *Settings) streams(now time.Time, logger log.Logger, counts metrics.Registry) func(platform.Log, uint64, string) *journal.Stream {
+	cfg := journal.StreamConfig{
+		Writer:     id.New(s.Node, now),
+		Checkpoint: journal.CheckpointConfig{Every: id.Offset(s.CheckpointEvery), Delay: s.CheckpointDelay},
+	}
+	return func(l platform.Log, place uint64, prefix string) *journal.Stream {
+		random := rand.New(rand.NewPCG(uint64(now.UnixNano()), place))
+		return journal.NewStream(cfg, l, random, logger, metrics.NewPrefixedChildRegistry(counts, prefix))
+	}
+}
+
 // Run serves until ctx is done and every running request has finished.
 func (p *Program) Run(ctx context.Context) error { return process.Serve(ctx, p.Service) }
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,12 +12,21 @@
 // service serves /services/{route}/...
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
 	rq, p := e.readService(time.Now(), r)
+	key := r.Header.Get(IdempotencyHeader)
+	if p == nil && !e.bookedBefore(rq, key) {
+		p = e.limit(time.Now(), rq)
+	}
 	if p != nil {
 		e.refuse(w, r, p)
 		return
 	}
+	defer e.settle(rq)
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	if rq.once() && key != "" {
+		e.book(w, r, rq, key)
+		return
+	}
 	e.dispatch(w, r, rq)
 }
 
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -6,23 +6,15 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"net"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
 
-const (
-	slotPoll    = 5 * time.Millisecond
-	slotWait    = 200 * time.Millisecond
-	relayBuffer = 32 << 10
-)
-
 type envelopeKey struct{}
 
 // vet refuses a request whose envelope is bad, whose key is withdrawn or which
@@ -35,23 +27,25 @@
 			s.refuse(w, e, problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "%v", err))
 			return
 		}
-		if p := s.judge(e); p != nil {
+		if p := s.judge(); p != nil {
+			s.refuse(w, e, p)
+			return
+		}
+		ctx, done, p := s.use(r.Context(), e)
+		if p != nil {
 			s.refuse(w, e, p)
 			return
 		}
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), envelopeKey{}, e)))
+		defer done()
+		next.ServeHTTP(w, r.WithContext(context.WithValue(ctx, envelopeKey{}, e)))
 	})
 }
 
 // judge returns the reason to refuse a request before it runs, or nil.
-func (s *Sidecar) judge(e wire.Envelope) *problem.Problem {
-	if s.leaving.Load() || s.deps.State.Rules().Drained(s.cfg.DataCentre) {
+func (s *Sidecar) judge() *problem.Problem {
+	if s.state() == upstream.Draining {
 		return problem.New(problem.UpstreamDraining, problem.NotRun, http.StatusServiceUnavailable, "upstream %s takes no new work", s.cfg.Upstream)
 	}
-	var withdrawn *key.WithdrawnError
-	if _, err := s.deps.State.Keys.Find(e.Key); errors.As(err, &withdrawn) {
-		return problem.New(problem.KeyWithdrawn, problem.NotRun, http.StatusUnauthorized, "%v", err)
-	}
 	if st := s.state(); !st.TakesWork() {
 		return problem.New(problem.NotReady, problem.NotRun, http.StatusServiceUnavailable, "upstream %s is %s", s.cfg.Upstream, st)
 	}
@@ -61,7 +55,7 @@
 // refuse answers with a problem and the load.
 func (s *Sidecar) refuse(w http.ResponseWriter, e wire.Envelope, p *problem.Problem) {
 	s.count("sidecar_refused_" + string(p.Reason))
-	s.deps.Traces.Add(time.Now(), e.Request, "sidecar", string(p.Reason), p.Detail)
+	s.deps.Traces.Add(time.Now(), e.Request, "sidecar", string(p.Reason), s.inputs()+" "+p.Detail)
 	p.Request = string(e.Request)
 	w.Header().Set(wire.HeaderLoad, s.load().String())
 	w.Header().Set(wire.HeaderRefused, string(p.Reason))
@@ -71,54 +65,55 @@
 // run waits for a slot, sends the request to the upstream and relays the answer.
 func (s *Sidecar) run(w http.ResponseWriter, r *http.Request) {
 	e := r.Context().Value(envelopeKey{}).(wire.Envelope)
-	if !s.acquire(r.Context()) {
-		s.refuse(w, e, problem.New(problem.UpstreamBusy, problem.NotRun, http.StatusServiceUnavailable, "upstream %s has no free slot", s.cfg.Upstream))
+	ctx, t, p := s.acquire(r.Context(), e)
+	if p != nil {
+		s.refuse(w, e, cause(r.Context(), p))
 		return
 	}
-	evidence := upstream.Evidence{}
-	defer func() { s.limiter.Release(evidence) }()
-	if c := s.deps.State.Rules().Classes[e.Class]; c != nil {
-		evidence.Target = c.TTFT
-	}
-	start := time.Now()
-	s.deps.Traces.Add(start, e.Request, "sidecar", "run", "attempt="+strconv.Itoa(e.Attempt))
+	r = r.WithContext(ctx)
+	x := s.begin(time.Now(), e, t)
+	defer x.end()
 	rs, err := s.send(r, e)
 	if err != nil {
-		evidence.Failed = r.Context().Err() == nil
-		s.refuse(w, e, problem.New(problem.UpstreamFailed, problem.Unknown, http.StatusBadGateway, "upstream %s: %v", s.cfg.Upstream, err))
+		x.evidence.Failed = r.Context().Err() == nil
+		s.refuse(w, e, s.sendFailure(err))
 		return
 	}
 	defer rs.Body.Close()
+	if s.cfg.Service == "" && rs.StatusCode == http.StatusServiceUnavailable {
+		x.evidence.Failed = true
+		s.lost(rs.Status)
+		s.refuse(w, e, problem.New(problem.UpstreamFailed, problem.Unknown, http.StatusBadGateway, "upstream %s: %s", s.cfg.Upstream, rs.Status))
+		return
+	}
 	wire.DropInternal(rs.Header)
 	copyHeaders(w.Header(), rs.Header)
 	w.Header().Set(wire.HeaderLoad, s.load().String())
 	w.WriteHeader(rs.StatusCode)
-	evidence.FirstToken, err = relay(w, rs.Body, start)
-	evidence.Failed = err != nil && r.Context().Err() == nil
-	if err != nil {
+	if err := x.relay(w, rs); err != nil {
+		if preempted(ctx) && x.whole {
+			endPreempted(w)
+			return
+		}
+		x.evidence.Failed = r.Context().Err() == nil
 		s.count("sidecar_answer_cut")
+		if s.endedByWithdrawal(r.Context(), w) {
+			return
+		}
 		panic(http.ErrAbortHandler) // the entry must not take a cut answer for a whole one
 	}
 }
 
-// acquire waits a short while for a slot.
-func (s *Sidecar) acquire(ctx context.Context) bool {
-	s.waiting.Add(1)
-	defer s.waiting.Add(-1)
-	tick := time.NewTicker(slotPoll)
-	defer tick.Stop()
-	end := time.NewTimer(slotWait)
-	defer end.Stop()
-	for !s.limiter.Acquire() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-end.C:
-			return false
-		case <-tick.C:
-		}
+// sendFailure judges a request that got no response. A failed dial means that no
+// byte can have arrived, and that the upstream is gone.
+func (s *Sidecar) sendFailure(err error) *problem.Problem {
+	run := problem.Unknown
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		run = problem.NotRun
+		s.lost(err.Error())
 	}
-	return true
+	return problem.New(problem.UpstreamFailed, run, http.StatusBadGateway, "upstream %s: %v", s.cfg.Upstream, err)
 }
 
 // send passes the request on without the router's own headers.
@@ -131,32 +126,10 @@
 	copyHeaders(rq.Header, r.Header)
 	wire.DropInternal(rq.Header)
 	rq.Header.Set(wire.HeaderRequestID, string(e.Request))
-	return s.deps.Client.Do(rq)
-}
-
-// relay copies the body, flushing as it goes, and returns the time to its first byte.
-func relay(w http.ResponseWriter, body io.Reader, start time.Time) (time.Duration, error) {
-	first := time.Duration(0)
-	flush := http.NewResponseController(w)
-	buf := make([]byte, relayBuffer)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			if first == 0 {
-				first = time.Since(start)
-			}
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return first, werr
-			}
-			_ = flush.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return first, nil
-		}
-		if err != nil {
-			return first, err
-		}
+	if e.Once {
+		return s.deps.Once.Do(rq)
 	}
+	return s.deps.Client.Do(rq)
 }
 
 // connectionHeaders concern one connection only and are not passed on.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,7 +4,6 @@
 package sidecar
 
 import (
-	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
@@ -22,8 +22,6 @@
 )
 
 const (
-	probeEvery = 500 * time.Millisecond
-
 	defaultInitial = 2
 	defaultMax     = 16
 )
@@ -43,7 +41,9 @@
 // Deps is what a sidecar works with.
 type Deps struct {
 	State   *journal.State
+	Catcher *journal.Catcher
 	Client  *http.Client // towards the upstream
+	Once    *http.Client // towards the upstream, for calls that must not be repeated
 	Traces  *trace.Log
 	Metrics metrics.Registry
 	Logger  log.Logger
@@ -54,15 +54,27 @@
 	cfg     Config
 	deps    Deps
 	limiter *upstream.Limiter
+	slots   *slots
 	life    *upstream.Lifecycle
+	uses    *key.Uses
 	leaving atomic.Bool
 	waiting atomic.Int64
+	orders  *orders
+
+	firstTokens atomic.Int64 // mean time to the first token, in nanoseconds
+
+	incarnation atomic.Uint64 // of the upstream
+	missed      int           // probes in a row without an answer; used by Run alone
 }
 
 // New returns a sidecar; Run watches its upstream.
 func New(cfg Config, deps Deps) *Sidecar {
-	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle()}
+	s := &Sidecar{cfg: cfg, deps: deps, life: upstream.NewLifecycle(), uses: key.NewUses(deps.State.Keys)}
+	s.incarnation.Store(uint64(cfg.Incarnation))
+	s.endWithdrawn()
 	s.limiter = upstream.NewLimiter(s.limits())
+	s.slots = newSlots(s.limiter, cfg.Upstream)
+	s.orders = &orders{s: s}
 	return s
 }
 
@@ -87,16 +99,14 @@
 func (s *Sidecar) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(ragwortv1connect.NewNodeServiceHandler(&node{s: s}))
+	mux.Handle(ragwortv1connect.NewOrderServiceHandler(s.orders))
 	mux.Handle("/", alice.New(s.vet).ThenFunc(s.run))
 	return mux
 }
 
 // Ready returns nil if the upstream takes work.
 func (s *Sidecar) Ready() error {
-	if s.leaving.Load() {
-		return &StateError{State: upstream.Draining}
-	}
-	if st := s.life.State(); !st.TakesWork() {
+	if st := s.state(); !st.TakesWork() {
 		return &StateError{State: st}
 	}
 	return nil
@@ -113,47 +123,11 @@
 	s.life.Apply(upstream.Drain)
 }
 
-// Run probes the upstream and follows the rules until ctx is done.
-func (s *Sidecar) Run(ctx context.Context) {
-	tick := time.NewTicker(probeEvery)
-	defer tick.Stop()
-	for {
-		s.probe(ctx)
-		s.limiter.SetLimits(s.limits())
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
-// probe asks the upstream whether it is healthy.
-func (s *Sidecar) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, probeEvery)
-	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, s.cfg.UpstreamURL+"/health", nil)
-	if err != nil {
-		return
-	}
-	rs, err := s.deps.Client.Do(rq)
-	if err != nil {
-		s.life.Apply(upstream.Lost)
-		return
-	}
-	_ = rs.Body.Close()
-	if rs.StatusCode != http.StatusOK {
-		return
-	}
-	s.life.Apply(upstream.Answered)
-	s.life.Apply(upstream.Loaded)
-}
-
 // load returns what the sidecar tells of its upstream.
 func (s *Sidecar) load() wire.Load {
 	limit, running := s.limiter.Limit()
 	return wire.Load{
-		Incarnation: s.cfg.Incarnation,
+		Incarnation: id.Incarnation(s.incarnation.Load()),
 		State:       string(s.state()),
 		Limit:       limit,
 		Running:     running,
@@ -162,13 +136,24 @@
 	}
 }
 
+// state returns the upstream's state. A drain counts from the moment the rules
+// say so, before the lifecycle has followed.
 func (s *Sidecar) state() upstream.State {
-	if s.leaving.Load() {
+	st := s.life.State()
+	if st != upstream.Gone && s.closed(time.Now()) {
 		return upstream.Draining
 	}
-	return s.life.State()
+	return st
 }
 
-func (s *Sidecar) count(name string) {
-	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(1)
+// closed reports whether the sidecar leaves, or its data centre or its upstream is
+// taken out of service.
+func (s *Sidecar) closed(now time.Time) bool {
+	return s.leaving.Load() || s.deps.State.Rules().Drained(s.cfg.DataCentre) || s.orders.draining(now)
+}
+
+func (s *Sidecar) count(name string) { s.add(name, 1) }
+
+func (s *Sidecar) add(name string, n int) {
+	metrics.GetOrRegisterCounter(name, s.deps.Metrics).Inc(int64(n))
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/platform"
 )
 
 // EngineConfig is what an engine is like.
@@ -59,6 +60,21 @@
 	cache   []uint64      // prefixes, least recently used first
 
 	seen EngineStats
+	term id.Term // highest fencing number seen
+	runs []Run
+}
+
+// maxRuns bounds the runs that an engine remembers.
+const maxRuns = 200_000
+
+// Run is one answer that an engine worked on.
+type Run struct {
+	Request  id.Request `json:"request_id"`
+	Began    time.Time  `json:"began"`
+	Ended    time.Time  `json:"ended"`
+	Priority int        `json:"priority"`
+	Tokens   int        `json:"tokens"` // generated
+	Whole    bool       `json:"whole"`  // not cut, and not left by its caller
 }
 
 // EngineStats counts what an engine did.
@@ -66,6 +82,7 @@
 	Requests  int64 `json:"requests"`
 	Tokens    int64 `json:"tokens"`
 	Cancelled int64 `json:"cancelled"`
+	Orders    int64 `json:"orders"` // taken
 	Falls     int64 `json:"falls"`
 	MaxBatch  int   `json:"max_batch"`
 }
@@ -85,7 +102,9 @@
 			http.Error(w, "restarting", http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("POST /v1/orders", g.order)
 	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) { encode(w, g.Stats()) })
+	mux.HandleFunc("GET /admin/runs", func(w http.ResponseWriter, _ *http.Request) { encode(w, g.Runs()) })
 	mux.HandleFunc("POST /admin/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f EngineFaults
 		if decode(w, r, &f) {
@@ -97,6 +116,24 @@
 	return mux
 }
 
+// order takes an order, unless the engine checks fencing numbers and has seen a
+// higher one.
+func (g *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if !decode(w, r, &o) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cfg.Fencing && o.Fencing < g.term {
+		http.Error(w, "stale fencing number", http.StatusConflict)
+		return
+	}
+	g.term = max(g.term, o.Fencing)
+	g.seen.Orders++
+	encode(w, struct{}{})
+}
+
 // SetFaults replaces the faults in force.
 func (g *Engine) SetFaults(f EngineFaults) {
 	g.mu.Lock()
@@ -147,6 +184,25 @@
 	return g.seen
 }
 
+// Runs returns every answer that has ended, in the order of their ends.
+func (g *Engine) Runs() []Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Run{}, g.runs...)
+}
+
+// note remembers a run.
+func (g *Engine) note(r Run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !r.Whole {
+		g.seen.Cancelled++
+	}
+	if len(g.runs) < maxRuns {
+		g.runs = append(g.runs, r)
+	}
+}
+
 // bears returns how many answers the engine runs well. The caller holds the lock.
 func (g *Engine) bears() float64 {
 	return float64(g.cfg.ColdBatch) + float64(g.cfg.Batch-g.cfg.ColdBatch)*g.warmth
