--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -90,15 +90,18 @@
 	case *ast.SelectorExpr:
 		called = f.Sel.Name
 	}
-	if called != "count" && !strings.HasPrefix(called, "GetOrRegister") || len(c.Args) == 0 {
+	if called != "count" && called != "add" && !strings.HasPrefix(called, "GetOrRegister") || len(c.Args) == 0 {
 		return ""
 	}
-	if sum, ok := c.Args[0].(*ast.BinaryExpr); ok {
-		if prefix := literal(sum.X); prefix != "" {
-			return prefix + "<"
-		}
+	first, whole := c.Args[0], true
+	for sum, ok := first.(*ast.BinaryExpr); ok; sum, ok = first.(*ast.BinaryExpr) {
+		first, whole = sum.X, false
+	}
+	name := literal(first)
+	if name == "" || whole {
+		return name
 	}
-	return literal(c.Args[0])
+	return name + "<"
 }
 
 func literal(e ast.Expr) string {
