workspace: revert the rest that lower tiers leave

Cause: an entry opens a workspace's account with a small part, and as the part grows the bucket's size grows but not what is in it; a rest of a quarter of the new size then refuses the first calls at that entry. Ruled out: the limits of the examples, which are as before. The rest needs a bucket that keeps its level when it grows.

--- a/entry/limit.go
+++ b/entry/limit.go
@@ -28,7 +28,7 @@
 	if rule == nil {
 		return nil // classify has refused it
 	}
-	d, limited := e.limits.Charge(now, rule, rq.class.Tier, rq.expected).(workspace.Limited)
+	d, limited := e.limits.Charge(now, rule, rq.expected).(workspace.Limited)
 	if !limited {
 		return nil
 	}
--- a/workspace/limits.go
+++ b/workspace/limits.go
@@ -17,7 +17,6 @@
 package workspace
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -26,7 +25,6 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/rule"
-	"github.com/ragwortpass/ragwortpass/tier"
 )
 
 const (
@@ -35,11 +33,6 @@
 	evenPart     = 0.1 // of a limit, split evenly among the entries
 )
 
-// rest is the part of a burst that a tier leaves to higher tiers of its workspace,
-// so that a workspace that spends its limit on low tiers is still served in high
-// ones.
-var rest = [tier.Count]float64{tier.Platinum: 0, tier.Gold: 0.1, tier.Silver: 0.25, tier.Bronze: 0.5}
-
 // Decision is the outcome of a charge: Allowed or Limited.
 type Decision interface{ decision() }
 
@@ -92,8 +85,8 @@
 	return &l.shards[xxhash.Sum64String(string(ws))%shardCount]
 }
 
-// Charge spends one request of a tier and its expected tokens.
-func (l *Limits) Charge(now time.Time, r *rule.Workspace, t tier.Tier, expected id.Tokens) Decision {
+// Charge spends one request and its expected tokens.
+func (l *Limits) Charge(now time.Time, r *rule.Workspace, expected id.Tokens) Decision {
 	if r.Requests <= 0 && r.Tokens <= 0 {
 		return Allowed{}
 	}
@@ -106,7 +99,7 @@
 	}
 	a.demand.add(float64(max(1, expected)))
 	a.follow(now, r)
-	return a.charge(now, r, rest[t], float64(expected))
+	return a.charge(now, r, float64(expected))
 }
 
 // open adds an account. The caller holds the lock of s, which is released in
@@ -167,19 +160,18 @@
 	return max(1, int(limit*span.Seconds()))
 }
 
-// charge spends from both limiters or from none, and leaves a rest, given as a part
-// of a burst. A request that is expected to cost more than a burst is let in on a
-// full bucket and leaves a debt.
-func (a *account) charge(now time.Time, r *rule.Workspace, rest, expected float64) Decision {
-	if need := with(1, rest, a.requests); r.Requests > 0 && a.requests.TokensAt(now) < need {
-		return a.limited(now, a.requests, "requests", need)
+// charge spends from both limiters or from none. A request that is expected to
+// cost more than a burst is let in on a full bucket and leaves a debt.
+func (a *account) charge(now time.Time, r *rule.Workspace, expected float64) Decision {
+	if r.Requests > 0 && a.requests.TokensAt(now) < 1 {
+		return a.limited(now, a.requests, "requests", 1)
 	}
 	if r.Tokens > 0 {
 		a.pay(now)
 		if a.debt >= 1 {
 			return a.limited(now, a.tokens, "tokens", a.debt)
 		}
-		need := with(expected+a.debt, rest, a.tokens)
+		need := min(expected+a.debt, float64(a.tokens.Burst()))
 		if need >= 1 && a.tokens.TokensAt(now) < need {
 			return a.limited(now, a.tokens, "tokens", need)
 		}
@@ -192,13 +184,6 @@
 	return Allowed{}
 }
 
-// with returns what a limiter must hold for a cost to be spent and a rest to stay;
-// a full one always suffices.
-func with(cost, rest float64, l *rate.Limiter) float64 {
-	burst := float64(l.Burst())
-	return min(cost+math.Floor(rest*burst), burst)
-}
-
 // pay lets the limiter pay as much of the debt as it can.
 func (a *account) pay(now time.Time) {
 	n := int(min(a.debt, a.tokens.TokensAt(now)))
