--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -19,7 +19,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/operator"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -268,8 +268,8 @@
 
 // Leave lets a node finish, after the platform has said that it is leaving.
 func (f *Fleet) Leave(n *Node) {
-	f.Platform.SetVM(time.Now(), platform.VM{
-		ID: n.Name, Role: n.Role, DataCentre: n.DataCentre, Address: n.Address, State: platform.VMLeaving,
+	f.Platform.SetVM(time.Now(), hosting.VM{
+		ID: n.Name, Role: n.Role, DataCentre: n.DataCentre, Address: n.Address, State: hosting.VMLeaving,
 	})
 	n.Stop()
 	f.Platform.RemoveVM(time.Now(), n.Name)
--- a/bench/node.go
+++ b/bench/node.go
@@ -17,8 +17,8 @@
 
 	"github.com/ragwortpass/ragwortpass/entry"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/sidecar"
@@ -42,7 +42,7 @@
 	DataCentre id.DataCentre
 	Address    string
 	Upstream   *Upstream      // of a sidecar
-	State      *journal.State // nil for the naive policy
+	State      *logbook.State // nil for the naive policy
 	Traces     *trace.Log     // nil for the naive policy
 	Metrics    metrics.Registry
 
@@ -244,7 +244,7 @@
 	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
 	f.mu.Unlock()
-	f.Platform.SetVM(time.Now(), platform.VM{
-		ID: n.Name, Role: n.Role, DataCentre: n.DataCentre, Address: n.Address, State: platform.VMLive,
+	f.Platform.SetVM(time.Now(), hosting.VM{
+		ID: n.Name, Role: n.Role, DataCentre: n.DataCentre, Address: n.Address, State: hosting.VMLive,
 	})
 }
--- a/bench/slope_state.go
+++ b/bench/slope_state.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
@@ -79,7 +79,7 @@
 		c.LogBytes += len(p)
 	}
 	before := heap()
-	s := journal.NewState()
+	s := logbook.NewState()
 	for i, p := range payloads {
 		s.Fold(id.Offset(i+1), slices.Clone(p))
 	}
@@ -123,7 +123,7 @@
 		}
 		payloads = append(payloads, p)
 	}
-	s := journal.NewState()
+	s := logbook.NewState()
 	start := time.Now()
 	for i, p := range payloads {
 		s.Fold(id.Offset(i+1), p)
--- a/entry/billing.go
+++ b/entry/billing.go
@@ -24,7 +24,7 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/usage"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
@@ -43,7 +43,7 @@
 // billing has one flusher at a time.
 type billing struct {
 	e       *Entry
-	log     platform.Log
+	log     hosting.Log
 	writer  string
 	meter   usage.Meter
 	stop    chan struct{} // closed when run is to end
@@ -55,7 +55,7 @@
 	queue []*ragwortv1.Record // not known to be on the log, in the order of each writer's sequences
 }
 
-func newBilling(e *Entry, l platform.Log) *billing {
+func newBilling(e *Entry, l hosting.Log) *billing {
 	return &billing{
 		e: e, log: l, writer: fmt.Sprintf("%s-usage-%d", e.cfg.Node, e.cfg.Incarnation),
 		stop: make(chan struct{}), stopped: make(chan struct{}),
--- a/entry/book.go
+++ b/entry/book.go
@@ -11,7 +11,7 @@
 
 	"github.com/ragwortpass/ragwortpass/booking"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
@@ -122,14 +122,14 @@
 			Route: string(b.rq.route.Name), BodyDigest: b.digest[:], Entry: string(b.e.cfg.Node),
 		},
 	}})
-	if err == nil && o.Result == journal.Invalid {
+	if err == nil && o.Result == logbook.Invalid {
 		return badRequest(IdempotencyHeader + ": not accepted")
 	}
 	if err == nil {
 		b.e.decide(now, b.rq.id, "book", "intent_folded", "")
 		return nil
 	}
-	var uncertain *journal.UncertainError
+	var uncertain *logbook.UncertainError
 	if errors.As(err, &uncertain) {
 		b.e.count("booking_intent_uncertain")
 		b.settle(context.WithoutCancel(ctx), now, &ragwortv1.BookingSettled{Outcome: string(booking.NotRun)}, b.rq.id)
@@ -210,9 +210,9 @@
 
 // overruled returns the refusal of an owner whose call was settled by another
 // process first, so that all who ask are told the same.
-func (b *booked) overruled(o journal.Outcome) *problem.Problem {
+func (b *booked) overruled(o logbook.Outcome) *problem.Problem {
 	c := b.e.deps.Bookings.State.Bookings.Find(b.name)
-	if o.Result != journal.Conflict || c == nil || c.Owner() != b.rq.id {
+	if o.Result != logbook.Conflict || c == nil || c.Owner() != b.rq.id {
 		return nil
 	}
 	return bookingUnknown(b.rq.id)
@@ -220,9 +220,9 @@
 
 // settle appends the outcome of the owner's call and goes on in the background. The
 // channel gets what the fold made of it, and nothing if that was not to be learnt.
-func (b *booked) settle(ctx context.Context, now time.Time, s *ragwortv1.BookingSettled, owner id.Request) <-chan journal.Outcome {
+func (b *booked) settle(ctx context.Context, now time.Time, s *ragwortv1.BookingSettled, owner id.Request) <-chan logbook.Outcome {
 	s.Workspace, s.IdempotencyKey, s.Request = string(b.name.Workspace), b.name.Key, string(owner)
-	done := make(chan journal.Outcome, 1)
+	done := make(chan logbook.Outcome, 1)
 	b.e.settles.start(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 		defer cancel()
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/lease"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
@@ -34,7 +34,7 @@
 // duty is safe for concurrent use.
 type duty struct {
 	e     *Entry
-	log   *journal.Stream // that holds the lease
+	log   *logbook.Stream // that holds the lease
 	name  id.Duty
 	cfg   lease.Config
 	round func(ctx context.Context) // one round of work; called only while the lease is held
@@ -52,7 +52,7 @@
 
 // newDuty returns a duty that does not stand yet. Its holder name is that of the
 // writer, which no other run of this process has.
-func newDuty(e *Entry, l *journal.Stream, name id.Duty, round func(context.Context)) *duty {
+func newDuty(e *Entry, l *logbook.Stream, name id.Duty, round func(context.Context)) *duty {
 	holder := id.Node(l.Writer.Name())
 	cfg := lease.DefaultConfig(holder, e.cfg.LeaseTTL, stagger(holder, name, e.cfg.LeaseTTL))
 	d := &duty{
@@ -78,7 +78,7 @@
 }
 
 // folded wakes the candidate for records of leases.
-func (d *duty) folded(o journal.Outcome) {
+func (d *duty) folded(o logbook.Outcome) {
 	switch o.Record.GetBody().(type) {
 	case *ragwortv1.Record_LeaseClaimed, *ragwortv1.Record_LeaseRenewed, *ragwortv1.Record_LeaseReleased:
 		d.signal()
@@ -222,9 +222,9 @@
 	answer := lease.Uncertain
 	switch {
 	case err != nil:
-	case out.Result == journal.Accepted:
+	case out.Result == logbook.Accepted:
 		answer = lease.Accepted
-	case out.Result == journal.Conflict:
+	case out.Result == logbook.Conflict:
 		answer = lease.Refused
 	}
 	d.step(ctx, &lease.Answered{Try: try, Answer: answer})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,9 +18,9 @@
 	"github.com/ragwortpass/ragwortpass/estimate"
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/key"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/retry"
 	"github.com/ragwortpass/ragwortpass/trace"
@@ -48,14 +48,14 @@
 
 // Deps is what an entry works with.
 type Deps struct {
-	State    *journal.State
-	Bookings *journal.Stream
-	Usage    *journal.Stream // followed only by candidates for its lease; nil: the control stream
-	UsageLog platform.Log    // takes what this entry counts
-	Catcher  *journal.Catcher
-	Follower *journal.Follower
-	Writer   *journal.Writer
-	Platform platform.Platform
+	State    *logbook.State
+	Bookings *logbook.Stream
+	Usage    *logbook.Stream // followed only by candidates for its lease; nil: the control stream
+	UsageLog hosting.Log    // takes what this entry counts
+	Catcher  *logbook.Catcher
+	Follower *logbook.Follower
+	Writer   *logbook.Writer
+	Platform hosting.Platform
 	Peers    *http.Client // towards sidecars and other entries
 	Control  *http.Client // towards the same, for heartbeats
 	Traces   *trace.Log
@@ -86,7 +86,7 @@
 
 // New returns an entry; Run keeps its view of the other processes.
 func New(cfg Config, deps Deps) *Entry {
-	control := &journal.Stream{State: deps.State, Follower: deps.Follower, Writer: deps.Writer}
+	control := &logbook.Stream{State: deps.State, Follower: deps.Follower, Writer: deps.Writer}
 	if deps.Usage == nil {
 		deps.Usage = control
 	}
@@ -94,7 +94,7 @@
 	e.members = newMembers(e)
 	e.uses = key.NewUses(deps.State.Keys)
 	e.intents = newIntents(deps.Bookings.State)
-	journal.EndWithdrawn(deps.State, e.uses, func(n int) { e.add("ended_key_withdrawn", n) })
+	logbook.EndWithdrawn(deps.State, e.uses, func(n int) { e.add("ended_key_withdrawn", n) })
 	e.queues = newQueues(e)
 	e.limits = workspace.New(time.Now(), cfg.Incarnation)
 	e.lengths = estimate.New()
--- a/entry/hold.go
+++ b/entry/hold.go
@@ -9,7 +9,7 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
@@ -56,7 +56,7 @@
 	}
 	var addresses []string
 	for _, vm := range vms {
-		if vm.Role == roleEntry && vm.State == platform.VMLive && vm.Address != e.cfg.Address {
+		if vm.Role == roleEntry && vm.State == hosting.VMLive && vm.Address != e.cfg.Address {
 			addresses = append(addresses, vm.Address)
 		}
 	}
--- a/entry/intents.go
+++ b/entry/intents.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -20,15 +20,15 @@
 	since map[id.Request]time.Time
 }
 
-func newIntents(s *journal.State) *intents {
+func newIntents(s *logbook.State) *intents {
 	n := &intents{since: make(map[id.Request]time.Time)}
-	s.Observe(func(o journal.Outcome) { n.observe(time.Now(), o) })
+	s.Observe(func(o logbook.Outcome) { n.observe(time.Now(), o) })
 	return n
 }
 
 // observe notes accepted intents and forgets settled ones.
-func (n *intents) observe(now time.Time, o journal.Outcome) {
-	if o.Result != journal.Accepted {
+func (n *intents) observe(now time.Time, o logbook.Outcome) {
+	if o.Result != logbook.Accepted {
 		return
 	}
 	n.mu.Lock()
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -11,7 +11,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/workspace"
@@ -70,10 +70,10 @@
 }
 
 // listedEntries returns the entries of the list besides this one that do not leave.
-func (e *Entry) listedEntries(vms []platform.VM) []platform.VM {
-	var others []platform.VM
+func (e *Entry) listedEntries(vms []hosting.VM) []hosting.VM {
+	var others []hosting.VM
 	for _, vm := range vms {
-		if vm.Role == roleEntry && vm.ID != e.cfg.Node && vm.State != platform.VMLeaving {
+		if vm.Role == roleEntry && vm.ID != e.cfg.Node && vm.State != hosting.VMLeaving {
 			others = append(others, vm)
 		}
 	}
@@ -82,7 +82,7 @@
 
 // expectEntries tells the limits which other entries exist, and returns the
 // addresses of those to exchange reports with.
-func (e *Entry) expectEntries(now time.Time, vms []platform.VM) []string {
+func (e *Entry) expectEntries(now time.Time, vms []hosting.VM) []string {
 	others := e.listedEntries(vms)
 	nodes := make([]id.Node, len(others))
 	addresses := make([]string, len(others))
--- a/entry/measure.go
+++ b/entry/measure.go
@@ -8,7 +8,7 @@
 
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/upstream"
 )
@@ -21,7 +21,7 @@
 	now    time.Time
 	rules  *rule.Set
 	views  []upstream.View
-	vms    []platform.VM
+	vms    []hosting.VM
 	orders []fleet.Decided
 	order  time.Duration // from an order's decision to its deadline
 	expect time.Duration // for which an ordered upstream is expected
@@ -32,7 +32,7 @@
 func (m *measurement) trusted() bool {
 	listed := 0
 	for _, vm := range m.vms {
-		if vm.Role == roleSidecar && vm.State == platform.VMLive {
+		if vm.Role == roleSidecar && vm.State == hosting.VMLive {
 			listed++
 		}
 	}
@@ -43,7 +43,7 @@
 func (m *measurement) sites() []fleet.Site {
 	leaving := make(map[id.Node]bool)
 	for _, vm := range m.vms {
-		leaving[vm.ID] = vm.State == platform.VMLeaving
+		leaving[vm.ID] = vm.State == hosting.VMLeaving
 	}
 	var sites []fleet.Site
 	for _, f := range m.rules.Fleets {
--- a/entry/measure_test.go
+++ b/entry/measure_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
@@ -51,7 +51,7 @@
 			see("leaving", "a", upstream.Ready, 0), see("drained", "a", upstream.Draining, 2),
 			see("shutting-down", "a", upstream.Draining, 2), see("other", "b", upstream.Draining, 1),
 		},
-		vms: []platform.VM{{ID: "nleaving", Role: roleSidecar, State: platform.VMLeaving}},
+		vms: []hosting.VM{{ID: "nleaving", Role: roleSidecar, State: hosting.VMLeaving}},
 		orders: []fleet.Decided{
 			order(fleet.Start, "", "done", 2*time.Minute), order(fleet.Start, "", "expired", 30*time.Second),
 			order(fleet.Start, "", "done", 31*time.Second), order(fleet.Start, "", "refused", 5*time.Second),
@@ -70,8 +70,8 @@
 }
 
 func TestMeasurementOfAProcessThatIsCutOff(t *testing.T) {
-	live := platform.VM{Role: roleSidecar, State: platform.VMLive}
-	m := &measurement{vms: []platform.VM{live, live, live, {Role: roleEntry, State: platform.VMLive}}}
+	live := hosting.VM{Role: roleSidecar, State: hosting.VMLive}
+	m := &measurement{vms: []hosting.VM{live, live, live, {Role: roleEntry, State: hosting.VMLive}}}
 	require.False(t, m.trusted())
 	m.views = make([]upstream.View, 1)
 	require.False(t, m.trusted())
--- a/entry/node.go
+++ b/entry/node.go
@@ -9,7 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
@@ -35,7 +35,7 @@
 
 // Fetch implements the NodeService.
 func (n *node) Fetch(_ context.Context, rq *connect.Request[ragwortv1.FetchRequest]) (*connect.Response[ragwortv1.FetchResponse], error) {
-	return connect.NewResponse(journal.Answer(n.e.deps.State, rq.Msg)), nil
+	return connect.NewResponse(logbook.Answer(n.e.deps.State, rq.Msg)), nil
 }
 
 // Explain implements the NodeService.
@@ -59,7 +59,7 @@
 		rs.Upstreams = append(rs.Upstreams, upstreamStatus(v))
 	}
 	var folded ragwortv1.State
-	for _, s := range []*journal.State{n.e.deps.State, n.e.deps.Usage.State} {
+	for _, s := range []*logbook.State{n.e.deps.State, n.e.deps.Usage.State} {
 		s.Leases.Snapshot(&folded)
 		rs.Leases = append(rs.Leases, folded.GetLeases()...)
 	}
--- a/entry/ordering.go
+++ b/entry/ordering.go
@@ -13,8 +13,8 @@
 
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
@@ -46,7 +46,7 @@
 	addresses map[id.Upstream]string // of the sidecars, when last measured
 }
 
-func newOrdering(e *Entry, control *journal.Stream) *ordering {
+func newOrdering(e *Entry, control *logbook.Stream) *ordering {
 	o := &ordering{e: e, planner: fleet.NewPlanner(e.cfg.Fleet)}
 	o.duty = newDuty(e, control, id.DutyOrders, o.round)
 	return o
@@ -97,7 +97,7 @@
 	r := record(move)
 	r.Order = id.New("order", now)
 	r.DeadlineUnixMs = now.Add(2 * o.duty.cfg.LongestOrder).UnixMilli()
-	var result journal.Result
+	var result logbook.Result
 	err := o.duty.sendWithin(ctx, 2*o.duty.cfg.LongestOrder, func(ctx context.Context, term id.Term) error {
 		r.Term = uint64(term)
 		out, err := o.e.deps.Writer.Append(ctx, now, &ragwortv1.Record{Body: &ragwortv1.Record_OrderDecided{OrderDecided: r}})
@@ -106,7 +106,7 @@
 	})
 	_ = o.e.deps.Logger.Log("event", "order_decided", "order", r.GetOrder(), "kind", r.GetKind(), "data_centre", r.GetDataCentre(),
 		"model", r.GetModel(), "upstream", r.GetUpstream(), "count", r.GetCount(), "term", r.GetTerm(), "result", result, "err", err)
-	if err == nil && result == journal.Accepted {
+	if err == nil && result == logbook.Accepted {
 		o.pursue(ctx, r)
 	}
 }
@@ -135,7 +135,7 @@
 		defer cancel()
 		return o.give(ctx, r)
 	})
-	var away *platform.UnavailableError
+	var away *hosting.UnavailableError
 	var notHolding *NotHoldingError
 	switch {
 	case err == nil:
@@ -156,8 +156,8 @@
 	if kind == fleet.Drain || (kind == fleet.LoadModel && !o.checks(r)) {
 		return o.giveSidecar(ctx, r)
 	}
-	return o.e.deps.Platform.Order(ctx, platform.Order{
-		ID: id.Order(r.GetOrder()), Kind: platform.OrderKind(r.GetKind()), DataCentre: id.DataCentre(r.GetDataCentre()),
+	return o.e.deps.Platform.Order(ctx, hosting.Order{
+		ID: id.Order(r.GetOrder()), Kind: hosting.OrderKind(r.GetKind()), DataCentre: id.DataCentre(r.GetDataCentre()),
 		Model: id.Model(r.GetModel()), Upstream: id.Upstream(r.GetUpstream()), Count: int(r.GetCount()),
 		Fencing: id.Term(r.GetTerm()), By: o.duty.cfg.Holder,
 	})
@@ -179,7 +179,7 @@
 	rs, err := client.Apply(ctx, connect.NewRequest(&ragwortv1.ApplyRequest{Order: r}))
 	switch {
 	case err != nil:
-		return &platform.UnavailableError{Call: "apply", Cause: err}
+		return &hosting.UnavailableError{Call: "apply", Cause: err}
 	case !rs.Msg.GetApplied():
 		return &OrderRefusedError{Upstream: u, Reason: rs.Msg.GetReason()}
 	}
--- a/entry/program.go
+++ b/entry/program.go
@@ -14,8 +14,8 @@
 
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/trace"
@@ -94,16 +94,16 @@
 // NewProgram returns an entry that has not started yet.
 func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
-	p := platform.New(s.Platform, process.NewOutsideClient())
+	p := hosting.New(s.Platform, process.NewOutsideClient())
 	open := s.streams(now, logger, counts)
 	control := open(p, 0, "")
-	bookings := open(p.Stream(platform.StreamBookings), 1, "bookings_")
-	usageStream := open(p.Stream(platform.StreamUsage), 2, "usage_")
+	bookings := open(p.Stream(hosting.StreamBookings), 1, "bookings_")
+	usageStream := open(p.Stream(hosting.StreamUsage), 2, "usage_")
 	peers := process.NewPeerClient()
 	deps := Deps{
 		State: control.State, Follower: control.Follower, Writer: control.Writer, Bookings: bookings,
-		Usage: usageStream, UsageLog: p.Stream(platform.StreamUsage),
-		Catcher: journal.NewCatcher(control.State, peers, logger, counts), Platform: p, Peers: peers, Control: process.NewControlClient(),
+		Usage: usageStream, UsageLog: p.Stream(hosting.StreamUsage),
+		Catcher: logbook.NewCatcher(control.State, peers, logger, counts), Platform: p, Peers: peers, Control: process.NewControlClient(),
 		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: counts, Logger: logger,
 	}
 	e := New(Config{
@@ -125,14 +125,14 @@
 
 // streams returns what opens a stream of the log, given its place in the order of
 // streams and the prefix of its metrics.
-func (s *Settings) streams(now time.Time, logger log.Logger, counts metrics.Registry) func(platform.Log, uint64, string) *journal.Stream {
-	cfg := journal.StreamConfig{
+func (s *Settings) streams(now time.Time, logger log.Logger, counts metrics.Registry) func(hosting.Log, uint64, string) *logbook.Stream {
+	cfg := logbook.StreamConfig{
 		Writer:     id.New(s.Node, now),
-		Checkpoint: journal.CheckpointConfig{Every: id.Offset(s.CheckpointEvery), Delay: s.CheckpointDelay},
+		Checkpoint: logbook.CheckpointConfig{Every: id.Offset(s.CheckpointEvery), Delay: s.CheckpointDelay},
 	}
-	return func(l platform.Log, place uint64, prefix string) *journal.Stream {
+	return func(l hosting.Log, place uint64, prefix string) *logbook.Stream {
 		random := rand.New(rand.NewPCG(uint64(now.UnixNano()), place))
-		return journal.NewStream(cfg, l, random, logger, metrics.NewPrefixedChildRegistry(counts, prefix))
+		return logbook.NewStream(cfg, l, random, logger, metrics.NewPrefixedChildRegistry(counts, prefix))
 	}
 }
 
--- a/entry/queue_test.go
+++ b/entry/queue_test.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
@@ -31,7 +31,7 @@
 }
 
 func newDesk(t *testing.T) *desk {
-	state := journal.NewState()
+	state := logbook.NewState()
 	_, given := key.Generate(time.Now(), "bangkok-forge", nil, "test")
 	fold(t, state, 1, &ragwortv1.Record{Body: &ragwortv1.Record_RulesPublished{
 		RulesPublished: &ragwortv1.RulesPublished{Text: ragworttest.Rules(t, "hingeworks.rules")},
@@ -39,12 +39,12 @@
 	fold(t, state, 2, &ragwortv1.Record{Body: &ragwortv1.Record_KeyGiven{KeyGiven: given}})
 	k, err := state.Keys.Find(id.Key(given.GetKey()))
 	require.NoError(t, err)
-	writer := journal.NewWriter(nil, state, "e1", log.NewNopLogger(), metrics.NewRegistry())
-	e := New(Config{Node: "e1", LeaseTTL: time.Minute}, Deps{State: state, Bookings: &journal.Stream{State: journal.NewState()}, Writer: writer, Traces: trace.New("e1", 1000), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
+	writer := logbook.NewWriter(nil, state, "e1", log.NewNopLogger(), metrics.NewRegistry())
+	e := New(Config{Node: "e1", LeaseTTL: time.Minute}, Deps{State: state, Bookings: &logbook.Stream{State: logbook.NewState()}, Writer: writer, Traces: trace.New("e1", 1000), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()})
 	return &desk{Entry: e, t: t, key: k}
 }
 
-func fold(t *testing.T, s *journal.State, offset id.Offset, r *ragwortv1.Record) {
+func fold(t *testing.T, s *logbook.State, offset id.Offset, r *ragwortv1.Record) {
 	r.Writer, r.Sequence = "test", uint64(offset)
 	payload, err := proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{r}})
 	require.NoError(t, err)
--- a/entry/reporting.go
+++ b/entry/reporting.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/usage"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
@@ -50,7 +50,7 @@
 				Lines: d.Lines.Wire(), Report: id.New("report", now),
 			},
 		}})
-		if err == nil && out.Result == journal.Conflict {
+		if err == nil && out.Result == logbook.Conflict {
 			r.e.count("usage_close_refused")
 		}
 		return err
@@ -64,7 +64,7 @@
 	var term id.Term
 	err := r.duty.send(ctx, func(ctx context.Context, t id.Term) error {
 		term = t
-		return r.e.deps.Platform.Report(ctx, platform.UsageReport{
+		return r.e.deps.Platform.Report(ctx, hosting.UsageReport{
 			ID: c.GetReport(), Window: usage.Window(c.GetWindowUnixS()).Start(), Fencing: t,
 			By: r.duty.cfg.Holder, Lines: usage.Report(c.GetLines()),
 		})
@@ -82,7 +82,7 @@
 
 // note counts and logs how an act ended.
 func (r *reporting) note(event string, window int64, err error) {
-	var stale *platform.StaleError
+	var stale *hosting.StaleError
 	switch {
 	case errors.As(err, &stale):
 		event += "_stale"
--- a/entry/stand.go
+++ b/entry/stand.go
@@ -9,7 +9,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/lease"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 )
 
 const (
@@ -44,7 +44,7 @@
 	}
 	var entries []id.Node
 	for _, vm := range vms {
-		if vm.Role == roleEntry && vm.State == platform.VMLive {
+		if vm.Role == roleEntry && vm.State == hosting.VMLive {
 			entries = append(entries, vm.ID)
 		}
 	}
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -10,7 +10,7 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
@@ -23,7 +23,7 @@
 
 // survey returns what every live sidecar of the list says now; those that do not
 // answer are left out.
-func (e *Entry) survey(ctx context.Context, vms []platform.VM) []upstream.View {
+func (e *Entry) survey(ctx context.Context, vms []hosting.VM) []upstream.View {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	var mu sync.Mutex
@@ -31,7 +31,7 @@
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, surveyAtOnce)
 	for _, vm := range vms {
-		if vm.Role != roleSidecar || vm.State != platform.VMLive {
+		if vm.Role != roleSidecar || vm.State != hosting.VMLive {
 			continue
 		}
 		slots <- struct{}{}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -11,7 +11,7 @@
 	"sync"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/route"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
@@ -47,10 +47,10 @@
 }
 
 // watched returns the processes of the list that entry self watches.
-func (k kinds) watched(self id.Node, vms []platform.VM) []platform.VM {
+func (k kinds) watched(self id.Node, vms []hosting.VM) []hosting.VM {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	byID := make(map[id.Node]platform.VM, len(vms))
+	byID := make(map[id.Node]hosting.VM, len(vms))
 	groups := make(map[group][]id.Node)
 	var entries, unknown []id.Node
 	for _, vm := range vms {
@@ -73,7 +73,7 @@
 		chosen = append(chosen, route.Subset(self, entries, members)...)
 	}
 	k.forget(byID)
-	list := make([]platform.VM, len(chosen))
+	list := make([]hosting.VM, len(chosen))
 	for i, node := range chosen {
 		list[i] = byID[node]
 	}
@@ -82,7 +82,7 @@
 
 // forget drops the nodes that are not on the list any more. The caller holds the
 // lock.
-func (k kinds) forget(listed map[id.Node]platform.VM) {
+func (k kinds) forget(listed map[id.Node]hosting.VM) {
 	for node := range k.byNode {
 		if _, ok := listed[node]; !ok {
 			delete(k.byNode, node)
@@ -91,10 +91,10 @@
 }
 
 // departing returns the processes whose VMs leave.
-func departing(vms []platform.VM) map[id.Node]struct{} {
+func departing(vms []hosting.VM) map[id.Node]struct{} {
 	nodes := make(map[id.Node]struct{})
 	for _, vm := range vms {
-		if vm.State == platform.VMLeaving {
+		if vm.State == hosting.VMLeaving {
 			nodes[vm.ID] = struct{}{}
 		}
 	}
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -7,19 +7,19 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
 // bigList lists 400 entries and 2,700 sidecars of 28 models in four data centres.
-func bigList() (vms []platform.VM, models []string) {
+func bigList() (vms []hosting.VM, models []string) {
 	for i := range 400 {
-		vms = append(vms, platform.VM{ID: id.Node(fmt.Sprint("e", i)), Role: roleEntry})
+		vms = append(vms, hosting.VM{ID: id.Node(fmt.Sprint("e", i)), Role: roleEntry})
 		models = append(models, "")
 	}
 	for i := range 2700 {
 		dc := id.DataCentre(fmt.Sprint("dc", i/28%4))
-		vms = append(vms, platform.VM{ID: id.Node(fmt.Sprint("s", i)), Role: "sidecar", DataCentre: dc})
+		vms = append(vms, hosting.VM{ID: id.Node(fmt.Sprint("s", i)), Role: "sidecar", DataCentre: dc})
 		models = append(models, fmt.Sprint("m", i%28))
 	}
 	return vms, models
@@ -47,9 +47,9 @@
 
 func TestSmallFleetIsWatchedWhole(t *testing.T) {
 	k := newKinds()
-	var vms []platform.VM
+	var vms []hosting.VM
 	for i := range 18 {
-		vm := platform.VM{ID: id.Node(fmt.Sprint("s", i)), Role: "sidecar", DataCentre: id.DataCentre(fmt.Sprint("dc", i%3))}
+		vm := hosting.VM{ID: id.Node(fmt.Sprint("s", i)), Role: "sidecar", DataCentre: id.DataCentre(fmt.Sprint("dc", i%3))}
 		vms = append(vms, vm)
 		k.learn(vm.ID, &ragwortv1.UpstreamLoad{Models: []string{"m"}})
 	}
--- a/platform/client.go
+++ b/hosting/client.go
@@ -1,4 +1,4 @@
-package platform
+package hosting
 
 // This file defines Client, the platform's HTTP interface. Offsets and lines
 // travel as JSON; payloads are base64 within it.
--- a/platform/client_test.go
+++ b/hosting/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package hosting_test
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
@@ -30,19 +30,19 @@
 func TestUnchangedListCostsNothing(t *testing.T) {
 	const size = 3100
 	p := standin.NewPlatform()
-	vm := func(i int, s platform.VMState) platform.VM {
-		return platform.VM{ID: id.Node(fmt.Sprint("vm-", i)), Role: "sidecar", DataCentre: "th-a", Address: "10.0.0.1:8081", State: s}
+	vm := func(i int, s hosting.VMState) hosting.VM {
+		return hosting.VM{ID: id.Node(fmt.Sprint("vm-", i)), Role: "sidecar", DataCentre: "th-a", Address: "10.0.0.1:8081", State: s}
 	}
 	for i := range size {
-		p.SetVM(time.Now(), vm(i, platform.VMLive))
+		p.SetVM(time.Now(), vm(i, hosting.VMLive))
 	}
 	var bytes atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.Handler().ServeHTTP(counting{w, &bytes}, r)
 	}))
 	defer server.Close()
-	c := platform.New(server.URL, http.DefaultClient)
-	read := func() []platform.VM {
+	c := hosting.New(server.URL, http.DefaultClient)
+	read := func() []hosting.VM {
 		vms, err := c.VMs(t.Context())
 		require.NoError(t, err)
 		require.Len(t, vms, size)
@@ -55,10 +55,10 @@
 		read()
 	}
 	require.Equal(t, first, bytes.Load())
-	p.SetVM(time.Now(), vm(7, platform.VMLeaving))
+	p.SetVM(time.Now(), vm(7, hosting.VMLeaving))
 	leaving := 0
 	for _, v := range read() {
-		if v.State == platform.VMLeaving {
+		if v.State == hosting.VMLeaving {
 			leaving++
 		}
 	}
--- a/platform/platform.go
+++ b/hosting/platform.go
@@ -1,9 +1,9 @@
-// Package platform defines what the router asks of the platform it runs on: an
+// Package hosting defines what the router asks of the platform it runs on: an
 // append-only log, orders for upstreams, usage reports and a list of VMs.
 //
 // The interfaces are small, one for each ability. Client implements all of them
 // over the platform's HTTP interface; nothing else in the router knows its form.
-package platform
+package hosting
 
 import (
 	"context"
--- a/journal/apply.go
+++ b/logbook/apply.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines what each kind of record does to the state.
 
--- a/journal/bench_test.go
+++ b/logbook/bench_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package logbook_test
 
 import (
 	"fmt"
@@ -7,13 +7,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
 // keysOf returns a state with n keys and the payload of one more.
-func keysOf(n int) (*journal.State, []byte) {
-	s := journal.NewState()
+func keysOf(n int) (*logbook.State, []byte) {
+	s := logbook.NewState()
 	var last []byte
 	for i := range n + 1 {
 		last, _ = proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{{
@@ -34,13 +34,13 @@
 func BenchmarkFetch(b *testing.B) {
 	const keys = 10_000
 	s, _ := keysOf(keys)
-	restored := journal.NewState()
+	restored := logbook.NewState()
 	restored.Restore(s.Snapshot()) // it holds no records
-	for name, peer := range map[string]*journal.State{"records": s, "state": restored} {
+	for name, peer := range map[string]*logbook.State{"records": s, "state": restored} {
 		b.Run(name, func(b *testing.B) {
 			size := 0
 			for b.Loop() {
-				size = proto.Size(journal.Answer(peer, &ragwortv1.FetchRequest{AfterOffset: keys - 1}))
+				size = proto.Size(logbook.Answer(peer, &ragwortv1.FetchRequest{AfterOffset: keys - 1}))
 			}
 			b.ReportMetric(float64(size), "B/fetch")
 		})
--- a/journal/catcher.go
+++ b/logbook/catcher.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines Catcher, which keeps the state up to date from peers while the
 // log does not answer.
--- a/journal/checkpoint.go
+++ b/logbook/checkpoint.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines Checkpointer, which keeps a snapshot of the state on the log
 // well inside the time for which the log keeps its records, and the start from such
@@ -18,7 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -98,7 +98,7 @@
 // restoreCheckpoint restores the state from the checkpoint that reaches furthest
 // among those the log still keeps. Without one it returns the error that the log
 // is trimmed.
-func restoreCheckpoint(ctx context.Context, l platform.Log, s *State, trimmed *platform.TrimmedError) error {
+func restoreCheckpoint(ctx context.Context, l hosting.Log, s *State, trimmed *hosting.TrimmedError) error {
 	best, err := findCheckpoint(ctx, l, trimmed.First)
 	if err != nil {
 		return err
@@ -111,7 +111,7 @@
 
 // findCheckpoint returns the state of the checkpoint that reaches furthest among
 // the records from an offset on, or nil. The records after it are all kept.
-func findCheckpoint(ctx context.Context, l platform.Log, first id.Offset) (*ragwortv1.State, error) {
+func findCheckpoint(ctx context.Context, l hosting.Log, first id.Offset) (*ragwortv1.State, error) {
 	var best *ragwortv1.State
 	for after := first - 1; ; {
 		page, err := l.Read(ctx, after, 0)
--- a/journal/checkpoint_test.go
+++ b/logbook/checkpoint_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package logbook_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	_ "github.com/ragwortpass/ragwortpass/ragworttest/fixedseed"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
@@ -25,13 +25,13 @@
 
 func (m *memory) Append(context.Context, []byte) (id.Offset, error) { panic("unreachable") }
 
-func (m *memory) Read(_ context.Context, after id.Offset, _ time.Duration) (platform.Page, error) {
-	page := platform.Page{First: m.first, Newest: id.Offset(len(m.records))}
+func (m *memory) Read(_ context.Context, after id.Offset, _ time.Duration) (hosting.Page, error) {
+	page := hosting.Page{First: m.first, Newest: id.Offset(len(m.records))}
 	if after+1 < m.first {
-		return page, &platform.TrimmedError{After: after, First: m.first}
+		return page, &hosting.TrimmedError{After: after, First: m.first}
 	}
 	for i := after; i < page.Newest && len(page.Records) < 7; i++ {
-		page.Records = append(page.Records, platform.Record{Offset: i + 1, Payload: m.records[i]})
+		page.Records = append(page.Records, hosting.Record{Offset: i + 1, Payload: m.records[i]})
 	}
 	return page, nil
 }
@@ -42,7 +42,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		history := drawKinds(t, honestKinds)
 		upTo := rapid.IntRange(1, len(history)).Draw(t, "covered")
-		covered := journal.NewState()
+		covered := logbook.NewState()
 		for i := range upTo {
 			covered.Fold(id.Offset(i+1), history[i])
 		}
@@ -54,13 +54,13 @@
 		}}})
 		require.NoError(t, err)
 		history = slices.Insert(history, rapid.IntRange(upTo, len(history)).Draw(t, "place"), payload)
-		whole := journal.NewState()
+		whole := logbook.NewState()
 		for i, p := range history {
 			whole.Fold(id.Offset(i+1), p)
 		}
 		l := &memory{first: id.Offset(rapid.IntRange(1, upTo+1).Draw(t, "first")), records: history}
-		started := journal.NewState()
-		require.NoError(t, journal.Load(context.Background(), l, started))
+		started := logbook.NewState()
+		require.NoError(t, logbook.Load(context.Background(), l, started))
 		require.Equal(t, whole.Snapshot().String(), started.Snapshot().String())
 	})
 }
@@ -68,15 +68,15 @@
 // TestTrimmedWithoutCheckpoint must not take a part of the log for the whole.
 func TestTrimmedWithoutCheckpoint(t *testing.T) {
 	l := &memory{first: 3, records: [][]byte{{}, {}, {}, {}}}
-	s := journal.NewState()
-	var trimmed *platform.TrimmedError
-	require.ErrorAs(t, journal.Load(t.Context(), l, s), &trimmed)
+	s := logbook.NewState()
+	var trimmed *hosting.TrimmedError
+	require.ErrorAs(t, logbook.Load(t.Context(), l, s), &trimmed)
 	require.Zero(t, s.Offset())
 }
 
 // TestSilentWritersAreForgotten bounds the writers that the state remembers.
 func TestSilentWritersAreForgotten(t *testing.T) {
-	s := journal.NewState()
+	s := logbook.NewState()
 	fold := func(at id.Offset, writer string) {
 		payload, err := proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{{Writer: writer, Sequence: 1}}})
 		require.NoError(t, err)
@@ -91,11 +91,11 @@
 }
 
 func TestCheckpointDue(t *testing.T) {
-	c := journal.CheckpointConfig{Every: 10}
+	c := logbook.CheckpointConfig{Every: 10}
 	require.False(t, c.Due(9, 0))
 	require.True(t, c.Due(10, 0))
 	require.False(t, c.Due(19, 10))
-	require.False(t, journal.CheckpointConfig{}.Due(1000, 0))
+	require.False(t, logbook.CheckpointConfig{}.Due(1000, 0))
 }
 
 // TestLag checks when a process fetches from a peer.
@@ -115,7 +115,7 @@
 		{"two peers at once", []time.Duration{0, 1, 500}, []id.Offset{5, 5, 5}, []id.Offset{6, 6, 6}, []bool{false, false, true}},
 	}
 	for _, c := range cases {
-		var lag journal.Lag
+		var lag logbook.Lag
 		for i := range c.after {
 			now := start.Add(c.after[i] * time.Millisecond)
 			require.Equal(t, c.fetch[i], lag.Heard(now, c.own[i], c.peer[i]), "%s: heartbeat %d", c.name, i)
@@ -130,7 +130,7 @@
 		history := drawHistory(t)
 		behind := rapid.IntRange(0, len(history)).Draw(t, "behind at")
 		lost := rapid.IntRange(0, len(history)).Draw(t, "peer restored at")
-		own, peer, source := journal.NewState(), journal.NewState(), journal.NewState()
+		own, peer, source := logbook.NewState(), logbook.NewState(), logbook.NewState()
 		for i, payload := range history {
 			offset := id.Offset(i + 1)
 			source.Fold(offset, payload)
@@ -143,10 +143,10 @@
 				peer.Fold(offset, payload)
 			}
 		}
-		rs := journal.Answer(peer, &ragwortv1.FetchRequest{AfterOffset: uint64(own.Offset())})
+		rs := logbook.Answer(peer, &ragwortv1.FetchRequest{AfterOffset: uint64(own.Offset())})
 		require.Equal(t, behind < lost && behind < len(history), rs.GetState() != nil)
-		journal.Take(own, rs)
+		logbook.Take(own, rs)
 		require.Equal(t, source.Snapshot().String(), own.Snapshot().String())
-		require.Equal(t, "not_newer", journal.Take(own, rs))
+		require.Equal(t, "not_newer", logbook.Take(own, rs))
 	})
 }
--- a/journal/clock.go
+++ b/logbook/clock.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines the fold's clock, by which retention is measured.
 //
--- a/journal/duty.go
+++ b/logbook/duty.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines what the records of leases, usage and orders do to the state.
 
--- a/journal/fold_test.go
+++ b/logbook/fold_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package logbook_test
 
 // This file defines the random histories of the fold, its naive version, and the
 // fuzz target of records.
@@ -19,7 +19,7 @@
 
 	"github.com/ragwortpass/ragwortpass/booking"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -222,9 +222,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		history := drawHistory(t)
 		cut := rapid.IntRange(0, len(history)).Draw(t, "cut")
-		whole, restored := journal.NewState(), journal.NewState()
+		whole, restored := logbook.NewState(), logbook.NewState()
 		reference := &naive{state: &ragwortv1.State{}}
-		fold := func(s *journal.State, from int) {
+		fold := func(s *logbook.State, from int) {
 			for i := from; i < len(history); i++ {
 				s.Fold(id.Offset(i+1), history[i])
 			}
@@ -242,8 +242,8 @@
 		fold(restored, max(0, cut-3)) // what the snapshot holds is folded again and changes nothing
 		want := reference.whole()
 		require.Equal(t, want.String(), whole.Snapshot().String())
-		require.True(t, bytes.Equal(journal.Marshal(want), journal.Marshal(whole.Snapshot())))
-		require.True(t, bytes.Equal(journal.Marshal(want), journal.Marshal(restored.Snapshot())), "restored at %d", cut)
+		require.True(t, bytes.Equal(logbook.Marshal(want), logbook.Marshal(whole.Snapshot())))
+		require.True(t, bytes.Equal(logbook.Marshal(want), logbook.Marshal(restored.Snapshot())), "restored at %d", cut)
 		require.False(t, restored.Restore(whole.Snapshot()), "a state never goes back")
 	})
 }
@@ -259,15 +259,15 @@
 		}
 	}
 	f.Fuzz(func(t *testing.T, payload []byte) {
-		s := journal.NewState()
+		s := logbook.NewState()
 		s.Fold(1, payload)
 		s.Fold(2, payload)
 		snapshot := s.Snapshot()
-		back := journal.NewState()
+		back := logbook.NewState()
 		if !back.Restore(snapshot) {
 			t.Fatal("a snapshot cannot be restored")
 		}
-		if !bytes.Equal(journal.Marshal(snapshot), journal.Marshal(back.Snapshot())) {
+		if !bytes.Equal(logbook.Marshal(snapshot), logbook.Marshal(back.Snapshot())) {
 			t.Fatalf("restored state differs:\n%v\n%v", snapshot, back.Snapshot())
 		}
 	})
--- a/journal/follower.go
+++ b/logbook/follower.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines Follower, which reads the log and folds what it reads.
 
@@ -13,7 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 )
 
 const (
@@ -25,7 +25,7 @@
 
 // Follower feeds a State from the platform's log.
 type Follower struct {
-	log    platform.Log
+	log    hosting.Log
 	state  *State
 	logger log.Logger
 	counts metrics.Registry
@@ -35,7 +35,7 @@
 }
 
 // NewFollower returns a follower; Run starts it.
-func NewFollower(l platform.Log, s *State, logger log.Logger, counts metrics.Registry) *Follower {
+func NewFollower(l hosting.Log, s *State, logger log.Logger, counts metrics.Registry) *Follower {
 	f := &Follower{log: l, state: s, logger: logger, counts: counts}
 	s.Observe(f.observe)
 	return f
@@ -97,7 +97,7 @@
 		return
 	}
 	reason := "unavailable"
-	var trimmed *platform.TrimmedError
+	var trimmed *hosting.TrimmedError
 	if errors.As(err, &trimmed) {
 		reason = "trimmed"
 	}
@@ -107,7 +107,7 @@
 }
 
 // Load folds the log to its present end.
-func Load(ctx context.Context, l platform.Log, s *State) error {
+func Load(ctx context.Context, l hosting.Log, s *State) error {
 	for {
 		newest, err := foldPage(ctx, l, s, 0)
 		if err != nil {
@@ -121,9 +121,9 @@
 
 // foldPage folds the next page, from a checkpoint if the next record is no longer
 // kept. It returns the offset of the log's newest record.
-func foldPage(ctx context.Context, l platform.Log, s *State, wait time.Duration) (id.Offset, error) {
+func foldPage(ctx context.Context, l hosting.Log, s *State, wait time.Duration) (id.Offset, error) {
 	page, err := readPage(ctx, l, s.Offset(), wait)
-	var trimmed *platform.TrimmedError
+	var trimmed *hosting.TrimmedError
 	if errors.As(err, &trimmed) {
 		if err := restoreCheckpoint(ctx, l, s, trimmed); err != nil {
 			return 0, err
@@ -139,7 +139,7 @@
 	return page.Newest, nil
 }
 
-func readPage(ctx context.Context, l platform.Log, after id.Offset, wait time.Duration) (platform.Page, error) {
+func readPage(ctx context.Context, l hosting.Log, after id.Offset, wait time.Duration) (hosting.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	return l.Read(ctx, after, wait)
--- a/journal/recent.go
+++ b/logbook/recent.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines recent, the newest records of the log as they were read. A peer
 // that cannot read the log gets them in place of the whole state, so that following
--- a/journal/snapshot.go
+++ b/logbook/snapshot.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines how the whole state is written down and read back. Every table
 // writes its own part, in a fixed order, so that two processes at the same offset
--- a/journal/state.go
+++ b/logbook/state.go
@@ -1,4 +1,4 @@
-// Package journal folds the platform's log into the state that every process
+// Package logbook folds the platform's log into the state that every process
 // shares, follows the log, and appends to it.
 //
 // State is the fold: it has no clock, socket or goroutine, and two processes that
@@ -6,7 +6,7 @@
 // Writer appends records and learns what became of them from the fold; Checkpointer
 // keeps a snapshot of it on the log; Catcher feeds it from peers when the log does
 // not answer.
-package journal
+package logbook
 
 import (
 	"sync"
--- a/journal/stream.go
+++ b/logbook/stream.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines Stream, one stream of the log as a process holds it.
 
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 )
 
 // Stream is the fold of one stream, with what reads it, appends to it and keeps
@@ -29,7 +29,7 @@
 }
 
 // NewStream returns a stream; Run starts it.
-func NewStream(cfg StreamConfig, l platform.Log, random *rand.Rand, logger log.Logger, counts metrics.Registry) *Stream {
+func NewStream(cfg StreamConfig, l hosting.Log, random *rand.Rand, logger log.Logger, counts metrics.Registry) *Stream {
 	s := NewState()
 	w := NewWriter(l, s, cfg.Writer, logger, counts)
 	return &Stream{
--- a/journal/withdrawn.go
+++ b/logbook/withdrawn.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines what ends the requests of a withdrawn key.
 
--- a/journal/writer.go
+++ b/logbook/writer.go
@@ -1,4 +1,4 @@
-package journal
+package logbook
 
 // This file defines Writer, which appends this process's records.
 //
@@ -21,7 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -63,7 +63,7 @@
 
 // Writer appends records to the log.
 type Writer struct {
-	log    platform.Log
+	log    hosting.Log
 	state  *State
 	name   string
 	logger log.Logger
@@ -77,7 +77,7 @@
 
 // NewWriter returns a writer whose name no other process, nor an earlier run of
 // this one, has used. It learns the outcome of its records from s. Run starts it.
-func NewWriter(l platform.Log, s *State, name string, logger log.Logger, counts metrics.Registry) *Writer {
+func NewWriter(l hosting.Log, s *State, name string, logger log.Logger, counts metrics.Registry) *Writer {
 	w := &Writer{log: l, state: s, name: name, logger: logger, counts: counts, wake: make(chan struct{}, 1)}
 	s.Observe(w.observe)
 	return w
--- a/journal/writer_test.go
+++ b/logbook/writer_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package logbook_test
 
 import (
 	"context"
@@ -12,21 +12,21 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
 // lossy is a log whose appends are folded at once, and whose answers are lost every
 // third time.
 type lossy struct {
-	state *journal.State
+	state *logbook.State
 
 	mu      sync.Mutex
 	appends int
 }
 
-func (l *lossy) Read(context.Context, id.Offset, time.Duration) (platform.Page, error) {
+func (l *lossy) Read(context.Context, id.Offset, time.Duration) (hosting.Page, error) {
 	panic("unreachable")
 }
 
@@ -49,9 +49,9 @@
 		records       = 2000
 		appendsSecond = 20
 	)
-	state := journal.NewState()
+	state := logbook.NewState()
 	l := &lossy{state: state}
-	w := journal.NewWriter(l, state, "w", log.NewNopLogger(), metrics.NewRegistry())
+	w := logbook.NewWriter(l, state, "w", log.NewNopLogger(), metrics.NewRegistry())
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	begin := time.Now()
@@ -63,7 +63,7 @@
 			o, err := w.Append(ctx, time.Now(), &ragwortv1.Record{Body: &ragwortv1.Record_KeyWithdrawn{
 				KeyWithdrawn: &ragwortv1.KeyWithdrawn{Key: id.New("k", time.Now())},
 			}})
-			if err != nil || o.Result != journal.Accepted {
+			if err != nil || o.Result != logbook.Accepted {
 				t.Errorf("record %d: %v %v", i, o.Result, err)
 			}
 		})
@@ -80,8 +80,8 @@
 // TestAbandonedRecord gives a record up whose fate is not known, and one that was
 // never sent.
 func TestAbandonedRecord(t *testing.T) {
-	state := journal.NewState()
-	w := journal.NewWriter(&stuck{}, state, "w", log.NewNopLogger(), metrics.NewRegistry())
+	state := logbook.NewState()
+	w := logbook.NewWriter(&stuck{}, state, "w", log.NewNopLogger(), metrics.NewRegistry())
 	run, stop := context.WithCancel(t.Context())
 	defer stop()
 	record := func() *ragwortv1.Record {
@@ -90,20 +90,20 @@
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	_, err := w.Append(short, time.Now(), record())
-	var notSent *journal.NotSentError
+	var notSent *logbook.NotSentError
 	require.ErrorAs(t, err, &notSent, "no writer runs")
 	go w.Run(run)
 	short, cancel = context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	_, err = w.Append(short, time.Now(), record())
-	var uncertain *journal.UncertainError
+	var uncertain *logbook.UncertainError
 	require.ErrorAs(t, err, &uncertain)
 }
 
 // stuck is a log that does not answer.
 type stuck struct{}
 
-func (*stuck) Read(context.Context, id.Offset, time.Duration) (platform.Page, error) {
+func (*stuck) Read(context.Context, id.Offset, time.Duration) (hosting.Page, error) {
 	panic("unreachable")
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -15,9 +15,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/key"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
@@ -38,8 +38,8 @@
 // Operator acts on a fleet.
 type Operator struct {
 	cfg      Config
-	platform platform.Platform
-	usage    platform.Log // the stream of usage
+	platform hosting.Platform
+	usage    hosting.Log // the stream of usage
 	peers    *http.Client
 }
 
@@ -56,26 +56,26 @@
 // RejectedError says that a record was folded to nothing for another reason.
 type RejectedError struct {
 	What   string
-	Result journal.Result
+	Result logbook.Result
 }
 
 func (e *RejectedError) Error() string { return fmt.Sprintf("%s: %s", e.What, e.Result) }
 
 // New returns an operator.
 func New(cfg Config, outside, peers *http.Client) *Operator {
-	p := platform.New(cfg.Platform, outside)
-	return &Operator{cfg: cfg, platform: p, usage: p.Stream(platform.StreamUsage), peers: peers}
+	p := hosting.New(cfg.Platform, outside)
+	return &Operator{cfg: cfg, platform: p, usage: p.Stream(hosting.StreamUsage), peers: peers}
 }
 
 // State reads the log to its end and returns its fold.
-func (o *Operator) State(ctx context.Context) (*journal.State, error) { return read(ctx, o.platform) }
+func (o *Operator) State(ctx context.Context) (*logbook.State, error) { return read(ctx, o.platform) }
 
 // UsageState reads the usage stream to its end and returns its fold.
-func (o *Operator) UsageState(ctx context.Context) (*journal.State, error) { return read(ctx, o.usage) }
+func (o *Operator) UsageState(ctx context.Context) (*logbook.State, error) { return read(ctx, o.usage) }
 
-func read(ctx context.Context, l platform.Log) (*journal.State, error) {
-	s := journal.NewState()
-	if err := journal.Load(ctx, l, s); err != nil {
+func read(ctx context.Context, l hosting.Log) (*logbook.State, error) {
+	s := logbook.NewState()
+	if err := logbook.Load(ctx, l, s); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -117,16 +117,16 @@
 		return 0, err
 	}
 	quiet, counts := log.NewNopLogger(), metrics.NewRegistry()
-	w := journal.NewWriter(o.platform, s, id.New("ctl", now), quiet, counts)
+	w := logbook.NewWriter(o.platform, s, id.New("ctl", now), quiet, counts)
 	go w.Run(ctx)
-	go journal.NewFollower(o.platform, s, quiet, counts).Run(ctx)
+	go logbook.NewFollower(o.platform, s, quiet, counts).Run(ctx)
 	out, err := w.Append(ctx, now, r)
 	switch {
 	case err != nil:
 		return 0, err
-	case out.Result == journal.Conflict:
+	case out.Result == logbook.Conflict:
 		return out.Offset, &ConflictError{What: what, Offset: out.Offset}
-	case out.Result != journal.Accepted:
+	case out.Result != logbook.Accepted:
 		return out.Offset, &RejectedError{What: what, Result: out.Result}
 	}
 	return out.Offset, nil
--- a/operator/usage.go
+++ b/operator/usage.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/usage"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
@@ -28,7 +28,7 @@
 	Window time.Time            `json:"window_start"`
 	State  WindowState          `json:"state"`
 	Report string               `json:"report_id,omitempty"`
-	Lines  []platform.UsageLine `json:"lines"`
+	Lines  []hosting.UsageLine `json:"lines"`
 }
 
 // UsageFilter chooses windows and lines; a zero field chooses all.
--- a/ragworttest/drain_test.go
+++ b/ragworttest/drain_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -96,8 +96,8 @@
 	f, e, sides, engines, key := trio(t)
 	defer asking(t, e, key, 8)()
 	ragworttest.Eventually(t, func() bool { return engines[0].Stats().Requests > 2 }, "the upstream works")
-	f.Platform.SetVM(time.Now(), platform.VM{
-		ID: sides[0].Node, Role: "sidecar", DataCentre: id.DataCentre("th-a"), Address: sides[0].Address, State: platform.VMLeaving,
+	f.Platform.SetVM(time.Now(), hosting.VM{
+		ID: sides[0].Node, Role: "sidecar", DataCentre: id.DataCentre("th-a"), Address: sides[0].Address, State: hosting.VMLeaving,
 	})
 	requireNoNewWork(t, engines[0], engines[1:]...)
 }
--- a/ragworttest/duty.go
+++ b/ragworttest/duty.go
@@ -12,7 +12,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/lease"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/standin"
 	"github.com/ragwortpass/ragwortpass/usage"
 )
@@ -66,7 +66,7 @@
 // window that was reported with different figures or under two ids.
 func ReportFaults(seen []standin.ReportSeen) []string {
 	f := &fencing{by: make(map[id.Term]id.Node)}
-	first := make(map[int64]platform.UsageReport)
+	first := make(map[int64]hosting.UsageReport)
 	for _, r := range seen {
 		if !r.Taken {
 			continue
--- a/ragworttest/fleet.go
+++ b/ragworttest/fleet.go
@@ -25,7 +25,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/operator"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -280,8 +280,8 @@
 		"--platform=" + f.PlatformURL, "--linger=100ms"}, args...)
 	p := Start(f.t, role, address, args...)
 	p.Node = id.Node(node)
-	f.Platform.SetVM(time.Now(), platform.VM{
-		ID: p.Node, Role: role, DataCentre: id.DataCentre(dataCentre), Address: address, State: platform.VMLive,
+	f.Platform.SetVM(time.Now(), hosting.VM{
+		ID: p.Node, Role: role, DataCentre: id.DataCentre(dataCentre), Address: address, State: hosting.VMLive,
 	})
 	return p
 }
--- a/ragworttest/fleet_test.go
+++ b/ragworttest/fleet_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -43,7 +43,7 @@
 		g, url := p.Engine(cfg)
 		g.Warm()
 		s := p.Sidecar(name, "th-a", url, "--models=temper-70b")
-		vm := platform.VM{ID: s.Node, Role: "sidecar", DataCentre: "th-a", Address: s.Address, State: platform.VMLive}
+		vm := hosting.VM{ID: s.Node, Role: "sidecar", DataCentre: "th-a", Address: s.Address, State: hosting.VMLive}
 		p.Platform.AddSpare(standin.Spare{VM: vm, Upstream: id.Upstream("u-" + name), Model: "temper-70b", Started: name == "s1"})
 		if name == "s2" {
 			p.Platform.RemoveVM(time.Now(), vm.ID)
@@ -79,7 +79,7 @@
 }
 
 // taken returns the orders of a kind that the platform has taken.
-func (p *planned) taken(kind platform.OrderKind) int {
+func (p *planned) taken(kind hosting.OrderKind) int {
 	n := 0
 	for _, o := range p.Platform.OrdersSeen() {
 		if o.Taken && o.Order.Kind == kind {
@@ -102,9 +102,9 @@
 func TestFleetFollowsDemand(t *testing.T) {
 	p := newPlanned(t)
 	stop := p.load(t, p.entries[0])
-	ragworttest.Eventually(t, func() bool { return p.taken(platform.OrderStart) > 0 }, "an upstream is started")
+	ragworttest.Eventually(t, func() bool { return p.taken(hosting.OrderStart) > 0 }, "an upstream is started")
 	stop()
-	ragworttest.Eventually(t, func() bool { return p.taken(platform.OrderStop) > 0 }, "an upstream is stopped")
+	ragworttest.Eventually(t, func() bool { return p.taken(hosting.OrderStop) > 0 }, "an upstream is stopped")
 	require.Empty(t, ragworttest.OrderFaults(p.Platform.OrdersSeen()))
 	started := 0
 	for _, s := range p.Platform.Spares() {
@@ -152,7 +152,7 @@
 			}
 			stop := p.load(t, other)
 			defer stop()
-			ragworttest.Eventually(t, func() bool { return p.taken(platform.OrderStart) > 0 }, "orders go on")
+			ragworttest.Eventually(t, func() bool { return p.taken(hosting.OrderStart) > 0 }, "orders go on")
 			require.Empty(t, ragworttest.OrderFaults(p.Platform.OrdersSeen()))
 		})
 	}
--- a/sidecar/keys.go
+++ b/sidecar/keys.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/wire"
@@ -96,5 +96,5 @@
 
 // endWithdrawn ends the uses of a key when its withdrawal is folded.
 func (s *Sidecar) endWithdrawn() {
-	journal.EndWithdrawn(s.deps.State, s.uses, func(n int) { s.add("sidecar_ended_key_withdrawn", n) })
+	logbook.EndWithdrawn(s.deps.State, s.uses, func(n int) { s.add("sidecar_ended_key_withdrawn", n) })
 }
--- a/sidecar/order.go
+++ b/sidecar/order.go
@@ -17,7 +17,7 @@
 
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
 )
@@ -128,8 +128,8 @@
 func (o *orders) load(ctx context.Context, order *ragwortv1.OrderDecided) error {
 	ctx, cancel := context.WithDeadline(ctx, time.UnixMilli(order.GetDeadlineUnixMs()))
 	defer cancel()
-	body, err := json.Marshal(platform.Order{
-		ID: id.Order(order.GetOrder()), Kind: platform.OrderKind(order.GetKind()), DataCentre: id.DataCentre(order.GetDataCentre()),
+	body, err := json.Marshal(hosting.Order{
+		ID: id.Order(order.GetOrder()), Kind: hosting.OrderKind(order.GetKind()), DataCentre: id.DataCentre(order.GetDataCentre()),
 		Model: id.Model(order.GetModel()), Upstream: id.Upstream(order.GetUpstream()), Fencing: id.Term(order.GetTerm()), By: o.s.cfg.Node,
 	})
 	if err != nil {
--- a/sidecar/order_test.go
+++ b/sidecar/order_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/standin"
 	"github.com/ragwortpass/ragwortpass/upstream"
@@ -22,7 +22,7 @@
 	engine := standin.NewEngine(standin.DefaultEngineConfig()) // ignores fencing numbers
 	server := httptest.NewServer(engine.Handler())
 	defer server.Close()
-	state := journal.NewState()
+	state := logbook.NewState()
 	s := New(Config{Upstream: "u", UpstreamURL: server.URL, Models: []id.Model{"m"}}, Deps{
 		State: state, Client: process.NewOutsideClient(), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
 	})
--- a/sidecar/program.go
+++ b/sidecar/program.go
@@ -12,8 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/trace"
@@ -62,8 +62,8 @@
 // NewProgram returns a sidecar that has not started yet.
 func NewProgram(now time.Time, s *Settings, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
-	state := journal.NewState()
-	follower := journal.NewFollower(platform.New(s.Platform, process.NewOutsideClient()), state, logger, counts)
+	state := logbook.NewState()
+	follower := logbook.NewFollower(hosting.New(s.Platform, process.NewOutsideClient()), state, logger, counts)
 	cfg := Config{
 		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
 		Upstream: id.Upstream(s.Upstream), UpstreamURL: s.UpstreamURL, Service: id.Service(s.Service),
@@ -73,7 +73,7 @@
 		cfg.Models = append(cfg.Models, id.Model(m))
 	}
 	deps := Deps{
-		State: state, Catcher: journal.NewCatcher(state, process.NewPeerClient(), logger, counts),
+		State: state, Catcher: logbook.NewCatcher(state, process.NewPeerClient(), logger, counts),
 		Client: process.NewOutsideClient(), Once: process.NewOnceClient(),
 		Traces: trace.New(cfg.Node, s.Traces), Metrics: counts, Logger: logger,
 	}
--- a/sidecar/queue_test.go
+++ b/sidecar/queue_test.go
@@ -15,7 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/tier"
@@ -141,7 +141,7 @@
 // newTestSidecar returns a sidecar with one slot before an engine that streams
 // without end until it is cancelled.
 func newTestSidecar(t *testing.T) (s *Sidecar, cancelled <-chan struct{}) {
-	state := journal.NewState()
+	state := logbook.NewState()
 	payload, err := proto.Marshal(&ragwortv1.Batch{Records: []*ragwortv1.Record{
 		{Writer: "test", Sequence: 1, Body: &ragwortv1.Record_RulesPublished{
 			RulesPublished: &ragwortv1.RulesPublished{Text: strings.ReplaceAll(ragworttest.Rules(t, "hingeworks.rules"), "concurrency=16", "concurrency=1")},
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,7 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/journal"
+	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
@@ -40,8 +40,8 @@
 
 // Deps is what a sidecar works with.
 type Deps struct {
-	State   *journal.State
-	Catcher *journal.Catcher
+	State   *logbook.State
+	Catcher *logbook.Catcher
 	Client  *http.Client // towards the upstream
 	Once    *http.Client // towards the upstream, for calls that must not be repeated
 	Traces  *trace.Log
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 )
 
 // EngineConfig is what an engine is like.
@@ -119,7 +119,7 @@
 // order takes an order, unless the engine checks fencing numbers and has seen a
 // higher one.
 func (g *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o hosting.Order
 	if !decode(w, r, &o) {
 		return
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -16,7 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 )
 
 const maxRecordBytes = 32 << 20
@@ -51,7 +51,7 @@
 // stream is one stream of the log.
 type stream struct {
 	first   id.Offset
-	records []platform.Record
+	records []hosting.Record
 	grown   chan struct{} // closed at the next append
 }
 
@@ -68,22 +68,22 @@
 // OrderSeen is an order with the time it came and whether it was taken.
 type OrderSeen struct {
 	At    time.Time      `json:"at"`
-	Order platform.Order `json:"order"`
+	Order hosting.Order `json:"order"`
 	Taken bool           `json:"taken"`
 }
 
 // ReportSeen is a usage report with the time it came and whether it was taken.
 type ReportSeen struct {
 	At     time.Time            `json:"at"`
-	Report platform.UsageReport `json:"report"`
+	Report hosting.UsageReport `json:"report"`
 	Taken  bool                 `json:"taken"`
 }
 
 // vmSeen is a VM with its state before and after its last change.
 type vmSeen struct {
-	vm      platform.VM
+	vm      hosting.VM
 	listed  bool // before the change
-	before  platform.VMState
+	before  hosting.VMState
 	changed time.Time
 	removed bool
 }
@@ -113,7 +113,7 @@
 		}
 	})
 	mux.HandleFunc("POST /admin/vms", func(w http.ResponseWriter, r *http.Request) {
-		var vm platform.VM
+		var vm hosting.VM
 		if decode(w, r, &vm) {
 			p.SetVM(time.Now(), vm)
 		}
@@ -138,14 +138,14 @@
 }
 
 // SetVM adds a VM to the list or changes its state.
-func (p *Platform) SetVM(now time.Time, vm platform.VM) {
+func (p *Platform) SetVM(now time.Time, vm hosting.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.set(now, vm)
 }
 
 // set adds a VM or changes its state. The caller holds the lock.
-func (p *Platform) set(now time.Time, vm platform.VM) {
+func (p *Platform) set(now time.Time, vm hosting.VM) {
 	old, ok := p.vms[vm.ID]
 	p.vms[vm.ID] = vmSeen{vm: vm, listed: ok && !old.removed, before: old.vm.State, changed: now}
 }
@@ -208,7 +208,7 @@
 	}
 	s := p.stream(r.PathValue("stream"))
 	offset := s.first + id.Offset(len(s.records))
-	s.records = append(s.records, platform.Record{Offset: offset, Payload: payload})
+	s.records = append(s.records, hosting.Record{Offset: offset, Payload: payload})
 	s.trim(p.faults.Keep)
 	close(s.grown)
 	s.grown = make(chan struct{})
@@ -264,11 +264,11 @@
 // pageRecords is the most records in one page.
 const pageRecords = 1000
 
-func (p *Platform) page(name string, after id.Offset) (platform.Page, <-chan struct{}) {
+func (p *Platform) page(name string, after id.Offset) (hosting.Page, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.stream(name)
-	page := platform.Page{First: s.first, Newest: s.first + id.Offset(len(s.records)) - 1, Records: []platform.Record{}}
+	page := hosting.Page{First: s.first, Newest: s.first + id.Offset(len(s.records)) - 1, Records: []hosting.Record{}}
 	if after+1 >= s.first && after < page.Newest {
 		rest := s.records[after+1-s.first:]
 		page.Records = append(page.Records, rest[:min(len(rest), pageRecords)]...)
@@ -277,7 +277,7 @@
 }
 
 func (p *Platform) order(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o hosting.Order
 	if !decode(w, r, &o) {
 		return
 	}
@@ -291,7 +291,7 @@
 }
 
 func (p *Platform) report(w http.ResponseWriter, r *http.Request) {
-	var u platform.UsageReport
+	var u hosting.UsageReport
 	if !decode(w, r, &u) {
 		return
 	}
@@ -327,7 +327,7 @@
 
 // list serves the VM list, or nothing but its tag if the caller has it already.
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
-	body, err := json.Marshal(map[string][]platform.VM{"vms": p.listed(time.Now())})
+	body, err := json.Marshal(map[string][]hosting.VM{"vms": p.listed(time.Now())})
 	if err != nil {
 		panic("VM lists always encode")
 	}
@@ -342,11 +342,11 @@
 }
 
 // listed returns the list as it is served, in the order of the ids.
-func (p *Platform) listed(now time.Time) []platform.VM {
+func (p *Platform) listed(now time.Time) []hosting.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lag := time.Duration(p.faults.VMLagMS) * time.Millisecond
-	list := []platform.VM{}
+	list := []hosting.VM{}
 	for _, v := range p.vms {
 		vm, listed := v.vm, !v.removed
 		if now.Sub(v.changed) < lag {
@@ -356,7 +356,7 @@
 			list = append(list, vm)
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(list, func(a, b hosting.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return list
 }
 
--- a/standin/spare.go
+++ b/standin/spare.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 )
 
 // Spare is a VM with an upstream that the platform may start and stop.
 type Spare struct {
-	VM       platform.VM
+	VM       hosting.VM
 	Upstream id.Upstream
 	Model    id.Model
 	Started  bool
@@ -33,7 +33,7 @@
 }
 
 // carryOut starts or stops spares, once for each order id. The caller holds the lock.
-func (p *Platform) carryOut(now time.Time, o platform.Order) {
+func (p *Platform) carryOut(now time.Time, o hosting.Order) {
 	if p.done[o.ID] {
 		return
 	}
@@ -42,14 +42,14 @@
 	for i := range p.spares {
 		s := &p.spares[i]
 		switch {
-		case o.Kind == platform.OrderStart && left > 0 && !s.Started && s.VM.DataCentre == o.DataCentre && s.Model == o.Model:
+		case o.Kind == hosting.OrderStart && left > 0 && !s.Started && s.VM.DataCentre == o.DataCentre && s.Model == o.Model:
 			left--
 			s.Started = true
-			s.VM.State = platform.VMLive
+			s.VM.State = hosting.VMLive
 			p.set(now, s.VM)
-		case o.Kind == platform.OrderStop && s.Started && s.Upstream == o.Upstream:
+		case o.Kind == hosting.OrderStop && s.Started && s.Upstream == o.Upstream:
 			s.Started = false
-			s.VM.State = platform.VMLeaving
+			s.VM.State = hosting.VMLeaving
 			p.set(now, s.VM)
 		}
 	}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -99,10 +99,10 @@
 }
 
 // Report returns the lines in the form of the platform's interface.
-func Report(lines []*ragwortv1.UsageLine) []platform.UsageLine {
-	out := make([]platform.UsageLine, len(lines))
+func Report(lines []*ragwortv1.UsageLine) []hosting.UsageLine {
+	out := make([]hosting.UsageLine, len(lines))
 	for i, u := range lines {
-		out[i] = platform.UsageLine{
+		out[i] = hosting.UsageLine{
 			Workspace: id.Workspace(u.GetWorkspace()), Class: id.Class(u.GetClass()), Model: id.Model(u.GetModel()),
 			Requests: u.GetRequests(), PromptTokens: id.Tokens(u.GetPromptTokens()), OutputTokens: id.Tokens(u.GetOutputTokens()),
 		}
