--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,180 @@
+// Package catalog holds the configuration that operators have put in force: which
+// routes exist, which services answer them, and which keys belong to which
+// workspace.
+//
+// A Catalog is immutable. Shelf keeps the newest one; an older version never
+// replaces a newer one.
+package catalog
+
+import (
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+// Version numbers configurations. Versions grow in uneven steps.
+type Version uint64
+
+// Kind says what may be repeated of a request.
+type Kind int
+
+// The kinds of request.
+const (
+	Safe      Kind = iota // may run any number of times
+	Once                  // may run at most once
+	Stream                // a stream of events; may run at most once
+	Resumable             // a stream that another upstream can continue after an event
+)
+
+// String returns the kind's name in logs.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Once:
+		return "once"
+	case Stream:
+		return "stream"
+	case Resumable:
+		return "resumable"
+	}
+	return "unknown"
+}
+
+// Repeatable reports whether a request that may have run can be sent again.
+func (k Kind) Repeatable() bool { return k == Safe || k == Resumable }
+
+// Streams reports whether the answer is a stream of events.
+func (k Kind) Streams() bool { return k == Stream || k == Resumable }
+
+// Share is the part of a route's requests that one service answers.
+type Share struct {
+	Service id.Service
+	Weight  float64
+}
+
+// Route maps requests to services.
+type Route struct {
+	Name       id.Route
+	Host       string
+	PathPrefix string // begins and ends with a slash
+	Kind       Kind
+	Timeout    time.Duration // until the final answer; zero: none
+	Objective  time.Duration // until the answer, or its first event
+	Pause      time.Duration // longest pause between two events that is in time
+	Priority   int           // 0 is the highest
+	Attempts   int           // upstreams that one request may be sent to, at least 1
+	Public     bool          // needs no key
+	Affine     bool          // requests carry the parts of their prompts
+	Shares     []Share       // at least one
+}
+
+// Service is a pool of upstreams that answer the same requests.
+type Service struct {
+	Name       id.Service
+	HealthPath string
+	MaxConns   int // connections that one upstream takes from all callers together
+	Cold       ColdLimit
+	Engine     *Engine // nil: a plain service
+}
+
+// ColdLimit is what an upstream bears while it is cold.
+type ColdLimit struct {
+	For  time.Duration // after its start
+	Rate float64       // requests a second; zero: no limit
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots    int       // requests in a batch
+	Capacity id.Tokens // memory of prompts and answers
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Workspace is a holder of keys.
+type Workspace struct {
+	Name     id.Workspace
+	Priority *int // goes before the route's; nil: the route's counts
+}
+
+// Catalog is one version of the configuration. It must not be changed once it is
+// on a shelf.
+type Catalog struct {
+	Version    Version
+	Routes     []Route
+	Services   map[id.Service]*Service
+	Limits     Limits
+	Workspaces map[string]*Workspace // by key
+	Keyed      bool                  // callers need keys, even if there are none
+
+	byHost map[string][]*Route
+}
+
+// Index prepares lookups. It must be called once, before the catalog is shared.
+func (c *Catalog) Index() {
+	c.byHost = make(map[string][]*Route)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+	}
+}
+
+// Route returns the route with the longest prefix that begins the path, or nil.
+func (c *Catalog) Route(host, path string) *Route {
+	if h, _, ok := strings.Cut(host, ":"); ok {
+		host = h
+	}
+	var best *Route
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) && (best == nil || len(r.PathPrefix) > len(best.PathPrefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Service returns the service that answers a request on the route. Draw, in [0, 1),
+// chooses among the services of a split route.
+func (r *Route) Service(draw float64) id.Service {
+	var total float64
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	left := draw * total
+	for _, s := range r.Shares {
+		if left < s.Weight {
+			return s.Service
+		}
+		left -= s.Weight
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Shelf keeps the newest catalog. It is safe for concurrent use.
+type Shelf struct{ newest atomic.Pointer[Catalog] }
+
+// Newest returns the catalog in force, or nil if none is known yet.
+func (s *Shelf) Newest() *Catalog { return s.newest.Load() }
+
+// Put puts a catalog in force, unless the same or a newer version already is. It
+// reports whether it did.
+func (s *Shelf) Put(c *Catalog) bool {
+	for {
+		old := s.newest.Load()
+		if old != nil && old.Version >= c.Version {
+			return false
+		}
+		if s.newest.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -1,5 +1,6 @@
 // Ragwort-entry is the process that callers reach, behind the platform's
-// balancer.
+// balancer. By default it serves our own interface; relay serves the requests of a
+// platform whose upstreams take them directly.
 package main
 
 import (
@@ -12,14 +13,38 @@
 	"github.com/ragwortpass/ragwortpass/setting"
 )
 
+// settings are the commands of the program.
+type settings struct {
+	Serve entry.Settings `cmd:"" default:"withargs" help:"Serve our own interface under rules of our own log."`
+	Relay relayCommand   `cmd:"" help:"Relay a platform's requests under the configuration on its store."`
+
+	relay bool // the command that was given
+}
+
+// Check implements setting.Checked.
+func (s *settings) Check() error {
+	if s.relay {
+		return nil // its settings file is checked when it is read
+	}
+	return s.Serve.Check()
+}
+
 func main() {
-	var s entry.Settings
+	s := settings{relay: len(os.Args) > 1 && os.Args[1] == "relay"}
 	setting.Parse(&s, "ragwort-entry", "Serves callers and routes their requests to upstreams.")
-	signalled, stop := process.Signals()
-	defer stop()
-	p := entry.NewProgram(time.Now(), &s, process.NewLogger("entry", s.Node))
-	if err := p.Run(signalled); err != nil {
+	run := s.serve
+	if s.relay {
+		run = s.Relay.run
+	}
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(setting.ExitFailed)
+		os.Exit(setting.ExitCode(err))
 	}
 }
+
+// serve runs the entry of our own interface.
+func (s *settings) serve() error {
+	signalled, stop := process.Signals()
+	defer stop()
+	return entry.NewProgram(time.Now(), &s.Serve, process.NewLogger("entry", s.Serve.Node)).Run(signalled)
+}
--- /dev/null
+++ b/cmd/entry/relay.go
@@ -0,0 +1,29 @@
+package main
+
+// This file defines the relay command.
+
+import (
+	"context"
+	"os"
+
+	"github.com/ragwortpass/ragwortpass/gateway"
+	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/process"
+)
+
+// relayCommand relays a platform's requests.
+type relayCommand struct {
+	Settings string `help:"Path of the settings file." required:"" env:"RAGWORTPASS_CONFIG"`
+}
+
+// run serves until SIGTERM.
+func (c *relayCommand) run() error {
+	s, err := gateway.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	lines := process.NewLineWriter(os.Stdout)
+	defer lines.Close()
+	logger := process.NewLineLogger(lines, "entry", string(s.Node))
+	return gateway.NewProgram(s, platform.Outside(s.StoreAddress), logger).Run(context.Background())
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,133 @@
+package gateway
+
+// This file defines one attempt: a request is sent to one upstream and its answer
+// is checked and relayed.
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/problem"
+)
+
+// sent tells whether a byte of an attempt has left.
+type sent struct {
+	conn *countedConn
+	from int64 // bytes written to the connection before
+}
+
+func (s *sent) any() bool { return s.conn != nil && s.conn.written.Load() > s.from }
+
+// attempt sends the request to one upstream.
+func (n *run) attempt(ctx context.Context, c *pool.Chosen) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &sent{}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if counted, ok := info.Conn.(*countedConn); ok {
+			s.conn, s.from = counted, counted.written.Load()
+		}
+		if !info.Reused {
+			n.g.count("upstream_connections")
+		}
+	}})
+	hr, err := n.outgoing(traced, c)
+	if err != nil {
+		return &unsent{err}
+	}
+	rs, err := n.g.deps.Client.Do(hr)
+	if err != nil {
+		switch {
+		case ctx.Err() != nil:
+			n.mayRun = n.mayRun || s.any()
+			return &gone{goneReason(ctx)}
+		case !s.any():
+			return &unsent{err}
+		}
+		return &lost{problem.UpstreamCut, err}
+	}
+	defer rs.Body.Close()
+	n.g.deps.Pool.Heard(c.Upstream.ID)
+	return n.judge(ctx, c, rs)
+}
+
+// once is a body that the transport cannot send a second time by itself.
+type once struct{ io.Reader }
+
+// Close implements io.Closer.
+func (once) Close() error { return nil }
+
+// outgoing returns the request for the upstream.
+func (n *run) outgoing(ctx context.Context, c *pool.Chosen) (*http.Request, error) {
+	rq := n.rq
+	hr, err := http.NewRequestWithContext(ctx, rq.method, "http://"+c.Upstream.Address+rq.uri, once{bytes.NewReader(rq.body)})
+	if err != nil {
+		return nil, err
+	}
+	hr.ContentLength = int64(len(rq.body))
+	hr.Host = rq.host
+	hr.Header = rq.header.Clone()
+	removeConnectionHeaders(hr.Header)
+	n.g.deps.Codec.Prepare(hr.Header, Send{
+		Upstream: c.Upstream.ID, Workspace: rq.workspace, Wait: time.Until(rq.deadline), Urgency: rq.urgency,
+		After: n.after, Resumes: n.resumes,
+	})
+	if _, said := hr.Header["User-Agent"]; !said {
+		hr.Header["User-Agent"] = nil // keeps the library from adding its own
+	}
+	return hr, nil
+}
+
+// judge decides what an upstream's answer means, and relays it.
+func (n *run) judge(ctx context.Context, c *pool.Chosen, rs *http.Response) outcome {
+	reply := n.g.deps.Codec.Reply(rs)
+	success := rs.StatusCode >= http.StatusOK && rs.StatusCode < http.StatusMultipleChoices
+	switch {
+	case reply.NotRun && !success:
+		return &rejected{rs.StatusCode}
+	case reply.Request != n.rq.ask.ID:
+		n.g.count("answer_crossed")
+		return &lost{problem.AnswerCrossed, fmt.Errorf("answer %d is for request %q", rs.StatusCode, reply.Request)}
+	case !reply.Signed:
+		return &lost{problem.UpstreamFailed, fmt.Errorf("answer %d is not signed", rs.StatusCode)}
+	case success && rs.Header.Get("Content-Encoding") != "":
+		return &lost{problem.UpstreamFailed, errors.New("the answer is encoded")}
+	case !success && n.started:
+		return &lost{problem.UpstreamFailed, fmt.Errorf("the rest of the stream came as %d", rs.StatusCode)}
+	case !success && rs.StatusCode >= http.StatusInternalServerError && n.retryable():
+		return &lost{problem.UpstreamFailed, fmt.Errorf("answer %d", rs.StatusCode)}
+	}
+	if success && n.rq.route.Kind.Streams() {
+		return n.relayEvents(ctx, c, rs)
+	}
+	return n.relayPlain(ctx, rs)
+}
+
+// retryable reports whether an upstream's own failure may be followed by another
+// attempt.
+func (n *run) retryable() bool {
+	return n.rq.route.Kind.Repeatable() && n.sends+1 < n.rq.route.Attempts
+}
+
+// meter counts the request once, when it has begun.
+func (n *run) meter() {
+	if !n.counted {
+		n.counted = true
+		n.g.deps.Meter.Began(time.Now(), n.rq.workspace)
+	}
+}
+
+// callerFailed judges a failed write to the caller.
+func callerFailed(ctx context.Context) outcome {
+	if ctx.Err() != nil {
+		return &gone{goneReason(ctx)}
+	}
+	return &gone{problem.CallerGone}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,178 @@
+// Package gateway relays requests whose routes, services and keys operators put in
+// force as a catalog, from callers to upstreams that take them directly.
+//
+// A request goes through these steps, each in a file of its own: accept (catalog,
+// route, key, body), dispatch (attempts), attempt (one send to one upstream) and
+// relay (the answer). How a request looks on the wire is the business of a Codec.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/justinas/alice"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pool"
+)
+
+// Ask is what a caller says of a request in its headers.
+type Ask struct {
+	ID     id.Request
+	Key    string
+	Wait   time.Duration // how long the caller waits; zero: not said
+	Prompt pool.Prompt
+	After   uint64 // the last event that the caller has, if it resumes a stream
+	Resumes bool
+}
+
+// Send is what an upstream is told of a request.
+type Send struct {
+	Upstream  id.Upstream // the only one that may run it
+	Workspace id.Workspace
+	Wait      time.Duration
+	Urgency   int    // 0 is first
+	After     uint64 // events up to this one are left out, if a stream is resumed
+	Resumes   bool
+}
+
+// Reply is what an upstream's answer says beside its content.
+type Reply struct {
+	Request id.Request // that it answers; empty: not said
+	NotRun  bool       // the upstream did not run the request and never will
+	Signed  bool       // an upstream wrote it
+	ColdFor time.Duration
+}
+
+// Codec knows the headers of requests and answers.
+type Codec interface {
+	// Ask reads the headers of a caller's request.
+	Ask(h http.Header) Ask
+	// Prepare turns the headers of a caller's request into those for an upstream.
+	Prepare(h http.Header, s Send)
+	// Reply reads the headers of an upstream's answer.
+	Reply(rs *http.Response) Reply
+	// Identify puts the request's id on an answer of our own.
+	Identify(h http.Header, rq id.Request)
+}
+
+// Meter counts what upstreams have begun.
+type Meter interface {
+	Began(now time.Time, w id.Workspace)
+}
+
+// Fresh reports whether the catalog is known to be in force. A request that the
+// catalog does not allow is refused for good only then.
+type Fresh func(now time.Time) bool
+
+// Deps is what a gateway works with.
+type Deps struct {
+	Codec   Codec
+	Shelf   *catalog.Shelf
+	Pool    *pool.Pool
+	Budget  *Budgets
+	Meter   Meter
+	Fresh   Fresh
+	Client  *http.Client
+	Metrics metrics.Registry
+	Logger  log.Logger
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	deps    Deps
+	leaving atomic.Bool
+	running atomic.Int64
+}
+
+// New returns a gateway.
+func New(deps Deps) *Gateway { return &Gateway{deps: deps} }
+
+// Handler serves callers.
+func (g *Gateway) Handler() http.Handler {
+	return alice.New(g.account).ThenFunc(g.serve)
+}
+
+// account counts what runs, and tells callers to leave when the process does.
+func (g *Gateway) account(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.running.Add(1)
+		defer g.running.Add(-1)
+		if g.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Running returns how many requests run.
+func (g *Gateway) Running() int64 { return g.running.Load() }
+
+// Ready reports whether the gateway can serve callers.
+func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.deps.Shelf.Newest() != nil }
+
+// Leave makes the gateway unready. Running and new requests are served to their
+// end, each the last on its connection.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+func (g *Gateway) count(name string) {
+	metrics.GetOrRegisterCounter(name, g.deps.Metrics).Inc(1)
+}
+
+const (
+	// connectTimeout bounds a connection to an upstream; they are a few milliseconds
+	// away, and a lost opening packet is sent again after one second.
+	connectTimeout = 400 * time.Millisecond
+	// A connection on which nothing arrives is probed, so that an upstream that has
+	// gone dark is noticed while its requests have time left. An upstream that is
+	// merely silent answers the probes.
+	probeAfter = time.Second
+	probeCount = 3
+	// idleConnections bounds the connections kept to one upstream.
+	idleConnections = 64
+	// idleTimeout closes kept connections before upstreams do, which is after some
+	// seconds.
+	idleTimeout = 4 * time.Second
+)
+
+// countedConn counts the bytes written to a connection.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// NewClient returns a client for upstreams. It never follows redirects.
+func NewClient() *http.Client {
+	dialer := &net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter, Count: probeCount},
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &countedConn{Conn: c}, nil
+			},
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- /dev/null
+++ b/gateway/program.go
@@ -0,0 +1,167 @@
+package gateway
+
+// This file defines Program: a gateway with what it follows, its servers and its
+// shutdown.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/feed"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/process"
+)
+
+// Outside is what a program meets through the adapter of its platform.
+type Outside struct {
+	Codec     Codec
+	Decoder   Decoder
+	Operators feed.Topic
+	Upstreams feed.Topic
+}
+
+const (
+	// operatorsWait is how long a read of the operators' topic waits. It bounds how long
+	// a connection that has gone silent goes unnoticed.
+	operatorsWait = 2 * time.Second
+	// upstreamsPause lies between two reads of the upstreams' topic, on which every
+	// upstream writes about once a second: waiting for the next record would mean a call
+	// for each.
+	upstreamsPause = 700 * time.Millisecond
+	// memoryUse is the part of the memory that the garbage collector aims to stay in.
+	memoryUse = 0.7
+	// maxHeaderBytes bounds a request's head until the configuration does.
+	maxHeaderBytes = 64 << 10
+	// readHeaderTimeout bounds a caller that sends its head slowly.
+	readHeaderTimeout = 10 * time.Second
+	// keptFor is how long an idle connection of a caller is kept.
+	keptFor = 2 * time.Minute
+	// leaveAtLeast is how long a leaving process goes on: the balancer asks once a
+	// second and takes two misses to notice.
+	leaveAtLeast = 3500 * time.Millisecond
+	// endMargin lies between the end of a leaving process and the platform's kill.
+	endMargin = 700 * time.Millisecond
+	// leaveCheck is how often a leaving process looks whether it may end.
+	leaveCheck = 50 * time.Millisecond
+)
+
+// Program is a gateway as a process runs it.
+type Program struct {
+	settings *Settings
+	gateway  *Gateway
+	follow   []*feed.Follower
+	counts   metrics.Registry
+	logger   log.Logger
+}
+
+// NewProgram returns a program that has not started yet.
+func NewProgram(s *Settings, out Outside, logger log.Logger) *Program {
+	counts := metrics.NewRegistry()
+	shelf := new(catalog.Shelf)
+	upstreams := pool.New(s.DataCentre, shelf)
+	ops := feed.New(feed.Config{Name: "operators", Wait: operatorsWait}, out.Operators,
+		&operators{decoder: out.Decoder, shelf: shelf, pool: upstreams, logger: logger, counts: counts}, logger, counts)
+	list := feed.New(feed.Config{Name: "upstreams", Pause: upstreamsPause}, out.Upstreams,
+		&listings{decoder: out.Decoder, pool: upstreams, logger: logger, counts: counts, noted: make(map[id.Upstream]noted)}, logger, counts)
+	budgets := NewBudgets(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
+	g := New(Deps{
+		Codec: out.Codec, Shelf: shelf, Pool: upstreams, Budget: budgets, Meter: noMeter{},
+		Fresh: fresh(ops, operatorsWait+durationMS(s.Bounds.ConfigMS)), Client: NewClient(), Metrics: counts, Logger: logger,
+	})
+	return &Program{settings: s, gateway: g, follow: []*feed.Follower{ops, list}, counts: counts, logger: logger}
+}
+
+type noMeter struct{}
+
+func (noMeter) Began(time.Time, id.Workspace) {}
+
+// Run serves until SIGTERM and every running request has finished.
+func (p *Program) Run(ctx context.Context) error {
+	s := p.settings
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB * memoryUse * (1 << 20)))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	terminated := make(chan os.Signal, 1)
+	signal.Notify(terminated, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(terminated)
+	var tasks sync.WaitGroup
+	for _, f := range p.follow {
+		tasks.Go(func() { f.Run(ctx) })
+	}
+	callers := &http.Server{
+		Handler: p.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keptFor, MaxHeaderBytes: maxHeaderBytes,
+	}
+	failed := make(chan error, 3)
+	serve := func(server *http.Server, address string) error {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", address)
+		}
+		tasks.Go(func() { failed <- server.Serve(l) })
+		return nil
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: readHeaderTimeout}
+	pages := &http.Server{Handler: process.MetricsPages(p.counts), ReadHeaderTimeout: readHeaderTimeout}
+	err := errors.Join(serve(callers, s.Listen.Callers), serve(ready, s.Listen.Ready))
+	if s.Metrics != "" {
+		err = errors.Join(err, serve(pages, s.Metrics))
+	}
+	_ = p.logger.Log("event", "start", "version", process.Version(), "callers", s.Listen.Callers, "err", err)
+	if err == nil {
+		select {
+		case err = <-failed:
+		case sig := <-terminated:
+			p.leave(sig)
+		case <-ctx.Done():
+		}
+	}
+	for _, server := range []*http.Server{callers, ready, pages} {
+		err = errors.Join(err, server.Close())
+	}
+	cancel()
+	tasks.Wait()
+	_ = p.logger.Log("event", "stop", "err", err)
+	return err
+}
+
+// leave serves on until nothing runs, within the grace that the platform gives.
+func (p *Program) leave(sig os.Signal) {
+	started := time.Now()
+	p.gateway.Leave()
+	_ = p.logger.Log("event", "leaving", "signal", sig, "running", p.gateway.Running())
+	end := durationS(p.settings.Bounds.GraceS) - endMargin
+	tick := time.NewTicker(leaveCheck)
+	defer tick.Stop()
+	for now := range tick.C {
+		past := now.Sub(started)
+		if past >= end || past >= leaveAtLeast && p.gateway.Running() == 0 {
+			_ = p.logger.Log("event", "left", "after", past, "running", p.gateway.Running())
+			return
+		}
+	}
+}
+
+func (p *Program) ready(w http.ResponseWriter, _ *http.Request) {
+	if !p.gateway.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ready")
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,117 @@
+package gateway
+
+// This file defines Settings, the file that a gateway reads at its start and again
+// when it is told that the file has changed.
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/setting"
+)
+
+// Settings are the settings of a gateway.
+type Settings struct {
+	Node       id.Node       `json:"node"`
+	DataCentre id.DataCentre `json:"data_centre"`
+	Listen     struct {
+		Callers string `json:"callers"`
+		Ready   string `json:"ready"`
+		Peers   string `json:"peers"`
+	} `json:"listen"`
+	Seeds        []string `json:"seeds"` // addresses of other gateways, which may be stale
+	StoreAddress string   `json:"store_address"`
+	DutyAddress  string   `json:"duty_address"` // takes usage reports; empty: none are made
+	Duties       []string `json:"duties"`
+	Metrics      string   `json:"metrics"` // address; empty: none
+	MemoryMB     float64  `json:"memory_mb"`
+	Bounds       Bounds   `json:"bounds"`
+}
+
+// Bounds are the promises of the deployment.
+type Bounds struct {
+	ConfigMS     float64 `json:"config_ms"`      // until a configuration is in force
+	RetryRatio   float64 `json:"retry_ratio"`    // repeats for each request
+	RetrySlack   float64 `json:"retry_slack"`    // repeats beyond that
+	RetryWindowS float64 `json:"retry_window_s"` // in which repeats are counted
+	GraceS       float64 `json:"grace_s"`        // from SIGTERM to the end
+	LeaseMS      float64 `json:"lease_ms"`       // in which a duty must not go back and forth
+	WindowS      float64 `json:"window_s"`       // length of a usage window
+	UsageLateS   float64 `json:"usage_late_s"`   // until the usage of a window is due
+}
+
+// ReadSettings reads and checks a settings file. Its error names every fault.
+func ReadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseSettings(data)
+}
+
+// ParseSettings checks the content of a settings file. Fields that it does not know
+// are ignored: newer platforms may render more.
+func ParseSettings(data []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var c setting.Checker
+	c.Name("node", string(s.Node))
+	c.Name("data_centre", string(s.DataCentre))
+	c.Endpoint("listen.callers", s.Listen.Callers)
+	c.Endpoint("listen.ready", s.Listen.Ready)
+	c.Endpoint("store_address", s.StoreAddress)
+	if s.Listen.Peers != "" {
+		c.Endpoint("listen.peers", s.Listen.Peers)
+	}
+	if s.DutyAddress != "" {
+		c.Endpoint("duty_address", s.DutyAddress)
+	}
+	if s.Metrics != "" {
+		c.Endpoint("metrics", s.Metrics)
+	}
+	for _, seed := range s.Seeds {
+		c.Endpoint("seeds", seed)
+	}
+	b := s.Bounds
+	c.Require(s.MemoryMB >= 0, "memory_mb", fmt.Sprint(s.MemoryMB), "a number from zero")
+	c.Require(b.ConfigMS > 0, "bounds.config_ms", fmt.Sprint(b.ConfigMS), "milliseconds above zero")
+	c.Require(b.RetryRatio >= 0, "bounds.retry_ratio", fmt.Sprint(b.RetryRatio), "a number from zero")
+	c.Require(b.RetrySlack >= 0, "bounds.retry_slack", fmt.Sprint(b.RetrySlack), "a number from zero")
+	c.Require(b.RetryWindowS > 0, "bounds.retry_window_s", fmt.Sprint(b.RetryWindowS), "seconds above zero")
+	c.Require(b.GraceS > 0, "bounds.grace_s", fmt.Sprint(b.GraceS), "seconds above zero")
+	if s.DutyAddress != "" {
+		c.Require(b.LeaseMS > 0, "bounds.lease_ms", fmt.Sprint(b.LeaseMS), "milliseconds above zero")
+		c.Require(b.WindowS > 0, "bounds.window_s", fmt.Sprint(b.WindowS), "seconds above zero")
+		c.Require(b.UsageLateS > 0, "bounds.usage_late_s", fmt.Sprint(b.UsageLateS), "seconds above zero")
+	}
+	if err := c.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// address returns the IP of an address with a port.
+func address(endpoint string) string {
+	host, _, _ := strings.Cut(endpoint, ":")
+	return host
+}
+
+// port returns an address with another port.
+func withPort(endpoint string, port uint16) string {
+	ip, err := netip.ParseAddr(address(endpoint))
+	if err != nil {
+		return endpoint // checked before
+	}
+	return netip.AddrPortFrom(ip, port).String()
+}
+
+func durationMS(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+func durationS(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,195 @@
+// Package pool holds what an entry knows of the upstreams that the platform lists,
+// and chooses one for each request.
+//
+// Pool is the view: which upstreams exist, which take new work, which are cold, and
+// what this entry has running at each. choose.go defines the choice, cold.go the
+// rate at which cold upstreams are sent requests.
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+// Listing is what an upstream says of itself on the platform's store.
+type Listing struct {
+	ID         id.Upstream
+	Service    id.Service
+	Address    string // IP and port
+	DataCentre id.DataCentre
+	Draining   bool
+	Slots      int           // requests that it runs at once; zero: unknown
+	ColdFor    time.Duration // how much longer it is cold
+	Born       int64         // Unix milliseconds of its start; zero: unknown
+}
+
+const (
+	// regainedGrace is how long entries that lapsed while the store was away have to
+	// come back: the platform gives about two seconds.
+	regainedGrace = 2200 * time.Millisecond
+	// unreachableFor is how long an upstream that did not take a connection gets no
+	// further one, and restartable doubles it up to unreachableMax.
+	unreachableFor = 400 * time.Millisecond
+	unreachableMax = 3 * time.Second
+)
+
+// member is an upstream in the pool.
+type member struct {
+	Listing
+	coldUntil   time.Time
+	cold        pacer
+	goneAt      time.Time // when it stops to take work; zero: never
+	unreachable time.Time // until then it gets nothing
+	failures    int       // connections that failed in a row
+	runs        int       // requests of this entry that run there
+	prefill     id.Tokens // tokens of prompts of this entry that it has yet to read
+	queued      time.Time // until about then it reads the prompts it was sent
+}
+
+// Pool is the upstreams that an entry knows. It is safe for concurrent use.
+type Pool struct {
+	mu        sync.Mutex
+	members   map[id.Upstream]*member
+	byService map[id.Service][]*member
+	evacuated map[id.DataCentre]bool
+	lifted    map[id.DataCentre]time.Time // when an evacuation ended
+	regained  time.Time                   // when the store came back
+	shelf     *catalog.Shelf
+	entries   int // entries alive, which share what upstreams bear
+	home      id.DataCentre
+}
+
+// New returns an empty pool. Home is the entry's own data centre.
+func New(home id.DataCentre, shelf *catalog.Shelf) *Pool {
+	return &Pool{
+		members: make(map[id.Upstream]*member), byService: make(map[id.Service][]*member),
+		evacuated: make(map[id.DataCentre]bool), lifted: make(map[id.DataCentre]time.Time),
+		shelf: shelf, entries: 1, home: home,
+	}
+}
+
+// SetEntries says how many entries share what a cold upstream bears.
+func (p *Pool) SetEntries(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries = max(1, n)
+}
+
+// Put takes a listing in. New reports whether the upstream, or its incarnation, was
+// not known.
+func (p *Pool) Put(now time.Time, l Listing) (fresh bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[l.ID]
+	if m != nil && (m.Service != l.Service || m.Address != l.Address || m.Born != l.Born) {
+		p.drop(m)
+		m = nil
+	}
+	if m == nil {
+		m = &member{}
+		p.members[l.ID] = m
+		p.byService[l.Service] = append(p.byService[l.Service], m)
+		fresh = true
+	}
+	m.Listing, m.goneAt = l, time.Time{}
+	m.coldUntil = time.Time{}
+	if l.ColdFor > 0 {
+		m.coldUntil = now.Add(l.ColdFor)
+	}
+	return fresh
+}
+
+// Remove takes an upstream out. Entries that the store drops shortly after it was
+// away may only have lapsed, so that these upstreams keep their work for a while.
+func (p *Pool) Remove(now time.Time, u id.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[u]
+	if m == nil {
+		return
+	}
+	if until := p.regained.Add(regainedGrace); now.Before(until) {
+		if m.goneAt.IsZero() {
+			m.goneAt = until
+		}
+		return
+	}
+	p.drop(m)
+}
+
+// Regained says that the store is read again after it could not be.
+func (p *Pool) Regained(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.regained = now
+}
+
+// Known returns the upstreams of the pool.
+func (p *Pool) Known() []id.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make([]id.Upstream, 0, len(p.members))
+	for u := range p.members {
+		known = append(known, u)
+	}
+	return known
+}
+
+// Evacuate says whether a data centre is to get no new work.
+func (p *Pool) Evacuate(now time.Time, dc id.DataCentre, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.evacuated[dc] && !on {
+		p.lifted[dc] = now
+	}
+	if on {
+		p.evacuated[dc] = true
+	} else {
+		delete(p.evacuated, dc)
+	}
+}
+
+// Evacuated returns the data centres that are to get no new work.
+func (p *Pool) Evacuated() []id.DataCentre {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]id.DataCentre, 0, len(p.evacuated))
+	for dc := range p.evacuated {
+		out = append(out, dc)
+	}
+	return out
+}
+
+// drop removes a member. The caller holds the lock.
+func (p *Pool) drop(m *member) {
+	delete(p.members, m.ID)
+	list := p.byService[m.Service]
+	for i, x := range list {
+		if x == m {
+			p.byService[m.Service] = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+// Unreachable says that an upstream did not take a connection.
+func (p *Pool) Unreachable(now time.Time, u id.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[u]; m != nil {
+		m.unreachable = now.Add(min(unreachableFor<<min(m.failures, 4), unreachableMax))
+		m.failures++
+	}
+}
+
+// Heard says that an upstream answered.
+func (p *Pool) Heard(u id.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[u]; m != nil {
+		m.failures, m.unreachable = 0, time.Time{}
+	}
+}
--- /dev/null
+++ b/process/lines.go
@@ -0,0 +1,112 @@
+package process
+
+// This file defines LineWriter, through which a program writes its log without ever
+// waiting for who reads it.
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+const (
+	// maxQueued bounds the lines that wait for a slow reader, in bytes.
+	maxQueued = 1 << 20
+	// lineInterval is the pause between two writes: many lines share one.
+	lineInterval = 50 * time.Millisecond
+)
+
+// LineWriter queues lines and writes them in the background. Lines that come while
+// the queue is full are dropped; how many is said in a line of its own.
+type LineWriter struct {
+	mu      sync.Mutex
+	queued  bytes.Buffer
+	dropped uint64
+	closed  bool
+	out     io.Writer
+	stop    chan struct{}
+	ended   chan struct{}
+}
+
+// NewLineWriter returns a writer to out. Close must be called at the end.
+func NewLineWriter(out io.Writer) *LineWriter {
+	w := &LineWriter{out: out, stop: make(chan struct{}), ended: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It takes whole lines and never waits.
+func (w *LineWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || w.queued.Len()+len(line) > maxQueued {
+		w.dropped++
+		return len(line), nil
+	}
+	return w.queued.Write(line)
+}
+
+// Dropped returns how many lines were dropped since the last that said so.
+func (w *LineWriter) Dropped() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dropped
+}
+
+// closeTimeout bounds how long the end of a program waits for the reader of its log.
+const closeTimeout = 200 * time.Millisecond
+
+// Close writes what is queued, unless the reader does not take it in time.
+func (w *LineWriter) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	close(w.stop)
+	t := time.NewTimer(closeTimeout)
+	defer t.Stop()
+	select {
+	case <-w.ended:
+	case <-t.C:
+	}
+}
+
+func (w *LineWriter) run() {
+	defer close(w.ended)
+	t := time.NewTicker(lineInterval)
+	defer t.Stop()
+	for stopping := false; !stopping; {
+		select {
+		case <-t.C:
+		case <-w.stop:
+			stopping = true
+		}
+		if lines := w.take(); len(lines) > 0 {
+			_, _ = w.out.Write(lines) // nobody is left to be told that the log cannot be written
+		}
+	}
+}
+
+// take returns what is queued, with a line about what was dropped.
+func (w *LineWriter) take() []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.queued.Len() == 0 && w.dropped == 0 {
+		return nil
+	}
+	lines := append([]byte(nil), w.queued.Bytes()...)
+	w.queued.Reset()
+	if w.dropped > 0 {
+		lines = fmt.Appendf(lines, "event=log_lines_dropped count=%d\n", w.dropped)
+		w.dropped = 0
+	}
+	return lines
+}
+
+// NewLineLogger returns a logger that writes one line of key=value pairs an event.
+func NewLineLogger(w *LineWriter, program, node string) log.Logger {
+	return log.With(log.NewLogfmtLogger(w), "ts", log.DefaultTimestampUTC, "program", program, "node", node)
+}
--- a/process/process.go
+++ b/process/process.go
@@ -232,8 +232,8 @@
 		_, _ = w.Write([]byte("ok\n"))
 	})
 	mux.HandleFunc("GET /readyz", s.readyz)
-	mux.HandleFunc("GET /metrics", s.prometheus)
-	mux.HandleFunc("GET /metrics.json", s.json)
+	mux.Handle("GET /metrics", MetricsPages(s.Metrics))
+	mux.Handle("GET /metrics.json", MetricsPages(s.Metrics))
 	mux.Handle("/", s.Handler)
 	return mux
 }
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -3,6 +3,7 @@
 package setting
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -139,3 +140,12 @@
 	}
 	return settings.Check()
 }
+
+// ExitCode returns the exit code of a program that ended with err.
+func ExitCode(err error) int {
+	var faults Faults
+	if errors.As(err, &faults) {
+		return ExitSettings
+	}
+	return ExitFailed
+}
