--- a/cmd/entry/relay.go
+++ b/cmd/entry/relay.go
@@ -18,12 +18,13 @@
 
 // run serves until SIGTERM.
 func (c *relayCommand) run() error {
-	s, err := gateway.ReadSettings(c.Settings)
+	read := func() (*gateway.Settings, error) { return gateway.ReadSettings(c.Settings) }
+	s, err := read()
 	if err != nil {
 		return err
 	}
 	lines := process.NewLineWriter(os.Stdout)
 	defer lines.Close()
 	logger := process.NewLineLogger(lines, "entry", string(s.Node))
-	return gateway.NewProgram(s, platform.Outside(s.StoreAddress), logger).Run(context.Background())
+	return gateway.NewProgram(s, read, platform.Outside(s.StoreAddress), logger).Run(context.Background())
 }
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -50,6 +50,13 @@
 	b.entries = max(1, n)
 }
 
+// Configure changes the bound of the fleet.
+func (b *Budgets) Configure(cfg BudgetConfig) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg = cfg
+}
+
 // Earn counts a new request for a service.
 func (b *Budgets) Earn(now time.Time, s id.Service) {
 	b.mu.Lock()
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -51,26 +51,28 @@
 	readHeaderTimeout = 10 * time.Second
 	// keptFor is how long an idle connection of a caller is kept.
 	keptFor = 2 * time.Minute
-	// leaveAtLeast is how long a leaving process goes on: the balancer asks once a
-	// second and takes two misses to notice.
-	leaveAtLeast = 3500 * time.Millisecond
+	// takeFor is how long a leaving process takes new requests: the balancer asks once
+	// a second and takes two misses to notice, and what is taken later may not be done
+	// in time.
+	takeFor = 2800 * time.Millisecond
 	// endMargin lies between the end of a leaving process and the platform's kill.
-	endMargin = 700 * time.Millisecond
-	// leaveCheck is how often a leaving process looks whether it may end.
-	leaveCheck = 50 * time.Millisecond
+	endMargin = 400 * time.Millisecond
 )
 
 // Program is a gateway as a process runs it.
 type Program struct {
 	settings *Settings
+	read     func() (*Settings, error) // reads the settings again
 	gateway  *Gateway
+	budgets  *Budgets
 	follow   []*feed.Follower
 	counts   metrics.Registry
 	logger   log.Logger
 }
 
-// NewProgram returns a program that has not started yet.
-func NewProgram(s *Settings, out Outside, logger log.Logger) *Program {
+// NewProgram returns a program that has not started yet. Read reads its settings
+// again when the process is told that they have changed.
+func NewProgram(s *Settings, read func() (*Settings, error), out Outside, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
 	shelf := new(catalog.Shelf)
 	upstreams := pool.New(s.DataCentre, shelf)
@@ -83,7 +85,7 @@
 		Codec: out.Codec, Shelf: shelf, Pool: upstreams, Budget: budgets, Meter: noMeter{},
 		Fresh: fresh(ops, operatorsWait+durationMS(s.Bounds.ConfigMS)), Client: NewClient(), Metrics: counts, Logger: logger,
 	})
-	return &Program{settings: s, gateway: g, follow: []*feed.Follower{ops, list}, counts: counts, logger: logger}
+	return &Program{settings: s, read: read, gateway: g, budgets: budgets, follow: []*feed.Follower{ops, list}, counts: counts, logger: logger}
 }
 
 type noMeter struct{}
@@ -101,6 +103,9 @@
 	terminated := make(chan os.Signal, 1)
 	signal.Notify(terminated, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(terminated)
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
 	var tasks sync.WaitGroup
 	for _, f := range p.follow {
 		tasks.Go(func() { f.Run(ctx) })
@@ -124,13 +129,17 @@
 		err = errors.Join(err, serve(pages, s.Metrics))
 	}
 	_ = p.logger.Log("event", "start", "version", process.Version(), "callers", s.Listen.Callers, "err", err)
-	if err == nil {
+	for running := err == nil; running; {
 		select {
+		case <-changed:
+			p.reload()
+			continue
 		case err = <-failed:
 		case sig := <-terminated:
-			p.leave(sig)
+			err = p.leave(sig, callers)
 		case <-ctx.Done():
 		}
+		running = false
 	}
 	for _, server := range []*http.Server{callers, ready, pages} {
 		err = errors.Join(err, server.Close())
@@ -141,21 +150,36 @@
 	return err
 }
 
-// leave serves on until nothing runs, within the grace that the platform gives.
-func (p *Program) leave(sig os.Signal) {
+// leave serves on until the balancer has noticed, then lets what runs finish within
+// the grace that the platform gives. Callers use kept connections until these are
+// closed, so that each answer meanwhile is the last on its connection.
+func (p *Program) leave(sig os.Signal, callers *http.Server) error {
 	started := time.Now()
 	p.gateway.Leave()
 	_ = p.logger.Log("event", "leaving", "signal", sig, "running", p.gateway.Running())
-	end := durationS(p.settings.Bounds.GraceS) - endMargin
-	tick := time.NewTicker(leaveCheck)
-	defer tick.Stop()
-	for now := range tick.C {
-		past := now.Sub(started)
-		if past >= end || past >= leaveAtLeast && p.gateway.Running() == 0 {
-			_ = p.logger.Log("event", "left", "after", past, "running", p.gateway.Running())
-			return
-		}
+	end, cancel := context.WithDeadline(context.Background(), started.Add(durationS(p.settings.Bounds.GraceS)-endMargin))
+	defer cancel()
+	if !sleepUntil(end, started.Add(takeFor)) {
+		return end.Err()
+	}
+	err := callers.Shutdown(end)
+	_ = p.logger.Log("event", "left", "after", time.Since(started), "running", p.gateway.Running(), "err", err)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil // what still runs has outlasted the grace; the line says how many
+	}
+	return err
+}
+
+// reload reads the settings file again. Settings with faults change nothing.
+func (p *Program) reload() {
+	s, err := p.read()
+	if err != nil {
+		_ = p.logger.Log("event", "reload_refused", "err", err)
+		return
 	}
+	b := s.Bounds
+	p.budgets.Configure(BudgetConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: durationS(b.RetryWindowS)})
+	_ = p.logger.Log("event", "reloaded", "listen_changed", s.Listen != p.settings.Listen)
 }
 
 func (p *Program) ready(w http.ResponseWriter, _ *http.Request) {
