--- a/feed/feed.go
+++ b/feed/feed.go
@@ -9,6 +9,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,7 +92,8 @@
 
 	mu      sync.Mutex
 	next    Offset
-	known   bool      // a full read has succeeded
+	known   bool // a full read has succeeded, here or at a peer
+	held    map[string]Record
 	contact time.Time // start of the last read that succeeded
 	failing time.Time // start of the first of the reads that fail now; zero: none does
 }
@@ -100,24 +103,68 @@
 	return &Follower{cfg: cfg, topic: topic, sink: sink, logger: log.With(logger, "topic", cfg.Name), counts: counts}
 }
 
-// Contact returns when the last read that succeeded began, and whether any did.
+// Contact returns when the last read that succeeded began, here or at the peer whose
+// view was adopted, and whether any did.
 func (f *Follower) Contact() (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.contact, f.known
 }
 
-// Adopt takes a full view that a peer holds, if it reaches further than the own one.
-// It reports whether it did.
-func (f *Follower) Adopt(now time.Time, p Page) bool {
+// Reached returns where the next read starts, and what Contact does.
+func (f *Follower) Reached() (next Offset, contact time.Time, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.known && p.Next <= f.next {
+	return f.next, f.contact, f.known
+}
+
+// Held returns the newest record of every key, if asked for, and what Contact does.
+func (f *Follower) Held(records bool) (p Page, contact time.Time, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.Next = f.next
+	if records {
+		p.Records = slices.Collect(maps.Values(f.held))
+	}
+	return p, f.contact, f.known
+}
+
+// Adopt takes a view that a peer holds and that was current at a time: all of it if
+// it reaches further than the own one; that the own one still was, if it reaches as
+// far. It reports whether anything new was in it.
+func (f *Follower) Adopt(now, contact time.Time, p Page) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.known && p.Next < f.next || p.Next > f.next && len(p.Records) == 0 || !f.known && len(p.Records) == 0 {
+		return false
+	}
+	if contact.After(f.contact) {
+		f.contact = contact
+	}
+	if f.known && p.Next == f.next {
 		return false
 	}
+	f.replaced(now, p)
+	return true
+}
+
+// replaced hands a full view to the sink. The caller holds the lock.
+func (f *Follower) replaced(now time.Time, p Page) {
+	f.held = make(map[string]Record, len(p.Records))
+	f.hold(p.Records)
 	f.sink.Replace(now, p.Records)
 	f.next, f.known = p.Next, true
-	return true
+}
+
+// hold keeps records for peers. The caller holds the lock.
+func (f *Follower) hold(records []Record) {
+	for _, r := range records {
+		if r.Value == nil {
+			delete(f.held, r.Key)
+		} else {
+			f.held[r.Key] = r
+		}
+	}
 }
 
 // Run follows the topic until ctx is done.
@@ -198,11 +245,14 @@
 		return
 	}
 	if full {
-		f.sink.Replace(now, page.Records)
-	} else if len(page.Records) > 0 {
-		f.sink.Apply(now, unseen(page.Records, f.next))
+		f.replaced(now, page)
+		return
+	}
+	if records := unseen(page.Records, f.next); len(records) > 0 {
+		f.hold(records)
+		f.sink.Apply(now, records)
 	}
-	f.next, f.known = page.Next, true
+	f.next = page.Next
 }
 
 // unseen returns the records from an offset on.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,6 +30,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &sent{}
+	n.sentAt = time.Now()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if counted, ok := info.Conn.(*countedConn); ok {
 			s.conn, s.from = counted, counted.written.Load()
@@ -88,6 +89,9 @@
 // judge decides what an upstream's answer means, and relays it.
 func (n *run) judge(ctx context.Context, c *pool.Chosen, rs *http.Response) outcome {
 	reply := n.g.deps.Codec.Reply(rs)
+	if reply.Signed && !reply.NotRun && !n.rq.route.Kind.Streams() {
+		n.meter(time.Since(n.sentAt))
+	}
 	success := rs.StatusCode >= http.StatusOK && rs.StatusCode < http.StatusMultipleChoices
 	switch {
 	case reply.NotRun && !success:
@@ -116,11 +120,12 @@
 	return n.rq.route.Kind.Repeatable() && n.sends+1 < n.rq.route.Attempts
 }
 
-// meter counts the request once, when it has begun.
-func (n *run) meter() {
+// meter counts the request once: a stream when its first event comes, any other as
+// begun when it was sent.
+func (n *run) meter(ago time.Duration) {
 	if !n.counted {
 		n.counted = true
-		n.g.deps.Meter.Began(time.Now(), n.rq.workspace)
+		n.g.deps.Meter.Began(ago, n.rq.workspace)
 	}
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -59,13 +59,14 @@
 	rq      *request
 	w       http.ResponseWriter
 	avoid   []id.Upstream
-	sends   int    // attempts of which a byte may have reached an upstream
-	unsent  int    // attempts of which none has
-	mayRun  bool   // some attempt may have run
-	started bool   // the caller has the head of an answer
-	after   uint64 // the last event that the caller has, if resumes
-	resumes bool   // the caller has a part of the stream
-	counted bool   // the request was metered
+	sends   int       // attempts of which a byte may have reached an upstream
+	unsent  int       // attempts of which none has
+	mayRun  bool      // some attempt may have run
+	started bool      // the caller has the head of an answer
+	after   uint64    // the last event that the caller has, if resumes
+	resumes bool      // the caller has a part of the stream
+	counted bool      // the request was metered
+	sentAt  time.Time // when the last attempt began
 }
 
 // dispatch runs attempts until one is whole or the request is given up.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -196,4 +196,3 @@
 		return known && now.Sub(contact) < within
 	}
 }
-
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,10 +24,10 @@
 
 // Ask is what a caller says of a request in its headers.
 type Ask struct {
-	ID     id.Request
-	Key    string
-	Wait   time.Duration // how long the caller waits; zero: not said
-	Prompt pool.Prompt
+	ID      id.Request
+	Key     string
+	Wait    time.Duration // how long the caller waits; zero: not said
+	Prompt  pool.Prompt
 	After   uint64 // the last event that the caller has, if it resumes a stream
 	Resumes bool
 }
@@ -64,7 +64,8 @@
 
 // Meter counts what upstreams have begun.
 type Meter interface {
-	Began(now time.Time, w id.Workspace)
+	// Began counts a request of a workspace that began some time ago.
+	Began(ago time.Duration, w id.Workspace)
 }
 
 // Fresh reports whether the catalog is known to be in force. A request that the
@@ -117,6 +118,9 @@
 // Ready reports whether the gateway can serve callers.
 func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.deps.Shelf.Newest() != nil }
 
+// Leaving reports whether Leave was called.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
 // Leave makes the gateway unready. Running and new requests are served to their
 // end, each the last on its connection.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,8 +22,11 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/clock"
+	"github.com/ragwortpass/ragwortpass/duty"
 	"github.com/ragwortpass/ragwortpass/feed"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/peer"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/process"
 )
@@ -33,6 +37,8 @@
 	Decoder   Decoder
 	Operators feed.Topic
 	Upstreams feed.Topic
+	Claims    Claims
+	Reports   Reports // nil: no usage is reported
 }
 
 const (
@@ -61,13 +67,18 @@
 
 // Program is a gateway as a process runs it.
 type Program struct {
-	settings *Settings
-	read     func() (*Settings, error) // reads the settings again
-	gateway  *Gateway
-	budgets  *Budgets
-	follow   []*feed.Follower
-	counts   metrics.Registry
-	logger   log.Logger
+	settings  *Settings
+	read      func() (*Settings, error) // reads the settings again
+	gateway   *Gateway
+	budgets   *Budgets
+	pool      *pool.Pool
+	table     *peer.Table
+	peers     *peer.Exchanger
+	use       *useCounter
+	reporting *reporting // nil: usage is not reported
+	follow    []*feed.Follower
+	counts    metrics.Registry
+	logger    log.Logger
 }
 
 // NewProgram returns a program that has not started yet. Read reads its settings
@@ -81,16 +92,47 @@
 	list := feed.New(feed.Config{Name: "upstreams", Pause: upstreamsPause}, out.Upstreams,
 		&listings{decoder: out.Decoder, pool: upstreams, logger: logger, counts: counts, noted: make(map[id.Upstream]noted)}, logger, counts)
 	budgets := NewBudgets(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
-	g := New(Deps{
-		Codec: out.Codec, Shelf: shelf, Pool: upstreams, Budget: budgets, Meter: noMeter{},
+	p := &Program{settings: s, read: read, budgets: budgets, pool: upstreams, follow: []*feed.Follower{ops, list}, counts: counts, logger: logger}
+	steady := clock.New()
+	p.table = peer.NewTable(peer.Name{Node: s.Node, Incarnation: id.Incarnation(steady.Now().UnixNano())})
+	truth := func() time.Time { return steady.Now().Add(p.table.Ahead(time.Now())) }
+	p.use = newUseCounter(durationS(s.Bounds.WindowS), truth)
+	p.gateway = New(Deps{
+		Codec: out.Codec, Shelf: shelf, Pool: upstreams, Budget: budgets, Meter: p.use,
 		Fresh: fresh(ops, operatorsWait+durationMS(s.Bounds.ConfigMS)), Client: NewClient(), Metrics: counts, Logger: logger,
 	})
-	return &Program{settings: s, read: read, gateway: g, budgets: budgets, follow: []*feed.Follower{ops, list}, counts: counts, logger: logger}
+	p.peers = peer.NewExchanger(peer.Config{Address: s.Listen.Peers, Seeds: s.Seeds}, p.table,
+		peer.Topics{Operators: ops, Upstreams: list}, steady, p.say(truth), logger, counts)
+	if out.Reports != nil && slices.Contains(s.Duties, dutyUsage) {
+		cfg := duty.Config{Length: durationS(s.Bounds.WindowS), Late: durationS(s.Bounds.UsageLateS), Lease: durationMS(s.Bounds.LeaseMS)}
+		self := p.table.Self()
+		p.reporting = &reporting{
+			cfg: cfg, reporter: duty.New(cfg, self.Node, self.Incarnation, steady.Now()), table: p.table, clock: steady,
+			truth: truth, claims: out.Claims, reports: out.Reports, logger: logger, counts: counts,
+		}
+	}
+	return p
 }
 
-type noMeter struct{}
+// dutyUsage names the duty of reporting usage.
+const dutyUsage = "usage"
 
-func (noMeter) Began(time.Time, id.Workspace) {}
+// say returns what makes the own row for peers.
+func (p *Program) say(truth func() time.Time) func(time.Time) *peer.Row {
+	return func(now time.Time) *peer.Row {
+		live := len(p.table.Live(now))
+		p.pool.SetEntries(live)
+		p.budgets.SetEntries(live)
+		row := &peer.Row{
+			Address: p.settings.Listen.Peers, DataCentre: string(p.settings.DataCentre), Leaving: p.gateway.Leaving(),
+			CountedToUnixMs: truth().UnixMilli(), Use: p.use.rows(),
+		}
+		if p.reporting != nil {
+			row.ReportedWindow = p.reporting.newest.Load()
+		}
+		return row
+	}
+}
 
 // Run serves until SIGTERM and every running request has finished.
 func (p *Program) Run(ctx context.Context) error {
@@ -110,10 +152,13 @@
 	for _, f := range p.follow {
 		tasks.Go(func() { f.Run(ctx) })
 	}
+	if p.reporting != nil {
+		tasks.Go(func() { p.reporting.run(ctx) })
+	}
 	callers := &http.Server{
 		Handler: p.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keptFor, MaxHeaderBytes: maxHeaderBytes,
 	}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	serve := func(server *http.Server, address string) error {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -125,6 +170,11 @@
 	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: readHeaderTimeout}
 	pages := &http.Server{Handler: process.MetricsPages(p.counts), ReadHeaderTimeout: readHeaderTimeout}
 	err := errors.Join(serve(callers, s.Listen.Callers), serve(ready, s.Listen.Ready))
+	peers := &http.Server{Handler: p.peers.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	if s.Listen.Peers != "" {
+		err = errors.Join(err, serve(peers, s.Listen.Peers))
+		tasks.Go(func() { p.peers.Run(ctx) })
+	}
 	if s.Metrics != "" {
 		err = errors.Join(err, serve(pages, s.Metrics))
 	}
@@ -141,7 +191,7 @@
 		}
 		running = false
 	}
-	for _, server := range []*http.Server{callers, ready, pages} {
+	for _, server := range []*http.Server{callers, ready, peers, pages} {
 		err = errors.Join(err, server.Close())
 	}
 	cancel()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -70,7 +70,6 @@
 	case len(body) > maxHeld:
 		return &lost{problem.AnswerTruncated, fmt.Errorf("the answer exceeds %d bytes", maxHeld)}
 	}
-	n.meter()
 	n.head(rs)
 	n.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	n.w.WriteHeader(rs.StatusCode)
@@ -99,7 +98,7 @@
 			return &lost{problem.UpstreamCut, err}
 		}
 		c.Read()
-		n.meter()
+		n.meter(0)
 		if event.numbered && n.resumes && event.id <= n.after {
 			continue
 		}
