--- a/pool/choose.go
+++ b/pool/choose.go
@@ -60,8 +60,9 @@
 func (*None) decision()   {}
 
 const (
-	// affineCandidates is how many upstreams the shared parts of a prompt hash to: two
-	// let the less loaded one be chosen while the parts are read at few places.
+	// affineCandidates is how many upstreams the shared parts of a prompt hash to: the
+	// next takes what the one before it has no room for, and the parts are read at few
+	// places.
 	affineCandidates = 2
 	// affinityBound is how many times the mean load a preferred upstream may have.
 	affinityBound = 1.5
@@ -171,12 +172,17 @@
 	for _, m := range open {
 		mean += m.load() / float64(len(open))
 	}
-	if m := least(affine(open, shared)); m.load() <= affinityBound*mean+affinitySlack {
-		return m, "affine"
+	for i, m := range affine(open, shared) {
+		if m.load() <= affinityBound*mean+affinitySlack {
+			return m, affineReasons[i]
+		}
 	}
 	return least(two(open)), "over_bound"
 }
 
+// affineReasons are for the log.
+var affineReasons = [affineCandidates]string{"affine", "affine_second"}
+
 // sharedParts hashes the parts of a prompt that other requests share; zero: none.
 func sharedParts(p *Prompt) uint64 {
 	if len(p.Parts) < 2 {
