--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -117,17 +117,28 @@
 	Keyed      bool                  // callers need keys, even if there are none
 
 	byHost map[string][]*Route
+	pauses map[id.Service]time.Duration // the shortest of the routes to a service
 }
 
 // Index prepares lookups. It must be called once, before the catalog is shared.
 func (c *Catalog) Index() {
 	c.byHost = make(map[string][]*Route)
+	c.pauses = make(map[id.Service]time.Duration)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		for _, s := range r.Shares {
+			if old, known := c.pauses[s.Service]; r.Pause > 0 && (!known || r.Pause < old) {
+				c.pauses[s.Service] = r.Pause
+			}
+		}
 	}
 }
 
+// ShortestPause returns the shortest pause that a route to a service allows between
+// two events; zero: none names one.
+func (c *Catalog) ShortestPause(s id.Service) time.Duration { return c.pauses[s] }
+
 // Route returns the route with the longest prefix that begins the path, or nil.
 func (c *Catalog) Route(host, path string) *Route {
 	if h, _, ok := strings.Cut(host, ":"); ok {
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -86,7 +86,7 @@
 func NewProgram(s *Settings, read func() (*Settings, error), out Outside, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
 	shelf := new(catalog.Shelf)
-	upstreams := pool.New(s.DataCentre, shelf)
+	upstreams := pool.New(shelf)
 	ops := feed.New(feed.Config{Name: "operators", Wait: operatorsWait}, out.Operators,
 		&operators{decoder: out.Decoder, shelf: shelf, pool: upstreams, logger: logger, counts: counts}, logger, counts)
 	list := feed.New(feed.Config{Name: "upstreams", Pause: upstreamsPause}, out.Upstreams,
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -108,7 +108,7 @@
 		switch {
 		case !m.goneAt.IsZero() && !now.Before(m.goneAt):
 			p.drop(m)
-		case m.Draining, p.evacuated[m.DataCentre], slices.Contains(ask.Avoid, m.ID):
+		case !p.takes(m), slices.Contains(ask.Avoid, m.ID):
 		case p.held(now, m):
 			if paced.IsZero() || m.cold.next.Before(paced) {
 				paced = m.cold.next
@@ -161,13 +161,17 @@
 
 // pick chooses among members that take the request.
 func (p *Pool) pick(now time.Time, open []*member, ask *Ask) (*member, string) {
+	shared := sharedParts(&ask.Prompt)
 	if len(open) == 1 {
 		return open[0], "only"
 	}
-	shared := sharedParts(&ask.Prompt)
 	if shared == 0 {
 		return least(two(open)), "least_of_two"
 	}
+	open = p.side(now, open, ask)
+	if len(open) == 1 {
+		return open[0], "only"
+	}
 	mean := 0.0
 	for _, m := range open {
 		mean += m.load() / float64(len(open))
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -7,9 +7,13 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
 )
@@ -39,6 +43,7 @@
 // member is an upstream in the pool.
 type member struct {
 	Listing
+	order       uint64 // its place among the upstreams of its service, the same at every entry
 	coldUntil   time.Time
 	cold        pacer
 	goneAt      time.Time // when it stops to take work; zero: never
@@ -46,7 +51,6 @@
 	failures    int       // connections that failed in a row
 	runs        int       // requests of this entry that run there
 	prefill     id.Tokens // tokens of prompts of this entry that it has yet to read
-	queued      time.Time // until about then it reads the prompts it was sent
 }
 
 // Pool is the upstreams that an entry knows. It is safe for concurrent use.
@@ -59,15 +63,15 @@
 	regained  time.Time                   // when the store came back
 	shelf     *catalog.Shelf
 	entries   int // entries alive, which share what upstreams bear
-	home      id.DataCentre
+	splits    map[id.Service]*split
 }
 
-// New returns an empty pool. Home is the entry's own data centre.
-func New(home id.DataCentre, shelf *catalog.Shelf) *Pool {
+// New returns an empty pool.
+func New(shelf *catalog.Shelf) *Pool {
 	return &Pool{
 		members: make(map[id.Upstream]*member), byService: make(map[id.Service][]*member),
 		evacuated: make(map[id.DataCentre]bool), lifted: make(map[id.DataCentre]time.Time),
-		shelf: shelf, entries: 1, home: home,
+		splits: make(map[id.Service]*split), shelf: shelf, entries: 1,
 	}
 }
 
@@ -89,9 +93,11 @@
 		m = nil
 	}
 	if m == nil {
-		m = &member{}
+		m = &member{order: xxhash.Sum64String(string(l.ID))}
 		p.members[l.ID] = m
-		p.byService[l.Service] = append(p.byService[l.Service], m)
+		list := p.byService[l.Service]
+		at, _ := slices.BinarySearchFunc(list, m.order, func(x *member, order uint64) int { return cmp.Compare(x.order, order) })
+		p.byService[l.Service] = slices.Insert(slices.Clone(list), at, m)
 		fresh = true
 	}
 	m.Listing, m.goneAt = l, time.Time{}
--- /dev/null
+++ b/pool/split.go
@@ -0,0 +1,139 @@
+package pool
+
+// This file defines split, which keeps long prompts apart from the rest.
+//
+// It answers the load pattern of a few long prompts among many short streams. An
+// engine reads prompts in chunks between the steps of its batch, so that every stream
+// that runs beside a long prompt pauses for as long as a chunk takes, again and
+// again. A stream whose pauses must be short is late beside two long prompts, and no
+// engine is free of them if they go anywhere. Long prompts therefore run at one part
+// of the engines, all other requests at the rest. The parts follow the work of each.
+
+import (
+	"math"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+const (
+	// longPart is the part of the shortest pause of a service's streams in which an
+	// engine can read a prompt that does not count as long. Trials on two deployments
+	// (docs/design/placement.md) were best at a sixth.
+	longPart = 1.0 / 6
+	// defaultPause stands for the pauses of a service none of whose routes names one.
+	defaultPause = 200 * time.Millisecond
+	// outputWork is the work of one token of an answer, in tokens of a prompt: a request
+	// more in a batch lengthens each step by the time in which some prompt tokens are
+	// read.
+	outputWork = 7
+	// startShare is the part of the engines for long prompts until work was seen.
+	startShare = 0.6
+	// minShare and maxShare keep both kinds served whatever the work.
+	minShare, maxShare = 0.2, 0.8
+	// splitMemory is the time constant over which work is averaged: longer than a burst
+	// takes to arrive, short against a change of the day's load.
+	splitMemory = 15 * time.Second
+	// splitTrust is the work, in tokens of prompts, at which what was seen weighs as much
+	// as the start value.
+	splitTrust = 400_000
+	// splitHold is how far the wanted number of engines must be from the present one for
+	// it to change: an engine that changes sides has the wrong prompts cached.
+	splitHold = 0.7
+	// minSplit is the fewest engines that are divided.
+	minSplit = 3
+)
+
+// split is the division of one service's engines.
+type split struct {
+	long, rest float64 // work seen lately, in tokens of prompts
+	at         time.Time
+	count      int // engines for long prompts
+	of         int // engines when count was set
+}
+
+// note counts a request.
+func (s *split) note(now time.Time, p *Prompt, bound id.Tokens) {
+	if d := now.Sub(s.at); !s.at.IsZero() && d > 0 {
+		keep := math.Exp(-d.Seconds() / splitMemory.Seconds())
+		s.long *= keep
+		s.rest *= keep
+	}
+	s.at = now
+	work := float64(p.Length) + outputWork*float64(p.Output)
+	if p.Length > bound {
+		s.long += work
+	} else {
+		s.rest += work
+	}
+}
+
+// divide returns how many of n engines are for long prompts.
+func (s *split) divide(n int) int {
+	share := (s.long + startShare*splitTrust) / (s.long + s.rest + splitTrust)
+	want := min(max(share, minShare), maxShare) * float64(n)
+	if s.of != n || math.Abs(want-float64(s.count)) > splitHold {
+		s.of, s.count = n, min(max(int(math.Round(want)), 1), n-1)
+	}
+	return s.count
+}
+
+// longBound returns the length above which a prompt for a service is long.
+func (p *Pool) longBound(s id.Service) id.Tokens {
+	pause := time.Duration(0)
+	if c := p.shelf.Newest(); c != nil {
+		pause = c.ShortestPause(s)
+	}
+	if pause == 0 {
+		pause = defaultPause
+	}
+	return id.Tokens(prefillRate * longPart * pause.Seconds())
+}
+
+// side returns the open members on the request's side of the split, or all of them
+// if that side has none. The caller holds the lock.
+func (p *Pool) side(now time.Time, open []*member, ask *Ask) []*member {
+	if ask.Prompt.Length == 0 {
+		return open
+	}
+	s := p.splits[ask.Service]
+	if s == nil {
+		s = new(split)
+		p.splits[ask.Service] = s
+	}
+	bound := p.longBound(ask.Service)
+	s.note(now, &ask.Prompt, bound)
+	takers := 0
+	for _, m := range p.byService[ask.Service] {
+		if p.takes(m) {
+			takers++
+		}
+	}
+	if takers < minSplit {
+		return open
+	}
+	count, at := s.divide(takers), 0
+	long := ask.Prompt.Length > bound
+	side := make([]*member, 0, len(open))
+	next := 0
+	for _, m := range p.byService[ask.Service] {
+		if !p.takes(m) {
+			continue
+		}
+		isLong := at < count
+		at++
+		if next < len(open) && open[next] == m {
+			next++
+			if isLong == long {
+				side = append(side, m)
+			}
+		}
+	}
+	if len(side) == 0 {
+		return open
+	}
+	return side
+}
+
+// takes reports whether a member is meant to take new work at all.
+func (p *Pool) takes(m *member) bool { return !m.Draining && !p.evacuated[m.DataCentre] }
