catalog: urgency is the workspace's priority, then the route's

All but one workspace have the same priority there, and it replaced the route's, so that engines saw no difference and preempted the newest. Change: the rank of the pair.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,6 +7,8 @@
 package catalog
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -103,7 +105,7 @@
 // Workspace is a holder of keys.
 type Workspace struct {
 	Name     id.Workspace
-	Priority *int // goes before the route's; nil: the route's counts
+	Priority *int // goes before the route's, 0 is the highest; nil: 0
 }
 
 // Catalog is one version of the configuration. It must not be changed once it is
@@ -118,10 +120,15 @@
 
 	byHost map[string][]*Route
 	pauses map[id.Service]time.Duration // the shortest of the routes to a service
+	ranks  []rank                       // every pair of priorities, the most urgent first
 }
 
+// rank is how urgent a request is: the workspace's priority goes before the route's.
+type rank struct{ workspace, route int }
+
 // Index prepares lookups. It must be called once, before the catalog is shared.
 func (c *Catalog) Index() {
+	c.rankAll()
 	c.byHost = make(map[string][]*Route)
 	c.pauses = make(map[id.Service]time.Duration)
 	for i := range c.Routes {
@@ -135,6 +142,48 @@
 	}
 }
 
+// rankAll puts every pair of priorities that requests can have in order.
+func (c *Catalog) rankAll() {
+	workspaces := map[int]bool{}
+	for _, w := range c.Workspaces {
+		workspaces[w.priority()] = true
+	}
+	if len(workspaces) == 0 {
+		workspaces[0] = true
+	}
+	routes := map[int]bool{}
+	for i := range c.Routes {
+		routes[c.Routes[i].Priority] = true
+	}
+	c.ranks = nil
+	for _, w := range slices.Sorted(maps.Keys(workspaces)) {
+		for _, r := range slices.Sorted(maps.Keys(routes)) {
+			c.ranks = append(c.ranks, rank{workspace: w, route: r})
+		}
+	}
+}
+
+func (w *Workspace) priority() int {
+	if w == nil || w.Priority == nil {
+		return 0
+	}
+	return *w.Priority
+}
+
+// Urgency returns how urgent a workspace's request on a route is, from 0, the first,
+// to a largest value. Where there are more priorities than values, neighbours share
+// one. W is nil for a request without a key.
+func (c *Catalog) Urgency(w *Workspace, r *Route, largest int) int {
+	at := slices.Index(c.ranks, rank{workspace: w.priority(), route: r.Priority})
+	if at < 0 {
+		at = 0 // a request without a key, where all workspaces have priorities
+	}
+	if over := len(c.ranks) - 1; over > largest {
+		return at * largest / over
+	}
+	return at
+}
+
 // ShortestPause returns the shortest pause that a route to a service allows between
 // two events; zero: none names one.
 func (c *Catalog) ShortestPause(s id.Service) time.Duration { return c.pauses[s] }
--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,113 @@
+package catalog_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+func priority(n int) *int { return &n }
+
+// TestUrgencyOrdersWorkspacesBeforeRoutes replays the load of a large workspace with
+// many urgent calls: where every workspace has the same priority, the route's must
+// still tell an urgent call from a patient one, or engines preempt the wrong one.
+func TestUrgencyOrdersWorkspacesBeforeRoutes(t *testing.T) {
+	first, second := &catalog.Workspace{Name: "first", Priority: priority(0)}, &catalog.Workspace{Name: "second", Priority: priority(1)}
+	c := &catalog.Catalog{
+		Workspaces: map[string]*catalog.Workspace{"k1": first, "k2": second},
+		Routes:     []catalog.Route{{Name: "urgent", Priority: 0}, {Name: "middle", Priority: 1}, {Name: "patient", Priority: 2}},
+	}
+	c.Index()
+	var got []int
+	for _, w := range []*catalog.Workspace{first, second} {
+		for i := range c.Routes {
+			got = append(got, c.Urgency(w, &c.Routes[i], 9))
+		}
+	}
+	require.Equal(t, []int{0, 1, 2, 3, 4, 5}, got)
+	require.Equal(t, 0, c.Urgency(nil, &c.Routes[0], 9))
+}
+
+// TestUrgencyOfManyPriorities shares values among neighbours and keeps the order.
+func TestUrgencyOfManyPriorities(t *testing.T) {
+	c := &catalog.Catalog{Workspaces: map[string]*catalog.Workspace{}}
+	for i := range 12 {
+		c.Workspaces[fmt.Sprint("k", i)] = &catalog.Workspace{Priority: priority(i)}
+		c.Routes = append(c.Routes, catalog.Route{Priority: i})
+	}
+	c.Index()
+	last := -1
+	for i := range 12 {
+		for j := range c.Routes {
+			u := c.Urgency(c.Workspaces[fmt.Sprint("k", i)], &c.Routes[j], 9)
+			require.GreaterOrEqual(t, u, last)
+			require.LessOrEqual(t, u, 9)
+			last = u
+		}
+	}
+	require.Equal(t, 9, last)
+}
+
+func TestRouteIsTheLongestPrefix(t *testing.T) {
+	c := &catalog.Catalog{Routes: []catalog.Route{
+		{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+		{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "other", Host: "b.example", PathPrefix: "/"},
+	}}
+	c.Index()
+	for _, x := range []struct {
+		host, path string
+		want       id.Route
+	}{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:80", "/x/y/", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"b.example", "/anything", "other"},
+		{"c.example", "/x/", ""},
+	} {
+		r := c.Route(x.host, x.path)
+		if x.want == "" {
+			require.Nil(t, r, "%s%s", x.host, x.path)
+			continue
+		}
+		require.NotNil(t, r, "%s%s", x.host, x.path)
+		require.Equal(t, x.want, r.Name)
+	}
+}
+
+func TestServiceFollowsTheWeights(t *testing.T) {
+	r := catalog.Route{Shares: []catalog.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[id.Service]int{}
+	for i := range 1000 {
+		counts[r.Service(float64(i)/1000)]++
+	}
+	require.Equal(t, map[id.Service]int{"a": 900, "b": 100}, counts)
+}
+
+func TestShelfNeverGoesBack(t *testing.T) {
+	var s catalog.Shelf
+	require.Nil(t, s.Newest())
+	require.True(t, s.Put(&catalog.Catalog{Version: 7}))
+	require.False(t, s.Put(&catalog.Catalog{Version: 7}))
+	require.False(t, s.Put(&catalog.Catalog{Version: 3}))
+	require.True(t, s.Put(&catalog.Catalog{Version: 20}))
+	require.Equal(t, catalog.Version(20), s.Newest().Version)
+}
+
+func TestShortestPause(t *testing.T) {
+	c := &catalog.Catalog{Routes: []catalog.Route{
+		{Pause: 800 * time.Millisecond, Shares: []catalog.Share{{Service: "m", Weight: 1}}},
+		{Pause: 200 * time.Millisecond, Shares: []catalog.Share{{Service: "m", Weight: 1}}},
+		{Shares: []catalog.Share{{Service: "m", Weight: 1}}},
+	}}
+	c.Index()
+	require.Equal(t, 200*time.Millisecond, c.ShortestPause("m"))
+	require.Zero(t, c.ShortestPause("other"))
+}
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -96,20 +96,14 @@
 	if rq.route == nil {
 		return g.deny(now, problem.New(problem.RouteUnknown, problem.NotRun, http.StatusNotFound, "no route for %s %s%s", r.Method, r.Host, r.URL.Path))
 	}
-	rq.urgency = rq.route.Priority
-	if c.Keyed {
-		holder := c.Workspaces[rq.ask.Key]
-		if holder == nil && !rq.route.Public {
-			return g.deny(now, problem.New(problem.KeyUnknown, problem.NotRun, http.StatusUnauthorized, "the key is not known"))
-		}
-		if holder != nil {
-			rq.workspace = holder.Name
-			if holder.Priority != nil {
-				rq.urgency = *holder.Priority
-			}
-		}
-	}
-	rq.urgency = min(max(rq.urgency, 0), maxUrgency)
+	holder := c.Workspaces[rq.ask.Key]
+	if c.Keyed && holder == nil && !rq.route.Public {
+		return g.deny(now, problem.New(problem.KeyUnknown, problem.NotRun, http.StatusUnauthorized, "the key is not known"))
+	}
+	if holder != nil {
+		rq.workspace = holder.Name
+	}
+	rq.urgency = c.Urgency(holder, rq.route, maxUrgency)
 	rq.service = rq.route.Service(rand.Float64())
 	rq.deadline, rq.limit = now.Add(defaultDeadline), "default"
 	if rq.ask.Wait > 0 {
