--- a/pool/split.go
+++ b/pool/split.go
@@ -35,8 +35,9 @@
 	// takes to arrive, short against a change of the day's load.
 	splitMemory = 15 * time.Second
 	// splitTrust is the work, in tokens of prompts, at which what was seen weighs as much
-	// as the start value.
-	splitTrust = 400_000
+	// as the start value. One entry sees few long prompts, whose sizes differ by a
+	// factor of ten: what it sees moves the share slowly.
+	splitTrust = 4_000_000
 	// splitHold is how far the wanted number of engines must be from the present one for
 	// it to change: an engine that changes sides has the wrong prompts cached.
 	splitHold = 0.7
