gateway: an upstream that answers 421 is gone at once

Change: 421 takes the upstream out until it is listed anew and uses up no attempt; connections are given up after 150 ms.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -94,6 +94,9 @@
 	}
 	success := rs.StatusCode >= http.StatusOK && rs.StatusCode < http.StatusMultipleChoices
 	switch {
+	case reply.Moved:
+		n.g.deps.Pool.Moved(c.Upstream.ID)
+		return &moved{}
 	case reply.NotRun && !success:
 		return &rejected{rs.StatusCode}
 	case reply.Request != n.rq.ask.ID:
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -28,7 +28,7 @@
 	maxHold = 400 * time.Millisecond
 )
 
-// outcome is how one attempt ended: *whole, *unsent, *rejected, *lost or *gone.
+// outcome is how one attempt ended: *whole, *unsent, *moved, *rejected, *lost or *gone.
 type outcome interface{ outcome() }
 
 type (
@@ -36,6 +36,8 @@
 	whole struct{ status int }
 	// unsent says that no byte of the request has left.
 	unsent struct{ err error }
+	// moved says that another upstream is at the address, which did not run the request.
+	moved struct{}
 	// rejected says that the upstream did not run the request and never will.
 	rejected struct{ status int }
 	// lost says that the request may have run, and its answer is missing or cut.
@@ -49,6 +51,7 @@
 
 func (*whole) outcome()    {}
 func (*unsent) outcome()   {}
+func (*moved) outcome()    {}
 func (*rejected) outcome() {}
 func (*lost) outcome()     {}
 func (*gone) outcome()     {}
@@ -60,7 +63,8 @@
 	w       http.ResponseWriter
 	avoid   []id.Upstream
 	sends   int       // attempts of which a byte may have reached an upstream
-	unsent  int       // attempts of which none has
+	unsent  int       // attempts at upstreams that could not be reached or were others
+	arrived bool      // something has reached an upstream: a further attempt is a repeat
 	mayRun  bool      // some attempt may have run
 	started bool      // the caller has the head of an answer
 	after   uint64    // the last event that the caller has, if resumes
@@ -101,12 +105,17 @@
 			n.unsent++
 			n.g.deps.Pool.Unreachable(time.Now(), c.Upstream.ID)
 			failed = problem.New(problem.UpstreamFailed, n.ran(), http.StatusServiceUnavailable, "upstream %s: %v", c.Upstream.ID, res.err)
+		case *moved:
+			n.unsent++
+			n.arrived = true
+			failed = problem.New(problem.UpstreamFailed, n.ran(), http.StatusServiceUnavailable, "another upstream is at the address of %s", c.Upstream.ID)
 		case *rejected:
 			n.sends++
+			n.arrived = true
 			failed = problem.New(problem.UpstreamBusy, n.ran(), http.StatusServiceUnavailable, "upstream %s answered %d without running it", c.Upstream.ID, res.status)
 		case *lost:
 			n.sends++
-			n.mayRun = true
+			n.mayRun, n.arrived = true, true
 			failed = problem.New(res.reason, problem.Unknown, http.StatusBadGateway, "upstream %s: %v", c.Upstream.ID, res.err)
 		}
 		if p := n.again(ctx, c, failed); p != nil {
@@ -186,7 +195,7 @@
 		return "started"
 	case n.sends >= n.rq.route.Attempts, n.unsent >= maxUnsent:
 		return "attempts"
-	case n.sends > 0 && !n.g.deps.Budget.Spend(now, n.rq.service):
+	case n.arrived && !n.g.deps.Budget.Spend(now, n.rq.service):
 		return "budget"
 	}
 	return ""
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 type Reply struct {
 	Request id.Request // that it answers; empty: not said
 	NotRun  bool       // the upstream did not run the request and never will
+	Moved   bool       // another upstream than the one named is at the address
 	Signed  bool       // an upstream wrote it
 	ColdFor time.Duration
 }
@@ -130,9 +131,10 @@
 }
 
 const (
-	// connectTimeout bounds a connection to an upstream; they are a few milliseconds
-	// away, and a lost opening packet is sent again after one second.
-	connectTimeout = 400 * time.Millisecond
+	// connectTimeout bounds a connection to an upstream. They are a few milliseconds
+	// away, and a lost opening packet is sent again only after one second: another
+	// upstream is reached sooner.
+	connectTimeout = 150 * time.Millisecond
 	// A connection on which nothing arrives is probed, so that an upstream that has
 	// gone dark is noticed while its requests have time left. An upstream that is
 	// merely silent answers the probes.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,6 +49,7 @@
 	goneAt      time.Time // when it stops to take work; zero: never
 	unreachable time.Time // until then it gets nothing
 	failures    int       // connections that failed in a row
+	moved       bool      // its address is another upstream's now
 	runs        int       // requests of this entry that run there
 	prefill     id.Tokens // tokens of prompts of this entry that it has yet to read
 }
@@ -191,6 +192,16 @@
 	}
 }
 
+// Moved says that another upstream answered at the address of this one, which is gone
+// until it is listed with another start or address.
+func (p *Pool) Moved(u id.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.members[u]; m != nil {
+		m.moved = true
+	}
+}
+
 // Heard says that an upstream answered.
 func (p *Pool) Heard(u id.Upstream) {
 	p.mu.Lock()
--- a/pool/split.go
+++ b/pool/split.go
@@ -137,4 +137,4 @@
 }
 
 // takes reports whether a member is meant to take new work at all.
-func (p *Pool) takes(m *member) bool { return !m.Draining && !p.evacuated[m.DataCentre] }
+func (p *Pool) takes(m *member) bool { return !m.Draining && !m.moved && !p.evacuated[m.DataCentre] }
