pool: prompts that share much stay on one side of the split

Change: the side follows what a prompt shares as well as its length; start share 0.55 (0.6 and 0.5 measured beside it).

--- a/pool/split.go
+++ b/pool/split.go
@@ -21,6 +21,9 @@
 	// engine can read a prompt that does not count as long. Trials on two deployments
 	// (docs/design/placement.md) were best at a sixth.
 	longPart = 1.0 / 6
+	// sharedPart divides the bound: a prompt that shares more than this part of it is
+	// cheap to read where the rest was read before, and dear anywhere else.
+	sharedPart = 4
 	// defaultPause stands for the pauses of a service none of whose routes names one.
 	defaultPause = 200 * time.Millisecond
 	// outputWork is the work of one token of an answer, in tokens of a prompt: a request
@@ -28,7 +31,7 @@
 	// read.
 	outputWork = 7
 	// startShare is the part of the engines for long prompts until work was seen.
-	startShare = 0.6
+	startShare = 0.55
 	// minShare and maxShare keep both kinds served whatever the work.
 	minShare, maxShare = 0.2, 0.8
 	// splitMemory is the time constant over which work is averaged: longer than a burst
@@ -53,8 +56,23 @@
 	of         int // engines when count was set
 }
 
+// isLong reports whether a prompt runs among the long ones. Prompts that share much
+// stay together, whatever is their own: what they share is read at one side only.
+func isLong(p *Prompt, bound id.Tokens) bool {
+	return p.Length > bound || p.shared() > bound/sharedPart
+}
+
+// shared returns how much of the prompt other requests share.
+func (p *Prompt) shared() id.Tokens {
+	var n id.Tokens
+	for i := 0; i < len(p.Parts)-1; i++ {
+		n += p.Parts[i].Tokens
+	}
+	return n
+}
+
 // note counts a request.
-func (s *split) note(now time.Time, p *Prompt, bound id.Tokens) {
+func (s *split) note(now time.Time, p *Prompt, long bool) {
 	if d := now.Sub(s.at); !s.at.IsZero() && d > 0 {
 		keep := math.Exp(-d.Seconds() / splitMemory.Seconds())
 		s.long *= keep
@@ -62,7 +80,7 @@
 	}
 	s.at = now
 	work := float64(p.Length) + outputWork*float64(p.Output)
-	if p.Length > bound {
+	if long {
 		s.long += work
 	} else {
 		s.rest += work
@@ -102,8 +120,8 @@
 		s = new(split)
 		p.splits[ask.Service] = s
 	}
-	bound := p.longBound(ask.Service)
-	s.note(now, &ask.Prompt, bound)
+	long := isLong(&ask.Prompt, p.longBound(ask.Service))
+	s.note(now, &ask.Prompt, long)
 	takers := 0
 	for _, m := range p.byService[ask.Service] {
 		if p.takes(m) {
@@ -114,18 +132,17 @@
 		return open
 	}
 	count, at := s.divide(takers), 0
-	long := ask.Prompt.Length > bound
 	side := make([]*member, 0, len(open))
 	next := 0
 	for _, m := range p.byService[ask.Service] {
 		if !p.takes(m) {
 			continue
 		}
-		isLong := at < count
+		forLong := at < count
 		at++
 		if next < len(open) && open[next] == m {
 			next++
-			if isLong == long {
+			if forLong == long {
 				side = append(side, m)
 			}
 		}
