duty: claims say when they were made; lost answers count as use

A gateway that read a claim waited out the lease from its reading, so that a fleet in rolling restart reported 7 s after a window's end. Change: a request that may have begun counts (streams only from their first event, if the caller left); claims carry their time and the incarnation of their holder. TestRestartedFleetReportsSoon failed before (5.9 s).

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -27,6 +27,7 @@
 // Claim is a record of the topic.
 type Claim struct {
 	Holder      id.Node           `json:"holder"`
+	At          time.Time         `json:"at"` // by most clocks, when it was asked for
 	Incarnation id.Incarnation    `json:"incarnation"`
 	Windows     map[Window]Counts `json:"windows"`
 	Offset      feed.Offset       `json:"-"`
@@ -57,15 +58,23 @@
 	// permits is how long a claim permits reports, from before its append. A successor
 	// waits for longer.
 	permits = 1500 * time.Millisecond
+	// skew is how far the clocks of two gateways may differ, each being a median of many.
+	skew = 500 * time.Millisecond
 	// backlog is how many windows are still reported after their time, so that a long
 	// outage of the store leaves no window out.
 	backlog = 12
 )
 
+// Member is one incarnation of a gateway.
+type Member struct {
+	Node        id.Node
+	Incarnation id.Incarnation
+}
+
 // View is what is known of the fleet when a step is taken.
 type View struct {
 	True     time.Time // the time of day by most clocks
-	Live     []id.Node // in order, the own one among them
+	Live     []Member  // in order, the own one among them
 	Reported Window    // the newest window that any gateway knows to be reported
 	// Counted returns the figures of a window, and whether those of every gateway alive
 	// are in.
@@ -108,7 +117,7 @@
 	first    Window // before it, this gateway knows nothing
 	end      feed.Offset
 	last     *Claim
-	seen     time.Time // when the last claim of another gateway was read, by the steady clock
+	acted    time.Time // when the last claim was asked for, or later, by the steady clock
 	readAt   time.Time // when the topic was read last, by the steady clock; zero: never
 	fixed    map[Window]Counts
 	reported map[Window]bool
@@ -158,7 +167,7 @@
 	if r.readAt.IsZero() || !r.holds() && steady.Sub(r.readAt) > r.cfg.Length/10 {
 		return &Read{From: r.end}
 	}
-	claim := &Claim{Holder: r.node, Incarnation: r.self, Windows: make(map[Window]Counts)}
+	claim := &Claim{Holder: r.node, Incarnation: r.self, At: v.True, Windows: make(map[Window]Counts)}
 	for _, w := range due {
 		counts, fixed := r.fixed[w]
 		if !fixed {
@@ -196,15 +205,15 @@
 	if r.holds() {
 		return true
 	}
-	if r.last != nil && steady.Sub(r.seen) < r.cfg.Lease+permits {
+	if r.last != nil && steady.Sub(r.acted) < r.cfg.Lease+permits {
 		return false // the holder may still act on its claim
 	}
 	rank, holderLives := 0, false
-	for i, n := range v.Live {
-		if n == r.node {
+	for i, m := range v.Live {
+		if m.Node == r.node {
 			rank = i
 		}
-		if r.last != nil && n == r.last.Holder {
+		if r.last != nil && m == (Member{Node: r.last.Holder, Incarnation: r.last.Incarnation}) {
 			holderLives = true
 		}
 	}
@@ -215,12 +224,15 @@
 	return v.True.Sub(r.endOf(oldest)) >= min(wait, r.cfg.Late-rankDelay)
 }
 
-// Took takes records that were read, in order, and the end of the topic.
-func (r *Reporter) Took(steady time.Time, claims []*Claim, end feed.Offset) {
+// Took takes records that were read, in order, and the end of the topic. Truth is the
+// time of day by most clocks.
+func (r *Reporter) Took(steady, truth time.Time, claims []*Claim, end feed.Offset) {
 	for _, c := range claims {
 		r.fold(c)
-		if c.Holder != r.node || c.Incarnation != r.self {
-			r.seen = steady
+		if age := truth.Sub(c.At) - skew; age > 0 {
+			r.acted = steady.Add(-age)
+		} else {
+			r.acted = steady
 		}
 	}
 	r.end, r.readAt = end, steady
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,13 +46,17 @@
 	rs, err := n.g.deps.Client.Do(hr)
 	if err != nil {
 		switch {
-		case ctx.Err() != nil:
-			n.mayRun = n.mayRun || s.any()
-			return &gone{goneReason(ctx)}
-		case !s.any():
+		case !s.any() && ctx.Err() == nil:
 			return &unsent{err}
+		case ctx.Err() == nil:
+			n.meter(time.Since(n.sentAt)) // an answer that is lost was most likely made
+			return &lost{problem.UpstreamCut, err}
 		}
-		return &lost{problem.UpstreamCut, err}
+		if s.any() {
+			n.mayRun = true
+			n.meterPlain()
+		}
+		return &gone{goneReason(ctx)}
 	}
 	defer rs.Body.Close()
 	n.g.deps.Pool.Heard(c.Upstream.ID)
@@ -89,8 +93,8 @@
 // judge decides what an upstream's answer means, and relays it.
 func (n *run) judge(ctx context.Context, c *pool.Chosen, rs *http.Response) outcome {
 	reply := n.g.deps.Codec.Reply(rs)
-	if reply.Signed && !reply.NotRun && !n.rq.route.Kind.Streams() {
-		n.meter(time.Since(n.sentAt))
+	if reply.Signed && !reply.NotRun {
+		n.meterPlain()
 	}
 	success := rs.StatusCode >= http.StatusOK && rs.StatusCode < http.StatusMultipleChoices
 	switch {
@@ -132,6 +136,15 @@
 	}
 }
 
+// meterPlain counts a request that is no stream: it begins about when it arrives,
+// also if nobody waits for its answer. A stream begins with its first token, which
+// one that nobody waits for may never reach.
+func (n *run) meterPlain() {
+	if !n.rq.route.Kind.Streams() {
+		n.meter(time.Since(n.sentAt))
+	}
+}
+
 // callerFailed judges a failed write to the caller.
 func callerFailed(ctx context.Context) outcome {
 	if ctx.Err() != nil {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -110,7 +110,7 @@
 	v := duty.View{True: r.truth()}
 	for _, row := range r.table.Live(now) {
 		if !row.GetLeaving() {
-			v.Live = append(v.Live, id.Node(row.GetNode()))
+			v.Live = append(v.Live, duty.Member{Node: id.Node(row.GetNode()), Incarnation: id.Incarnation(row.GetIncarnation())})
 		}
 	}
 	for _, row := range r.table.Rows() {
@@ -131,9 +131,10 @@
 	if err != nil {
 		return r.failed("read", err)
 	}
-	r.reporter.Took(r.clock.Now(), claims, end)
-	for _, c := range claims {
-		_ = r.logger.Log("event", "duty_claim_read", "holder", c.Holder, "term", c.Term(), "windows", len(c.Windows))
+	r.reporter.Took(r.clock.Now(), r.truth(), claims, end)
+	if len(claims) > 0 {
+		last := claims[len(claims)-1]
+		_ = r.logger.Log("event", "duty_claims_read", "count", len(claims), "holder", last.Holder, "term", last.Term())
 	}
 	return nil
 }
