--- a/feed/feed.go
+++ b/feed/feed.go
@@ -111,6 +111,16 @@
 	return f.contact, f.known
 }
 
+// Failing returns for how long every read has failed; zero if the last one did not.
+func (f *Follower) Failing(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failing.IsZero() {
+		return 0
+	}
+	return now.Sub(f.failing)
+}
+
 // Reached returns where the next read starts, and what Contact does.
 func (f *Follower) Reached() (next Offset, contact time.Time, known bool) {
 	f.mu.Lock()
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -20,6 +20,11 @@
 	// notReadyAdvice is when a caller should come back to an entry that knows no
 	// configuration yet: a start reads one within some tens of milliseconds.
 	notReadyAdvice = 200 * time.Millisecond
+	// outageAdviceMin and outageAdviceMax bound the advice while the store cannot be
+	// read. A caller has few tries: one that comes back within the outage has wasted
+	// one. Outages of the store last some seconds.
+	outageAdviceMin = 1200 * time.Millisecond
+	outageAdviceMax = 4 * time.Second
 	// defaultDeadline bounds a request of which neither caller nor route says how long
 	// it may take.
 	defaultDeadline = time.Minute
@@ -68,7 +73,7 @@
 	rq.catalog = g.deps.Shelf.Newest()
 	if rq.catalog == nil {
 		return rq, problem.New(problem.NotReady, problem.NotRun, http.StatusServiceUnavailable,
-			"no configuration is known yet").WithRetryAfter(notReadyAdvice)
+			"no configuration is known yet").WithRetryAfter(notReadyIn(g.deps.Source.Failing(now)))
 	}
 	if p := g.admit(rq, r, now); p != nil {
 		return rq, p
@@ -89,6 +94,16 @@
 	return rq, nil
 }
 
+// notReadyIn returns when a caller should come back to an entry that knows no
+// configuration, and whose reads have failed for some time: an outage is likely to
+// last as long again as it has lasted.
+func notReadyIn(failing time.Duration) time.Duration {
+	if failing == 0 {
+		return notReadyAdvice
+	}
+	return min(max(failing, outageAdviceMin), outageAdviceMax)
+}
+
 // admit finds the route and the workspace of a request, and when it must be done.
 func (g *Gateway) admit(rq *request, r *http.Request, now time.Time) *problem.Problem {
 	c := rq.catalog
@@ -118,7 +133,7 @@
 // deny returns the refusal p if the catalog is known to be in force. Otherwise the
 // newest one may allow the request, which gets an answer that invites it back.
 func (g *Gateway) deny(now time.Time, p *problem.Problem) *problem.Problem {
-	if g.deps.Fresh(now) {
+	if g.deps.Source.Fresh(now) {
 		return p
 	}
 	return problem.New(problem.StaleConfig, problem.NotRun, http.StatusServiceUnavailable,
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -189,10 +189,16 @@
 	l.pool.Remove(now, u)
 }
 
-// fresh returns a Fresh for the operators' topic.
-func fresh(f *feed.Follower, within time.Duration) Fresh {
-	return func(now time.Time) bool {
-		contact, known := f.Contact()
-		return known && now.Sub(contact) < within
-	}
+// source implements Source by the operators' topic.
+type source struct {
+	*feed.Follower
+	within time.Duration // a catalog that was read longer ago may not be in force
+}
+
+var _ Source = source{}
+
+// Fresh implements Source.
+func (s source) Fresh(now time.Time) bool {
+	contact, known := s.Contact()
+	return known && now.Sub(contact) < s.within
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,9 +69,14 @@
 	Began(ago time.Duration, w id.Workspace)
 }
 
-// Fresh reports whether the catalog is known to be in force. A request that the
-// catalog does not allow is refused for good only then.
-type Fresh func(now time.Time) bool
+// Source tells how well the catalog is followed.
+type Source interface {
+	// Fresh reports whether the catalog is known to be in force. A request that the
+	// catalog does not allow is refused for good only then.
+	Fresh(now time.Time) bool
+	// Failing returns for how long the catalog could not be read; zero: it can.
+	Failing(now time.Time) time.Duration
+}
 
 // Deps is what a gateway works with.
 type Deps struct {
@@ -80,7 +85,7 @@
 	Pool    *pool.Pool
 	Budget  *Budgets
 	Meter   Meter
-	Fresh   Fresh
+	Source  Source
 	Client  *http.Client
 	Metrics metrics.Registry
 	Logger  log.Logger
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -99,7 +99,7 @@
 	p.use = newUseCounter(durationS(s.Bounds.WindowS), truth)
 	p.gateway = New(Deps{
 		Codec: out.Codec, Shelf: shelf, Pool: upstreams, Budget: budgets, Meter: p.use,
-		Fresh: fresh(ops, operatorsWait+durationMS(s.Bounds.ConfigMS)), Client: NewClient(), Metrics: counts, Logger: logger,
+		Source: source{ops, operatorsWait + durationMS(s.Bounds.ConfigMS)}, Client: NewClient(), Metrics: counts, Logger: logger,
 	})
 	p.peers = peer.NewExchanger(peer.Config{Address: s.Listen.Peers, Seeds: s.Seeds}, p.table,
 		peer.Topics{Operators: ops, Upstreams: list}, steady, p.say(truth), logger, counts)
