--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -145,7 +145,7 @@
 	g.count("refused_" + string(p.Reason))
 	final := *p
 	final.Request = string(rq.ask.ID)
-	_ = g.log(rq, "event", "refused", "reason", p.Reason, "status", p.Status, "run", p.Run, "detail", p.Detail, "retry_after", p.RetryAfter)
+	_ = g.log(rq, "event", "refused", "reason", p.Reason, "status", p.Status, "run", p.Run, "detail", p.Detail, "retry_after", p.RetryAfter, "config_age", g.configAge())
 	g.deps.Codec.Identify(w.Header(), rq.ask.ID)
 	if final.RetryAfter > 0 {
 		// Callers of this front read fractions of a second.
@@ -155,6 +155,15 @@
 	final.Write(w)
 }
 
+// configAge returns how long ago the configuration was last seen to be current.
+func (g *Gateway) configAge() time.Duration {
+	contact, known := g.deps.Source.Contact()
+	if !known {
+		return 0
+	}
+	return time.Since(contact).Round(time.Millisecond)
+}
+
 // log writes a line about a request.
 func (g *Gateway) log(rq *request, keyvals ...any) error {
 	head := []any{"request", rq.ask.ID, "age", time.Since(rq.arrived).Round(time.Millisecond)}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -97,7 +97,8 @@
 		switch res := res.(type) {
 		case *whole:
 			n.g.count("answered")
-			_ = n.g.log(n.rq, "event", "answered", "status", res.status, "upstream", c.Upstream.ID, "choice", c.Reason, "attempts", n.sends+n.unsent)
+			n.g.observe("whole_answer_ms", time.Since(n.rq.arrived))
+			_ = n.g.log(n.rq, "event", "answered", "status", res.status, "upstream", c.Upstream.ID, "choice", c.Reason, "running", c.Running, "attempts", n.sends+n.unsent+1)
 			return nil
 		case *gone:
 			return n.given(res.reason)
@@ -174,7 +175,7 @@
 	n.avoid = append(n.avoid, c.Upstream.ID)
 	why := n.stop(ctx)
 	_ = n.g.log(n.rq, "event", "attempt_failed", "reason", failed.Reason, "run", failed.Run, "upstream", c.Upstream.ID,
-		"choice", c.Reason, "detail", failed.Detail, "sends", n.sends, "started", n.started, "stop", why)
+		"choice", c.Reason, "listed_age", c.Age.Round(time.Millisecond), "running", c.Running, "detail", failed.Detail, "sends", n.sends, "started", n.started, "stop", why)
 	if why == "" {
 		n.g.count("retried_" + string(failed.Reason))
 		return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,8 @@
 	// Fresh reports whether the catalog is known to be in force. A request that the
 	// catalog does not allow is refused for good only then.
 	Fresh(now time.Time) bool
+	// Contact returns when what is known was last seen to be current.
+	Contact() (time.Time, bool)
 	// Failing returns for how long the catalog could not be read; zero: it can.
 	Failing(now time.Time) time.Duration
 }
@@ -135,6 +137,20 @@
 	metrics.GetOrRegisterCounter(name, g.deps.Metrics).Inc(1)
 }
 
+// A histogram keeps a sample of histogramSize values, weighted towards the last
+// minutes: the library's own choice for load averages.
+const (
+	histogramSize  = 1028
+	histogramAlpha = 0.015
+)
+
+// observe notes a duration in milliseconds.
+func (g *Gateway) observe(name string, d time.Duration) {
+	sample := func() metrics.Sample { return metrics.NewExpDecaySample(histogramSize, histogramAlpha) }
+	h := g.deps.Metrics.GetOrRegister(name, func() metrics.Histogram { return metrics.NewHistogram(sample()) })
+	h.(metrics.Histogram).Update(d.Milliseconds())
+}
+
 const (
 	// connectTimeout bounds a connection to an upstream. They are a few milliseconds
 	// away, and a lost opening packet is sent again only after one second: another
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -40,6 +40,7 @@
 
 func (f *fixture) Fresh(time.Time) bool            { return !f.stale.Load() }
 func (f *fixture) Failing(time.Time) time.Duration { return time.Duration(f.failing.Load()) }
+func (f *fixture) Contact() (time.Time, bool)      { return time.Now(), true }
 func (f *fixture) Began(_ time.Duration, w id.Workspace) {
 	n, _ := f.began.LoadOrStore(w, new(atomic.Int64))
 	n.(*atomic.Int64).Add(1)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
@@ -55,6 +56,7 @@
 		h.Set("Connection", closing)
 	}
 	n.started = true
+	n.g.observe("first_answer_ms", time.Since(n.rq.arrived))
 }
 
 // relayPlain passes an answer on once it is whole, so that a cut one can be asked
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -41,7 +41,9 @@
 // Chosen names the upstream. End must be called once.
 type Chosen struct {
 	Upstream Listing
-	Reason   string // why this one, for the log
+	Reason   string        // why this one, for the log
+	Age      time.Duration // of the listing
+	Running  int           // requests of this entry that ran there already
 
 	pool    *Pool
 	member  *member
@@ -94,7 +96,7 @@
 			m.cold.take(now, rate)
 		}
 	}
-	c := &Chosen{Upstream: m.Listing, Reason: reason, pool: p, member: m, prefill: ask.Prompt.Length}
+	c := &Chosen{Upstream: m.Listing, Reason: reason, Age: now.Sub(m.listed), Running: m.runs, pool: p, member: m, prefill: ask.Prompt.Length}
 	m.runs++
 	m.prefill += c.prefill
 	return c
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -46,6 +46,7 @@
 	order       uint64 // its place among the upstreams of its service, the same at every entry
 	coldUntil   time.Time
 	cold        pacer
+	listed      time.Time // when it was last listed
 	goneAt      time.Time // when it stops to take work; zero: never
 	unreachable time.Time // until then it gets nothing
 	failures    int       // connections that failed in a row
@@ -101,7 +102,7 @@
 		p.byService[l.Service] = slices.Insert(slices.Clone(list), at, m)
 		fresh = true
 	}
-	m.Listing, m.goneAt = l, time.Time{}
+	m.Listing, m.goneAt, m.listed = l, time.Time{}, now
 	m.coldUntil = time.Time{}
 	if l.ColdFor > 0 {
 		m.coldUntil = now.Add(l.ColdFor)
--- a/process/lines.go
+++ b/process/lines.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// maxQueued bounds the lines that wait for a slow reader, in bytes.
-	maxQueued = 1 << 20
+	// maxQueued bounds the lines of one interval, and those that wait for a slow reader,
+	// in bytes: about 10,000 lines a second, far above what an entry writes in its
+	// steady work.
+	maxQueued = 128 << 10
 	// lineInterval is the pause between two writes: many lines share one.
 	lineInterval = 50 * time.Millisecond
 )
