--- /dev/null
+++ b/tools/days.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Compares tools/days.txt with the days in deploy/days: every kind and variant must
+# appear in one. With a file that holds what the bench prints of its kinds, also checks
+# that no kind is missing in the list.
+#
+#     tools/days.sh [KINDS]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+missing=0
+pairs=0
+while read -r kind variants; do
+	for variant in "" $variants; do
+		pairs=$((pairs + 1))
+		if ! grep -hE "kind = \"$kind\"" deploy/days/*.toml | grep -qE "how = \"([^\"]* )?$variant|^[^\"]*kind = \"$kind\"[^\"]*$variant\$" &&
+			! { [ -z "$variant" ] && grep -qhE "kind = \"$kind\"" deploy/days/*.toml; }; then
+			printf 'no day has %s %s\n' "$kind" "$variant"
+			missing=$((missing + 1))
+		fi
+	done
+done < <(grep -v '^#' tools/days.txt)
+if [ $# -gt 0 ]; then
+	while read -r kind; do
+		if ! grep -qE "^$kind( |\$)" tools/days.txt; then
+			printf 'not in tools/days.txt: %s\n' "$kind"
+			missing=$((missing + 1))
+		fi
+	done < <(grep -oE '^[a-z_]+:' "$1" | tr -d :)
+fi
+printf '%d kinds and variants, %d days, %d missing\n' "$pairs" "$(ls deploy/days/*.toml | wc -l)" "$missing"
+[ "$missing" -eq 0 ]
