gateway: a leaving process ends when no request comes any more

Change: after 2.8 s new requests are refused as not run, and the process ends when nothing runs and nothing has come for half a second.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -25,6 +25,9 @@
 	// one. Outages of the store last some seconds.
 	shortestOutageAdvice = 1200 * time.Millisecond
 	longestOutageAdvice  = 4 * time.Second
+	// leavingAdvice is when a caller should come back who used a connection to a process
+	// that ends: at once, to another.
+	leavingAdvice = 10 * time.Millisecond
 	// defaultDeadline bounds a request of which neither caller nor route says how long
 	// it may take.
 	defaultDeadline = time.Minute
@@ -70,6 +73,10 @@
 	if rq.ask.ID == "" {
 		return rq, problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "the request has no id")
 	}
+	if g.refuses.Load() {
+		return rq, problem.New(problem.Leaving, problem.NotRun, http.StatusServiceUnavailable,
+			"the process ends").WithRetryAfter(leavingAdvice)
+	}
 	rq.catalog = g.deps.Shelf.Newest()
 	if rq.catalog == nil {
 		return rq, problem.New(problem.NotReady, problem.NotRun, http.StatusServiceUnavailable,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,7 +97,9 @@
 type Gateway struct {
 	deps    Deps
 	leaving atomic.Bool
+	refuses atomic.Bool  // new requests
 	running atomic.Int64
+	last    atomic.Int64 // when the last request came or ended, in Unix nanoseconds
 }
 
 // New returns a gateway.
@@ -112,7 +114,11 @@
 func (g *Gateway) account(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.running.Add(1)
-		defer g.running.Add(-1)
+		g.last.Store(time.Now().UnixNano())
+		defer func() {
+			g.last.Store(time.Now().UnixNano())
+			g.running.Add(-1)
+		}()
 		if g.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -133,6 +139,14 @@
 // end, each the last on its connection.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
+// Refuse makes the gateway refuse new requests; those that run go on.
+func (g *Gateway) Refuse() { g.refuses.Store(true) }
+
+// Quiet reports whether nothing runs, and no request has come for some time.
+func (g *Gateway) Quiet(now time.Time, span time.Duration) bool {
+	return g.running.Load() == 0 && now.Sub(time.Unix(0, g.last.Load())) >= span
+}
+
 func (g *Gateway) count(name string) {
 	metrics.GetOrRegisterCounter(name, g.deps.Metrics).Inc(1)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -500,6 +500,32 @@
 	require.NoError(t, rs.Body.Close())
 	require.Equal(t, http.StatusOK, rs.StatusCode)
 	require.True(t, rs.Close)
+	f.gateway.Refuse()
+	a := f.call(http.MethodGet, "/safe/x", "")
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.Equal(t, "0.010", a.header.Get("Retry-After"))
+}
+
+// TestQuiet waits for what runs and for what may be on its way.
+func TestQuiet(t *testing.T) {
+	f := newFixture(t)
+	begun, end := make(chan struct{}), make(chan struct{})
+	f.serve(func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-end
+	})
+	done := make(chan struct{})
+	go func() {
+		f.call(http.MethodGet, "/safe/x", "")
+		close(done)
+	}()
+	<-begun
+	require.False(t, f.gateway.Quiet(time.Now().Add(time.Hour), time.Second))
+	close(end)
+	<-done
+	require.Eventually(t, func() bool { return f.gateway.Running() == 0 }, 5*time.Second, time.Millisecond)
+	require.False(t, f.gateway.Quiet(time.Now(), time.Hour))
+	require.True(t, f.gateway.Quiet(time.Now().Add(time.Hour), time.Second))
 }
 
 func TestNoUpstreamTakesIt(t *testing.T) {
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -61,6 +61,11 @@
 	// a second and takes two misses to notice, and what is taken later may not be done
 	// in time.
 	takeFor = 2800 * time.Millisecond
+	// quietFor is how long no request must have come for a leaving process to end:
+	// longer than what a busy VM leaves unread.
+	quietFor = 500 * time.Millisecond
+	// leaveCheck is how often a leaving process looks whether it may end.
+	leaveCheck = 50 * time.Millisecond
 	// endMargin lies between the end of a leaving process and the platform's kill.
 	endMargin = 400 * time.Millisecond
 )
@@ -200,17 +205,20 @@
 	return err
 }
 
-// leave serves on until the balancer has noticed, then lets what runs finish within
-// the grace that the platform gives. Callers use kept connections until these are
-// closed, so that each answer meanwhile is the last on its connection.
+// leave serves on until the balancer has noticed, then refuses, until what runs has
+// finished and no request comes any more, within the grace that the platform gives.
+// Callers use kept connections until these are closed: each answer meanwhile is the
+// last on its connection, and closing one under a request that is on its way would
+// lose it.
 func (p *Program) leave(sig os.Signal, callers *http.Server) error {
 	started := time.Now()
 	p.gateway.Leave()
 	_ = p.logger.Log("event", "leaving", "signal", sig, "running", p.gateway.Running())
 	end, cancel := context.WithDeadline(context.Background(), started.Add(durationS(p.settings.Bounds.GraceS)-endMargin))
 	defer cancel()
-	if !sleepUntil(end, started.Add(takeFor)) {
-		return end.Err()
+	sleepUntil(end, started.Add(takeFor))
+	p.gateway.Refuse()
+	for !p.gateway.Quiet(time.Now(), quietFor) && sleepUntil(end, time.Now().Add(leaveCheck)) {
 	}
 	err := callers.Shutdown(end)
 	_ = p.logger.Log("event", "left", "after", time.Since(started), "running", p.gateway.Running(), "err", err)
