feed: one entry reads the upstreams' topic for its peers

Change: the first entry by name reads; the others take from peers what they lack, dropped keys too, and read for themselves when their view is older than 1.1 s.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -71,6 +72,10 @@
 	replaceTimeout = 1200 * time.Millisecond
 	// answerMargin is what a read may take beyond the time it was asked to wait.
 	answerMargin = 800 * time.Millisecond
+	// relaxedCheck is how often a follower whose view peers vouch for looks at its age.
+	relaxedCheck = 100 * time.Millisecond
+	// maxDropped bounds the dropped keys that are remembered for peers.
+	maxDropped = 4096
 	// lostAfter is how long reads must have failed to count as a loss of the topic.
 	lostAfter = 500 * time.Millisecond
 )
@@ -80,6 +85,10 @@
 	Name  string
 	Wait  time.Duration // that a read waits for records
 	Pause time.Duration // between two reads
+	// Relax lets a view that peers vouch for stand in for own reads: while it is not
+	// older than this, only the follower that Leads reads. Zero: each reads for itself.
+	Relax time.Duration
+	Leads func() bool
 }
 
 // Follower keeps a sink up to date with a topic.
@@ -92,10 +101,11 @@
 
 	mu      sync.Mutex
 	next    Offset
-	known   bool // a full read has succeeded, here or at a peer
-	held    map[string]Record
-	contact time.Time // start of the last read that succeeded
-	failing time.Time // start of the first of the reads that fail now; zero: none does
+	known   bool              // a full read has succeeded, here or at a peer
+	held    map[string]Record // the newest of each key, dropped ones since since
+	since   Offset            // from which on every change is in held
+	contact time.Time         // start of the last read that succeeded
+	failing time.Time         // start of the first of the reads that fail now; zero: none does
 }
 
 // New returns a follower that has read nothing yet.
@@ -121,40 +131,68 @@
 	return now.Sub(f.failing)
 }
 
-// Reached returns where the next read starts, and what Contact does.
-func (f *Follower) Reached() (next Offset, contact time.Time, known bool) {
+// View is what a follower holds, for a peer.
+type View struct {
+	Page
+	Known   bool
+	Contact time.Time // when it was last seen to be current
+	Onwards bool      // the records are only those from the asked offset on
+}
+
+// View returns what is held, without records.
+func (f *Follower) View() View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.next, f.contact, f.known
+	return View{Page: Page{Next: f.next}, Known: f.known, Contact: f.contact}
 }
 
-// Held returns the newest record of every key, if asked for, and what Contact does.
-func (f *Follower) Held(records bool) (p Page, contact time.Time, known bool) {
+// ViewFor returns what a peer lacks that has read up to an offset, if it has at all.
+func (f *Follower) ViewFor(next Offset, known bool) View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p.Next = f.next
-	if records {
-		p.Records = slices.Collect(maps.Values(f.held))
+	v := View{Page: Page{Next: f.next}, Known: f.known, Contact: f.contact}
+	if !f.known || known && next >= f.next {
+		return v
+	}
+	v.Onwards = known && next >= f.since
+	for _, r := range f.held {
+		if v.Onwards && r.Offset >= next || !v.Onwards && r.Value != nil {
+			v.Records = append(v.Records, r)
+		}
 	}
-	return p, f.contact, f.known
+	slices.SortFunc(v.Records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return v
 }
 
-// Adopt takes a view that a peer holds and that was current at a time: all of it if
-// it reaches further than the own one; that the own one still was, if it reaches as
-// far. It reports whether anything new was in it.
-func (f *Follower) Adopt(now, contact time.Time, p Page) bool {
+// Adopt takes a peer's view if it reaches further than the own one, and that the own
+// one still was current if it reaches as far. It reports whether anything new was in it.
+func (f *Follower) Adopt(now time.Time, v View) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.known && p.Next < f.next || p.Next > f.next && len(p.Records) == 0 || !f.known && len(p.Records) == 0 {
+	if !v.Known || f.known && v.Next < f.next {
 		return false
 	}
-	if contact.After(f.contact) {
-		f.contact = contact
+	isNew := !f.known || v.Next > f.next
+	if isNew && len(v.Records) == 0 || v.Onwards && !f.known {
+		return false // the peer was not asked for records, or for others
+	}
+	if v.Contact.After(f.contact) {
+		f.contact = v.Contact
+	}
+	if v.Contact.After(f.failing) {
+		f.recovered(now, v.Next)
 	}
-	if f.known && p.Next == f.next {
+	switch {
+	case !isNew:
 		return false
+	case v.Onwards:
+		records := unseen(v.Records, f.next)
+		f.hold(records)
+		f.sink.Apply(now, records)
+		f.next = v.Next
+	default:
+		f.replaced(now, v.Page)
 	}
-	f.replaced(now, p)
 	return true
 }
 
@@ -163,17 +201,18 @@
 	f.held = make(map[string]Record, len(p.Records))
 	f.hold(p.Records)
 	f.sink.Replace(now, p.Records)
-	f.next, f.known = p.Next, true
+	f.next, f.since, f.known = p.Next, p.Next, true
 }
 
-// hold keeps records for peers. The caller holds the lock.
+// hold keeps records for peers, dropped keys too: a peer must hear of them. The caller
+// holds the lock.
 func (f *Follower) hold(records []Record) {
 	for _, r := range records {
-		if r.Value == nil {
-			delete(f.held, r.Key)
-		} else {
-			f.held[r.Key] = r
-		}
+		f.held[r.Key] = r
+	}
+	if len(f.held) > maxDropped {
+		maps.DeleteFunc(f.held, func(_ string, r Record) bool { return r.Value == nil })
+		f.since = records[len(records)-1].Offset + 1
 	}
 }
 
@@ -182,6 +221,12 @@
 	pause := retryFrom
 	for ctx.Err() == nil {
 		started := time.Now()
+		if f.relaxed(started) {
+			if !sleep(ctx, relaxedCheck) {
+				return
+			}
+			continue
+		}
 		err := f.read(ctx)
 		wait := f.cfg.Pause
 		switch {
@@ -200,6 +245,15 @@
 	}
 }
 
+// relaxed reports whether the view is fresh enough without an own read.
+func (f *Follower) relaxed(now time.Time) bool {
+	if f.cfg.Relax == 0 || f.cfg.Leads() {
+		return false
+	}
+	contact, known := f.Contact()
+	return known && now.Sub(contact) < f.cfg.Relax
+}
+
 // read does one read and hands its records to the sink.
 func (f *Follower) read(ctx context.Context) error {
 	f.mu.Lock()
@@ -242,14 +296,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.failing.IsZero() {
-		lost := now.Sub(f.failing)
-		f.failing = time.Time{}
-		if lost >= lostAfter && f.known {
-			f.sink.Regained(now)
-		}
-		_ = f.logger.Log("event", "feed_regained", "after", lost, "offset", page.Next)
-	}
+	f.recovered(now, page.Next)
 	f.contact = started
 	if f.known && page.Next < f.next {
 		return
@@ -265,6 +312,20 @@
 	f.next = page.Next
 }
 
+// recovered notes that the topic is read again, here or by a peer. The caller holds
+// the lock.
+func (f *Follower) recovered(now time.Time, next Offset) {
+	if f.failing.IsZero() {
+		return
+	}
+	lost := now.Sub(f.failing)
+	f.failing = time.Time{}
+	if lost >= lostAfter && f.known {
+		f.sink.Regained(now)
+	}
+	_ = f.logger.Log("event", "feed_regained", "after", lost, "offset", next)
+}
+
 // unseen returns the records from an offset on.
 func unseen(records []Record, from Offset) []Record {
 	for len(records) > 0 && records[0].Offset < from {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,7 +97,7 @@
 type Gateway struct {
 	deps    Deps
 	leaving atomic.Bool
-	refuses atomic.Bool  // new requests
+	refuses atomic.Bool // new requests
 	running atomic.Int64
 	last    atomic.Int64 // when the last request came or ended, in Unix nanoseconds
 }
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -49,6 +49,9 @@
 	// upstream writes about once a second: waiting for the next record would mean a call
 	// for each.
 	upstreamsPause = 700 * time.Millisecond
+	// upstreamsRelax is how old the view of the upstreams may be that a peer vouches for:
+	// a drained upstream must get nothing two seconds after it said so.
+	upstreamsRelax = 1100 * time.Millisecond
 	// memoryUse is the part of the memory that the garbage collector aims to stay in.
 	memoryUse = 0.7
 	// maxHeaderBytes bounds a request's head until the configuration does.
@@ -90,20 +93,24 @@
 // again when the process is told that they have changed.
 func NewProgram(s *Settings, read func() (*Settings, error), out Outside, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
+	steady := clock.New()
+	p := &Program{
+		settings: s, read: read, counts: counts, logger: logger,
+		table: peer.NewTable(peer.Name{Node: s.Node, Incarnation: id.Incarnation(steady.Now().UnixNano())}),
+	}
 	shelf := new(catalog.Shelf)
 	upstreams := pool.New(shelf)
 	ops := feed.New(feed.Config{Name: "operators", Wait: operatorsWait}, out.Operators,
 		&operators{decoder: out.Decoder, shelf: shelf, pool: upstreams, logger: logger, counts: counts}, logger, counts)
-	list := feed.New(feed.Config{Name: "upstreams", Pause: upstreamsPause}, out.Upstreams,
+	list := feed.New(feed.Config{Name: "upstreams", Pause: upstreamsPause, Relax: upstreamsRelax, Leads: p.leads}, out.Upstreams,
 		&listings{decoder: out.Decoder, pool: upstreams, logger: logger, counts: counts, noted: make(map[id.Upstream]noted)}, logger, counts)
-	budgets := NewBudgets(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
-	p := &Program{settings: s, read: read, budgets: budgets, pool: upstreams, follow: []*feed.Follower{ops, list}, counts: counts, logger: logger}
-	steady := clock.New()
-	p.table = peer.NewTable(peer.Name{Node: s.Node, Incarnation: id.Incarnation(steady.Now().UnixNano())})
+	p.pool = upstreams
+	p.budgets = NewBudgets(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
+	p.follow = []*feed.Follower{ops, list}
 	truth := func() time.Time { return steady.Now().Add(p.table.Ahead(time.Now())) }
 	p.use = newUseCounter(durationS(s.Bounds.WindowS), truth)
 	p.gateway = New(Deps{
-		Codec: out.Codec, Shelf: shelf, Pool: upstreams, Budget: budgets, Meter: p.use,
+		Codec: out.Codec, Shelf: shelf, Pool: upstreams, Budget: p.budgets, Meter: p.use,
 		Source: source{ops, operatorsWait + durationMS(s.Bounds.ConfigMS)}, Client: NewClient(), Metrics: counts, Logger: logger,
 	})
 	p.peers = peer.NewExchanger(peer.Config{Address: s.Listen.Peers, Seeds: s.Seeds}, p.table,
@@ -119,6 +126,17 @@
 	return p
 }
 
+// leads reports whether this gateway reads the upstreams' topic for its peers: the
+// first by name among those alive that stay.
+func (p *Program) leads() bool {
+	for _, r := range p.table.Live(time.Now()) {
+		if !r.GetLeaving() {
+			return r.GetNode() == string(p.settings.Node)
+		}
+	}
+	return true
+}
+
 // dutyUsage names the duty of reporting usage.
 const dutyUsage = "usage"
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -39,8 +39,8 @@
 	// only as often as strays.
 	maxPeerFailures = 3
 	// unreadAfter is how old the last read of a topic may be until a peer's view of it is
-	// asked for.
-	unreadAfter = 1500 * time.Millisecond
+	// asked for: about what a peer that reads is fresher.
+	unreadAfter = 400 * time.Millisecond
 	// maxMessage bounds a message: a configuration has at most some 100 KB.
 	maxMessage = 16 << 20
 )
@@ -206,36 +206,47 @@
 
 // ask says how far a topic is read here, and whether a peer is asked for it.
 func ask(f *feed.Follower) *ragwortv1.TopicView {
-	next, contact, known := f.Reached()
-	return &ragwortv1.TopicView{Next: uint64(next), Known: known, Wanted: !known || time.Since(contact) > unreadAfter}
+	v := f.View()
+	return &ragwortv1.TopicView{Next: uint64(v.Next), Known: v.Known, Wanted: !v.Known || time.Since(v.Contact) > unreadAfter}
 }
 
-// answer gives a peer that asks for a topic what is held here, if it reaches further.
-// What is held is known to be current as of the last read.
+// answer gives a peer that asks for a topic what it lacks. What is held here is known
+// to have been current at the last read.
 func answer(f *feed.Follower, asked *ragwortv1.TopicView) *ragwortv1.TopicView {
-	page, contact, known := f.Held(asked.GetWanted())
-	view := &ragwortv1.TopicView{Next: uint64(page.Next), Known: known, AgeMs: uint32(min(time.Since(contact), time.Hour).Milliseconds())}
-	if known && asked.GetWanted() && (!asked.GetKnown() || page.Next > feed.Offset(asked.GetNext())) {
-		for _, r := range page.Records {
-			view.Records = append(view.Records, &ragwortv1.TopicRecord{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value})
-		}
+	v := f.View()
+	if asked.GetWanted() {
+		v = f.ViewFor(feed.Offset(asked.GetNext()), asked.GetKnown())
+	}
+	view := &ragwortv1.TopicView{
+		Next: uint64(v.Next), Known: v.Known, Onwards: v.Onwards,
+		AgeMs: uint32(min(time.Since(v.Contact), time.Hour).Milliseconds()),
+	}
+	for _, r := range v.Records {
+		view.Records = append(view.Records, &ragwortv1.TopicRecord{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value, Dropped: r.Value == nil})
 	}
 	return view
 }
 
-// adopt takes a peer's view of a topic that cannot be read here.
-func (x *Exchanger) adopt(name string, f *feed.Follower, v *ragwortv1.TopicView) {
-	if !v.GetKnown() {
+// adopt takes a peer's view of a topic that is not read here, or not just now.
+func (x *Exchanger) adopt(name string, f *feed.Follower, theirs *ragwortv1.TopicView) {
+	now := time.Now()
+	v := feed.View{
+		Page: feed.Page{Next: feed.Offset(theirs.GetNext())}, Known: theirs.GetKnown(), Onwards: theirs.GetOnwards(),
+		Contact: now.Add(-time.Duration(theirs.GetAgeMs()) * time.Millisecond),
+	}
+	for _, r := range theirs.GetRecords() {
+		record := feed.Record{Offset: feed.Offset(r.GetOffset()), Key: r.GetKey()}
+		if !r.GetDropped() {
+			record.Value = r.GetValue()
+		}
+		v.Records = append(v.Records, record)
+	}
+	first := !f.View().Known
+	if !f.Adopt(now, v) {
 		return
 	}
-	now := time.Now()
-	contact := now.Add(-time.Duration(v.GetAgeMs()) * time.Millisecond)
-	page := feed.Page{Next: feed.Offset(v.GetNext())}
-	for _, r := range v.GetRecords() {
-		page.Records = append(page.Records, feed.Record{Offset: feed.Offset(r.GetOffset()), Key: r.GetKey(), Value: r.GetValue()})
-	}
-	if f.Adopt(now, contact, page) {
-		metrics.GetOrRegisterCounter("feed_adopted_"+name, x.counts).Inc(1)
-		_ = x.logger.Log("event", "feed_adopted", "topic", name, "offset", page.Next, "records", len(page.Records), "age_ms", v.GetAgeMs())
+	metrics.GetOrRegisterCounter("feed_adopted_"+name, x.counts).Inc(1)
+	if first || !v.Onwards {
+		_ = x.logger.Log("event", "feed_adopted", "topic", name, "offset", v.Next, "records", len(v.Records), "age_ms", theirs.GetAgeMs())
 	}
 }
