--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -73,10 +73,6 @@
 	if rq.ask.ID == "" {
 		return rq, problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "the request has no id")
 	}
-	if g.refuses.Load() {
-		return rq, problem.New(problem.Leaving, problem.NotRun, http.StatusServiceUnavailable,
-			"the process ends").WithRetryAfter(leavingAdvice)
-	}
 	rq.catalog = g.deps.Shelf.Newest()
 	if rq.catalog == nil {
 		return rq, problem.New(problem.NotReady, problem.NotRun, http.StatusServiceUnavailable,
@@ -85,6 +81,10 @@
 	if p := g.admit(rq, r, now); p != nil {
 		return rq, p
 	}
+	if g.outlasts(rq.deadline) {
+		return rq, problem.New(problem.Leaving, problem.NotRun, http.StatusServiceUnavailable,
+			"the process ends before the time set by the %s", rq.limit).WithRetryAfter(leavingAdvice)
+	}
 	limit := rq.catalog.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBody
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,7 +97,7 @@
 type Gateway struct {
 	deps    Deps
 	leaving atomic.Bool
-	refuses atomic.Bool // new requests
+	ends    atomic.Int64 // when the process ends, in Unix nanoseconds; zero: not known
 	running atomic.Int64
 	last    atomic.Int64 // when the last request came or ended, in Unix nanoseconds
 }
@@ -139,8 +139,15 @@
 // end, each the last on its connection.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
-// Refuse makes the gateway refuse new requests; those that run go on.
-func (g *Gateway) Refuse() { g.refuses.Store(true) }
+// Refuse makes the gateway refuse new requests that may take until after its end;
+// those that run go on.
+func (g *Gateway) Refuse(end time.Time) { g.ends.Store(end.UnixNano()) }
+
+// outlasts reports whether a request may take until after the end of the process.
+func (g *Gateway) outlasts(deadline time.Time) bool {
+	end := g.ends.Load()
+	return end != 0 && deadline.UnixNano() > end
+}
 
 // Quiet reports whether nothing runs, and no request has come for some time.
 func (g *Gateway) Quiet(now time.Time, span time.Duration) bool {
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -223,8 +223,8 @@
 	return err
 }
 
-// leave serves on until the balancer has noticed, then refuses, until what runs has
-// finished and no request comes any more, within the grace that the platform gives.
+// leave serves on until the balancer has noticed, then refuses what may take until
+// after the end, until what runs has finished and no request comes any more, within the grace that the platform gives.
 // Callers use kept connections until these are closed: each answer meanwhile is the
 // last on its connection, and closing one under a request that is on its way would
 // lose it.
@@ -232,10 +232,11 @@
 	started := time.Now()
 	p.gateway.Leave()
 	_ = p.logger.Log("event", "leaving", "signal", sig, "running", p.gateway.Running())
-	end, cancel := context.WithDeadline(context.Background(), started.Add(durationS(p.settings.Bounds.GraceS)-endMargin))
+	last := started.Add(durationS(p.settings.Bounds.GraceS) - endMargin)
+	end, cancel := context.WithDeadline(context.Background(), last)
 	defer cancel()
 	sleepUntil(end, started.Add(takeFor))
-	p.gateway.Refuse()
+	p.gateway.Refuse(last)
 	for !p.gateway.Quiet(time.Now(), quietFor) && sleepUntil(end, time.Now().Add(leaveCheck)) {
 	}
 	err := callers.Shutdown(end)
