peer: marks travel each round, rows only when they changed

Cause: each exchange sent every row both ways: 51 KB a message at 28 gateways (BenchmarkRows), 16 messages a second, on VMs some of which have 10 Mbit/s. Change: an exchange begins with the own row and marks of all, and the answer holds the rows that are lacking; rows are replaced each round in a small fleet and at most every 2 s in a large one, and at once when a usage window ends.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,7 +48,6 @@
 	NotRun  bool       // the upstream did not run the request and never will
 	Moved   bool       // another upstream than the one named is at the address
 	Signed  bool       // an upstream wrote it
-	ColdFor time.Duration
 }
 
 // Codec knows the headers of requests and answers.
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -140,9 +140,14 @@
 // dutyUsage names the duty of reporting usage.
 const dutyUsage = "usage"
 
-// say returns what makes the own row for peers.
-func (p *Program) say(truth func() time.Time) func(time.Time) *peer.Row {
-	return func(now time.Time) *peer.Row {
+// say returns what makes the own row for peers. A row is urgent when a usage window has
+// ended, whose figures are waited for, and when the process leaves.
+func (p *Program) say(truth func() time.Time) func(time.Time) (*peer.Row, bool) {
+	var said struct {
+		window  duty.Window
+		leaving bool
+	}
+	return func(now time.Time) (*peer.Row, bool) {
 		live := len(p.table.Live(now))
 		p.pool.SetEntries(live)
 		p.budgets.SetEntries(live)
@@ -153,7 +158,9 @@
 		if p.reporting != nil {
 			row.ReportedWindow = p.reporting.newest.Load()
 		}
-		return row
+		was := said
+		said.window, said.leaving = p.use.at(truth()), row.GetLeaving()
+		return row, said != was
 	}
 }
 
--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,47 @@
+package peer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/peer"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
+)
+
+// BenchmarkRows encodes what a gateway sends to begin an exchange, for fleets whose gateways
+// each counted requests of some workspaces in four windows, and reports its size.
+func BenchmarkRows(b *testing.B) {
+	for _, x := range []struct{ gateways, workspaces int }{{5, 10}, {28, 24}, {400, 24}} {
+		b.Run(fmt.Sprintf("%d gateways, %d workspaces", x.gateways, x.workspaces), func(b *testing.B) {
+			t := peer.NewTable(peer.Name{Node: "entry-th-central-a-0", Incarnation: 1})
+			for i := range x.gateways {
+				other := peer.NewTable(peer.Name{Node: id.Node(fmt.Sprint("entry-th-central-a-", i+1)), Incarnation: 1_790_000_000_000_000_000})
+				if i == 0 {
+					other = t
+				}
+				row := &peer.Row{Address: "10.200.100.100:8229", DataCentre: "th-central-a", ReportedWindow: 358_474_328, CountedToUnixMs: 1_790_000_000_000}
+				for w := range 4 {
+					use := &ragwortv1.WindowUse{Window: int64(358_474_328 + w), Requests: map[string]uint64{}}
+					for n := range x.workspaces {
+						use.Requests[fmt.Sprint("workspace-", n)] = 100
+					}
+					row.Use = append(row.Use, use)
+				}
+				other.Say(now, row, true)
+				t.Merge(now, other.Rows(), other.Marks())
+			}
+			size := 0
+			for b.Loop() {
+				data, err := proto.Marshal(&ragwortv1.ExchangeRequest{Rows: []*peer.Row{t.Own()}, Marks: t.Marks()})
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -60,7 +60,7 @@
 	table  *Table
 	topics Topics
 	clock  *clock.Clock
-	say    func(now time.Time) *Row // makes the own row
+	say    func(now time.Time) (row *Row, urgent bool) // makes the own row
 	http   *http.Client
 	logger log.Logger
 	counts metrics.Registry
@@ -73,7 +73,7 @@
 var _ ragwortv1connect.PeerServiceHandler = (*Exchanger)(nil)
 
 // NewExchanger returns an exchanger that has not started.
-func NewExchanger(cfg Config, t *Table, topics Topics, c *clock.Clock, say func(time.Time) *Row, logger log.Logger, counts metrics.Registry) *Exchanger {
+func NewExchanger(cfg Config, t *Table, topics Topics, c *clock.Clock, say func(time.Time) (*Row, bool), logger log.Logger, counts metrics.Registry) *Exchanger {
 	dialer := &net.Dialer{Timeout: exchangeTimeout}
 	return &Exchanger{
 		cfg: cfg, table: t, topics: topics, clock: c, say: say, logger: logger, counts: counts,
@@ -94,7 +94,9 @@
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for round := 0; ; round++ {
-		x.table.Say(time.Now(), x.say(time.Now()))
+		now := time.Now()
+		row, urgent := x.say(now)
+		x.table.Say(now, row, urgent)
 		for _, address := range x.choose(round) {
 			go x.exchange(ctx, address)
 		}
@@ -154,7 +156,7 @@
 	defer cancel()
 	sent := x.clock.Now()
 	rs, err := x.client(address).Exchange(ctx, connect.NewRequest(&ragwortv1.ExchangeRequest{
-		SenderUnixMs: sent.UnixMilli(), Rows: x.table.Rows(),
+		SenderUnixMs: sent.UnixMilli(), Rows: []*Row{x.table.Own()}, Marks: x.table.Marks(),
 		Operators: ask(x.topics.Operators), Upstreams: ask(x.topics.Upstreams),
 	}))
 	x.mu.Lock()
@@ -169,7 +171,7 @@
 		return
 	}
 	received := x.clock.Now()
-	x.merge(rs.Msg.GetRows())
+	x.merge(rs.Msg.GetRows(), rs.Msg.GetMarks())
 	if node, ok := x.nodeAt(address); ok {
 		half := received.Sub(sent) / 2
 		x.table.Clock(time.Now(), node, time.UnixMilli(rs.Msg.GetSenderUnixMs()).Sub(sent.Add(half)))
@@ -190,16 +192,16 @@
 
 // Exchange implements ragwortv1connect.PeerServiceHandler.
 func (x *Exchanger) Exchange(_ context.Context, rq *connect.Request[ragwortv1.ExchangeRequest]) (*connect.Response[ragwortv1.ExchangeResponse], error) {
-	x.merge(rq.Msg.GetRows())
+	x.merge(rq.Msg.GetRows(), rq.Msg.GetMarks())
 	return connect.NewResponse(&ragwortv1.ExchangeResponse{
-		SenderUnixMs: x.clock.Now().UnixMilli(), Rows: x.table.Rows(),
+		SenderUnixMs: x.clock.Now().UnixMilli(), Rows: x.table.Lacking(rq.Msg.GetMarks()), Marks: x.table.Marks(),
 		Operators: answer(x.topics.Operators, rq.Msg.GetOperators()),
 		Upstreams: answer(x.topics.Upstreams, rq.Msg.GetUpstreams()),
 	}), nil
 }
 
-func (x *Exchanger) merge(rows []*Row) {
-	for _, n := range x.table.Merge(time.Now(), rows) {
+func (x *Exchanger) merge(rows []*Row, marks []*Mark) {
+	for _, n := range x.table.Merge(time.Now(), rows, marks) {
 		_ = x.logger.Log("event", "peer_known", "peer", n.Node, "incarnation", uint64(n.Incarnation))
 	}
 }
--- a/peer/table.go
+++ b/peer/table.go
@@ -4,7 +4,8 @@
 //
 // Table is the view, without clock or socket. Every gateway says one row of itself
 // and passes on the rows it has heard, so that a row reaches all of them in a few
-// rounds and outlives its gateway. Exchanger is the driver.
+// rounds and outlives its gateway. Marks tell which rows a peer has, and carry signs of
+// life, so that a row travels only when it has changed. Exchanger is the driver.
 package peer
 
 import (
@@ -19,12 +20,17 @@
 )
 
 const (
-	// aliveFor is how long a gateway counts as alive after its row last changed: six
-	// rounds, since rows travel over others.
+	// aliveFor is how long a gateway counts as alive after its last sign of life: six
+	// rounds, since these travel over others.
 	aliveFor = 1500 * time.Millisecond
 	// keepFor is how long the row of a gateway that has ended is kept: what it counted
 	// must reach the report of its last window.
 	keepFor = 20 * time.Second
+	// A row is replaced each round in a small fleet, and less often for each rowShare
+	// gateways more, so that what travels grows with the fleet and not with its square.
+	// longestSaid bounds how much a gateway that ends has counted in vain.
+	rowShare    = 8
+	longestSaid = 2 * time.Second
 	// skewFor is how long the difference to a peer's clock is used after it was seen.
 	skewFor = 10 * time.Second
 )
@@ -38,10 +44,15 @@
 // Row is what one incarnation says of itself.
 type Row = ragwortv1.PeerRow
 
-// heard is a row and when it last changed.
+// Mark says which row of an incarnation is known, and its last sign of life.
+type Mark = ragwortv1.PeerMark
+
+// heard is a row with the last sign of life of its gateway.
 type heard struct {
-	row *Row
-	at  time.Time
+	row  *Row
+	beat uint64
+	at   time.Time // when the sign of life came
+	said time.Time // when the row was, if it is the own one
 }
 
 // skew is a peer's clock ahead of the own one.
@@ -70,30 +81,80 @@
 	return Name{Node: id.Node(r.GetNode()), Incarnation: id.Incarnation(r.GetIncarnation())}
 }
 
-// Say replaces the own row. The row must not be changed afterwards.
-func (t *Table) Say(now time.Time, r *Row) {
+// Say gives a sign of life, and replaces the own row if that is due or urgent. The row
+// must not be changed afterwards.
+func (t *Table) Say(now time.Time, r *Row, urgent bool) {
+	live := len(t.Live(now))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r.Node, r.Incarnation = string(t.self.Node), uint64(t.self.Incarnation)
-	r.Sequence = t.rows[t.self].row.GetSequence() + 1
-	t.rows[t.self] = heard{row: r, at: now}
+	h := t.rows[t.self]
+	h.beat++
+	h.at = now
+	if due := min(interval*time.Duration(live/rowShare), longestSaid); h.row == nil || urgent || now.Sub(h.said) >= due {
+		r.Node, r.Incarnation = string(t.self.Node), uint64(t.self.Incarnation)
+		r.Sequence = h.row.GetSequence() + 1
+		h.row, h.said = r, now
+	}
+	t.rows[t.self] = h
 }
 
-// Merge takes rows that a peer has passed on, and returns the incarnations that were
-// not known.
-func (t *Table) Merge(now time.Time, rows []*Row) (fresh []Name) {
+// Marks returns the marks of every row that is kept.
+func (t *Table) Marks() []*Mark {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*Mark, 0, len(t.rows))
+	for n, h := range t.rows {
+		out = append(out, &Mark{Node: string(n.Node), Incarnation: uint64(n.Incarnation), Sequence: h.row.GetSequence(), Beat: h.beat})
+	}
+	return out
+}
+
+// Own returns the own row.
+func (t *Table) Own() *Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[t.self].row
+}
+
+// Lacking returns the rows that a peer with the given marks does not have.
+func (t *Table) Lacking(marks []*Mark) []*Row {
+	has := make(map[Name]uint64, len(marks))
+	for _, m := range marks {
+		has[Name{Node: id.Node(m.GetNode()), Incarnation: id.Incarnation(m.GetIncarnation())}] = m.GetSequence()
+	}
+	var out []*Row
+	for _, r := range t.Rows() {
+		if r.GetSequence() > has[nameOf(r)] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Merge takes rows and marks of a peer, and returns the incarnations that were not
+// known.
+func (t *Table) Merge(now time.Time, rows []*Row, marks []*Mark) (fresh []Name) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range rows {
 		name := nameOf(r)
-		old, known := t.rows[name]
-		if name == t.self || known && old.row.GetSequence() >= r.GetSequence() {
+		h, known := t.rows[name]
+		if name == t.self || known && h.row.GetSequence() >= r.GetSequence() {
 			continue
 		}
 		if !known {
 			fresh = append(fresh, name)
+			h.at = now
+		}
+		h.row = r
+		t.rows[name] = h
+	}
+	for _, m := range marks {
+		name := Name{Node: id.Node(m.GetNode()), Incarnation: id.Incarnation(m.GetIncarnation())}
+		if h, known := t.rows[name]; known && name != t.self && m.GetBeat() > h.beat {
+			h.beat, h.at = m.GetBeat(), now
+			t.rows[name] = h
 		}
-		t.rows[name] = heard{row: r, at: now}
 	}
 	maps.DeleteFunc(t.rows, func(n Name, h heard) bool { return n != t.self && now.Sub(h.at) > keepFor })
 	return fresh
--- a/peer/table_test.go
+++ b/peer/table_test.go
@@ -15,10 +15,15 @@
 
 func table(node string, in id.Incarnation) *peer.Table {
 	t := peer.NewTable(peer.Name{Node: id.Node(node), Incarnation: in})
-	t.Say(now, &peer.Row{Address: node})
+	t.Say(now, &peer.Row{Address: node}, false)
 	return t
 }
 
+// pull lets a table take what another has, as an exchange does.
+func pull(at time.Time, to, from *peer.Table) []peer.Name {
+	return to.Merge(at, from.Lacking(to.Marks()), from.Marks())
+}
+
 func nodes(rows []*peer.Row) []string {
 	var out []string
 	for _, r := range rows {
@@ -29,18 +34,18 @@
 
 func TestRowsTravelOverOthers(t *testing.T) {
 	a, b, c := table("a", 1), table("b", 1), table("c", 1)
-	require.Equal(t, []peer.Name{{Node: "a", Incarnation: 1}}, b.Merge(now, a.Rows()))
-	c.Merge(now, b.Rows())
+	require.Equal(t, []peer.Name{{Node: "a", Incarnation: 1}}, pull(now, b, a))
+	pull(now, c, b)
 	require.Equal(t, []string{"a/1", "b/1", "c/1"}, nodes(c.Live(now)))
-	require.Empty(t, c.Merge(now, a.Rows()))
+	require.Empty(t, pull(now, c, a))
 }
 
 func TestOlderRowsChangeNothing(t *testing.T) {
 	a, b := table("a", 1), table("b", 1)
-	old := a.Rows()
-	a.Say(now, &peer.Row{Leaving: true})
-	b.Merge(now, a.Rows())
-	b.Merge(now, old)
+	old, oldMarks := a.Rows(), a.Marks()
+	a.Say(now, &peer.Row{Leaving: true}, true)
+	pull(now, b, a)
+	b.Merge(now, old, oldMarks)
 	require.True(t, b.Live(now)[0].GetLeaving())
 }
 
@@ -48,24 +53,51 @@
 // for the report of its last window.
 func TestEndedGateway(t *testing.T) {
 	a, b := table("a", 1), table("b", 1)
-	b.Merge(now, a.Rows())
+	pull(now, b, a)
 	later := now.Add(2 * time.Second)
-	b.Merge(later, a.Rows()) // passed on by others, without news
+	b.Merge(later, a.Rows(), a.Marks()) // passed on by others, without news
 	require.Equal(t, []string{"b/1"}, nodes(b.Live(later)))
 	require.Equal(t, []string{"a/1", "b/1"}, nodes(b.Rows()))
-	b.Merge(now.Add(time.Minute), nil)
+	b.Merge(now.Add(time.Minute), nil, nil)
 	require.Equal(t, []string{"b/1"}, nodes(b.Rows()))
 }
 
 // TestRestartedGateway counts once among the living; both of its rows are kept.
 func TestRestartedGateway(t *testing.T) {
 	b := table("b", 1)
-	b.Merge(now, table("a", 1).Rows())
-	b.Merge(now, table("a", 2).Rows())
+	pull(now, b, table("a", 1))
+	pull(now, b, table("a", 2))
 	require.Equal(t, []string{"a/2", "b/1"}, nodes(b.Live(now)))
 	require.Equal(t, []string{"a/1", "a/2", "b/1"}, nodes(b.Rows()))
 }
 
+// TestSignsOfLifeTravelWithoutRows lets a large fleet's gateway give signs of life: its
+// row travels once a second, not each round.
+func TestSignsOfLifeTravelWithoutRows(t *testing.T) {
+	a, b := table("a", 1), table("b", 1)
+	for i := range 31 {
+		pull(now, a, table(fmt.Sprint("n", i), 1))
+	}
+	pull(now, b, a)
+	rows := 0
+	at := now
+	for range 40 {
+		at = at.Add(250 * time.Millisecond)
+		for _, n := range a.Live(now) { // all others live on
+			if n.GetNode() != "a" && n.GetNode() != "b" {
+				a.Merge(at, nil, []*peer.Mark{{Node: n.GetNode(), Incarnation: 1, Beat: uint64(at.UnixMilli())}})
+			}
+		}
+		a.Say(at, &peer.Row{Address: "a"}, false)
+		rows += len(a.Lacking(b.Marks()))
+		pull(at, b, a)
+		require.Len(t, b.Live(at), 33)
+	}
+	require.InDelta(t, 10, rows, 2)
+	a.Say(at, &peer.Row{Address: "a"}, true)
+	require.Len(t, a.Lacking(b.Marks()), 1, "an urgent row travels at once")
+}
+
 // TestMedianClock lets a minority of clocks step, the own one or another.
 func TestMedianClock(t *testing.T) {
 	b := table("b", 1)
