--- /dev/null
+++ b/ragworttest/relay_test.go
@@ -0,0 +1,314 @@
+package ragworttest_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/ragworttest"
+	"github.com/ragwortpass/ragwortpass/standin"
+)
+
+// relays is a fleet of real relay processes before a store and upstreams of the test.
+type relays struct {
+	t     *testing.T
+	store *standin.Store
+	base  string // address of the store
+	seeds []string
+	nodes []*relay
+
+	mu      sync.Mutex
+	ran     map[string]int // by request id
+	booked  map[string]int // the same, of calls that must not be repeated
+	version int
+}
+
+// relay is one node, whose process may be started again.
+type relay struct {
+	name     string
+	settings string // path
+	callers  string
+	ready    string
+	peers    string
+	process  *ragworttest.Process
+}
+
+const relayWindow = time.Second
+
+func newRelays(t *testing.T, n int) *relays {
+	f := &relays{t: t, store: standin.NewStore(), ran: make(map[string]int), booked: make(map[string]int)}
+	server := httptest.NewServer(f.store.Handler())
+	t.Cleanup(server.Close)
+	f.base = strings.TrimPrefix(server.URL, "http://")
+	f.upstream("i-1")
+	f.upstream("i-2")
+	f.configure("key-1", "key-2")
+	for i := range n {
+		r := &relay{
+			name: fmt.Sprint("entry-", i), settings: filepath.Join(t.TempDir(), "settings.json"),
+			callers: ragworttest.FreeAddress(t), ready: ragworttest.FreeAddress(t), peers: ragworttest.FreeAddress(t),
+		}
+		f.seeds = append(f.seeds, r.peers)
+		f.nodes = append(f.nodes, r)
+	}
+	for _, r := range f.nodes {
+		f.write(r)
+		f.start(r)
+	}
+	for _, r := range f.nodes {
+		f.ready(r)
+	}
+	return f
+}
+
+// upstream lists an upstream that takes a few milliseconds and notes what it ran.
+func (f *relays) upstream(name string) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rq := r.Header.Get("X-Request-Id")
+		f.mu.Lock()
+		f.ran[rq]++
+		if r.Method == http.MethodPost {
+			f.booked[rq]++
+		}
+		f.mu.Unlock()
+		w.Header().Set("X-Request-Id", rq)
+		w.Header().Set("X-Replica-Stamp", "signed")
+		_, _ = io.WriteString(w, "answer to "+rq)
+	}))
+	f.t.Cleanup(server.Close)
+	f.store.Put("keyed.servers", name, fmt.Appendf(nil,
+		`{"Service":"desk","Addr":%q,"Zone":"th-a","State":"ready","ColdLeftMs":0,"Slots":8,"born":1}`, strings.TrimPrefix(server.URL, "http://")))
+}
+
+// configure puts a configuration with the given keys of one workspace in force.
+func (f *relays) configure(keys ...string) {
+	f.version += 3
+	list, err := json.Marshal(keys)
+	require.NoError(f.t, err)
+	f.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"Version":%d,"Routes":[
+		{"Name":"book","Host":"desk.example","PathPrefix":"/book/","RouteKind":"unsafe","TimeoutMs":2000,"Service":"desk","Attempts":1},
+		{"Name":"look","Host":"desk.example","PathPrefix":"/look/","RouteKind":"safe","TimeoutMs":2000,"Service":"desk","Attempts":2}],
+		"Services":[{"Name":"desk"}],"Limits":{"MaxBodyBytes":65536},"Tenants":[{"Name":"ws","ApiKeys":%s}]}`, f.version, list))
+}
+
+func (f *relays) write(r *relay) {
+	seeds, err := json.Marshal(f.seeds)
+	require.NoError(f.t, err)
+	text := fmt.Appendf(nil, `{"node":%q,"data_centre":"th-a","listen":{"callers":%q,"ready":%q,"peers":%q},"seeds":%s,
+		"store_address":%q,"duty_address":%q,"duties":["usage"],"memory_mb":200,
+		"bounds":{"config_ms":2000,"retry_ratio":0.2,"retry_slack":50,"retry_window_s":10,"grace_s":6,"lease_ms":500,"window_s":%g,"usage_late_s":8}}`,
+		r.name, r.callers, r.ready, r.peers, seeds, f.base, f.base, relayWindow.Seconds())
+	require.NoError(f.t, os.WriteFile(r.settings, text, 0o600))
+}
+
+func (f *relays) start(r *relay) {
+	r.process = ragworttest.Start(f.t, "entry", r.callers, "relay", "--settings", r.settings)
+}
+
+func (f *relays) ready(r *relay) {
+	ragworttest.Eventually(f.t, func() bool { return f.isReady(r) }, "%s is ready", r.name)
+}
+
+func (f *relays) isReady(r *relay) bool {
+	rs, err := http.Get("http://" + r.ready + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	defer rs.Body.Close()
+	return rs.StatusCode == http.StatusOK
+}
+
+// tally is what callers got.
+type tally struct {
+	served, refused, cut atomic.Int64
+	faults               sync.Map // text to struct{}
+}
+
+func (a *tally) fault(format string, args ...any) {
+	a.faults.Store(fmt.Sprintf(format, args...), struct{}{})
+}
+
+func (a *tally) none(t *testing.T) {
+	a.faults.Range(func(text, _ any) bool {
+		require.Fail(t, text.(string))
+		return true
+	})
+}
+
+// call sends one request to a node that is ready, and judges the answer.
+func (f *relays) call(client *http.Client, r *relay, method, path string, into *tally) {
+	rq, err := http.NewRequest(method, "http://"+r.callers+path, strings.NewReader("steel"))
+	if err != nil {
+		into.fault("%v", err)
+		return
+	}
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	rq.Host = "desk.example"
+	rq.Header.Set("X-Request-Id", id)
+	rq.Header.Set("X-Deadline-Ms", "2000")
+	rq.Header.Set("Authorization", "Bearer key-1")
+	rs, err := client.Do(rq)
+	if err != nil {
+		into.cut.Add(1)
+		return
+	}
+	defer rs.Body.Close()
+	body, err := io.ReadAll(rs.Body)
+	f.mu.Lock()
+	ran := f.ran[id]
+	f.mu.Unlock()
+	switch {
+	case err != nil:
+		into.cut.Add(1)
+	case rs.StatusCode == http.StatusOK && string(body) == "answer to "+id:
+		into.served.Add(1)
+	case rs.StatusCode == http.StatusOK:
+		into.fault("an answer to another request: %q", body)
+	case rs.StatusCode == http.StatusServiceUnavailable && ran > 0:
+		into.fault("a request that ran was refused as not run")
+	case rs.StatusCode == http.StatusUnauthorized, rs.StatusCode == http.StatusNotFound:
+		into.fault("%d for a key and a route that always were in force", rs.StatusCode)
+	default:
+		into.refused.Add(1)
+	}
+}
+
+// load calls nodes that are ready from several callers until stop is called.
+func (f *relays) load(callers int) (into *tally, stop func()) {
+	into = &tally{}
+	ctx, cancel := context.WithCancel(f.t.Context())
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: 5 * time.Second}
+			for n := i; ctx.Err() == nil; n++ {
+				r := f.nodes[n%len(f.nodes)]
+				if !f.isReady(r) {
+					continue
+				}
+				method, path := http.MethodGet, "/look/x"
+				if n%3 == 0 {
+					method, path = http.MethodPost, "/book/x"
+				}
+				f.call(client, r, method, path, into)
+			}
+		})
+	}
+	return into, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// usageFaults says where reports of windows differ, or terms go back.
+func (f *relays) usageFaults() error {
+	seen := map[int64]map[string]uint64{}
+	var last uint64
+	for _, u := range f.store.Usage() {
+		if old, known := seen[u.Window]; known && fmt.Sprint(old) != fmt.Sprint(u.Counts) {
+			return fmt.Errorf("window %d was reported as %v and as %v", u.Window, old, u.Counts)
+		}
+		seen[u.Window] = u.Counts
+		if u.Fence < last {
+			return errors.New("a fencing number went back")
+		}
+		last = u.Fence
+	}
+	return nil
+}
+
+// TestRelaysUnderSignals puts load on three processes while they are stopped, killed,
+// started again and told of faulty settings, and while the configuration changes.
+func TestRelaysUnderSignals(t *testing.T) {
+	f := newRelays(t, 3)
+	into, stop := f.load(6)
+	settle := func() {
+		from := into.served.Load()
+		ragworttest.Eventually(t, func() bool { return into.served.Load() > from+100 }, "callers are served")
+	}
+	settle()
+
+	f.nodes[0].process.Signal(t, syscall.SIGTERM)
+	f.configure("key-1")
+	f.nodes[0].process.Wait(t)
+	require.Zero(t, into.cut.Load(), "a graceful end cuts nothing")
+	f.start(f.nodes[0])
+	f.ready(f.nodes[0])
+	settle()
+
+	require.NoError(t, os.WriteFile(f.nodes[1].settings, []byte(`{"node":`), 0o600))
+	f.nodes[1].process.Signal(t, syscall.SIGHUP)
+	ragworttest.Eventually(t, func() bool { return strings.Contains(f.nodes[1].process.Log.String(), "event=reload_refused") }, "faulty settings are refused")
+	f.write(f.nodes[1])
+	f.nodes[1].process.Signal(t, syscall.SIGHUP)
+	ragworttest.Eventually(t, func() bool { return strings.Contains(f.nodes[1].process.Log.String(), "event=reloaded") }, "good settings are taken")
+	settle()
+	require.Zero(t, into.cut.Load())
+
+	f.nodes[1].process.Kill(t)
+	f.start(f.nodes[1])
+	f.ready(f.nodes[1])
+	f.configure("key-1", "key-3")
+	settle()
+
+	before := len(f.store.Usage())
+	ragworttest.Eventually(t, func() bool { return len(f.store.Usage()) > before+2 }, "usage is reported")
+	stop()
+	into.none(t)
+	require.NoError(t, f.usageFaults())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.booked {
+		require.Equal(t, 1, n, id)
+	}
+	for id, n := range f.ran {
+		require.LessOrEqual(t, n, 2, id)
+	}
+	t.Logf("%d served, %d refused, %d cut", into.served.Load(), into.refused.Load(), into.cut.Load())
+}
+
+// TestRelayStartsWithoutTheStore starts a process while the store answers nobody: it
+// takes its views from its peers and serves.
+func TestRelayStartsWithoutTheStore(t *testing.T) {
+	f := newRelays(t, 2)
+	f.nodes[1].process.Kill(t)
+	f.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	f.start(f.nodes[1])
+	f.ready(f.nodes[1])
+	into := &tally{}
+	ragworttest.Eventually(t, func() bool {
+		f.call(http.DefaultClient, f.nodes[1], http.MethodGet, "/look/x", into)
+		return into.served.Load() > 0
+	}, "a process without the store serves")
+	into.none(t)
+
+	f.nodes[0].process.Kill(t)
+	f.nodes[1].process.Kill(t)
+	f.start(f.nodes[0])
+	ragworttest.Eventually(t, func() bool {
+		rs, err := http.Get("http://" + f.nodes[0].callers + "/look/x")
+		if err != nil {
+			return false
+		}
+		defer rs.Body.Close()
+		return rs.StatusCode == http.StatusBadRequest || rs.StatusCode == http.StatusServiceUnavailable
+	}, "a process that knows nothing answers")
+	require.False(t, f.isReady(f.nodes[0]), "alone, it knows no configuration")
+	f.store.SetFaults(standin.StoreFaults{})
+	f.ready(f.nodes[0])
+}
