gateway: the configuration's limits of heads and idle connections

Idle connections are closed after the time of the configuration in force, also when it changes while they are open; a head over its limit is refused with 431.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -78,6 +78,9 @@
 		return rq, problem.New(problem.NotReady, problem.NotRun, http.StatusServiceUnavailable,
 			"no configuration is known yet").WithRetryAfter(notReadyIn(g.deps.Source.Failing(now)))
 	}
+	if limit := rq.catalog.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return rq, problem.New(problem.HeaderTooLarge, problem.NotRun, http.StatusRequestHeaderFieldsTooLarge, "the head exceeds %d bytes", limit)
+	}
 	if p := g.admit(rq, r, now); p != nil {
 		return rq, p
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -83,15 +83,21 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, shelf: new(catalog.Shelf)}
-	f.pool = pool.New(f.shelf)
-	f.shelf.Put(testCatalog())
+	shelf := new(catalog.Shelf)
+	shelf.Put(testCatalog())
+	return newFixtureWith(t, shelf)
+}
+
+func newFixtureWith(t *testing.T, shelf *catalog.Shelf) *fixture {
+	f := &fixture{t: t, shelf: shelf, pool: pool.New(shelf)}
 	f.gateway = gateway.New(gateway.Deps{
 		Codec: platform.Headers{}, Shelf: f.shelf, Pool: f.pool, Meter: f, Source: f, Client: gateway.NewClient(),
 		Budget:  gateway.NewBudgets(gateway.BudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}),
 		Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
 	})
-	f.server = httptest.NewServer(f.gateway.Handler())
+	f.server = httptest.NewUnstartedServer(f.gateway.Handler())
+	f.gateway.Guard(f.server.Config)
+	f.server.Start()
 	t.Cleanup(f.server.Close)
 	return f
 }
@@ -444,10 +450,42 @@
 	require.Equal(t, http.StatusUnauthorized, status())
 }
 
+// TestIdleConnectionsAreClosed after the time of the configuration in force, which
+// changes while connections are open.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	f := newFixture(t)
+	f.serve(func(http.ResponseWriter, *http.Request) {})
+	next := testCatalog()
+	next.Version, next.Limits.IdleTimeout = 2, 50*time.Millisecond
+	require.True(t, f.shelf.Put(next))
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, f.request(t.Context(), http.MethodGet, "/safe/x", "").Write(c))
+	in := bufio.NewReader(c)
+	rs, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	require.NoError(t, rs.Body.Close())
+	require.Equal(t, http.StatusOK, rs.StatusCode)
+	_, err = in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestLargeHead(t *testing.T) {
+	f := newFixture(t)
+	f.serve(func(http.ResponseWriter, *http.Request) {})
+	next := testCatalog()
+	next.Version, next.Limits.HeaderBytes = 2, 2000
+	require.True(t, f.shelf.Put(next))
+	rq := f.request(t.Context(), http.MethodGet, "/safe/x", "")
+	require.Equal(t, http.StatusOK, f.do(rq.Clone(t.Context())).status)
+	rq.Header.Set("X-Long", strings.Repeat("x", 2000))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, f.do(rq).status)
+}
+
 // TestNoConfiguration gives advice that grows with the outage of the store.
 func TestNoConfiguration(t *testing.T) {
-	f := newFixture(t)
-	*f.shelf = catalog.Shelf{}
+	f := newFixtureWith(t, new(catalog.Shelf))
 	require.False(t, f.gateway.Ready())
 	for _, x := range []struct {
 		failing time.Duration
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -58,7 +58,8 @@
 	maxHeaderBytes = 64 << 10
 	// readHeaderTimeout bounds a caller that sends its head slowly.
 	readHeaderTimeout = 10 * time.Second
-	// keptFor is how long an idle connection of a caller is kept.
+	// keptFor is how long an idle connection of a caller is kept if the configuration
+	// does not say.
 	keptFor = 2 * time.Minute
 	// takeFor is how long a leaving process takes new requests: the balancer asks once
 	// a second and takes two misses to notice, and what is taken later may not be done
@@ -188,6 +189,7 @@
 	callers := &http.Server{
 		Handler: p.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: keptFor, MaxHeaderBytes: maxHeaderBytes,
 	}
+	p.gateway.Guard(callers)
 	failed := make(chan error, 4)
 	serve := func(server *http.Server, address string) error {
 		l, err := net.Listen("tcp", address)
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -41,6 +41,7 @@
 	RouteClosed      Reason = "route_closed"
 	BadRequest       Reason = "bad_request"
 	BodyTooLarge     Reason = "body_too_large"
+	HeaderTooLarge   Reason = "header_too_large"
 	ModelUnknown     Reason = "model_unknown"
 	WorkspaceLimit   Reason = "workspace_limit"
 	WorkspaceUnknown Reason = "workspace_unknown"
