--- a/pool/choose.go
+++ b/pool/choose.go
@@ -66,7 +66,8 @@
 	// next takes what the one before it has no room for, and the parts are read at few
 	// places.
 	affineCandidates = 2
-	// affinityBound is how many times the mean load a preferred upstream may have.
+	// affinityBound is how many times the mean load a preferred upstream may have. It, the
+	// slack and runLoad are first values, never measured against others.
 	affinityBound = 1.5
 	// affinitySlack is the load above the mean that is always allowed, in tokens of
 	// prompts: about one long prompt.
