gateway: a request whose time is over has not run only if it never had a connection

Cause, found in reading: when the time of a request ends just as its connection is ready, the transport's writer may send it after the bytes were counted, and the answer would have promised that it has not run. Change: from the moment a connection was had, the answer promises nothing.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,7 +52,7 @@
 			n.meter(time.Since(n.sentAt)) // an answer that is lost was most likely made
 			return &lost{problem.UpstreamCut, err}
 		}
-		if s.any() {
+		if s.conn != nil { // a write may still have been on its way when the time was over
 			n.mayRun = true
 			n.meterPlain()
 		}
