feed, platform: copies of the store's topics on other partitions

Change: the first entry by name copies what it holds of both topics to three partitions of a topic of our own; a start whose first read does not answer within 0.1 s takes the newest copy in reach. A copy never denies a request.

--- a/gateway/program.go
+++ b/gateway/program.go
@@ -39,6 +39,9 @@
 	Upstreams feed.Topic
 	Claims    Claims
 	Reports   Reports // nil: no usage is reported
+	// Copies of the two topics, for a start at which these are out of reach; nil: none.
+	OperatorCopies feed.Copies
+	UpstreamCopies feed.Copies
 }
 
 const (
@@ -52,6 +55,12 @@
 	// upstreamsRelax is how old the view of the upstreams may be that a peer vouches for:
 	// a drained upstream must get nothing two seconds after it said so.
 	upstreamsRelax = 1100 * time.Millisecond
+	// operatorsCopied is the least time between two copies of what operators put in
+	// force, which they seldom change.
+	operatorsCopied = time.Second
+	// upstreamsCopied is the same for the list of upstreams, which changes all the time;
+	// an older one serves a start, as one that has moved says so.
+	upstreamsCopied = 5 * time.Second
 	// memoryUse is the part of the memory that the garbage collector aims to stay in.
 	memoryUse = 0.7
 	// maxHeaderBytes bounds a request's head until the configuration does.
@@ -86,6 +95,7 @@
 	use       *useCounter
 	reporting *reporting // nil: usage is not reported
 	follow    []*feed.Follower
+	copy      []*feed.Copier
 	counts    metrics.Registry
 	logger    log.Logger
 }
@@ -108,6 +118,12 @@
 	p.pool = upstreams
 	p.budgets = NewBudgets(BudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
 	p.follow = []*feed.Follower{ops, list}
+	if out.OperatorCopies != nil {
+		p.copy = append(p.copy, feed.NewCopier(ops, out.OperatorCopies, operatorsCopied, p.leads))
+	}
+	if out.UpstreamCopies != nil {
+		p.copy = append(p.copy, feed.NewCopier(list, out.UpstreamCopies, upstreamsCopied, p.leads))
+	}
 	truth := func() time.Time { return steady.Now().Add(p.table.Ahead(time.Now())) }
 	p.use = newUseCounter(durationS(s.Bounds.WindowS), truth)
 	p.gateway = New(Deps{
@@ -183,6 +199,9 @@
 	for _, f := range p.follow {
 		tasks.Go(func() { f.Run(ctx) })
 	}
+	for _, c := range p.copy {
+		tasks.Go(func() { c.Run(ctx) })
+	}
 	if p.reporting != nil {
 		tasks.Go(func() { p.reporting.run(ctx) })
 	}
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -312,3 +312,41 @@
 	f.store.SetFaults(standin.StoreFaults{})
 	f.ready(f.nodes[0])
 }
+
+// TestRelaysStartBesideAPartialOutage ends all processes while the store answers for
+// none of the platform's own topics: they serve from the copies that they kept.
+func TestRelaysStartBesideAPartialOutage(t *testing.T) {
+	f := newRelays(t, 2)
+	ragworttest.Eventually(t, func() bool { return f.store.Len("keyed.copies/1") >= 2 }, "both topics are copied")
+	for _, r := range f.nodes {
+		r.process.Kill(t)
+	}
+	f.store.SetFaults(standin.StoreFaults{Down: []string{"keyed.op", "keyed.servers"}})
+	for _, r := range f.nodes {
+		f.start(r)
+	}
+	for _, r := range f.nodes {
+		f.ready(r)
+	}
+	into := &tally{}
+	ragworttest.Eventually(t, func() bool {
+		f.call(http.DefaultClient, f.nodes[0], http.MethodPost, "/book/x", into)
+		f.call(http.DefaultClient, f.nodes[1], http.MethodGet, "/look/x", into)
+		return into.served.Load() >= 2
+	}, "processes that know only copies serve")
+
+	f.store.SetFaults(standin.StoreFaults{})
+	f.configure("key-2")
+	ragworttest.Eventually(t, func() bool {
+		rq, err := http.NewRequest(http.MethodGet, "http://"+f.nodes[0].callers+"/look/x", http.NoBody)
+		require.NoError(t, err)
+		rq.Host = "desk.example"
+		rq.Header.Set("X-Request-Id", "withdrawn")
+		rq.Header.Set("Authorization", "Bearer key-1")
+		rs, err := http.DefaultClient.Do(rq)
+		require.NoError(t, err)
+		defer rs.Body.Close()
+		return rs.StatusCode == http.StatusUnauthorized
+	}, "a withdrawn key is refused after the outage")
+	into.none(t)
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	Slow        time.Duration // before every answer
 	LoseAnswers int           // the next appends take effect and their connections break
 	Stale       bool          // reads see what they saw when this was set
+	Down        []string      // topics whose partition 0 answers 503
 }
 
 // UsageSeen is a usage report as it came.
@@ -30,7 +32,7 @@
 	Counts map[string]uint64
 }
 
-// Store keeps topics of one partition. It is safe for concurrent use.
+// Store keeps topics of any number of partitions. It is safe for concurrent use.
 type Store struct {
 	mu     sync.Mutex
 	faults StoreFaults
@@ -40,7 +42,7 @@
 	grown  chan struct{} // closed at the next append
 }
 
-// topic is partition 0 of a topic.
+// topic is one partition of a topic.
 type topic struct {
 	first   uint64
 	records [][]byte
@@ -85,6 +87,9 @@
 	case f.Status != 0:
 		w.WriteHeader(f.Status)
 		return false
+	case slices.Contains(f.Down, partitionOf(r)):
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
 	case f.Slow > 0:
 		t := time.NewTimer(f.Slow)
 		defer t.Stop()
@@ -96,6 +101,16 @@
 	return true
 }
 
+// partitionOf returns the name of the partition that a call is about: that of its topic
+// for partition 0, with the number behind a slash for others.
+func partitionOf(r *http.Request) string {
+	q := r.URL.Query()
+	if part := q.Get("part"); part != "" && part != "0" {
+		return q.Get("Topic") + "/" + part
+	}
+	return q.Get("Topic")
+}
+
 // SetFaults replaces the faults.
 func (s *Store) SetFaults(f StoreFaults) {
 	s.mu.Lock()
@@ -115,6 +130,13 @@
 	return s.calls[path]
 }
 
+// Len returns how many records of a topic are kept.
+func (s *Store) Len(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.topic(name).records)
+}
+
 // Usage returns the usage reports in the order in which they came.
 func (s *Store) Usage() []UsageSeen {
 	s.mu.Lock()
@@ -172,7 +194,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(r.URL.Query().Get("Topic"))
+	t := s.topic(partitionOf(r))
 	first := t.end()
 	if at := r.URL.Query().Get("At"); at != "" && at != strconv.FormatUint(first, 10) {
 		answer(w, http.StatusPreconditionFailed, map[string]uint64{"End": first})
@@ -201,7 +223,7 @@
 	defer timeout.Stop()
 	for {
 		s.mu.Lock()
-		t := s.topic(r.URL.Query().Get("Topic"))
+		t := s.topic(partitionOf(r))
 		end, grown := t.end(), s.grown
 		if s.faults.Stale {
 			end = t.stale
@@ -249,7 +271,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(r.URL.Query().Get("Topic"))
+	t := s.topic(partitionOf(r))
 	doc := struct {
 		Items   []item
 		HasMore bool
