gateway: a stream that its upstream failed counts as use

Change: an upstream's own failure that does not say that it has not run is counted when it comes, for streams too. Test: TestFailureOfAStreamIsUse, which fails without the change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -93,10 +93,14 @@
 // judge decides what an upstream's answer means, and relays it.
 func (n *run) judge(ctx context.Context, c *pool.Chosen, rs *http.Response) outcome {
 	reply := n.g.deps.Codec.Reply(rs)
-	if reply.Signed && !reply.NotRun {
+	success := rs.StatusCode >= http.StatusOK && rs.StatusCode < http.StatusMultipleChoices
+	switch {
+	case !reply.Signed || reply.NotRun:
+	case success:
 		n.meterPlain()
+	default:
+		n.meter(time.Since(n.sentAt)) // a failure that does not say otherwise has run, of a stream too
 	}
-	success := rs.StatusCode >= http.StatusOK && rs.StatusCode < http.StatusMultipleChoices
 	switch {
 	case reply.Moved:
 		n.g.deps.Pool.Moved(c.Upstream.ID)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -126,3 +126,35 @@
 	f.serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, long) })
 	require.Equal(t, long, f.call(http.MethodPost, "/stream/x", "p").body)
 }
+
+// TestFailureOfAStreamIsUse sends streams to an upstream that fails them: each has run,
+// unless the answer says that it has not. One that failed and is tried elsewhere counts
+// once.
+func TestFailureOfAStreamIsUse(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		path   string
+		status int
+		notRun bool
+		begun  int64
+	}{
+		{"failed", "/stream/x", http.StatusInternalServerError, false, 1},
+		{"failed twice", "/resumable/x", http.StatusInternalServerError, false, 1},
+		{"out of time", "/stream/x", http.StatusGatewayTimeout, false, 1},
+		{"refused", "/stream/x", http.StatusServiceUnavailable, true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			for range 2 {
+				f.serve(func(w http.ResponseWriter, _ *http.Request) {
+					if tc.notRun {
+						w.Header().Set("X-Not-Run", "1")
+					}
+					w.WriteHeader(tc.status)
+				})
+			}
+			f.call(http.MethodPost, tc.path, "")
+			require.Equal(t, tc.begun, f.begun())
+		})
+	}
+}
