--- a/cmd/entry/relay.go
+++ b/cmd/entry/relay.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"os"
+	"time"
 
+	"github.com/ragwortpass/ragwortpass/clock"
 	"github.com/ragwortpass/ragwortpass/gateway"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/process"
@@ -13,7 +15,8 @@
 
 // relayCommand relays a platform's requests.
 type relayCommand struct {
-	Settings string `help:"Path of the settings file." required:"" env:"RAGWORTPASS_CONFIG"`
+	Settings   string        `help:"Path of the settings file." required:"" env:"RAGWORTPASS_CONFIG"`
+	ClockError time.Duration `help:"How far the clock is off, for drills." hidden:""`
 }
 
 // run serves until SIGTERM.
@@ -26,5 +29,5 @@
 	lines := process.NewLineWriter(os.Stdout)
 	defer lines.Close()
 	logger := process.NewLineLogger(lines, "entry", string(s.Node))
-	return gateway.NewProgram(s, read, platform.Outside(s, logger), logger).Run(context.Background())
+	return gateway.NewProgram(s, read, clock.NewAhead(c.ClockError), platform.Outside(s, logger), logger).Run(context.Background())
 }
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -102,9 +102,8 @@
 
 // NewProgram returns a program that has not started yet. Read reads its settings
 // again when the process is told that they have changed.
-func NewProgram(s *Settings, read func() (*Settings, error), out Outside, logger log.Logger) *Program {
+func NewProgram(s *Settings, read func() (*Settings, error), steady *clock.Clock, out Outside, logger log.Logger) *Program {
 	counts := metrics.NewRegistry()
-	steady := clock.New()
 	p := &Program{
 		settings: s, read: read, counts: counts, logger: logger,
 		table: peer.NewTable(peer.Name{Node: s.Node, Incarnation: id.Incarnation(steady.Now().UnixNano())}),
--- a/ragworttest/fleet.go
+++ b/ragworttest/fleet.go
@@ -134,6 +134,9 @@
 	return o.buf.String()
 }
 
+// Tail returns the end of what was written.
+func (o *Output) Tail() string { return tail(o.String()) }
+
 // Start runs a program until the test ends. A failed test prints its output.
 func Start(t testing.TB, program, address string, args ...string) *Process {
 	t.Helper()
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,428 @@
+package main
+
+// This file defines the checkers, each of which finds where a history breaks one
+// promise.
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// checker returns one line for each broken promise.
+type checker struct {
+	name  string
+	check func(h *history) []string
+}
+
+var checkers = []checker{
+	{"own_answer", checkOwn},
+	{"once", checkOnce},
+	{"true_refusal", checkRefusals},
+	{"nothing_lost", checkLost},
+	{"caller_gone", checkGone},
+	{"drain", checkDrain},
+	{"configuration_in_force", checkConfig},
+	{"configuration_never_back", checkNeverBack},
+	{"one_holder", checkHolder},
+	{"usage", checkUsage},
+	{"cold", checkCold},
+	{"retry_budget", checkBudget},
+	{"priority", checkPriority},
+	{"recovery", checkRecovery},
+	{"own_ends", func(h *history) []string { return h.ends }},
+}
+
+// judge returns what is broken, by checker.
+func (h *history) judge() []string {
+	var out []string
+	for _, c := range checkers {
+		for _, line := range c.check(h) {
+			out = append(out, c.name+": "+line)
+		}
+	}
+	return out
+}
+
+func checkOwn(h *history) (broken []string) {
+	for _, a := range h.answers {
+		if a.served() && !a.own {
+			broken = append(broken, fmt.Sprintf("%s of kind %s got other bytes than its own at %v", a.request, a.kind, a.done))
+		}
+	}
+	return broken
+}
+
+func checkOnce(h *history) (broken []string) {
+	runs := h.byRequest()
+	for _, a := range h.answers {
+		n := 0
+		for _, x := range runs[a.request] {
+			if x.ran {
+				n++
+			}
+		}
+		if !a.kind.repeatable() && n > 1 {
+			broken = append(broken, fmt.Sprintf("%s of kind %s ran %d times", a.request, a.kind, n))
+		}
+	}
+	return broken
+}
+
+func checkRefusals(h *history) (broken []string) {
+	runs := h.byRequest()
+	for _, a := range h.answers {
+		if a.kind.repeatable() || !a.refused() {
+			continue
+		}
+		for _, x := range runs[a.request] {
+			if x.ran {
+				broken = append(broken, fmt.Sprintf("%s was refused with %d at %v and ran at %v", a.request, a.status, a.done, x.at))
+			}
+		}
+	}
+	return broken
+}
+
+// checkLost judges only around planned work and calm: a request that was passed on to a
+// sound upstream gets an answer.
+func checkLost(h *history) (broken []string) {
+	runs := h.byRequest()
+	for _, a := range h.answers {
+		if a.left || a.whole || !h.inTouch(a.node, span{a.sent, a.done}) {
+			continue
+		}
+		ran, sound := false, true
+		for _, x := range runs[a.request] {
+			ran = ran || x.ran
+			sound = sound && !x.broke
+		}
+		if ran && sound {
+			broken = append(broken, fmt.Sprintf("%s was passed on by %s and got no whole answer at %v", a.request, a.node, a.done))
+		}
+	}
+	return broken
+}
+
+const (
+	// goneWithin is how soon an upstream must have stopped after its caller left.
+	goneWithin = 500 * time.Millisecond
+	// goneShare and goneFew are what the pages allow beyond.
+	goneShare, goneFew = 0.25, 4
+)
+
+func checkGone(h *history) []string {
+	runs := h.byRequest()
+	late, all := 0, 0
+	for _, a := range h.answers {
+		if !a.left || !a.kind.repeatable() && !a.kind.streams() || !h.inTouch(a.node, span{a.sent, a.done + goneWithin}) {
+			continue
+		}
+		for _, x := range runs[a.request] {
+			if !x.ran || x.broke {
+				continue
+			}
+			all++
+			if x.ended == 0 || x.ended > a.done+goneWithin {
+				late++
+			}
+		}
+	}
+	if late > goneFew && float64(late) > goneShare*float64(all) {
+		return []string{fmt.Sprintf("upstreams went on with %d of %d requests whose callers had left", late, all)}
+	}
+	return nil
+}
+
+func checkDrain(h *history) (broken []string) {
+	by := make(map[string]*answer, len(h.answers))
+	for _, a := range h.answers {
+		by[a.request] = a
+	}
+	drained := make(map[string]time.Duration)
+	for _, c := range h.changes {
+		if c.what == "drained" {
+			drained[c.name] = c.from
+		}
+	}
+	for _, x := range h.arrivals {
+		at, ok := drained[x.upstream]
+		a := by[x.request]
+		if !ok || !x.ran || a == nil || x.at <= at+h.bounds.drain || !h.inTouch(a.node, span{at, x.at}) {
+			continue
+		}
+		broken = append(broken, fmt.Sprintf("%s reached %s at %v, which was drained at %v", x.request, x.upstream, x.at, at))
+	}
+	return broken
+}
+
+// keySpans returns since when and until when each key is in force.
+func (h *history) keySpans() map[string]span {
+	out := make(map[string]span)
+	for _, c := range h.changes {
+		s, known := out[c.name]
+		switch {
+		case c.what == "key_added":
+			out[c.name] = span{c.from, h.length + time.Hour}
+		case c.what == "key_withdrawn" && known:
+			out[c.name] = span{s.from, c.from}
+		}
+	}
+	return out
+}
+
+func checkConfig(h *history) (broken []string) {
+	keys := h.keySpans()
+	for _, a := range h.answers {
+		in, known := keys[a.key]
+		denied := a.status == 401 || a.status == 403 || a.status == 404
+		accepted := a.status == 200
+		switch {
+		case !known:
+			broken = append(broken, fmt.Sprintf("%s was sent with a key that never was", a.request))
+		case denied && in.from == 0 && a.done < in.until:
+			broken = append(broken, fmt.Sprintf("%s was denied with %d at %v by %s, its key always was in force", a.request, a.status, a.done, a.node))
+		case denied && a.sent > in.from+h.bounds.config && a.done < in.until && h.inTouch(a.node, span{in.from, a.done}):
+			broken = append(broken, fmt.Sprintf("%s was denied with %d at %v by %s, its key is in force since %v", a.request, a.status, a.done, a.node, in.from))
+		case accepted && a.sent > in.until+h.bounds.config && h.inTouch(a.node, span{in.until, a.sent}):
+			broken = append(broken, fmt.Sprintf("%s was accepted at %v by %s, its key was withdrawn at %v", a.request, a.sent, a.node, in.until))
+		}
+	}
+	return broken
+}
+
+// checkNeverBack judges every process, in touch or not: one that has refused a withdrawn
+// key does not take it again.
+func checkNeverBack(h *history) (broken []string) {
+	type at struct {
+		node string
+		life int
+		key  string
+	}
+	keys := h.keySpans()
+	refused := make(map[at]time.Duration)
+	for _, a := range h.answers {
+		k := at{a.node, a.life, a.key}
+		if a.status != 401 || a.life < 0 || a.sent < keys[a.key].until {
+			continue
+		}
+		if t, known := refused[k]; !known || a.done < t {
+			refused[k] = a.done
+		}
+	}
+	for _, a := range h.answers {
+		t, known := refused[at{a.node, a.life, a.key}]
+		if known && a.status == 200 && a.sent > t+h.bounds.downgrade {
+			broken = append(broken, fmt.Sprintf("%s refused key %s at %v and took it again at %v", a.node, a.key, t, a.sent))
+		}
+	}
+	return broken
+}
+
+func checkHolder(h *history) (broken []string) {
+	counts := make(map[int64]report)
+	holders := make(map[uint64]string)
+	var highest uint64
+	for i, r := range h.reports {
+		excused := !h.calm(r.Holder, span{r.at - h.bounds.thaw, r.at})
+		if first, known := counts[r.Window]; known && !maps.Equal(first.Counts, r.Counts) {
+			broken = append(broken, fmt.Sprintf("window %d was reported as %v and as %v", r.Window, first.Counts, r.Counts))
+		} else if !known {
+			counts[r.Window] = r
+		}
+		if other, known := holders[r.Fence]; known && other != r.Holder {
+			broken = append(broken, fmt.Sprintf("%s and %s both used the fencing number %d", other, r.Holder, r.Fence))
+		}
+		holders[r.Fence] = r.Holder
+		if r.Fence < highest && !excused {
+			broken = append(broken, fmt.Sprintf("%s used the fencing number %d after %d", r.Holder, r.Fence, highest))
+		}
+		highest = max(highest, r.Fence)
+		if i >= 2 && !excused && r.Holder != h.reports[i-1].Holder && r.Holder == h.reports[i-2].Holder && r.at-h.reports[i-2].at < h.bounds.lease {
+			broken = append(broken, fmt.Sprintf("%s held the duty again at %v, %v after its last report", r.Holder, r.at, r.at-h.reports[i-2].at))
+		}
+	}
+	return broken
+}
+
+// settled is how long the figures of a window travel among peers, a stopped one's too.
+const settled = 3 * time.Second
+
+// checkUsage judges the windows in and after which no process was disturbed: figures
+// that a killed process had not told anybody are lost.
+func checkUsage(h *history) (broken []string) {
+	reported := make(map[int64]map[string]uint64)
+	for _, r := range h.reports {
+		reported[r.Window] = r.Counts
+	}
+	truth := make(map[int64]map[string]uint64)
+	counted := make(map[string]bool) // a request counts where it began first
+	for _, x := range slices.SortedFunc(slices.Values(h.arrivals), func(a, b *arrival) int { return int(a.began - b.began) }) {
+		if !x.ran || x.began == 0 || counted[x.request] {
+			continue
+		}
+		counted[x.request] = true
+		w := h.start.Add(x.began).UnixNano() / int64(h.bounds.window)
+		if truth[w] == nil {
+			truth[w] = make(map[string]uint64)
+		}
+		truth[w][x.workspace]++
+	}
+	for w, want := range truth {
+		from := time.Unix(0, w*int64(h.bounds.window)).Sub(h.start)
+		until := from + h.bounds.window
+		if from < 0 || until+h.bounds.usageLate > h.length || !h.calmEverywhere(span{from - settled, until + h.bounds.usageLate}) {
+			continue
+		}
+		got, known := reported[w]
+		if !known {
+			broken = append(broken, fmt.Sprintf("window %d, from %v, was not reported", w, from))
+			continue
+		}
+		var off, all uint64
+		for name, n := range want {
+			all += n
+			off += max(n, got[name]) - min(n, got[name])
+		}
+		if float64(off) > h.bounds.usageOff*float64(all)+1 {
+			broken = append(broken, fmt.Sprintf("window %d, from %v, was reported as %v, it was %v", w, from, got, want))
+		}
+	}
+	return broken
+}
+
+func (h *history) calmEverywhere(s span) bool {
+	for _, f := range h.faults {
+		if f.meets(s) {
+			return false
+		}
+	}
+	return true
+}
+
+func checkCold(h *history) (broken []string) {
+	limit := h.bounds.coldRate*h.bounds.coldExcess + h.bounds.coldSlack
+	for _, c := range h.changes {
+		if c.what != "cold" {
+			continue
+		}
+		var at []time.Duration
+		for _, x := range h.arrivals {
+			if x.upstream == c.name && x.at >= c.from && x.at <= c.until {
+				at = append(at, x.at)
+			}
+		}
+		slices.Sort(at)
+		first := 0
+		for i, t := range at {
+			for t-at[first] > time.Second {
+				first++
+			}
+			if n := i - first + 1; float64(n) > limit {
+				broken = append(broken, fmt.Sprintf("%s was cold and got %d requests in the second to %v", c.name, n, t))
+				break
+			}
+		}
+	}
+	return broken
+}
+
+// checkBudget counts, in each window, the arrivals beyond the first of each request
+// against the requests that callers sent in it or just before.
+func checkBudget(h *history) (broken []string) {
+	service := func(k kind) string {
+		if k.streams() {
+			return modelService
+		}
+		return deskService
+	}
+	for _, name := range []string{deskService, modelService} {
+		var sent, repeats []time.Duration
+		for _, a := range h.answers {
+			if service(a.kind) == name {
+				sent = append(sent, a.sent)
+			}
+		}
+		seen := make(map[string]bool)
+		for _, x := range h.arrivals {
+			if x.service == name && seen[x.request] {
+				repeats = append(repeats, x.at)
+			}
+			seen[x.request] = true
+		}
+		slices.Sort(repeats)
+		for i, t := range repeats {
+			from := t - h.bounds.retryWindow
+			n := 0
+			for j := i; j >= 0 && repeats[j] >= from; j-- {
+				n++
+			}
+			asked := 0
+			for _, back := range []time.Duration{0, h.bounds.retryWindow / 2, h.bounds.retryWindow} {
+				count := 0
+				for _, s := range sent {
+					if s >= from-back && s <= t-back {
+						count++
+					}
+				}
+				asked = max(asked, count)
+			}
+			if allowed := h.bounds.retryRatio*float64(asked) + h.bounds.retrySlack; float64(n) > allowed {
+				broken = append(broken, fmt.Sprintf("%s got %d repeats in the %v to %v, %.0f are allowed", name, n, h.bounds.retryWindow, t, allowed))
+				break
+			}
+		}
+	}
+	return broken
+}
+
+// checkPriority compares how urgent upstreams were told that requests are with the
+// priorities of workspace and route, in this order.
+func checkPriority(h *history) (broken []string) {
+	told := make(map[string]int)
+	for _, x := range h.arrivals {
+		told[x.request] = x.urgency
+	}
+	type group struct{ low, high int }
+	groups := make(map[[2]int]group)
+	for _, a := range h.answers {
+		u, known := told[a.request]
+		if !known {
+			continue
+		}
+		g, seen := groups[a.priority]
+		if !seen {
+			g = group{u, u}
+		}
+		groups[a.priority] = group{min(g.low, u), max(g.high, u)}
+	}
+	order := slices.SortedFunc(maps.Keys(groups), func(a, b [2]int) int { return slices.Compare(a[:], b[:]) })
+	for i := 1; i < len(order); i++ {
+		if before, after := groups[order[i-1]], groups[order[i]]; before.high >= after.low {
+			broken = append(broken, fmt.Sprintf("priorities %v and %v were sent with urgencies %v and %v", order[i-1], order[i], before, after))
+		}
+	}
+	return broken
+}
+
+// recovered is the part of the requests that must be served once all is well again: the
+// pages ask for a quarter of them, we for nearly all.
+const recovered = 0.9
+
+func checkRecovery(h *history) []string {
+	served, all := 0, 0
+	for _, a := range h.answers {
+		if a.sent < h.calmFrom+h.bounds.recovers || a.left || a.status == 401 {
+			continue
+		}
+		all++
+		if a.served() {
+			served++
+		}
+	}
+	if all == 0 || float64(served) < recovered*float64(all) {
+		return []string{fmt.Sprintf("%d of %d requests were served after %v", served, all, h.calmFrom+h.bounds.recovers)}
+	}
+	return nil
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -26,6 +26,7 @@
 
 // UsageSeen is a usage report as it came.
 type UsageSeen struct {
+	At     time.Time
 	Holder string
 	Fence  uint64
 	Window int64
@@ -82,7 +83,10 @@
 	s.mu.Unlock()
 	switch {
 	case f.Silent:
-		<-r.Context().Done()
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return false // the caller has left
+		}
+		<-r.Context().Done() // which ends with the connection once the body was read
 		return false
 	case f.Status != 0:
 		w.WriteHeader(f.Status)
@@ -295,7 +299,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.usage = append(s.usage, UsageSeen{Holder: r.Header.Get("X-Duty-Holder"), Fence: fence, Window: doc.WindowID, Counts: doc.Counts})
+	s.usage = append(s.usage, UsageSeen{At: time.Now(), Holder: r.Header.Get("X-Duty-Holder"), Fence: fence, Window: doc.WindowID, Counts: doc.Counts})
 	w.WriteHeader(http.StatusOK)
 }
 
