gateway: the last entry that leaves stays ready for a moment

Ruled out: ending sooner (callers keep coming while nobody is ready), later advice (the caller's only repeat reaches another that leaves).

Change: a leaving entry stays ready for 1.8 s while no other one that is known stays; two misses still take it out within 4 s. Test with real processes, which fails without the change.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,7 +95,7 @@
 // Gateway serves callers.
 type Gateway struct {
 	deps    Deps
-	leaving atomic.Bool
+	leaving atomic.Int64 // since when, in Unix nanoseconds; zero: it stays
 	ends    atomic.Int64 // when the process ends, in Unix nanoseconds; zero: not known
 	running atomic.Int64
 	last    atomic.Int64 // when the last request came or ended, in Unix nanoseconds
@@ -118,7 +118,7 @@
 			g.last.Store(time.Now().UnixNano())
 			g.running.Add(-1)
 		}()
-		if g.leaving.Load() {
+		if g.Leaving() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -129,14 +129,22 @@
 func (g *Gateway) Running() int64 { return g.running.Load() }
 
 // Ready reports whether the gateway can serve callers.
-func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.deps.Shelf.Newest() != nil }
+func (g *Gateway) Ready() bool { return !g.Leaving() && g.deps.Shelf.Newest() != nil }
 
 // Leaving reports whether Leave was called.
-func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+func (g *Gateway) Leaving() bool { return g.leaving.Load() != 0 }
+
+// LeavingSince returns when Leave was called; zero: it was not.
+func (g *Gateway) LeavingSince() time.Time {
+	if since := g.leaving.Load(); since != 0 {
+		return time.Unix(0, since)
+	}
+	return time.Time{}
+}
 
 // Leave makes the gateway unready. Running and new requests are served to their
 // end, each the last on its connection.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+func (g *Gateway) Leave(now time.Time) { g.leaving.Store(now.UnixNano()) }
 
 // Refuse makes the gateway refuse new requests that may take until after its end;
 // those that run go on.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -530,7 +530,7 @@
 	f := newFixture(t)
 	f.serve(func(http.ResponseWriter, *http.Request) {})
 	require.True(t, f.gateway.Ready())
-	f.gateway.Leave()
+	f.gateway.Leave(time.Now())
 	require.False(t, f.gateway.Ready())
 	client := &http.Client{Transport: &http.Transport{}}
 	rs, err := client.Do(f.request(t.Context(), http.MethodGet, "/safe/x", ""))
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -74,6 +74,10 @@
 	// a second and takes two misses to notice, and what is taken later may not be done
 	// in time.
 	takeFor = 2800 * time.Millisecond
+	// standFor is how long a leaving process stays ready if every other one is leaving as
+	// well: a balancer that asks once a second and takes two misses to notice must have
+	// taken it out within four seconds.
+	standFor = 1800 * time.Millisecond
 	// quietFor is how long no request must have come for a leaving process to end:
 	// longer than what a busy VM leaves unread.
 	quietFor = 500 * time.Millisecond
@@ -257,7 +261,7 @@
 // lose it.
 func (p *Program) leave(sig os.Signal, callers *http.Server) error {
 	started := time.Now()
-	p.gateway.Leave()
+	p.gateway.Leave(started)
 	_ = p.logger.Log("event", "leaving", "signal", sig, "running", p.gateway.Running())
 	last := started.Add(durationS(p.settings.Bounds.GraceS) - endMargin)
 	end, cancel := context.WithDeadline(context.Background(), last)
@@ -286,8 +290,19 @@
 	_ = p.logger.Log("event", "reloaded", "listen_changed", s.Listen != p.settings.Listen)
 }
 
+// stands reports whether a leaving process is to stay ready for now. It answers restarts
+// in turn that follow each other faster than processes end: with every entry unready, a
+// balancer sends callers to all of them, those included that are about to end.
+func (p *Program) stands(now time.Time) bool {
+	since := p.gateway.LeavingSince()
+	if since.IsZero() || now.Sub(since) >= standFor || p.gateway.deps.Shelf.Newest() == nil {
+		return false
+	}
+	return !slices.ContainsFunc(p.table.Live(now), func(r *peer.Row) bool { return !r.GetLeaving() })
+}
+
 func (p *Program) ready(w http.ResponseWriter, _ *http.Request) {
-	if !p.gateway.Ready() {
+	if !p.gateway.Ready() && !p.stands(time.Now()) {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -313,6 +313,34 @@
 	f.ready(f.nodes[0])
 }
 
+// TestLastRelayStaysReady tells both processes to end, one after the other: the second
+// stays ready for a moment, as nobody else would take its callers, and both end.
+func TestLastRelayStaysReady(t *testing.T) {
+	f := newRelays(t, 2)
+	first, last := f.nodes[0], f.nodes[1]
+	client := &http.Client{}
+	into := &tally{}
+	ctx, cancel := context.WithCancel(t.Context())
+	var kept sync.WaitGroup
+	kept.Go(func() { // a request now and then keeps the first from ending early
+		for ctx.Err() == nil && !first.process.Ended() {
+			f.call(client, first, http.MethodGet, "/look/x", into)
+		}
+	})
+	first.process.Signal(t, syscall.SIGTERM)
+	ragworttest.Eventually(t, func() bool { return !f.isReady(first) }, "the first is unready while the other stays")
+	last.process.Signal(t, syscall.SIGTERM)
+	ragworttest.Eventually(t, func() bool { return strings.Contains(last.process.Log.String(), "event=leaving") }, "the last is told")
+	ragworttest.Eventually(t, func() bool { return f.isReady(last) }, "the last stays ready")
+	f.call(client, last, http.MethodPost, "/book/x", into)
+	ragworttest.Eventually(t, func() bool { return !f.isReady(last) }, "the last is unready in time")
+	last.process.Wait(t)
+	cancel()
+	kept.Wait()
+	require.Positive(t, into.served.Load())
+	into.none(t)
+}
+
 // TestRelaysStartBesideAPartialOutage ends all processes while the store answers for
 // none of the platform's own topics: they serve from the copies that they kept.
 func TestRelaysStartBesideAPartialOutage(t *testing.T) {
