--- a/cmd/ragwortctl/commands.go
+++ b/cmd/ragwortctl/commands.go
@@ -3,17 +3,21 @@
 // This file defines the commands.
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/operator"
 	"github.com/ragwortpass/ragwortpass/rule"
+	"github.com/ragwortpass/ragwortpass/trace"
 )
 
 // run is what every command works with.
@@ -239,7 +243,8 @@
 }
 
 type explainCommand struct {
-	Request string `arg:"" help:"Id of the request, from X-Request-Id."`
+	Request string   `arg:"" help:"Id of the request, from X-Request-Id."`
+	Logs    []string `help:"Files with the logs of processes to read instead of asking these." type:"existingfile"`
 }
 
 // notExplainedError says that no process remembers a request.
@@ -251,6 +256,9 @@
 
 // Run shows the decisions taken about a request.
 func (c *explainCommand) Run(r *run) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs(r)
+	}
 	decisions := r.o.Explain(context.Background(), id.Request(c.Request))
 	if len(decisions) == 0 {
 		return &notExplainedError{request: c.Request}
@@ -263,6 +271,38 @@
 	return r.print(decisions, b.String())
 }
 
+// fromLogs shows the lines about a request, and in brackets what its nodes believed.
+func (c *explainCommand) fromLogs(r *run) error {
+	var story []trace.Line
+	for _, path := range c.Logs {
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		lines, unreadable, err := trace.Story(f, id.Request(c.Request))
+		if err = errors.Join(err, f.Close()); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		story = append(story, lines...)
+		for _, e := range unreadable { // the last line of a process that was killed may be torn
+			fmt.Fprintf(os.Stderr, "%s: left out %v\n", path, e)
+		}
+	}
+	if !slices.ContainsFunc(story, func(l trace.Line) bool { return !l.Belief }) {
+		return &notExplainedError{request: c.Request}
+	}
+	slices.SortStableFunc(story, func(a, b trace.Line) int { return cmp.Compare(a.At, b.At) })
+	var b strings.Builder
+	for _, l := range story {
+		if l.Belief {
+			fmt.Fprintf(&b, "[%s]\n", l.Text)
+		} else {
+			fmt.Fprintln(&b, l.Text)
+		}
+	}
+	return r.print(story, b.String())
+}
+
 type drainCommand struct {
 	DataCentre string `arg:"" help:"Data centre."`
 	Comment    string `help:"Who asked for it, and why." required:""`
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -91,6 +91,7 @@
 		if p != nil {
 			return p
 		}
+		n.note(c)
 		res := n.attempt(ctx, c)
 		c.End()
 		var failed *problem.Problem
@@ -98,7 +99,7 @@
 		case *whole:
 			n.g.count("answered")
 			n.g.observe("whole_answer_ms", time.Since(n.rq.arrived))
-			_ = n.g.log(n.rq, "event", "answered", "status", res.status, "upstream", c.Upstream.ID, "choice", c.Reason, "running", c.Running, "attempts", n.sends+n.unsent+1)
+			_ = n.g.log(n.rq, "event", "answered", "status", res.status, "upstream", c.Upstream.ID, "attempts", n.sends+n.unsent+1)
 			return nil
 		case *gone:
 			return n.given(res.reason)
@@ -125,6 +126,13 @@
 	}
 }
 
+// note logs which upstream was chosen, and why. Of a request whose process ends before it
+// does, this line is all that is left.
+func (n *run) note(c *pool.Chosen) {
+	_ = n.g.log(n.rq, "event", "sent", "upstream", c.Upstream.ID, "choice", c.Reason, "running", c.Running,
+		"listed_age", c.Age.Round(time.Millisecond), "urgency", n.rq.urgency, "limit", n.rq.limit, "left", time.Until(n.rq.deadline).Round(time.Millisecond))
+}
+
 // choose waits for an upstream that takes the request.
 func (n *run) choose(ctx context.Context) (*pool.Chosen, *problem.Problem) {
 	ask := &pool.Ask{Service: n.rq.service, Prompt: n.rq.ask.Prompt, Avoid: n.avoid}
@@ -175,7 +183,7 @@
 	n.avoid = append(n.avoid, c.Upstream.ID)
 	why := n.stop(ctx)
 	_ = n.g.log(n.rq, "event", "attempt_failed", "reason", failed.Reason, "run", failed.Run, "upstream", c.Upstream.ID,
-		"choice", c.Reason, "listed_age", c.Age.Round(time.Millisecond), "running", c.Running, "detail", failed.Detail, "sends", n.sends, "started", n.started, "stop", why)
+		"detail", failed.Detail, "sends", n.sends, "started", n.started, "stop", why)
 	if why == "" {
 		n.g.count("retried_" + string(failed.Reason))
 		return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,13 +8,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
@@ -36,6 +36,29 @@
 	failing  atomic.Int64
 	began    sync.Map // id.Workspace to *atomic.Int64
 	upstream int
+
+	logMu sync.Mutex
+	lines []string
+}
+
+// Log implements log.Logger.
+func (f *fixture) Log(keyvals ...any) error {
+	f.logMu.Lock()
+	defer f.logMu.Unlock()
+	f.lines = append(f.lines, fmt.Sprintln(keyvals...))
+	return nil
+}
+
+// logged returns the lines that hold every one of some words.
+func (f *fixture) logged(words ...string) (lines []string) {
+	f.logMu.Lock()
+	defer f.logMu.Unlock()
+	for _, line := range f.lines {
+		if !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(line, w) }) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
 }
 
 func (f *fixture) Fresh(time.Time) bool            { return !f.stale.Load() }
@@ -93,7 +116,7 @@
 	f.gateway = gateway.New(gateway.Deps{
 		Codec: platform.Headers{}, Shelf: f.shelf, Pool: f.pool, Meter: f, Source: f, Client: gateway.NewClient(),
 		Budget:  gateway.NewBudgets(gateway.BudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}),
-		Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+		Metrics: metrics.NewRegistry(), Logger: f,
 	})
 	f.server = httptest.NewUnstartedServer(f.gateway.Handler())
 	f.gateway.Guard(f.server.Config)
@@ -578,3 +601,18 @@
 	f.pool.Evacuate(time.Now(), "th-a", false)
 	require.Equal(t, http.StatusOK, f.call(http.MethodGet, "/safe/x", "").status)
 }
+
+// TestChoiceIsLoggedBeforeTheAnswer looks at the log while the upstream works: a process
+// that ends now must have said where the request is.
+func TestChoiceIsLoggedBeforeTheAnswer(t *testing.T) {
+	f := newFixture(t)
+	var u id.Upstream
+	var rq string
+	u = f.serve(func(_ http.ResponseWriter, r *http.Request) {
+		rq = r.Header.Get("X-Request-Id")
+		require.Len(t, f.logged("event sent", rq, string(u)), 1)
+		require.Empty(t, f.logged("event answered"))
+	})
+	f.call(http.MethodPost, "/once/x", "")
+	require.Len(t, f.logged("event answered", rq, string(u)), 1)
+}
