--- a/pool/choose.go
+++ b/pool/choose.go
@@ -66,12 +66,13 @@
 	// next takes what the one before it has no room for, and the parts are read at few
 	// places.
 	affineCandidates = 2
-	// affinityBound is how many times the mean load a preferred upstream may have. It, the
-	// slack and runLoad are first values, never measured against others.
+	// affinityBound is how many times the mean load a preferred upstream may have. 2.5 was
+	// no better (docs/design/placement.md); runLoad was never measured against others.
 	affinityBound = 1.5
 	// affinitySlack is the load above the mean that is always allowed, in tokens of
-	// prompts: about one long prompt.
-	affinitySlack = 12_000
+	// prompts: about three long prompts. Measured best among 12,000 to 80,000: what is sent
+	// elsewhere sooner reads shared parts again.
+	affinitySlack = 40_000
 	// runLoad is what a running request adds to the load, in tokens of a prompt: each
 	// makes every step of its batch a little longer.
 	runLoad = 400
