--- a/soak/world.go
+++ b/soak/world.go
@@ -75,9 +75,9 @@
 	mu      sync.Mutex
 	process *ragworttest.Process
 	life    int
-	ordered bool // the end that comes was ordered
-	faulty  bool // the settings are, so that a start must be refused
-	rotated bool // the balancer sends new connections
+	ordered syscall.Signal // by which the end that comes was ordered; zero: it was not
+	faulty  bool           // the settings are, so that a start must be refused
+	rotated bool           // the balancer sends new connections
 }
 
 // world is one run.
@@ -186,13 +186,13 @@
 		}
 		process := ragworttest.Start(n.w.t, "entry", n.callers, args...)
 		n.mu.Lock()
-		n.process, n.ordered = process, false
+		n.process, n.ordered = process, 0
 		n.life++
 		n.mu.Unlock()
 		for !process.Ended() && n.w.sleep(stallCheck) {
 		}
 		n.mu.Lock()
-		ordered := n.ordered || n.faulty
+		ordered, faulty := n.ordered, n.faulty
 		n.rotated = false
 		n.mu.Unlock()
 		select {
@@ -200,7 +200,8 @@
 			return
 		default:
 		}
-		if !ordered {
+		// One that is told to end says so in its last line: a crash would not.
+		if graceful := ordered == syscall.SIGTERM; ordered == 0 && !faulty || graceful && !strings.Contains(process.Log.Tail(), "event=stop") {
 			n.w.add(func() {
 				n.w.ends = append(n.w.ends, fmt.Sprintf("%s ended by itself at %v: %s", n.name, n.w.now(), process.Log.Tail()))
 			})
@@ -216,7 +217,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil && !n.process.Ended() {
-		n.ordered = true
+		n.ordered = s
 		n.process.Signal(n.w.t, s)
 	}
 }
