pool: nothing is borrowed from no engines

The use of engines is unknown, not zero, where there are none or too few slots to tell. The test of borrowing asks with all of them avoided; it panics without the change.

--- a/gateway/program.go
+++ b/gateway/program.go
@@ -255,7 +255,8 @@
 }
 
 // leave serves on until the balancer has noticed, then refuses what may take until
-// after the end, until what runs has finished and no request comes any more, within the grace that the platform gives.
+// after the end, until what runs has finished and no request comes any more, within the
+// grace that the platform gives.
 // Callers use kept connections until these are closed: each answer meanwhile is the
 // last on its connection, and closing one under a request that is on its way would
 // lose it.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -74,12 +74,12 @@
 	// elsewhere sooner reads shared parts again.
 	affinitySlack = 40_000
 	// affineBelow is the part of its slots from which an upstream is full: what is sent
-	// there would wait while others have room. It answers one workspace or key that sends many
-	// times its usual in short requests, which the bound in tokens does not notice.
+	// there would wait while others have room. It answers one workspace or key that sends
+	// many times its usual in short requests, which the bound in tokens does not notice.
 	affineBelow = 0.9
-	// fullSample is how many slots of an upstream must be an entry's part for its own requests to
-	// tell whether all are taken: other entries are taken to send as much. With fewer, one
-	// request more or less would decide.
+	// fullSample is how many slots of an upstream must be an entry's part for its own
+	// requests to tell whether all are taken. With fewer, one request more or less would
+	// decide.
 	fullSample = 8
 	// runLoad is what a running request adds to the load, in tokens of a prompt: each
 	// makes every step of its batch a little longer.
@@ -189,13 +189,20 @@
 		mean += m.load() / float64(len(open))
 	}
 	for i, m := range affine(open, shared) {
-		if m.load() <= affinityBound*mean+affinitySlack && p.use([]*member{m}) < affineBelow {
+		if m.load() <= affinityBound*mean+affinitySlack && !p.full(m) {
 			return m, affineReasons[i]
 		}
 	}
 	return least(two(open)), "over_bound"
 }
 
+// full reports whether the slots of an upstream are taken, as far as this entry can tell.
+// The caller holds the lock.
+func (p *Pool) full(m *member) bool {
+	use, known := p.use([]*member{m})
+	return known && use >= affineBelow
+}
+
 // affineReasons are for the log.
 var affineReasons = [affineCandidates]string{"affine", "affine_second"}
 
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -348,6 +348,12 @@
 	}
 	require.Positive(t, borrowed, "the engines for long prompts were idle")
 	require.GreaterOrEqual(t, own*entries, (engines-len(forLong))*slots*8/10, "its own engines come first")
+	var away []id.Upstream
+	for u := range forLong {
+		away = append(away, u)
+	}
+	c := chosen(t, p, now, pool.Ask{Prompt: prompt("short", 50, 100), Avoid: away})
+	require.False(t, forLong[c.Upstream.ID], "there may be nothing to borrow")
 	for i := range 20 {
 		c := chosen(t, p, now, pool.Ask{Prompt: prompt(fmt.Sprint("late-", i), 6000, 6000)})
 		require.True(t, forLong[c.Upstream.ID], "a long prompt does not borrow")
--- a/pool/split.go
+++ b/pool/split.go
@@ -158,28 +158,37 @@
 	if len(side) == 0 {
 		return open
 	}
-	if use := p.use(side); !long && use > borrowFrom && p.use(other) < use*borrowBelow {
+	if !long && p.crowded(side, other) {
 		return other
 	}
 	return side
 }
 
+// crowded reports whether engines use so many of their slots, and others so few, that
+// some of the work is to go to the others. The caller holds the lock.
+func (p *Pool) crowded(side, other []*member) bool {
+	ours, known := p.use(side)
+	theirs, comparable := p.use(other)
+	return known && comparable && ours > borrowFrom && theirs < ours*borrowBelow
+}
+
 // use estimates which part of their slots engines use, requests that wait there
-// included: other entries are taken to send as much as this one. It is zero if this entry's part is too
-// small to tell. The caller holds the lock.
-func (p *Pool) use(engines []*member) float64 {
+// included: other entries are taken to send as much as this one. It is not known of
+// no engines, nor if this entry's part of them is too small to tell. The caller holds
+// the lock.
+func (p *Pool) use(engines []*member) (part float64, known bool) {
 	runs, slots := 0, 0
 	for _, m := range engines {
 		if m.Slots < fullSample*p.entries {
-			return 0
+			return 0, false
 		}
 		runs += m.runs
 		slots += m.Slots
 	}
 	if slots == 0 {
-		return 0
+		return 0, false
 	}
-	return float64(runs*p.entries) / float64(slots)
+	return float64(runs*p.entries) / float64(slots), true
 }
 
 // takes reports whether a member is meant to take new work at all.
