--- a/duty/duty.go
+++ b/duty/duty.go
@@ -60,11 +60,12 @@
 	permits = 1500 * time.Millisecond
 	// skew is how far the clocks of two gateways may differ, each being a median of many.
 	skew = 500 * time.Millisecond
-	// backlog is how many windows are still reported after their time, so that a long
-	// outage of the store leaves no window out.
-	backlog = 12
 )
 
+// Backlog is how many windows are still reported after their time, so that a long outage
+// of the store leaves no window out. Figures must be kept for as long.
+const Backlog = 12
+
 // Member is one incarnation of a gateway.
 type Member struct {
 	Node        id.Node
@@ -183,7 +184,7 @@
 func (r *Reporter) due(v View) []Window {
 	var due []Window
 	now := r.At(v.True)
-	for w := max(r.first, now-backlog); w < now; w++ {
+	for w := max(r.first, now-Backlog); w < now; w++ {
 		past := v.True.Sub(r.endOf(w))
 		if r.reported[w] || w <= v.Reported || past < settle {
 			continue
@@ -263,12 +264,12 @@
 func (r *Reporter) Sent(w Window) {
 	r.reported[w] = true
 	for old := range r.reported {
-		if old < w-2*backlog {
+		if old < w-2*Backlog {
 			delete(r.reported, old)
 		}
 	}
 	for old := range r.fixed {
-		if old < w-2*backlog {
+		if old < w-2*Backlog {
 			delete(r.fixed, old)
 		}
 	}
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -173,10 +173,11 @@
 		p.budgets.SetEntries(live)
 		row := &peer.Row{
 			Address: p.settings.Listen.Peers, DataCentre: string(p.settings.DataCentre), Leaving: p.gateway.Leaving(),
-			CountedToUnixMs: truth().UnixMilli(), Use: p.use.rows(),
+			CountedToUnixMs: truth().UnixMilli(),
 		}
 		if p.reporting != nil {
 			row.ReportedWindow = p.reporting.newest.Load()
+			row.Use = p.use.rows(duty.Window(row.GetReportedWindow()))
 		}
 		was := said
 		said.window, said.leaving = p.use.at(truth()), row.GetLeaving()
--- a/gateway/use.go
+++ b/gateway/use.go
@@ -13,10 +13,6 @@
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
-// keepWindows is how many windows are told to peers: those whose report may still
-// be made.
-const keepWindows = 4
-
 // useCounter implements Meter. It is safe for concurrent use.
 type useCounter struct {
 	length time.Duration
@@ -50,9 +46,10 @@
 	u.windows[window][w]++
 }
 
-// rows returns what began in the last windows.
-func (u *useCounter) rows() []*ragwortv1.WindowUse {
-	oldest := u.at(u.true()) - keepWindows
+// rows returns what began in the windows whose report may still be made: those after the
+// newest that is reported, as far back as reports go.
+func (u *useCounter) rows(reported duty.Window) []*ragwortv1.WindowUse {
+	oldest := max(u.at(u.true())-duty.Backlog, reported+1)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var out []*ragwortv1.WindowUse
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -20,6 +20,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/gateway"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -33,14 +37,14 @@
 	nodes []*relay
 
 	mu      sync.Mutex
-	ran     map[string]int // by request id
-	booked  map[string]int // the same, of calls that must not be repeated
-	version int
+	ran     map[id.Request]int
+	booked  map[id.Request]int // the same, of calls that must not be repeated
+	version catalog.Version
 }
 
 // relay is one node, whose process may be started again.
 type relay struct {
-	name     string
+	name     id.Node
 	settings string // path
 	callers  string
 	ready    string
@@ -51,7 +55,7 @@
 const relayWindow = time.Second
 
 func newRelays(t *testing.T, n int) *relays {
-	f := &relays{t: t, store: standin.NewStore(), ran: make(map[string]int), booked: make(map[string]int)}
+	f := &relays{t: t, store: standin.NewStore(), ran: make(map[id.Request]int), booked: make(map[id.Request]int)}
 	server := httptest.NewServer(f.store.Handler())
 	t.Cleanup(server.Close)
 	f.base = strings.TrimPrefix(server.URL, "http://")
@@ -60,7 +64,7 @@
 	f.configure("key-1", "key-2")
 	for i := range n {
 		r := &relay{
-			name: fmt.Sprint("entry-", i), settings: filepath.Join(t.TempDir(), "settings.json"),
+			name: id.Node(fmt.Sprint("entry-", i)), settings: filepath.Join(t.TempDir(), "settings.json"),
 			callers: ragworttest.FreeAddress(t), ready: ragworttest.FreeAddress(t), peers: ragworttest.FreeAddress(t),
 		}
 		f.seeds = append(f.seeds, r.peers)
@@ -77,42 +81,56 @@
 }
 
 // upstream lists an upstream that takes a few milliseconds and notes what it ran.
-func (f *relays) upstream(name string) {
+func (f *relays) upstream(name id.Upstream) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		rq := r.Header.Get("X-Request-Id")
+		rq := standin.ReadJob(r.Header).Request
 		f.mu.Lock()
 		f.ran[rq]++
 		if r.Method == http.MethodPost {
 			f.booked[rq]++
 		}
 		f.mu.Unlock()
-		w.Header().Set("X-Request-Id", rq)
-		w.Header().Set("X-Replica-Stamp", "signed")
-		_, _ = io.WriteString(w, "answer to "+rq)
+		standin.Sign(w.Header(), rq)
+		_, _ = io.WriteString(w, "answer to "+string(rq))
 	}))
 	f.t.Cleanup(server.Close)
-	f.store.Put("keyed.servers", name, fmt.Appendf(nil,
-		`{"Service":"desk","Addr":%q,"Zone":"th-a","State":"ready","ColdLeftMs":0,"Slots":8,"born":1}`, strings.TrimPrefix(server.URL, "http://")))
+	require.NoError(f.t, f.store.List(pool.Listing{
+		ID: name, Service: "desk", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "th-a", Slots: 8, Born: 1,
+	}))
 }
 
 // configure puts a configuration with the given keys of one workspace in force.
 func (f *relays) configure(keys ...string) {
 	f.version += 3
-	list, err := json.Marshal(keys)
-	require.NoError(f.t, err)
-	f.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"Version":%d,"Routes":[
-		{"Name":"book","Host":"desk.example","PathPrefix":"/book/","RouteKind":"unsafe","TimeoutMs":2000,"Service":"desk","Attempts":1},
-		{"Name":"look","Host":"desk.example","PathPrefix":"/look/","RouteKind":"safe","TimeoutMs":2000,"Service":"desk","Attempts":2}],
-		"Services":[{"Name":"desk"}],"Limits":{"MaxBodyBytes":65536},"Tenants":[{"Name":"ws","ApiKeys":%s}]}`, f.version, list))
+	route := func(name id.Route, k catalog.Kind, attempts int) catalog.Route {
+		return catalog.Route{
+			Name: name, Host: "desk.example", PathPrefix: "/" + string(name) + "/", Kind: k, Timeout: 2 * time.Second,
+			Attempts: attempts, Shares: []catalog.Share{{Service: "desk", Weight: 1}},
+		}
+	}
+	c := &catalog.Catalog{
+		Version: f.version, Keyed: true, Limits: catalog.Limits{BodyBytes: 65536},
+		Routes:     []catalog.Route{route("book", catalog.Once, 1), route("look", catalog.Safe, 2)},
+		Services:   map[id.Service]*catalog.Service{"desk": {Name: "desk"}},
+		Workspaces: make(map[string]*catalog.Workspace),
+	}
+	for _, key := range keys {
+		c.Workspaces[key] = &catalog.Workspace{Name: "ws"}
+	}
+	require.NoError(f.t, f.store.Configure(c))
 }
 
 func (f *relays) write(r *relay) {
-	seeds, err := json.Marshal(f.seeds)
+	s := &gateway.Settings{
+		Node: r.name, DataCentre: "th-a", Seeds: f.seeds, StoreAddress: f.base, DutyAddress: f.base, Duties: []string{"usage"}, MemoryMB: 200,
+		Bounds: gateway.Bounds{
+			ConfigMS: 2000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, GraceS: 6, LeaseMS: 500,
+			WindowS: relayWindow.Seconds(), UsageLateS: 8,
+		},
+	}
+	s.Listen.Callers, s.Listen.Ready, s.Listen.Peers = r.callers, r.ready, r.peers
+	text, err := json.Marshal(s)
 	require.NoError(f.t, err)
-	text := fmt.Appendf(nil, `{"node":%q,"data_centre":"th-a","listen":{"callers":%q,"ready":%q,"peers":%q},"seeds":%s,
-		"store_address":%q,"duty_address":%q,"duties":["usage"],"memory_mb":200,
-		"bounds":{"config_ms":2000,"retry_ratio":0.2,"retry_slack":50,"retry_window_s":10,"grace_s":6,"lease_ms":500,"window_s":%g,"usage_late_s":8}}`,
-		r.name, r.callers, r.ready, r.peers, seeds, f.base, f.base, relayWindow.Seconds())
 	require.NoError(f.t, os.WriteFile(r.settings, text, 0o600))
 }
 
@@ -157,11 +175,9 @@
 		into.fault("%v", err)
 		return
 	}
-	id := fmt.Sprintf("%016x", rand.Uint64())
+	name := id.Request(fmt.Sprintf("%016x", rand.Uint64()))
 	rq.Host = "desk.example"
-	rq.Header.Set("X-Request-Id", id)
-	rq.Header.Set("X-Deadline-Ms", "2000")
-	rq.Header.Set("Authorization", "Bearer key-1")
+	standin.Ask(rq.Header, name, "key-1", 2*time.Second)
 	rs, err := client.Do(rq)
 	if err != nil {
 		into.cut.Add(1)
@@ -170,12 +186,12 @@
 	defer rs.Body.Close()
 	body, err := io.ReadAll(rs.Body)
 	f.mu.Lock()
-	ran := f.ran[id]
+	ran := f.ran[name]
 	f.mu.Unlock()
 	switch {
 	case err != nil:
 		into.cut.Add(1)
-	case rs.StatusCode == http.StatusOK && string(body) == "answer to "+id:
+	case rs.StatusCode == http.StatusOK && string(body) == "answer to "+string(name):
 		into.served.Add(1)
 	case rs.StatusCode == http.StatusOK:
 		into.fault("an answer to another request: %q", body)
@@ -273,11 +289,11 @@
 	require.NoError(t, f.usageFaults())
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, n := range f.booked {
-		require.Equal(t, 1, n, id)
+	for rq, n := range f.booked {
+		require.Equal(t, 1, n, rq)
 	}
-	for id, n := range f.ran {
-		require.LessOrEqual(t, n, 2, id)
+	for rq, n := range f.ran {
+		require.LessOrEqual(t, n, 2, rq)
 	}
 	t.Logf("%d served, %d refused, %d cut", into.served.Load(), into.refused.Load(), into.cut.Load())
 }
@@ -346,12 +362,12 @@
 func TestRelaysStartBesideAPartialOutage(t *testing.T) {
 	f := newRelays(t, 2)
 	ragworttest.Eventually(t, func() bool {
-		return f.store.Len("keyed.copy.keyed.op/1") > 0 && f.store.Len("keyed.copy.keyed.servers/1") > 0
+		return f.store.Len(standin.CopyOf(standin.OperatorsTopic, 1)) > 0 && f.store.Len(standin.CopyOf(standin.ReplicasTopic, 1)) > 0
 	}, "both topics are copied")
 	for _, r := range f.nodes {
 		r.process.Kill(t)
 	}
-	f.store.SetFaults(standin.StoreFaults{Down: []string{"keyed.op", "keyed.servers"}})
+	f.store.SetFaults(standin.StoreFaults{Down: []string{standin.OperatorsTopic, standin.ReplicasTopic}})
 	for _, r := range f.nodes {
 		f.start(r)
 	}
@@ -371,8 +387,7 @@
 		rq, err := http.NewRequest(http.MethodGet, "http://"+f.nodes[0].callers+"/look/x", http.NoBody)
 		require.NoError(t, err)
 		rq.Host = "desk.example"
-		rq.Header.Set("X-Request-Id", "withdrawn")
-		rq.Header.Set("Authorization", "Bearer key-1")
+		standin.Ask(rq.Header, "withdrawn", "key-1", 2*time.Second)
 		rs, err := http.DefaultClient.Do(rq)
 		require.NoError(t, err)
 		defer rs.Body.Close()
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -13,22 +13,29 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/standin"
 )
 
 // servedRoute is a route of the configuration.
 type servedRoute struct {
-	kind     kind
+	kind     catalog.Kind
 	priority int
 }
 
-func (r servedRoute) service() string {
-	if r.kind.streams() {
+func (r servedRoute) service() id.Service {
+	if r.kind.Streams() {
 		return modelService
 	}
 	return deskService
 }
 
-var routesServed = []servedRoute{{once, 0}, {safe, 1}, {stream, 0}, {resumable, 1}}
+var routesServed = []servedRoute{{catalog.Once, 0}, {catalog.Safe, 1}, {catalog.Stream, 0}, {catalog.Resumable, 1}}
+
+// workspacePriorities go before those of routes.
+var workspacePriorities = map[id.Workspace]int{"ws-a": 0, "ws-b": 1}
 
 const (
 	// balanceEvery is how often the balancer asks, and maxMisses is after how many misses
@@ -39,8 +46,8 @@
 	callerPause = 15 * time.Millisecond
 	// callerDeadline is how long a caller waits.
 	callerDeadline = 3 * time.Second
-	// oldKeyShare of the requests carry a key that was withdrawn, if there is one; leaveShare of
-	// the callers go away early.
+	// oldKeyShare of the requests carry a key that was withdrawn, if there is one, and
+	// leaveShare of the callers go away early: enough of each to judge in some seconds.
 	oldKeyShare, leaveShare = 0.1, 0.05
 	// connectionUse is the most requests on one connection.
 	connectionUse = 60
@@ -92,7 +99,7 @@
 		client := &http.Client{Transport: transport}
 		for range 1 + rand.IntN(connectionUse) {
 			n++
-			if !w.calling() || !w.send(client, to, fmt.Sprintf("%d-%d-%08x", number, n, rand.Uint32())) || !w.sleep(callerPause) {
+			if !w.calling() || !w.send(client, to, id.Request(fmt.Sprintf("%d-%d-%08x", number, n, rand.Uint32()))) || !w.sleep(callerPause) {
 				break
 			}
 		}
@@ -119,27 +126,24 @@
 		defer w.mu.Unlock()
 		for _, c := range w.changes {
 			if c.what == "key_withdrawn" && rand.IntN(2) == 0 {
-				return c.name, 1
+				return c.name, workspacePriorities["ws-b"]
 			}
 		}
 	}
 	for key, name := range w.keys { // in random order
-		if name == "ws-a" {
-			return key, 0
-		}
-		return key, 1
+		return key, workspacePriorities[name]
 	}
 	return "", 0
 }
 
 // send sends one request; it reports whether the connection may be used again.
-func (w *world) send(client *http.Client, to *node, rq string) bool {
+func (w *world) send(client *http.Client, to *node, rq id.Request) bool {
 	r := routesServed[rand.IntN(len(routesServed))]
 	key, workspacePriority := w.key()
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
 	payload := strings.Repeat("steel ", 1+rand.IntN(200))
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.callers+"/"+string(r.kind)+"/x", io.NopCloser(strings.NewReader(payload)))
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.callers+"/"+r.kind.String()+"/x", io.NopCloser(strings.NewReader(payload)))
 	if err != nil {
 		w.t.Errorf("request: %v", err)
 		return false
@@ -148,9 +152,7 @@
 		hr.ContentLength = int64(len(payload)) // otherwise it is sent in chunks
 	}
 	hr.Host = hostName
-	hr.Header.Set("X-Request-Id", rq)
-	hr.Header.Set("X-Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
-	hr.Header.Set("Authorization", "Bearer "+key)
+	standin.Ask(hr.Header, rq, key, callerDeadline)
 	leaves := rand.Float64() < leaveShare
 	a := &answer{request: rq, kind: r.kind, key: key, node: to.name, life: to.at(), sent: w.now(), priority: [2]int{workspacePriority, r.priority}}
 	if leaves {
@@ -189,19 +191,19 @@
 		a.whole = err == nil
 		return a.whole && !rs.Close
 	}
-	if a.kind.streams() {
+	if a.kind.Streams() {
 		a.whole, a.own = readStream(rs.Body, a.request)
 	} else {
 		body, err := io.ReadAll(rs.Body)
 		a.whole, a.own = err == nil, string(body) == wholeAnswer(a.request, payload)
 	}
-	a.own = a.own && rs.Header.Get("X-Request-Id") == a.request
+	a.own = a.own && standin.Answered(rs.Header) == a.request
 	return a.whole && !rs.Close
 }
 
 // readStream reads a stream to its end. It is its own if every event came once and in
 // order.
-func readStream(body io.Reader, rq string) (whole, own bool) {
+func readStream(body io.Reader, rq id.Request) (whole, own bool) {
 	next := 1
 	own = true
 	lines := bufio.NewScanner(body)
--- a/soak/history.go
+++ b/soak/history.go
@@ -7,23 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
-// kind says what may be repeated of a request.
-type kind string
-
-// The kinds of requests.
-const (
-	once      kind = "once"
-	safe      kind = "safe"
-	stream    kind = "stream"
-	resumable kind = "resumable"
-)
-
-func (k kind) repeatable() bool { return k == safe || k == resumable }
-func (k kind) streams() bool    { return k == stream || k == resumable }
-
 // Times are offsets from the start of the run.
 
 // span is a stretch of time.
@@ -34,7 +22,7 @@
 // fault is a disturbance of a node, or of every node if none is named.
 type fault struct {
 	what string
-	node string
+	node id.Node
 	span
 	planned bool // a SIGTERM or SIGHUP, around which nothing may be lost
 }
@@ -42,10 +30,10 @@
 // arrival is a request as an upstream saw it.
 type arrival struct {
 	at        time.Duration
-	request   string
-	upstream  string
-	service   string
-	workspace string
+	request   id.Request
+	upstream  id.Upstream
+	service   id.Service
+	workspace id.Workspace
 	urgency   int
 	ran       bool
 	began     time.Duration // its first event, or its arrival if it is no stream; zero: never
@@ -55,10 +43,10 @@
 
 // answer is a request as its caller saw it.
 type answer struct {
-	request  string
-	kind     kind
+	request  id.Request
+	kind     catalog.Kind
 	key      string
-	node     string
+	node     id.Node
 	life     int // of the node's process; -1: it changed meanwhile
 	sent     time.Duration
 	done     time.Duration
@@ -81,9 +69,9 @@
 
 // change is what operators did to a key, an upstream or a data centre.
 type change struct {
-	what string // key_added, key_withdrawn, drained, cold
+	what string // key_added, key_withdrawn, drained, cold, evacuated
 	name string
-	span // for cold: how long; otherwise from
+	span // for cold and evacuated: how long; otherwise from
 }
 
 // report is a usage report.
@@ -102,27 +90,29 @@
 	changes  []change
 	faults   []fault
 	reports  []report
-	ends     []string // processes that ended by themselves
+	centres  map[id.Upstream]id.DataCentre
+	ended    int      // processes that ended
+	ends     []string // what is wrong with those that ended by themselves
 	calmFrom time.Duration
 	length   time.Duration
 }
 
 // bounds are the promises of the deployment that a run plays.
 type bounds struct {
-	contact, drain, config, downgrade, thaw, recovers time.Duration
-	retryRatio, retrySlack                            float64
-	retryWindow                                       time.Duration
-	coldRate, coldExcess, coldSlack                   float64
-	window, usageLate, lease, grace                   time.Duration
-	usageOff                                          float64
+	contact, drain, evacuate, config, downgrade, thaw, recovers time.Duration
+	retryRatio, retrySlack                                      float64
+	retryWindow                                                 time.Duration
+	coldRate, coldExcess, coldSlack                             float64
+	window, usageLate, lease, grace                             time.Duration
+	usageOff                                                    float64
 }
 
-// promised are the bounds of the users' deployments, with shorter windows of usage so
-// that a run holds many, and half of the time to recover.
+// promised are the bounds of the users' deployments, but for half of the time to recover, and
+// a fifth of the windows of usage with less time to report them, so that a run holds many.
 var promised = bounds{
-	contact: 3 * time.Second, drain: 2 * time.Second, config: 2 * time.Second, downgrade: 250 * time.Millisecond,
+	contact: 3 * time.Second, drain: 2 * time.Second, evacuate: 5 * time.Second, config: 2 * time.Second, downgrade: 250 * time.Millisecond,
 	thaw: 300 * time.Millisecond, recovers: 6 * time.Second, retryRatio: 0.2, retrySlack: 52, retryWindow: 10 * time.Second,
-	coldRate: 10, coldExcess: 1.5, coldSlack: 5, window: 2 * time.Second, usageLate: 8 * time.Second, usageOff: 0.05,
+	coldRate: 10, coldExcess: 1.5, coldSlack: 5, window: time.Second, usageLate: 4 * time.Second, usageOff: 0.05,
 	lease: 3 * time.Second, grace: 8 * time.Second,
 }
 
@@ -135,7 +125,7 @@
 }
 
 // calm reports whether nothing disturbed a node in a span, planned work aside.
-func (h *history) calm(node string, s span) bool {
+func (h *history) calm(node id.Node, s span) bool {
 	for _, f := range h.faults {
 		if !f.planned && (f.node == "" || f.node == node) && f.meets(s) {
 			return false
@@ -145,13 +135,13 @@
 }
 
 // inTouch reports whether a node was calm from the contact time before a span on.
-func (h *history) inTouch(node string, s span) bool {
+func (h *history) inTouch(node id.Node, s span) bool {
 	return h.calm(node, span{s.from - h.bounds.contact, s.until})
 }
 
 // byRequest groups arrivals.
-func (h *history) byRequest() map[string][]*arrival {
-	out := make(map[string][]*arrival, len(h.answers))
+func (h *history) byRequest() map[id.Request][]*arrival {
+	out := make(map[id.Request][]*arrival, len(h.answers))
 	for _, a := range h.arrivals {
 		out[a.request] = append(out[a.request], a)
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -31,8 +31,9 @@
 	fewEntries, moreEntries = 3, 6
 	// defaultFaults is long enough for some twenty faults.
 	defaultFaults = 14 * time.Second
-	// calmTail is how long callers are served after the time to recover.
-	calmTail = 2 * time.Second
+	// calmTail is how long callers are served after the time to recover: windows of usage in
+	// it must be reported before the end.
+	calmTail = 4 * time.Second
 	// startTime bounds how long entries take until the first is ready.
 	startTime = 20 * time.Second
 )
@@ -41,6 +42,7 @@
 type outcome struct {
 	seed    uint64
 	entries int
+	judged  map[string]int // by checker
 	broken  []string
 	summary string
 }
@@ -60,7 +62,12 @@
 		w := newWorld(t, rng, o.entries)
 		steps := w.draw(c.faults)
 		if w.serve(o.entries*c.callers, steps) {
-			o.broken = w.judge()
+			verdicts := w.judge()
+			o.broken = broken(verdicts)
+			o.judged = make(map[string]int, len(verdicts))
+			for name, v := range verdicts {
+				o.judged[name] = v.judged
+			}
 		} else {
 			o.broken = []string{"start: no entry was ready in time"}
 		}
@@ -148,7 +155,7 @@
 		fmt.Fprintf(&text, "%v to %v %s %s\n", f.from, f.until, f.what, f.node)
 	}
 	for _, n := range w.nodes {
-		if err := os.WriteFile(filepath.Join(dir, n.name+".log"), []byte(n.process.Log.String()), 0o644); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, string(n.name)+".log"), []byte(n.process.Log.String()), 0o644); err != nil {
 			w.t.Errorf("keep the log of %s: %v", n.name, err)
 		}
 	}
@@ -169,6 +176,7 @@
 	c := config{entries: *entries, callers: *callers, faults: *faults, keep: *keep}
 	var mu sync.Mutex
 	var failed []uint64
+	judged := make(map[string]int)
 	var tasks sync.WaitGroup
 	limit := make(chan struct{}, max(1, *parallel))
 	for i := range *seeds {
@@ -185,9 +193,15 @@
 			if len(o.broken) > 0 {
 				failed = append(failed, o.seed)
 			}
+			for name, n := range o.judged {
+				judged[name] += n
+			}
 		})
 	}
 	tasks.Wait()
+	for _, c := range checkers {
+		fmt.Printf("%-26s judged %d times\n", c.name, judged[c.name])
+	}
 	fmt.Printf("%d seeds, %d with a broken promise %v\n", *seeds, len(failed), failed)
 	if len(failed) > 0 {
 		os.Exit(1)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -26,9 +27,9 @@
 	return fmt.Sprintf("%5.1f s for %.1f s: %s (%d, %d)", s.at.Seconds(), s.last.Seconds(), s.what, s.which, s.how)
 }
 
-// kinds are the faults that a plan draws from; a name comes as often as it is to be
+// faultNames are the faults that a plan draws from; a name comes as often as it is to be
 // drawn.
-var kinds = []string{
+var faultNames = []string{
 	"terminate", "terminate", "kill", "kill_all", "pause", "pause", "reload", "reload_faulty", "roll",
 	"store_cut", "store_cut", "store_slow", "store_silent", "store_one_way",
 	"platform_refuses", "platform_busy", "platform_silent", "platform_slow", "platform_loses", "platform_forgets", "platform_partly",
@@ -39,10 +40,19 @@
 const (
 	// stepEvery is the mean time between two faults.
 	stepEvery = 700 * time.Millisecond
-	// longestStep bounds a fault.
-	longestStep = 2500 * time.Millisecond
-	// pauseMax bounds how long a process is stopped.
+	// shortestStep and longestStep bound a fault: from what hardly shows to about the contact
+	// time, which leaves other nodes calm.
+	shortestStep, longestStep = 200 * time.Millisecond, 2500 * time.Millisecond
+	// pauseMax bounds how long a process is stopped: half of the lease of a duty, so that
+	// stops end before and after a permit does.
 	pauseMax = 1500 * time.Millisecond
+	// slowAnswers delays each answer of the store, fifty times as long as usual, and lostAnswers
+	// is how many appends in a row are done and not answered.
+	slowAnswers, lostAnswers = 200 * time.Millisecond, 5
+	// slowestLink bounds the delay of a slow link.
+	slowestLink = time.Second
+	// lastsOn is how long an upstream serves on after its entry was removed.
+	lastsOn = time.Second
 )
 
 // draw draws the faults of some time.
@@ -51,8 +61,8 @@
 	for at := time.Duration(0); ; {
 		at += time.Duration(w.rng.ExpFloat64() * float64(stepEvery))
 		s := step{
-			what: kinds[w.rng.IntN(len(kinds))], which: w.rng.IntN(1 << 16), at: at, how: w.rng.IntN(1 << 16),
-			last: 200*time.Millisecond + time.Duration(w.rng.Int64N(int64(longestStep))),
+			what: faultNames[w.rng.IntN(len(faultNames))], which: w.rng.IntN(1 << 16), at: at, how: w.rng.IntN(1 << 16),
+			last: shortestStep + time.Duration(w.rng.Int64N(int64(longestStep-shortestStep))),
 		}
 		if at+s.last > d {
 			return steps
@@ -65,7 +75,7 @@
 func (w *world) do(s step) {
 	n := w.nodes[s.which%len(w.nodes)]
 	from := w.now()
-	note := func(node string, planned bool) {
+	note := func(node id.Node, planned bool) {
 		w.disturb(fault{what: s.what, node: node, span: span{from, w.now()}, planned: planned})
 	}
 	switch s.what {
@@ -83,13 +93,13 @@
 	case "kill":
 		defer note(n.name, false)
 		n.end(syscall.SIGKILL)
-		w.sleep(200 * time.Millisecond) // until it runs again
+		w.sleep(restartPause + startMargin)
 	case "kill_all":
 		defer note("", false)
 		for _, n := range w.nodes {
 			n.end(syscall.SIGKILL)
 		}
-		w.sleep(200 * time.Millisecond)
+		w.sleep(restartPause + startMargin)
 	case "pause":
 		defer note(n.name, false)
 		n.signal(syscall.SIGSTOP)
@@ -111,9 +121,7 @@
 	case "key":
 		w.rotateKey(s)
 	case "evacuate":
-		w.store.Put("keyed.op", "evacuate/elsewhere", []byte("{}"))
-		w.sleep(s.last)
-		w.store.Put("keyed.op", "evacuate/elsewhere", nil)
+		w.evacuate(s)
 	default:
 		w.doPlatform(s, note)
 	}
@@ -133,7 +141,7 @@
 		link.Heal()
 		return
 	case "store_slow", "upstream_slow":
-		link.Slow(time.Duration(100+s.how%900) * time.Millisecond)
+		link.Slow(time.Duration(s.how%int(slowestLink.Milliseconds())) * time.Millisecond)
 	case "store_silent", "upstream_silent":
 		link.HalfOpen("upstream")
 		link.HalfOpen("downstream")
@@ -145,7 +153,7 @@
 }
 
 // doPlatform carries out the faults of the whole store and of upstreams.
-func (w *world) doPlatform(s step, note func(node string, planned bool)) {
+func (w *world) doPlatform(s step, note func(node id.Node, planned bool)) {
 	faults := standin.StoreFaults{}
 	switch s.what {
 	case "platform_refuses":
@@ -155,13 +163,17 @@
 	case "platform_silent":
 		faults.Silent = true
 	case "platform_slow":
-		faults.Slow = 200 * time.Millisecond
+		faults.Slow = slowAnswers
 	case "platform_loses":
-		faults.LoseAnswers = 5
+		faults.LoseAnswers = lostAnswers
 	case "platform_partly":
-		faults.Down = [][]string{{"keyed.op"}, {"keyed.servers", "keyed.copy.keyed.servers/1"}, {"keyed.op", "keyed.copy.keyed.op/2", "duty.usage"}}[s.how%3]
+		faults.Down = [][]string{
+			{standin.OperatorsTopic},
+			{standin.ReplicasTopic, standin.CopyOf(standin.ReplicasTopic, 1)},
+			{standin.OperatorsTopic, standin.CopyOf(standin.OperatorsTopic, 2), standin.ClaimsTopic},
+		}[s.how%3]
 	case "platform_forgets":
-		for _, topic := range []string{"keyed.op", "keyed.servers"} {
+		for _, topic := range []string{standin.OperatorsTopic, standin.ReplicasTopic} {
 			w.store.Forget(topic)
 		}
 		return
@@ -178,12 +190,12 @@
 func (w *world) doUpstream(s step) {
 	all := w.listed()
 	u := all[s.which%len(all)]
-	hurt := func() {
+	note := func() {
 		u.mu.Lock()
-		u.hurt = w.now()
+		u.disturbed = w.now()
 		u.mu.Unlock()
 	}
-	hurt()
+	note()
 	switch s.what {
 	case "upstream_slow", "upstream_silent", "upstream_cut":
 		w.disturbLink(s, u.link)
@@ -194,7 +206,7 @@
 	default:
 		w.t.Errorf("no such fault: %s", s.what)
 	}
-	hurt()
+	note()
 }
 
 func (u *upstream) set(mode string) {
@@ -216,31 +228,43 @@
 	}
 	w.upstreams = kept
 	w.listMu.Unlock()
-	w.addUpstream(u.service, true)
+	w.addUpstream(u.service, u.centre, true)
+	u.mu.Lock()
+	u.draining, u.gone = s.what == "drain", s.what == "replace"
+	u.mu.Unlock()
 	if s.what == "drain" {
-		u.mu.Lock()
-		u.state = "draining"
-		u.mu.Unlock()
 		u.list()
 	} else {
-		u.mu.Lock()
-		u.state = ""
-		u.mu.Unlock()
-		w.store.Put("keyed.servers", u.name, nil)
+		w.store.Unlist(u.name)
 	}
-	w.changed(change{what: "drained", name: u.name, span: span{from: w.now()}})
+	w.changed(change{what: "drained", name: string(u.name), span: span{from: w.now()}})
 	w.sleep(w.bounds.drain + s.last)
 	u.mu.Lock()
-	u.state, u.hurt = "", w.now()
+	u.gone, u.disturbed = true, w.now()
 	u.mu.Unlock()
-	w.store.Put("keyed.servers", u.name, nil)
-	w.sleep(time.Second) // as replicas do
+	w.store.Unlist(u.name)
+	w.sleep(lastsOn)
 	u.server.CloseClientConnections()
 	if _, taken := w.busy.LoadOrStore(u.link, true); !taken {
 		u.link.Cut()
 	}
 }
 
+// evacuate empties a data centre for longer than entries have to obey. One that is being
+// emptied is left alone.
+func (w *world) evacuate(s step) {
+	centre := centres[s.which%len(centres)]
+	if _, taken := w.busy.LoadOrStore(centre, true); taken {
+		return
+	}
+	defer w.busy.Delete(centre)
+	w.store.Evacuate(centre, true)
+	from := w.now()
+	w.sleep(w.bounds.evacuate + s.last)
+	w.changed(change{what: "evacuated", name: string(centre), span: span{from, w.now()}})
+	w.store.Evacuate(centre, false)
+}
+
 // rotateKey adds a key, and withdraws it later.
 func (w *world) rotateKey(s step) {
 	key := fmt.Sprint("key-", s.how)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
@@ -13,16 +15,17 @@
 // to judge in.
 func sound() *history {
 	s := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
-	h := &history{bounds: promised, length: s(60), calmFrom: s(40)}
+	h := &history{bounds: promised, length: s(60), calmFrom: s(40), ended: 1, centres: map[id.Upstream]id.DataCentre{"i-1": "th-a", "i-2": "th-a"}}
 	h.start = time.Unix(0, 1000*int64(promised.window)) // a window begins with the run
 	h.changes = []change{
 		{what: "key_added", name: "key-a"}, {what: "key_added", name: "key-w"},
 		{what: "key_withdrawn", name: "key-w", span: span{from: s(10)}},
 		{what: "drained", name: "i-1", span: span{from: s(20)}},
 		{what: "cold", name: "i-2", span: span{s(20), s(23)}},
+		{what: "evacuated", name: "th-b", span: span{s(24), s(45)}},
 	}
 	h.faults = []fault{{what: "terminate", node: "entry-0", planned: true, span: span{s(30), s(39)}}}
-	add := func(rq string, k kind, key string, at float64, status int, ran bool, priority [2]int) (*answer, *arrival) {
+	add := func(rq id.Request, k catalog.Kind, key string, at float64, status int, ran bool, priority [2]int) (*answer, *arrival) {
 		a := &answer{
 			request: rq, kind: k, key: key, node: "entry-0", life: 1, sent: s(at), done: s(at + 0.1), status: status,
 			whole: true, own: status == 200, priority: priority,
@@ -38,36 +41,30 @@
 		h.arrivals = append(h.arrivals, x)
 		return a, x
 	}
-	_, x := add("drained", safe, "key-a", 21, 200, true, [2]int{0, 1})
+	_, x := add("drained", catalog.Safe, "key-a", 21, 200, true, [2]int{0, 1})
 	x.upstream = "i-1" // within the time to drain
-	add("once", once, "key-a", 4.5, 200, true, [2]int{0, 0})
-	add("other", safe, "key-w", 5, 200, true, [2]int{1, 1})
-	add("withdrawn", safe, "key-w", 13, 401, false, [2]int{1, 1})
-	add("refused", once, "key-a", 14, 503, false, [2]int{0, 0})
-	left, _ := add("left", safe, "key-a", 15, 0, true, [2]int{0, 1})
+	add("once", catalog.Once, "key-a", 4.5, 200, true, [2]int{0, 0})
+	add("other", catalog.Safe, "key-w", 5, 200, true, [2]int{1, 1})
+	add("withdrawn", catalog.Safe, "key-w", 13, 401, false, [2]int{1, 1})
+	add("again", catalog.Safe, "key-w", 14, 401, false, [2]int{1, 1})
+	add("refused", catalog.Once, "key-a", 14, 503, false, [2]int{0, 0})
+	left, _ := add("left", catalog.Safe, "key-a", 15, 0, true, [2]int{0, 1})
 	left.left, left.whole = true, false
-	add("planned", once, "key-a", 31, 200, true, [2]int{0, 0})
-	add("after", safe, "key-a", 50, 200, true, [2]int{0, 1})
-	for w, n := range map[int64]uint64{1002: 2, 1010: 1, 1007: 1, 1015: 1, 1025: 1} {
-		h.reports = append(h.reports, report{at: s(float64(w-1000)*2 + 3), UsageSeen: standin.UsageSeen{
-			Holder: "entry-0", Fence: uint64(w), Window: w, Counts: map[string]uint64{"ws-a": n},
+	add("cold", catalog.Safe, "key-a", 22, 200, true, [2]int{0, 1})
+	add("planned", catalog.Once, "key-a", 31, 200, true, [2]int{0, 0})
+	_, x = add("after", catalog.Safe, "key-a", 50, 200, true, [2]int{0, 1})
+	repeated := *x
+	repeated.at += time.Millisecond
+	h.arrivals = append(h.arrivals, &repeated)
+	for _, second := range []int64{4, 5, 15, 21, 22, 31, 50} { // in which one request began each
+		h.reports = append(h.reports, report{at: s(float64(second) + 2), UsageSeen: standin.UsageSeen{
+			Holder: "entry-0", Fence: uint64(second), Window: 1000 + second, Counts: map[string]uint64{"ws-a": 1},
 		}})
 	}
-	sortReports(h)
 	return h
 }
 
-func sortReports(h *history) {
-	for i := range h.reports {
-		for j := range i {
-			if h.reports[i].at < h.reports[j].at {
-				h.reports[i], h.reports[j] = h.reports[j], h.reports[i]
-			}
-		}
-	}
-}
-
-func (h *history) answerTo(rq string) *answer {
+func (h *history) answerTo(rq id.Request) *answer {
 	for _, a := range h.answers {
 		if a.request == rq {
 			return a
@@ -76,7 +73,7 @@
 	return nil
 }
 
-func (h *history) arrivalOf(rq string) *arrival {
+func (h *history) arrivalOf(rq id.Request) *arrival {
 	for _, x := range h.arrivals {
 		if x.request == rq {
 			return x
@@ -88,8 +85,11 @@
 // TestEachCheckerCanFail breaks a sound history in one way at a time: the checker of the
 // promise, and no other, must say so.
 func TestEachCheckerCanFail(t *testing.T) {
-	require.Empty(t, sound().judge())
-	repeat := func(h *history, rq string, n int, after time.Duration) {
+	for name, v := range sound().judge() {
+		require.Positive(t, v.judged, "%s has nothing to judge", name)
+		require.Empty(t, v.broken, name)
+	}
+	repeat := func(h *history, rq id.Request, n int, after time.Duration) {
 		for range n {
 			x := *h.arrivalOf(rq)
 			x.at += after
@@ -115,16 +115,16 @@
 			h.arrivalOf("after").upstream = "i-1"
 			h.arrivalOf("after").at = h.answerTo("after").sent
 		}},
+		{"sent to an evacuated data centre", "evacuation", func(h *history) { h.centres["i-2"] = "th-b" }},
 		{"withdrawn key taken", "configuration_in_force", func(h *history) {
-			a := h.answerTo("withdrawn")
-			a.status, a.own = 200, true
+			a := h.answerTo("again")
+			a.status, a.own, a.life = 200, true, 2
 		}},
 		{"valid key denied", "configuration_in_force", func(h *history) { h.answerTo("refused").status = 401 }},
 		{"withdrawn key taken again", "configuration_never_back", func(h *history) {
-			a := *h.answerTo("withdrawn")
-			a.request, a.status, a.sent, a.own = "again", 200, a.done+time.Second, true
-			h.answers = append(h.answers, &a)
-			h.faults = append(h.faults, fault{what: "store_cut", node: "entry-0", span: span{a.sent, a.sent}})
+			a := h.answerTo("again")
+			a.status, a.own = 200, true
+			h.faults = append(h.faults, fault{what: "store_cut", node: "entry-0", span: span{a.sent, a.sent}}) // excuses nothing
 		}},
 		{"a window with two figures", "one_holder", func(h *history) {
 			r := h.reports[0]
@@ -134,16 +134,14 @@
 		{"two holders of a number", "one_holder", func(h *history) { h.reports[1].Fence, h.reports[1].Holder = h.reports[0].Fence, "entry-1" }},
 		{"a number that goes back", "one_holder", func(h *history) { h.reports[1].Fence = 1 }},
 		{"holders in turn", "one_holder", func(h *history) {
-			h.reports[1].Holder, h.reports[1].at = "entry-1", h.reports[0].at+time.Second
-			h.reports[2].at = h.reports[1].at + time.Second
+			h.reports[1].Holder = "entry-1"
+			h.reports[2].at = h.reports[0].at + 2*time.Second
 		}},
 		{"a window left out", "usage", func(h *history) { h.reports = h.reports[1:] }},
 		{"a window that is off", "usage", func(h *history) { h.reports[0].Counts["ws-a"] += 2 }},
 		{"a cold upstream overrun", "cold", func(h *history) {
-			x := h.arrivalOf("drained")
-			x.upstream = "i-2"
 			for range 20 {
-				y := *x
+				y := *h.arrivalOf("cold")
 				y.ran, y.request = false, "a stranger"
 				h.arrivals = append(h.arrivals, &y)
 			}
@@ -156,9 +154,9 @@
 		t.Run(tc.name, func(t *testing.T) {
 			h := sound()
 			tc.mutate(h)
-			broken := h.judge()
-			require.NotEmpty(t, broken)
-			for _, line := range broken {
+			lines := broken(h.judge())
+			require.NotEmpty(t, lines)
+			for _, line := range lines {
 				require.Contains(t, line, tc.checker+": ")
 			}
 		})
--- a/soak/world.go
+++ b/soak/world.go
@@ -22,15 +22,24 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/gateway"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
 const (
-	deskService  = "desk"
-	modelService = "model"
-	dataCentre   = "th-a"
-	hostName     = "desk.example"
+	deskService  id.Service = "desk"
+	modelService id.Service = "model"
+	hostName                = "desk.example"
+	// upstreamSlots is how many requests an upstream says that it runs at once.
+	upstreamSlots = 64
+	// restartPause is how long a process that has ended stays away, and startMargin what it
+	// takes at most to run again.
+	restartPause = 100 * time.Millisecond
+	startMargin  = 100 * time.Millisecond
 	// heartbeat is how often an upstream writes its entry.
 	heartbeat = 500 * time.Millisecond
 	// coldFor is how long an upstream that was added is cold.
@@ -42,30 +51,34 @@
 	workMax = 30 * time.Millisecond
 )
 
+// centres are the data centres of the upstreams, in turn; entries are in the first.
+var centres = []id.DataCentre{"th-a", "th-b"}
+
 // clockErrors are how far the clock of the first entry is off, in turn.
 var clockErrors = []string{"0s", "4s", "-4s"}
 
 // upstream is a stand-in whose address is that of a proxy.
 type upstream struct {
 	w       *world
-	name    string
-	service string
+	name    id.Upstream
+	service id.Service
+	centre  id.DataCentre
 	server  *httptest.Server
 	link    *ragworttest.Proxy
 	born    int64
 	cold    time.Time // until
 
-	mu    sync.Mutex
-	seq   int
-	state string        // ready or draining; empty: it is gone
-	mode  string        // empty: sound; full, failing or cutting
-	hurt  time.Duration // when its link or itself was last disturbed, with what follows
+	mu        sync.Mutex
+	gone      bool // it is not listed any more
+	draining  bool
+	mode      string        // empty: sound; full, failing or cutting
+	disturbed time.Duration // when its link or itself last was; zero: never
 }
 
 // node is one entry, whose process is started again whenever it ends.
 type node struct {
 	w        *world
-	name     string
+	name     id.Node
 	settings string // path
 	callers  string
 	ready    string
@@ -95,20 +108,20 @@
 	listMu    sync.Mutex
 	upstreams []*upstream
 	made      int
-	version   int
-	keys      map[string]string // key to workspace
+	version   catalog.Version
+	keys      map[string]id.Workspace
 }
 
 func newWorld(t testing.TB, rng *rand.Rand, entries int) *world {
-	w := &world{t: t, rng: rng, store: standin.NewStore(), hangUp: make(chan struct{}), quit: make(chan struct{}), keys: map[string]string{"key-a": "ws-a", "key-b": "ws-b"}}
-	w.bounds = promised
+	w := &world{t: t, rng: rng, store: standin.NewStore(), hangUp: make(chan struct{}), quit: make(chan struct{}), keys: map[string]id.Workspace{"key-a": "ws-a", "key-b": "ws-b"}}
+	w.bounds, w.centres = promised, make(map[id.Upstream]id.DataCentre)
 	w.start = time.Now()
 	for key := range w.keys {
 		w.changes = append(w.changes, change{what: "key_added", name: key})
 	}
-	for range 3 {
-		w.addUpstream(deskService, false)
-		w.addUpstream(modelService, false)
+	for i := range 2 * len(centres) {
+		w.addUpstream(deskService, centres[i%len(centres)], false)
+		w.addUpstream(modelService, centres[i%len(centres)], false)
 	}
 	w.configure()
 	server := httptest.NewServer(w.store.Handler())
@@ -118,7 +131,7 @@
 	dir := t.TempDir()
 	for i := range entries {
 		w.nodes = append(w.nodes, &node{
-			w: w, name: fmt.Sprint("entry-", i), settings: filepath.Join(dir, fmt.Sprint(i, ".json")), link: ragworttest.NewProxy(t, address),
+			w: w, name: id.Node(fmt.Sprint("entry-", i)), settings: filepath.Join(dir, fmt.Sprint(i, ".json")), link: ragworttest.NewProxy(t, address),
 			callers: ragworttest.FreeAddress(t), ready: ragworttest.FreeAddress(t), peers: ragworttest.FreeAddress(t),
 		})
 	}
@@ -200,13 +213,14 @@
 			return
 		default:
 		}
+		n.w.add(func() { n.w.ended++ })
 		// One that is told to end says so in its last line: a crash would not.
 		if graceful := ordered == syscall.SIGTERM; ordered == 0 && !faulty || graceful && !strings.Contains(process.Log.Tail(), "event=stop") {
 			n.w.add(func() {
 				n.w.ends = append(n.w.ends, fmt.Sprintf("%s ended by itself at %v: %s", n.name, n.w.now(), process.Log.Tail()))
 			})
 		}
-		if !n.w.sleep(100 * time.Millisecond) {
+		if !n.w.sleep(restartPause) {
 			return
 		}
 	}
@@ -233,21 +247,19 @@
 
 // write writes the settings file; a suffix makes it faulty.
 func (n *node) write(suffix string) {
-	var seeds []string
-	for _, other := range n.w.nodes {
-		seeds = append(seeds, other.peers)
-	}
 	b := n.w.bounds
-	text, err := json.Marshal(map[string]any{
-		"node": n.name, "data_centre": dataCentre, "seeds": seeds, "memory_mb": 200, "duties": []string{"usage"},
-		"listen":        map[string]string{"callers": n.callers, "ready": n.ready, "peers": n.peers},
-		"store_address": n.link.Address(), "duty_address": n.link.Address(),
-		"bounds": map[string]float64{
-			"config_ms": float64(b.config.Milliseconds()), "retry_ratio": b.retryRatio, "retry_slack": b.retrySlack,
-			"retry_window_s": b.retryWindow.Seconds(), "grace_s": b.grace.Seconds(), "lease_ms": float64(b.lease.Milliseconds()),
-			"window_s": b.window.Seconds(), "usage_late_s": b.usageLate.Seconds(),
+	settings := &gateway.Settings{
+		Node: n.name, DataCentre: centres[0], StoreAddress: n.link.Address(), DutyAddress: n.link.Address(), Duties: []string{"usage"},
+		Bounds: gateway.Bounds{
+			ConfigMS: float64(b.config.Milliseconds()), RetryRatio: b.retryRatio, RetrySlack: b.retrySlack, RetryWindowS: b.retryWindow.Seconds(),
+			GraceS: b.grace.Seconds(), LeaseMS: float64(b.lease.Milliseconds()), WindowS: b.window.Seconds(), UsageLateS: b.usageLate.Seconds(),
 		},
-	})
+	}
+	settings.Listen.Callers, settings.Listen.Ready, settings.Listen.Peers = n.callers, n.ready, n.peers
+	for _, other := range n.w.nodes {
+		settings.Seeds = append(settings.Seeds, other.peers)
+	}
+	text, err := json.Marshal(settings)
 	require.NoError(n.w.t, err)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -256,11 +268,12 @@
 }
 
 // addUpstream lists one more upstream. One that comes while callers are served is cold.
-func (w *world) addUpstream(service string, cold bool) {
+func (w *world) addUpstream(service id.Service, centre id.DataCentre, cold bool) {
 	w.listMu.Lock()
 	defer w.listMu.Unlock()
 	w.made++
-	u := &upstream{w: w, name: fmt.Sprint("i-", w.made), service: service, state: "ready", born: time.Now().UnixMilli()}
+	u := &upstream{w: w, name: id.Upstream(fmt.Sprint("i-", w.made)), service: service, centre: centre, born: time.Now().UnixMilli()}
+	w.add(func() { w.centres[u.name] = centre })
 	u.server = httptest.NewServer(u)
 	w.t.Cleanup(func() {
 		u.server.CloseClientConnections()
@@ -270,7 +283,7 @@
 	if cold {
 		u.cold = time.Now().Add(coldFor)
 		now := w.now()
-		w.changed(change{what: "cold", name: u.name, span: span{now, now + coldFor}})
+		w.changed(change{what: "cold", name: string(u.name), span: span{now, now + coldFor}})
 	}
 	w.upstreams = append(w.upstreams, u)
 	u.list()
@@ -280,13 +293,13 @@
 func (u *upstream) list() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.state == "" {
+	if u.gone {
 		return
 	}
-	u.seq++
-	u.w.store.Put("keyed.servers", u.name, fmt.Appendf(nil,
-		`{"Service":%q,"Addr":%q,"Zone":%q,"State":%q,"ColdLeftMs":%d,"Slots":64,"Seq":%d,"born":%d}`,
-		u.service, u.link.Address(), dataCentre, u.state, max(0, time.Until(u.cold).Milliseconds()), u.seq, u.born))
+	require.NoError(u.w.t, u.w.store.List(pool.Listing{
+		ID: u.name, Service: u.service, Address: u.link.Address(), DataCentre: u.centre, Draining: u.draining,
+		Slots: upstreamSlots, ColdFor: max(0, time.Until(u.cold)), Born: u.born,
+	}))
 }
 
 // beat writes the entries of all upstreams until the run ends.
@@ -309,38 +322,24 @@
 	w.listMu.Lock()
 	defer w.listMu.Unlock()
 	w.version += 3
-	byName := map[string][]string{"ws-a": {}, "ws-b": {}}
-	for key, name := range w.keys {
-		byName[name] = append(byName[name], key)
+	c := &catalog.Catalog{
+		Version: w.version, Keyed: true, Limits: catalog.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 14},
+		Services: make(map[id.Service]*catalog.Service), Workspaces: make(map[string]*catalog.Workspace),
+	}
+	for _, name := range []id.Service{deskService, modelService} {
+		c.Services[name] = &catalog.Service{Name: name, Cold: catalog.ColdLimit{For: coldFor, Rate: w.bounds.coldRate}}
 	}
-	var routes []map[string]any
 	for _, r := range routesServed {
-		wire := string(r.kind)
-		switch r.kind {
-		case once:
-			wire = "unsafe"
-		case resumable:
-			wire = "stream"
-		case safe, stream:
-		}
-		routes = append(routes, map[string]any{
-			"Name": string(r.kind), "Host": hostName, "PathPrefix": "/" + string(r.kind) + "/", "RouteKind": wire, "Resumable": r.kind == resumable,
-			"TimeoutMs": 3000, "GoalMs": 300, "Priority": r.priority, "Service": r.service(), "Attempts": 2,
+		c.Routes = append(c.Routes, catalog.Route{
+			Name: id.Route(r.kind.String()), Host: hostName, PathPrefix: "/" + r.kind.String() + "/", Kind: r.kind, Timeout: callerDeadline,
+			Priority: r.priority, Attempts: 2, Shares: []catalog.Share{{Service: r.service(), Weight: 1}},
 		})
 	}
-	text, err := json.Marshal(map[string]any{
-		"Version": w.version, "Routes": routes, "Limits": map[string]int{"MaxBodyBytes": 1 << 20, "MaxHeaderBytes": 1 << 14, "IdleTimeoutMs": 30_000},
-		"Services": []map[string]any{
-			{"Name": deskService, "ColdS": coldFor.Seconds(), "ColdPerS": w.bounds.coldRate},
-			{"Name": modelService, "ColdS": coldFor.Seconds(), "ColdPerS": w.bounds.coldRate},
-		},
-		"Tenants": []map[string]any{
-			{"Name": "ws-a", "Priority": 0, "ApiKeys": byName["ws-a"]},
-			{"Name": "ws-b", "Priority": 1, "ApiKeys": byName["ws-b"]},
-		},
-	})
-	require.NoError(w.t, err)
-	w.store.Put("keyed.op", "config", text)
+	for key, name := range w.keys {
+		priority := workspacePriorities[name]
+		c.Workspaces[key] = &catalog.Workspace{Name: name, Priority: &priority}
+	}
+	require.NoError(w.t, w.store.Configure(c))
 }
 
 // ServeHTTP runs a request, or does what the upstream's mode says.
@@ -350,43 +349,40 @@
 		return // the sender broke off: nothing has run
 	}
 	u.mu.Lock()
-	mode, expected := u.mode, r.Header.Get("X-Expect-Replica")
+	mode := u.mode
 	u.mu.Unlock()
-	rq := r.Header.Get("X-Request-Id")
-	rw.Header().Set("X-Request-Id", rq)
-	if mode == "full" || expected != u.name {
-		rw.Header().Set("X-Not-Run", "1")
-		rw.WriteHeader(map[bool]int{true: http.StatusServiceUnavailable, false: http.StatusMisdirectedRequest}[expected == u.name])
+	job := standin.ReadJob(r.Header)
+	if mode == "full" || job.Expected != u.name {
+		standin.RefuseJob(rw, job, u.name)
 		return
 	}
-	urgency, err := strconv.Atoi(r.Header.Get("X-Request-Urgency"))
-	if err != nil {
-		urgency = -1 // breaks the order of priorities, which is checked
+	x := &arrival{
+		at: u.w.now(), request: job.Request, upstream: u.name, service: u.service, workspace: job.Workspace,
+		urgency: job.Urgency, ran: true, // one that is not said breaks the order of priorities
 	}
-	x := &arrival{at: u.w.now(), request: rq, upstream: u.name, service: u.service, workspace: r.Header.Get("X-Tenant"), urgency: urgency, ran: true}
 	u.w.add(func() { u.w.arrivals = append(u.w.arrivals, x) })
-	defer u.w.finished(x, u)
-	rw.Header().Set("X-Replica-Stamp", "signed")
+	defer u.finished(x)
+	standin.Sign(rw.Header(), job.Request)
 	if u.service == deskService {
 		u.w.add(func() { x.began = x.at })
-		u.work(rw, r, mode, rq, body)
+		u.work(rw, r, mode, job.Request, body)
 		return
 	}
-	u.stream(rw, r, mode, rq, x)
+	u.stream(rw, r, mode, job, x)
 }
 
 // finished notes that an upstream no longer works on a request.
-func (w *world) finished(x *arrival, u *upstream) {
+func (u *upstream) finished(x *arrival) {
 	u.mu.Lock()
-	hurt := u.hurt
+	disturbed := u.disturbed
 	u.mu.Unlock()
-	w.add(func() {
-		x.ended = w.now()
-		x.broke = x.broke || hurt >= x.at-w.bounds.contact && hurt != 0
+	u.w.add(func() {
+		x.ended = u.w.now()
+		x.broke = disturbed != 0 && disturbed >= x.at-u.w.bounds.contact
 	})
 }
 
-func (u *upstream) work(rw http.ResponseWriter, r *http.Request, mode, rq string, body []byte) {
+func (u *upstream) work(rw http.ResponseWriter, r *http.Request, mode string, rq id.Request, body []byte) {
 	select {
 	case <-time.After(time.Duration(rand.Int64N(int64(workMax)))):
 	case <-r.Context().Done():
@@ -405,29 +401,25 @@
 	_, _ = io.WriteString(rw, text) // a caller that has left is seen by the checks
 }
 
-func wholeAnswer(rq string, body []byte) string {
+func wholeAnswer(rq id.Request, body []byte) string {
 	return fmt.Sprintf("answer to %s, %d bytes %x", rq, len(body), body[:min(len(body), 16)])
 }
 
-func (u *upstream) stream(rw http.ResponseWriter, r *http.Request, mode, rq string, x *arrival) {
+func (u *upstream) stream(rw http.ResponseWriter, r *http.Request, mode string, job standin.Job, x *arrival) {
 	if mode == "failing" {
 		u.w.add(func() { x.began = u.w.now() })
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
-		after = 0 // a stream from its start
-	}
 	rw.Header().Set("Content-Type", "text/event-stream")
-	for n := after + 1; n <= streamEvents; n++ {
+	for n := job.After + 1; n <= streamEvents; n++ {
 		select {
 		case <-time.After(eventPause):
 		case <-r.Context().Done():
 			return
 		}
-		event := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, rq, n)
-		if n == after+1 {
+		event := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, job.Request, n)
+		if n == job.After+1 {
 			u.w.add(func() { x.began = u.w.now() })
 		}
 		if mode == "cutting" && n == streamEvents/2 {
--- a/standin/store.go
+++ b/standin/store.go
@@ -22,7 +22,7 @@
 	Slow        time.Duration // before every answer
 	LoseAnswers int           // the next appends take effect and their connections break
 	Stale       bool          // reads see what they saw when this was set
-	Down        []string      // topics whose partition 0 answers 503
+	Down        []string      // partitions that answer 503, by the names in wire.go
 }
 
 // UsageSeen is a usage report as it came.
@@ -41,6 +41,7 @@
 	topics map[string]*topic
 	calls  map[string]int // by name
 	usage  []UsageSeen
+	beats  int           // entries that replicas have written
 	grown  chan struct{} // closed at the next append
 }
 
