--- a/soak/world.go
+++ b/soak/world.go
@@ -199,13 +199,15 @@
 		}
 		process := ragworttest.Start(n.w.t, "entry", n.callers, args...)
 		n.mu.Lock()
+		faulty := n.faulty // as it reads them, or soon after
 		n.process, n.ordered = process, 0
 		n.life++
 		n.mu.Unlock()
 		for !process.Ended() && n.w.sleep(stallCheck) {
 		}
 		n.mu.Lock()
-		ordered, faulty := n.ordered, n.faulty
+		ordered := n.ordered
+		faulty = faulty || n.faulty
 		n.rotated = false
 		n.mu.Unlock()
 		select {
