soak: wait for the handlers of upstreams before the checkers run

Change: stop closes every upstream of the run, drained ones included, and waits for its handlers. An arrival that ended after the run no longer counts as never ended. Before: TestStopWaitsForUpstreams fails (no end recorded, race reported). After: it passes.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/gateway"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
@@ -164,6 +168,29 @@
 	}
 }
 
+// TestStopWaitsForUpstreams checks that no handler of an upstream changes the history after stop,
+// when the checkers read it without a lock.
+func TestStopWaitsForUpstreams(t *testing.T) {
+	tb := newTestbed(t, rand.New(rand.NewPCG(1, 1)), 0)
+	var u *upstream
+	for _, listed := range tb.listedUpstreams() {
+		if listed.service == modelService {
+			u = listed
+		}
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, u.server.URL, http.NoBody)
+	require.NoError(t, err)
+	platform.HeaderCodec{}.SetUpstreamHeaders(request.Header, gateway.UpstreamRequestInfo{Upstream: u.name, Timeout: time.Minute})
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	_, err = response.Body.Read(make([]byte, 1)) // the stream has begun and goes on
+	require.NoError(t, err)
+	tb.stop()
+	require.Len(t, tb.arrivals, 1)
+	require.NotZero(t, tb.arrivals[0].ended)
+}
+
 // TestSeeds runs one seed for a short time, and seeds that once reported violations, each with
 // the cause.
 func TestSeeds(t *testing.T) {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -106,8 +106,8 @@
 	underFault  sync.Map // links and data centres that a fault affects
 
 	listMu        sync.Mutex
-	upstreams     []*upstream
-	upstreamsMade int
+	upstreams     []*upstream // those that are listed
+	upstreamsMade []*upstream // all of the run, drained ones included
 	version       catalog.Version
 	keys          map[string]id.Workspace
 }
@@ -144,7 +144,8 @@
 	return tb
 }
 
-// stop ends all processes and tasks, and adds the usage reports of the store to the history.
+// stop ends all processes, tasks and handlers of upstreams, so that nothing changes the history
+// any more, and adds the usage reports of the store to it.
 func (tb *testbed) stop() {
 	tb.duration = tb.now()
 	close(tb.stopped)
@@ -152,6 +153,9 @@
 		n.sendEndSignal(syscall.SIGKILL)
 	}
 	tb.tasks.Wait()
+	for _, u := range tb.upstreamsMade {
+		u.stop()
+	}
 	for _, u := range tb.store.UsageReports() {
 		tb.reports = append(tb.reports, usageReport{at: u.At.Sub(tb.start), ReceivedUsage: u})
 	}
@@ -275,14 +279,11 @@
 func (tb *testbed) addUpstream(service id.Service, dataCentre id.DataCentre, cold bool) {
 	tb.listMu.Lock()
 	defer tb.listMu.Unlock()
-	tb.upstreamsMade++
-	u := &upstream{testbed: tb, name: id.Upstream(fmt.Sprint("i-", tb.upstreamsMade)), service: service, dataCentre: dataCentre, startUnixMS: time.Now().UnixMilli()}
+	u := &upstream{testbed: tb, name: id.Upstream(fmt.Sprint("i-", len(tb.upstreamsMade)+1)), service: service, dataCentre: dataCentre, startUnixMS: time.Now().UnixMilli()}
 	tb.add(func() { tb.dataCentreOf[u.name] = dataCentre })
+	tb.upstreamsMade = append(tb.upstreamsMade, u)
 	u.server = httptest.NewServer(u)
-	tb.t.Cleanup(func() {
-		u.server.CloseClientConnections()
-		u.server.Close()
-	})
+	tb.t.Cleanup(u.stop)
 	u.link = ragworttest.NewProxy(tb.t, strings.TrimPrefix(u.server.URL, "http://"))
 	if cold {
 		u.coldUntil = time.Now().Add(coldDuration)
@@ -293,6 +294,12 @@
 	u.publishListing()
 }
 
+// stop closes all connections of the upstream and waits until its handlers have returned.
+func (u *upstream) stop() {
+	u.server.CloseClientConnections()
+	u.server.Close()
+}
+
 // publishListing writes the upstream's listing to the store, unless it was removed.
 func (u *upstream) publishListing() {
 	u.mu.Lock()
