gateway: close idle connections by the bytes read, not by the server's state

Cause: net/http reports a connection active only once the head of a request has been read. The idle timer and Server.Shutdown closed connections by that state, so a connection could be closed while a head was being read, or in the moment between its last byte and the report, when the request is then passed on and its connection is gone. Change: CallerConns tracks by connection whether a byte of a further request was read. It closes only connections without one, discards what is read after that decision, and waits a moment longer than the timeout for a process that was stopped. The shutdown uses it in place of Server.Shutdown. Before: four of the six cases of TestArrivingRequestKeepsConnection fail. After: all pass.

--- /dev/null
+++ b/gateway/caller_conns.go
@@ -0,0 +1,160 @@
+package gateway
+
+// This file defines CallerConns, which closes idle connections of callers without losing a
+// request that is just arriving.
+//
+// An http.Server takes a connection for idle until it has read the whole head of a request.
+// Closing it by that state may cut off a request whose head is being read, or one that is
+// already on its way to an upstream. CallerConns therefore decides by the bytes read: a
+// connection is closed only if no byte of a further request was read, and nothing is read
+// from it any more once that is decided.
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// unreadGrace is how much longer than the idle timeout a connection is kept, so that a
+// process that was stopped for a while reads what has arrived meanwhile.
+const unreadGrace = 100 * time.Millisecond
+
+// CallerConns tracks the connections of one http.Server. It is safe for concurrent use.
+type CallerConns struct {
+	idleTimeout func() time.Duration // zero: no limit
+
+	mu    sync.Mutex
+	conns map[net.Conn]*callerConn
+}
+
+// TrackCallers makes a server close idle connections after the timeout of the catalog in
+// force. It returns the listener that the server must use.
+func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) (*CallerConns, net.Listener) {
+	c := &CallerConns{idleTimeout: g.idleTimeout, conns: make(map[net.Conn]*callerConn)}
+	server.ConnState = c.connStateChanged
+	return c, &callerListener{Listener: l, conns: c}
+}
+
+// Len returns the number of open connections.
+func (c *CallerConns) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns)
+}
+
+// CloseIdle closes the connections that have been idle for at least a period.
+func (c *CallerConns) CloseIdle(now time.Time, period time.Duration) {
+	c.mu.Lock()
+	var conns []*callerConn
+	for _, conn := range c.conns {
+		conns = append(conns, conn)
+	}
+	c.mu.Unlock()
+	for _, conn := range conns {
+		conn.closeIfIdleSince(now.Add(-period))
+	}
+}
+
+// connStateChanged is the ConnState hook of the server.
+func (c *CallerConns) connStateChanged(conn net.Conn, s http.ConnState) {
+	tracked, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateNew:
+		c.mu.Lock()
+		c.conns[conn] = tracked
+		c.mu.Unlock()
+	case http.StateActive:
+		tracked.beginRequest()
+	case http.StateIdle:
+		tracked.endRequest(time.Now(), c.idleTimeout())
+	case http.StateClosed, http.StateHijacked:
+		c.mu.Lock()
+		delete(c.conns, conn)
+		c.mu.Unlock()
+	}
+}
+
+// callerListener accepts connections as *callerConn.
+type callerListener struct {
+	net.Listener
+	conns *CallerConns
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: conn, idleSince: time.Now()}, nil
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+
+	mu        sync.Mutex
+	idleSince time.Time // no byte of a request was read since then; zero: a request has begun
+	readAhead bool      // a byte was read while the request before was being served
+	closed    bool      // closed as idle: what is read now is discarded
+	idleTimer *time.Timer
+}
+
+// Read implements net.Conn. It fails if the connection was closed as idle.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	if c.idleSince.IsZero() && len(b) == 1 {
+		c.readAhead = true // the server reads single bytes only to notice that the caller disconnects
+	}
+	c.mu.Unlock()
+	if !c.beginRequest() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// beginRequest records that a request has begun. It reports false if the connection was
+// closed before.
+func (c *callerConn) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+	if c.idleTimer != nil {
+		c.idleTimer.Stop()
+		c.idleTimer = nil
+	}
+	return !c.closed
+}
+
+// endRequest records that a request was answered, and closes the connection after the
+// timeout unless another one begins. A timeout of zero means never.
+func (c *callerConn) endRequest(now time.Time, timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readAhead {
+		c.readAhead = false // the first byte of the next request
+		return
+	}
+	c.idleSince = now
+	if timeout > 0 {
+		c.idleTimer = time.AfterFunc(timeout+unreadGrace, func() { c.closeIfIdleSince(now) })
+	}
+}
+
+// closeIfIdleSince closes the connection if it has been idle since t or longer.
+func (c *callerConn) closeIfIdleSince(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && !c.idleSince.IsZero() && !c.idleSince.After(t) {
+		c.closed = true
+		_ = c.Conn.Close() // nothing is lost: no request has begun
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -33,6 +34,7 @@
 	pool           *pool.Pool
 	gateway        *gateway.Gateway
 	server         *httptest.Server
+	callerConns    *gateway.CallerConns
 	stale          atomic.Bool  // whether the catalog may be out of date
 	failing        atomic.Int64 // how long reads of the catalog have failed, in nanoseconds
 	counts         sync.Map     // id.Workspace to *atomic.Int64
@@ -122,7 +124,7 @@
 		Metrics:      metrics.NewRegistry(), Logger: f,
 	})
 	f.server = httptest.NewUnstartedServer(f.gateway.Handler())
-	f.gateway.EnforceIdleTimeout(f.server.Config)
+	f.callerConns, f.server.Listener = f.gateway.TrackCallers(f.server.Config, f.server.Listener)
 	f.server.Start()
 	t.Cleanup(f.server.Close)
 	return f
@@ -508,6 +510,63 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// TestArrivingRequestKeepsConnection holds a connection at the steps between the first byte of
+// a further request and its end, while the connection is closed as idle by the timeout or by a
+// shutdown. The request must be answered, or no byte of it read.
+func TestArrivingRequestKeepsConnection(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	for name, tc := range map[string]struct {
+		sentBefore int // bytes of the request that arrive before the connection is closed as idle
+		closeIdle  func(f *fixture)
+		answered   bool
+	}{
+		"timeout after one byte":  {sentBefore: 1, closeIdle: func(*fixture) { time.Sleep(4 * idleTimeout) }, answered: true},
+		"timeout amid the head":   {sentBefore: 60, closeIdle: func(*fixture) { time.Sleep(4 * idleTimeout) }, answered: true},
+		"shutdown after one byte": {sentBefore: 1, closeIdle: func(f *fixture) { f.callerConns.CloseIdle(time.Now(), 0) }, answered: true},
+		"shutdown amid the head":  {sentBefore: 60, closeIdle: func(f *fixture) { f.callerConns.CloseIdle(time.Now(), 0) }, answered: true},
+		"shutdown before":         {closeIdle: func(f *fixture) { f.callerConns.CloseIdle(time.Now(), 0) }},
+		"timeout before":          {closeIdle: func(*fixture) { time.Sleep(4 * idleTimeout) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var runs atomic.Int64
+			f.serveUpstream(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+			next := testCatalog()
+			next.Version, next.Limits.IdleTimeout = 2, idleTimeout
+			require.True(t, f.currentCatalog.Update(next))
+			c, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+			require.NoError(t, err)
+			defer c.Close()
+			in := bufio.NewReader(c)
+			exchange := func(before int) error {
+				var text bytes.Buffer
+				require.NoError(t, f.request(t.Context(), http.MethodPost, "/once/x", "").Write(&text))
+				_, err := c.Write(text.Next(before))
+				require.NoError(t, err)
+				if before < text.Len() {
+					time.Sleep(idleTimeout / 4) // until the gateway has read the bytes
+					tc.closeIdle(f)
+				}
+				_, _ = text.WriteTo(c) // fails if the connection is closed, which the response shows
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					return err
+				}
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				return resp.Body.Close()
+			}
+			require.NoError(t, exchange(1<<16))
+			if err := exchange(tc.sentBefore); tc.answered {
+				require.NoError(t, err)
+				require.EqualValues(t, 2, runs.Load())
+			} else {
+				require.Error(t, err)
+				require.EqualValues(t, 1, runs.Load())
+			}
+		})
+	}
+}
+
 func TestLargeHeaders(t *testing.T) {
 	f := newFixture(t)
 	f.serveUpstream(func(http.ResponseWriter, *http.Request) {})
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -107,6 +107,9 @@
 	copiers      []*feed.Copier
 	registry     metrics.Registry
 	logger       log.Logger
+
+	callerListener net.Listener // set by Run
+	callerConns    *CallerConns // set by Run
 }
 
 // NewProgram returns a program that has not started yet. ReadSettings rereads its
@@ -223,13 +226,16 @@
 	callers := &http.Server{
 		Handler: p.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	p.gateway.EnforceIdleTimeout(callers)
 	failed := make(chan error, 4)
 	serve := func(server *http.Server, address string) error {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return eris.Wrapf(err, "listen on %s", address)
 		}
+		if server == callers {
+			p.callerConns, l = p.gateway.TrackCallers(callers, l)
+			p.callerListener = l
+		}
 		tasks.Go(func() { failed <- server.Serve(l) })
 		return nil
 	}
@@ -252,7 +258,7 @@
 			continue
 		case err = <-failed:
 		case sig := <-terminated:
-			err = p.shutDown(sig, callers)
+			err = p.shutDown(sig)
 		case <-ctx.Done():
 		}
 		running = false
@@ -273,7 +279,7 @@
 // Callers use open connections until these are closed. Every response during the
 // shutdown is therefore the last one on its connection: closing a connection while a
 // request is on its way would lose the request.
-func (p *Program) shutDown(sig os.Signal, callers *http.Server) error {
+func (p *Program) shutDown(sig os.Signal) error {
 	started := time.Now()
 	p.gateway.BeginShutdown(started)
 	_ = p.logger.Log("event", "leaving", "signal", sig, "running", p.gateway.InFlight())
@@ -284,11 +290,14 @@
 	p.gateway.SetShutdownDeadline(deadline)
 	for !p.gateway.Idle(time.Now(), shutdownIdlePeriod) && sleepUntil(ctx, time.Now().Add(shutdownPollInterval)) {
 	}
-	err := callers.Shutdown(ctx)
-	_ = p.logger.Log("event", "left", "after", time.Since(started), "running", p.gateway.InFlight(), "err", err)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return nil // some requests have outlasted the grace period; the log line counts them
+	err := p.callerListener.Close()
+	for {
+		p.callerConns.CloseIdle(time.Now(), shutdownIdlePeriod)
+		if p.callerConns.Len() == 0 || !sleepUntil(ctx, time.Now().Add(shutdownPollInterval)) {
+			break // some requests may have outlasted the grace period; the log line counts them
+		}
 	}
+	_ = p.logger.Log("event", "left", "after", time.Since(started), "running", p.gateway.InFlight(), "connections", p.callerConns.Len(), "err", err)
 	return err
 }
 
