duty, peer: windows from before a restart are reported by whoever knows their counts

Cause: after a restart in turn, every gateway had started after the window and left it to the others. A gateway took its start by its own clock, which may be off by seconds. A report of a newer window made all skip older ones. Change: a gateway's table knows from which fleet time on its rows hold the counts of all requests: its own start corrected by the median clock, or what a peer told of itself in an exchange in which it passed on all its rows. Windows from then on are due. Which windows are reported is a set (the newest and a bit for each of 64 before it) in place of the newest only.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -79,9 +79,10 @@
 
 // View is the state of the fleet as this gateway knows it when it takes a step.
 type View struct {
-	FleetTime    time.Time // the time of day by the median of the fleet's clocks
-	Live         []Member  // in the same order at every gateway; without those that are shutting down
-	LastReported Window    // the newest window that any gateway knows to be reported
+	FleetTime time.Time // the time of day by the median of the fleet's clocks
+	Live      []Member  // in the same order at every gateway; without those that are shutting down
+	Reported     WindowSet // windows that any gateway knows to be reported
+	KnownFrom    Window    // the first window whose counts this gateway can know
 	// WindowCounts returns the counts of a window so far, and whether those of every live
 	// gateway are included.
 	WindowCounts func(Window) (Counts, bool)
@@ -123,23 +124,19 @@
 	cfg           Config
 	node          id.Node
 	incarnation   id.Incarnation
-	firstWindow   Window // the first window that this gateway may report
 	topicEnd      feed.Offset
 	lastClaim     *Claim
 	lastClaimAt   time.Time // latest time, by the boot clock, at which lastClaim can have been requested; not set by own appends
 	lastReadAt    time.Time // when the topic was last read, by the boot clock; zero: a read is needed
 	fixedCounts   map[Window]Counts
-	reported      map[Window]bool
+	reported      WindowSet // by this gateway
 	ownClaim      *Claim    // permits reports until ownClaimUntil
 	ownClaimUntil time.Time // by the boot clock
 }
 
-// New returns a reporter that has not read the topic yet. It does not report windows
-// that ended before the gateway started.
-func New(cfg Config, node id.Node, incarnation id.Incarnation, started time.Time) *Reporter {
-	r := &Reporter{cfg: cfg, node: node, incarnation: incarnation, fixedCounts: make(map[Window]Counts), reported: make(map[Window]bool)}
-	r.firstWindow = r.WindowAt(started)
-	return r
+// New returns a reporter that has not read the topic yet.
+func New(cfg Config, node id.Node, incarnation id.Incarnation) *Reporter {
+	return &Reporter{cfg: cfg, node: node, incarnation: incarnation, fixedCounts: make(map[Window]Counts)}
 }
 
 // WindowAt returns the window that contains a time of day.
@@ -152,16 +149,6 @@
 	return time.Unix(0, int64(w+1)*int64(r.cfg.WindowLength))
 }
 
-// LastReported returns the newest window that this gateway has reported, or zero if there
-// is none.
-func (r *Reporter) LastReported() Window {
-	var newest Window
-	for w := range r.reported {
-		newest = max(newest, w)
-	}
-	return newest
-}
-
 // Step returns the next action. BootNow is the time by the boot clock, which goes
 // on while the process is stopped or its VM suspended.
 func (r *Reporter) Step(bootNow time.Time, v View) Action {
@@ -194,13 +181,13 @@
 }
 
 // dueWindows returns the windows, oldest first, that are not known to be reported and
-// whose counts are complete or have been waited for long enough.
+// whose counts this gateway can know, and are complete or have been waited for long enough.
 func (r *Reporter) dueWindows(v View) []Window {
 	var due []Window
 	current := r.WindowAt(v.FleetTime)
-	for w := max(r.firstWindow, current-BacklogWindows); w < current; w++ {
+	for w := max(v.KnownFrom, current-BacklogWindows); w < current; w++ {
 		sinceEnd := v.FleetTime.Sub(r.windowEnd(w))
-		if r.reported[w] || w <= v.LastReported || sinceEnd < settleTime {
+		if r.reported.Has(w) || v.Reported.Has(w) || sinceEnd < settleTime {
 			continue
 		}
 		if _, complete := v.WindowCounts(w); !complete && sinceEnd < maxSettleTime {
@@ -285,12 +272,7 @@
 // ReportAccepted records that the platform accepted the report of a window, and forgets
 // windows that are too old to be reported.
 func (r *Reporter) ReportAccepted(w Window) {
-	r.reported[w] = true
-	for old := range r.reported {
-		if old < w-2*BacklogWindows {
-			delete(r.reported, old)
-		}
-	}
+	r.reported = r.reported.With(w)
 	for old := range r.fixedCounts {
 		if old < w-2*BacklogWindows {
 			delete(r.fixedCounts, old)
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -37,13 +37,14 @@
 	nodes        []id.Node
 	sent         []sentReport
 	clockSkew    map[id.Node]time.Duration
-	lastReported duty.Window
+	reported     duty.WindowSet
+	knownFrom    map[id.Node]duty.Window
 	gossip       bool   // whether gateways learn of the reports of others
 	lastCount    uint64 // the count that view returned last
 }
 
 func newSimulation(n int) *simulation {
-	s := &simulation{now: windowStart, reporters: map[id.Node]*duty.Reporter{}, incarnations: map[id.Node]id.Incarnation{}, stopped: map[id.Node]bool{}, clockSkew: map[id.Node]time.Duration{}, gossip: true}
+	s := &simulation{now: windowStart, reporters: map[id.Node]*duty.Reporter{}, incarnations: map[id.Node]id.Incarnation{}, stopped: map[id.Node]bool{}, clockSkew: map[id.Node]time.Duration{}, knownFrom: map[id.Node]duty.Window{}, gossip: true}
 	for i := range n {
 		node := id.Node(fmt.Sprint("entry-", i))
 		s.nodes = append(s.nodes, node)
@@ -54,19 +55,20 @@
 
 // startGateway starts or restarts a gateway.
 func (s *simulation) startGateway(node id.Node, incarnation id.Incarnation, fleetTime time.Time) {
-	s.reporters[node], s.incarnations[node] = duty.New(cfg, node, incarnation, fleetTime), incarnation
+	s.reporters[node], s.incarnations[node] = duty.New(cfg, node, incarnation), incarnation
+	s.knownFrom[node] = s.reporters[node].WindowAt(fleetTime)
 }
 
 // view returns the fleet as a gateway sees it.
 func (s *simulation) view(node id.Node) duty.View {
-	v := duty.View{FleetTime: s.now.Add(s.clockSkew[node])}
+	v := duty.View{FleetTime: s.now.Add(s.clockSkew[node]), KnownFrom: s.knownFrom[node]}
 	for _, other := range s.nodes {
 		if !s.stopped[other] {
 			v.Live = append(v.Live, duty.Member{Node: other, Incarnation: s.incarnations[other]})
 		}
 	}
 	if s.gossip {
-		v.LastReported = s.lastReported
+		v.Reported = s.reported
 	}
 	v.WindowCounts = func(duty.Window) (duty.Counts, bool) {
 		s.lastCount++ // the counts differ at every call, so that only claims can fix them
@@ -101,7 +103,7 @@
 		case *duty.SendReport:
 			s.sent = append(s.sent, sentReport{s.now, node, a.Window, a.Counts["ws"], a.Term})
 			r.ReportAccepted(a.Window)
-			s.lastReported = max(s.lastReported, a.Window)
+			s.reported = s.reported.With(a.Window)
 		}
 	}
 }
@@ -188,6 +190,29 @@
 	require.Less(t, s.now.Sub(windowStart.Add(15*time.Second)), 2*time.Second)
 }
 
+// TestRestartedGatewayReportsEarlierWindows guards against windows that nobody reports after
+// every gateway was restarted in turn: a gateway that knows the counts of a window from its
+// peers reports it though it started later, also if a newer window is reported already.
+func TestRestartedGatewayReportsEarlierWindows(t *testing.T) {
+	s := newSimulation(3)
+	first := s.reporters["entry-0"].WindowAt(windowStart)
+	s.now = windowStart.Add(cfg.WindowLength + 100*time.Millisecond)
+	for _, n := range s.nodes {
+		s.startGateway(n, 2, s.now)
+		s.knownFrom[n] = first // as the gateways that ran before have told
+	}
+	s.reported = s.reported.With(first + 1)
+	for s.now.Before(windowStart.Add(cfg.WindowLength + cfg.ReportWithin)) {
+		s.now = s.now.Add(100 * time.Millisecond)
+		for _, n := range s.nodes {
+			s.runGateway(n, false)
+		}
+	}
+	s.checkReports(t)
+	require.NotEmpty(t, s.sent)
+	require.Equal(t, first, s.sent[0].window)
+}
+
 // TestFaultsNeverCauseConflictingReports guards against reports that differ or come from
 // two gateways at once, while gateways pause, lose answers, do not learn of reports and
 // have slightly different clocks.
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -119,7 +119,7 @@
 	registry := metrics.NewRegistry()
 	p := &Program{
 		settings: s, readSettings: readSettings, registry: registry, logger: logger,
-		table: peer.NewTable(peer.Member{Node: s.Node, Incarnation: id.Incarnation(bootClock.Now().UnixNano())}),
+		table: peer.NewTable(peer.Member{Node: s.Node, Incarnation: id.Incarnation(bootClock.Now().UnixNano())}, bootClock.Now()),
 	}
 	currentCatalog := new(catalog.Latest)
 	upstreamPool := pool.New(currentCatalog)
@@ -148,9 +148,10 @@
 		cfg := duty.Config{WindowLength: durationS(s.Bounds.WindowS), ReportWithin: durationS(s.Bounds.UsageLateS), Lease: durationMS(s.Bounds.LeaseMS)}
 		self := p.table.Self()
 		p.reportDriver = &reportDriver{
-			cfg: cfg, reporter: duty.New(cfg, self.Node, self.Incarnation, bootClock.Now()), table: p.table, clock: bootClock,
+			cfg: cfg, reporter: duty.New(cfg, self.Node, self.Incarnation), table: p.table, clock: bootClock,
 			fleetTime: fleetTime, claims: platform.Claims, sink: platform.UsageSink, logger: logger, registry: registry,
 		}
+		p.reportDriver.reported.Store(new(duty.WindowSet))
 	}
 	return p
 }
@@ -189,8 +190,9 @@
 			CountedToUnixMs: fleetTime().UnixMilli(),
 		}
 		if p.reportDriver != nil {
-			row.ReportedWindow = p.reportDriver.newestReported.Load()
-			row.Use = p.usage.unreportedWindows(duty.Window(row.GetReportedWindow()))
+			reported := *p.reportDriver.reported.Load()
+			row.ReportedWindow, row.ReportedBefore = int64(reported.Newest), reported.Before
+			row.Use = p.usage.unreportedWindows(reported)
 		}
 		previous := last
 		last.window, last.leaving = p.usage.windowAt(fleetTime()), row.GetLeaving()
--- a/gateway/usage_counter.go
+++ b/gateway/usage_counter.go
@@ -48,15 +48,15 @@
 }
 
 // unreportedWindows returns the counts of the windows that may still be reported: those
-// after the newest reported one, at most duty.BacklogWindows windows back. It deletes the
-// counts of older windows.
-func (u *usageCounter) unreportedWindows(reported duty.Window) []*ragwortv1.WindowUse {
-	oldest := max(u.windowAt(u.fleetTime())-duty.BacklogWindows, reported+1)
+// that are not in reported, at most duty.BacklogWindows windows back. It deletes the counts
+// of all others.
+func (u *usageCounter) unreportedWindows(reported duty.WindowSet) []*ragwortv1.WindowUse {
+	oldest := u.windowAt(u.fleetTime()) - duty.BacklogWindows
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var unreported []*ragwortv1.WindowUse
 	for window, counts := range u.windows {
-		if window < oldest {
+		if window < oldest || reported.Has(window) {
 			delete(u.windows, window)
 			continue
 		}
--- a/gateway/usage_counter_test.go
+++ b/gateway/usage_counter_test.go
@@ -20,7 +20,7 @@
 		u.CountRequest(0, "ws")
 		now = now.Add(time.Second)
 	}
-	unreported := func(reported duty.Window) (windows []int64) {
+	unreported := func(reported duty.WindowSet) (windows []int64) {
 		for _, use := range u.unreportedWindows(reported) {
 			require.Equal(t, uint64(1), use.GetRequests()["ws"])
 			windows = append(windows, use.GetWindow())
@@ -28,7 +28,12 @@
 		return windows
 	}
 	newest := u.windowAt(now) - 1
-	require.Len(t, unreported(0), duty.BacklogWindows)
-	require.ElementsMatch(t, []int64{int64(newest) - 1, int64(newest)}, unreported(newest-2))
-	require.Empty(t, unreported(newest))
+	require.Len(t, unreported(duty.WindowSet{}), duty.BacklogWindows)
+	var reported duty.WindowSet
+	for w := newest - duty.BacklogWindows; w <= newest-3; w++ {
+		reported = reported.With(w)
+	}
+	reported = reported.With(newest - 1) // a newer window may be reported before an older one
+	require.ElementsMatch(t, []int64{int64(newest) - 2, int64(newest)}, unreported(reported))
+	require.Empty(t, unreported(reported.With(newest).With(newest-2)))
 }
--- a/gateway/usage_report.go
+++ b/gateway/usage_report.go
@@ -54,17 +54,17 @@
 
 // reportDriver makes the calls that a duty.Reporter decides on.
 type reportDriver struct {
-	cfg            duty.Config
-	reporter       *duty.Reporter
-	table          *peer.Table
-	clock          *clock.Clock
-	fleetTime      func() time.Time // time of day by the median clock of the fleet
-	claims         ClaimLog
-	sink           UsageSink
-	logger         log.Logger
-	registry       metrics.Registry
-	pausedUntil    time.Time    // end of the delay after a failed call, by clock
-	newestReported atomic.Int64 // newest window known to be reported by any gateway
+	cfg         duty.Config
+	reporter    *duty.Reporter
+	table       *peer.Table
+	clock       *clock.Clock
+	fleetTime   func() time.Time // time of day by the median clock of the fleet
+	claims      ClaimLog
+	sink        UsageSink
+	logger      log.Logger
+	registry    metrics.Registry
+	pausedUntil time.Time                      // end of the delay after a failed call, by clock
+	reported    atomic.Pointer[duty.WindowSet] // windows known to be reported by any gateway; stored by the driver's goroutine only
 }
 
 // run makes the calls that are due until ctx is done.
@@ -110,17 +110,16 @@
 // dutyView returns what is known of the fleet, for the decision.
 func (r *reportDriver) dutyView() duty.View {
 	now := time.Now()
-	view := duty.View{FleetTime: r.fleetTime()}
+	view := duty.View{FleetTime: r.fleetTime(), KnownFrom: r.reporter.WindowAt(r.table.HistoryFrom(now)), Reported: *r.reported.Load()}
 	for _, row := range r.table.Live(now) {
 		if !row.GetLeaving() {
 			view.Live = append(view.Live, duty.Member{Node: id.Node(row.GetNode()), Incarnation: id.Incarnation(row.GetIncarnation())})
 		}
 	}
 	for _, row := range r.table.Rows() {
-		view.LastReported = max(view.LastReported, duty.Window(row.GetReportedWindow()))
+		view.Reported = view.Reported.Union(duty.WindowSet{Newest: duty.Window(row.GetReportedWindow()), Before: row.GetReportedBefore()})
 	}
-	view.LastReported = max(view.LastReported, duty.Window(r.newestReported.Load()))
-	r.newestReported.Store(int64(view.LastReported))
+	r.reported.Store(&view.Reported)
 	view.WindowCounts = func(w duty.Window) (duty.Counts, bool) {
 		return sumUsage(r.table, now, w, time.Unix(0, int64(w+1)*int64(r.cfg.WindowLength)))
 	}
@@ -178,7 +177,8 @@
 		return r.logFailure("report", err)
 	}
 	r.reporter.ReportAccepted(action.Window)
-	r.newestReported.Store(max(r.newestReported.Load(), int64(action.Window)))
+	reported := r.reported.Load().With(action.Window)
+	r.reported.Store(&reported)
 	_ = r.logger.Log("event", "usage_reported", "window", int64(action.Window), "term", action.Term, "workspaces", len(action.Counts),
 		"after", r.fleetTime().Sub(time.Unix(0, int64(action.Window+1)*int64(r.cfg.WindowLength))).Round(time.Millisecond))
 	return nil
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -16,9 +16,9 @@
 func BenchmarkExchangeRequest(b *testing.B) {
 	for _, fleet := range []struct{ gateways, workspaces int }{{5, 10}, {28, 24}, {400, 24}} {
 		b.Run(fmt.Sprintf("%d gateways, %d workspaces", fleet.gateways, fleet.workspaces), func(b *testing.B) {
-			t := peer.NewTable(peer.Member{Node: "entry-th-central-a-0", Incarnation: 1})
+			t := peer.NewTable(peer.Member{Node: "entry-th-central-a-0", Incarnation: 1}, now)
 			for i := range fleet.gateways {
-				other := peer.NewTable(peer.Member{Node: id.Node(fmt.Sprint("entry-th-central-a-", i+1)), Incarnation: 1_790_000_000_000_000_000})
+				other := peer.NewTable(peer.Member{Node: id.Node(fmt.Sprint("entry-th-central-a-", i+1)), Incarnation: 1_790_000_000_000_000_000}, now)
 				if i == 0 {
 					other = t
 				}
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -180,6 +180,9 @@
 	}
 	receivedAt := x.clock.Now()
 	x.merge(response.Msg.GetRows(), response.Msg.GetMarks())
+	if from := response.Msg.GetHistoryFromUnixMs(); from > 0 {
+		x.table.ExtendHistory(time.UnixMilli(from))
+	}
 	if node, ok := x.nodeAt(address); ok {
 		oneWay := receivedAt.Sub(sentAt) / 2
 		x.table.RecordClockOffset(time.Now(), node, time.UnixMilli(response.Msg.GetSenderUnixMs()).Sub(sentAt.Add(oneWay)))
@@ -204,6 +207,7 @@
 	x.merge(request.Msg.GetRows(), request.Msg.GetMarks())
 	return connect.NewResponse(&ragwortv1.ExchangeResponse{
 		SenderUnixMs: x.clock.Now().UnixMilli(), Rows: x.table.MissingRows(request.Msg.GetMarks()), Marks: x.table.Marks(),
+		HistoryFromUnixMs: x.table.HistoryFrom(time.Now()).UnixMilli(),
 		Operators: topicResponse(x.topics.Operators, request.Msg.GetOperators()),
 		Upstreams: topicResponse(x.topics.Upstreams, request.Msg.GetUpstreams()),
 	}), nil
--- a/peer/table.go
+++ b/peer/table.go
@@ -69,13 +69,16 @@
 type Table struct {
 	mu           sync.Mutex
 	self         Member
+	started      time.Time // by the own clock
+	learntFrom   time.Time // rows of peers hold the counts of all requests from this time on, by fleet time; zero: none learnt
 	rows         map[Member]rowState
 	clockOffsets map[id.Node]clockOffset
 }
 
-// NewTable returns a table without rows. Publish sets the own one.
-func NewTable(self Member) *Table {
-	return &Table{self: self, rows: make(map[Member]rowState), clockOffsets: make(map[id.Node]clockOffset)}
+// NewTable returns a table without rows, of a gateway that started at a time by its own
+// clock. Publish sets the own row.
+func NewTable(self Member, started time.Time) *Table {
+	return &Table{self: self, started: started, rows: make(map[Member]rowState), clockOffsets: make(map[id.Node]clockOffset)}
 }
 
 // Self returns the member that the table belongs to.
@@ -202,6 +205,28 @@
 	return m == t.self || now.Sub(t.rows[m].lastHeartbeat) <= livenessTimeout
 }
 
+// ExtendHistory records that the table has every row of a peer whose rows hold the counts of
+// all requests from a time on.
+func (t *Table) ExtendHistory(from time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.learntFrom.IsZero() || from.Before(t.learntFrom) {
+		t.learntFrom = from
+	}
+}
+
+// HistoryFrom returns the fleet time from which on the rows hold the counts of all requests,
+// except those that a gateway counted and could not pass on before it ended.
+func (t *Table) HistoryFrom(now time.Time) time.Time {
+	from := t.started.Add(t.MedianClockOffset(now))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.learntFrom.IsZero() && t.learntFrom.Before(from) {
+		return t.learntFrom
+	}
+	return from
+}
+
 // RecordClockOffset records how far the clock of a peer is ahead of the own one.
 func (t *Table) RecordClockOffset(now time.Time, node id.Node, ahead time.Duration) {
 	t.mu.Lock()
--- a/peer/table_test.go
+++ b/peer/table_test.go
@@ -15,7 +15,7 @@
 
 // newTable returns the table of a gateway that has published a row.
 func newTable(node string, incarnation id.Incarnation) *peer.Table {
-	t := peer.NewTable(peer.Member{Node: id.Node(node), Incarnation: incarnation})
+	t := peer.NewTable(peer.Member{Node: id.Node(node), Incarnation: incarnation}, now)
 	t.Publish(now, &peer.Row{Address: node}, false)
 	return t
 }
