--- a/duty/duty.go
+++ b/duty/duty.go
@@ -2,17 +2,25 @@
 // request counts that it reports. Usage is reported by window of time.
 //
 // Before it reports, a gateway claims the windows: it appends a record to a topic of the
-// platform's store, on the condition that it has read every record before. The offset of
+// platform's store, on the condition that it has read every record before. The position of
 // the claim is the fencing number of the reports. The first claim that contains a window
 // fixes the counts of that window for good, so that all reports of a window are equal,
 // whichever gateway sends them.
 //
+// The store may come back from a copy without its last claims, in a new era. A claim of
+// another era permits nothing, and nobody claims before those that were lost have expired.
+// A window that may have been claimed with other counts is claimed again only by a gateway
+// that knows these counts, or once every gateway is known to hold no claim of it
+// (docs/design/configuration.md).
+//
 // Reporter is a state machine without clock and I/O: Step returns the next action, and
 // the caller carries it out and passes the result back.
 package duty
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/feed"
@@ -32,12 +40,18 @@
 	At          time.Time         `json:"at"` // when the append was requested, in fleet time
 	Incarnation id.Incarnation    `json:"incarnation"`
 	Windows     map[Window]Counts `json:"windows"`
-	Offset      feed.Offset       `json:"-"`
+	Position    feed.Position     `json:"-"`
 }
 
+// termOffsetBits is how many bits of a term hold the offset. The era is above them, as
+// offsets begin lower in a new era and the term must not.
+const termOffsetBits = 40
+
 // Term returns the fencing number of the reports that the claim permits. Offsets begin
 // with zero, terms with one.
-func (c *Claim) Term() id.Term { return id.Term(c.Offset) + 1 }
+func (c *Claim) Term() id.Term {
+	return id.Term(c.Position.Era)<<termOffsetBits + id.Term(c.Position.Offset) + 1
+}
 
 // Config holds the time bounds of usage reports.
 type Config struct {
@@ -81,8 +95,12 @@
 type View struct {
 	FleetTime time.Time // the time of day by the median of the fleet's clocks
 	Live      []Member  // in the same order at every gateway; without those that are shutting down
-	Reported     WindowSet // windows that any gateway knows to be reported
-	KnownFrom    Window    // the first window whose counts this gateway can know
+	Reported  WindowSet // windows that any gateway knows to be reported
+	KnownFrom Window    // the first window whose counts this gateway can know
+	Era       feed.Era  // newest era of the store that this gateway knows
+	// Unclaimed reports whether every other gateway of the last seconds is known to hold no
+	// claim of a window from before the era. It may be false for lack of knowledge.
+	Unclaimed func(Window) bool
 	// WindowCounts returns the counts of a window so far, and whether those of every live
 	// gateway are included.
 	WindowCounts func(Window) (Counts, bool)
@@ -94,14 +112,14 @@
 // Wait means that there is nothing to do now.
 type Wait struct{}
 
-// ReadClaims asks for the claims from an offset on. The result goes to
-// Reporter.ClaimsRead.
-type ReadClaims struct{ From feed.Offset }
+// ReadClaims asks for the claims from a position on. The result goes to
+// Reporter.ClaimsRead. If the store is in another era, the next View must have it.
+type ReadClaims struct{ From feed.Position }
 
-// AppendClaim asks to append a claim if the topic ends at the expected offset. Success
+// AppendClaim asks to append a claim if the topic ends at the expected position. Success
 // goes to Reporter.ClaimAppended, any failure to Reporter.RequireReread.
 type AppendClaim struct {
-	ExpectedEnd feed.Offset
+	ExpectedEnd feed.Position
 	Claim       *Claim
 }
 
@@ -124,7 +142,12 @@
 	cfg           Config
 	node          id.Node
 	incarnation   id.Incarnation
-	topicEnd      feed.Offset
+	topicEnd      feed.Position
+	entered       bool              // topicEnd has the era of the last view
+	enteredAt     time.Time         // when the era was first seen, by the boot clock
+	lastDoubtful  Window            // newest window that may have been claimed before the era
+	claimed       WindowSet         // windows that this gateway has claimed or tried to claim
+	attempted     map[Window]Counts // counts of claims of this gateway, successful or not
 	lastClaim     *Claim
 	lastClaimAt   time.Time // latest time, by the boot clock, at which lastClaim can have been requested; not set by own appends
 	lastReadAt    time.Time // when the topic was last read, by the boot clock; zero: a read is needed
@@ -136,7 +159,7 @@
 
 // New returns a reporter that has not read the topic yet.
 func New(cfg Config, node id.Node, incarnation id.Incarnation) *Reporter {
-	return &Reporter{cfg: cfg, node: node, incarnation: incarnation, fixedCounts: make(map[Window]Counts)}
+	return &Reporter{cfg: cfg, node: node, incarnation: incarnation, fixedCounts: make(map[Window]Counts), attempted: make(map[Window]Counts)}
 }
 
 // WindowAt returns the window that contains a time of day.
@@ -152,6 +175,7 @@
 // Step returns the next action. BootNow is the time by the boot clock, which goes
 // on while the process is stopped or its VM suspended.
 func (r *Reporter) Step(bootNow time.Time, v View) Action {
+	r.enterEra(bootNow, v)
 	due := r.dueWindows(v)
 	if len(due) == 0 {
 		return &Wait{}
@@ -169,17 +193,52 @@
 	if r.lastReadAt.IsZero() || !r.holdsLastClaim() && bootNow.Sub(r.lastReadAt) > r.cfg.WindowLength/10 {
 		return &ReadClaims{From: r.topicEnd}
 	}
+	if due = r.withoutDoubtful(v, due); len(due) == 0 {
+		return &Wait{}
+	}
 	claim := &Claim{Holder: r.node, Incarnation: r.incarnation, At: v.FleetTime, Windows: make(map[Window]Counts)}
 	for _, w := range due {
-		counts, fixed := r.fixedCounts[w]
-		if !fixed {
-			counts, _ = v.WindowCounts(w)
-		}
-		claim.Windows[w] = counts
+		claim.Windows[w] = r.countsFor(v, w)
+		r.claimed, r.attempted[w] = r.claimed.With(w), claim.Windows[w]
 	}
 	return &AppendClaim{ExpectedEnd: r.topicEnd, Claim: claim}
 }
 
+// countsFor returns the counts with which this gateway claims a window.
+func (r *Reporter) countsFor(v View, w Window) Counts {
+	if counts, fixed := r.fixedCounts[w]; fixed {
+		return counts
+	}
+	// An own claim that the store has lost may have been read by others.
+	if counts, tried := r.attempted[w]; tried && w <= r.lastDoubtful {
+		return counts
+	}
+	counts, _ := v.WindowCounts(w)
+	return counts
+}
+
+// enterEra gives up the own claim and everything read of the topic when the store is in a
+// new era. The counts that claims have fixed are kept, also those of claims that the store
+// has lost.
+func (r *Reporter) enterEra(bootNow time.Time, v View) {
+	if r.entered && v.Era <= r.topicEnd.Era {
+		return
+	}
+	r.entered, r.enteredAt = true, bootNow
+	r.topicEnd = feed.Position{Era: v.Era}
+	r.ownClaim, r.lastClaim, r.lastReadAt = nil, nil, time.Time{}
+	r.lastDoubtful = r.WindowAt(v.FleetTime.Add(maxClockSkew-settleTime)) - 1
+}
+
+// withoutDoubtful returns the due windows but those that may have been claimed, with counts
+// that this gateway does not know, in a claim that the store has lost.
+func (r *Reporter) withoutDoubtful(v View, due []Window) []Window {
+	return slices.DeleteFunc(due, func(w Window) bool {
+		_, fixed := r.fixedCounts[w]
+		return !fixed && w <= r.lastDoubtful && !v.Unclaimed(w)
+	})
+}
+
 // dueWindows returns the windows, oldest first, that are not known to be reported and
 // whose counts this gateway can know, and are complete or have been waited for long enough.
 func (r *Reporter) dueWindows(v View) []Window {
@@ -204,15 +263,23 @@
 	return r.lastClaim != nil && r.lastClaim.Holder == r.node && r.lastClaim.Incarnation == r.incarnation
 }
 
-// mayClaim reports whether this gateway may claim the oldest due window now. The holder
+// mayClaim reports whether this gateway may claim the oldest due window now. Nobody may
+// while a claim from before the present era may still be acted on. After that, the holder
 // of the last claim may do so at once. The others wait until the reports of that claim must
 // have ended, plus a lease, and until some time after the end of the window. That time
 // grows with their rank among the live gateways, is longer if the holder is alive, and ends
 // at least takeoverStagger before the report is due.
 func (r *Reporter) mayClaim(bootNow time.Time, v View, oldest Window) bool {
+	sinceEntered := bootNow.Sub(r.enteredAt)
+	if r.topicEnd.Era > 0 && sinceEntered < claimValidity {
+		return false
+	}
 	if r.holdsLastClaim() {
 		return true
 	}
+	if r.topicEnd.Era > 0 && !r.lastReadAt.IsZero() && sinceEntered < r.cfg.Lease+claimValidity {
+		return false // the store may have lost a newer claim than the last one
+	}
 	if r.lastClaim != nil && bootNow.Sub(r.lastClaimAt) < r.cfg.Lease+claimValidity {
 		return false // the holder may still act on its claim, or did so less than a lease ago
 	}
@@ -234,7 +301,10 @@
 
 // ClaimsRead applies the claims that a ReadClaims action returned, in order, and the end
 // of the topic.
-func (r *Reporter) ClaimsRead(bootNow, fleetTime time.Time, claims []*Claim, end feed.Offset) {
+func (r *Reporter) ClaimsRead(bootNow, fleetTime time.Time, claims []*Claim, end feed.Position) {
+	if end.Era != r.topicEnd.Era {
+		return
+	}
 	for _, c := range claims {
 		r.applyClaim(c)
 		if age := fleetTime.Sub(c.At) - maxClockSkew; age > 0 {
@@ -260,11 +330,18 @@
 // ClaimAppended records that the claim of an AppendClaim action was appended. RequestedAt
 // is the time, by the boot clock, before the append was requested.
 func (r *Reporter) ClaimAppended(requestedAt time.Time, c *Claim) {
+	if c.Position.Era != r.topicEnd.Era {
+		return
+	}
 	r.applyClaim(c)
-	r.topicEnd = c.Offset + 1
+	r.topicEnd.Offset = c.Position.Offset + 1
 	r.ownClaim, r.ownClaimUntil = c, requestedAt.Add(claimValidity)
 }
 
+// Claimed returns the windows that this gateway has claimed, also if it did not learn of
+// the success, and the era before which it acts on no claim.
+func (r *Reporter) Claimed() (WindowSet, feed.Era) { return r.claimed, r.topicEnd.Era }
+
 // RequireReread records that the result of an append is unknown or that it failed: the
 // topic must be read before the next claim.
 func (r *Reporter) RequireReread() { r.lastReadAt = time.Time{} }
@@ -273,11 +350,9 @@
 // windows that are too old to be reported.
 func (r *Reporter) ReportAccepted(w Window) {
 	r.reported = r.reported.With(w)
-	for old := range r.fixedCounts {
-		if old < w-2*BacklogWindows {
-			delete(r.fixedCounts, old)
-		}
-	}
+	isOld := func(old Window, _ Counts) bool { return old < w-2*BacklogWindows }
+	maps.DeleteFunc(r.fixedCounts, isOld)
+	maps.DeleteFunc(r.attempted, isOld)
 }
 
 // ConflictError means that a claim was not appended, because the topic has claims that the
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +29,16 @@
 	term   id.Term
 }
 
+// claimRow is what a run of a gateway has told its peers of its claims.
+type claimRow struct {
+	at      time.Time
+	claimed duty.WindowSet
+	era     feed.Era
+}
+
+// rowRetention is how long the row of a gateway that has ended is known.
+const rowRetention = 20 * time.Second
+
 // simulation runs a fleet of reporters that share one topic.
 type simulation struct {
 	now          time.Time
@@ -39,12 +51,15 @@
 	clockSkew    map[id.Node]time.Duration
 	reported     duty.WindowSet
 	knownFrom    map[id.Node]duty.Window
+	era          feed.Era // of the store; a gateway learns of it when it calls the store
+	knownEra     map[id.Node]feed.Era
+	rows         map[duty.Member]claimRow
 	gossip       bool   // whether gateways learn of the reports of others
 	lastCount    uint64 // the count that view returned last
 }
 
 func newSimulation(n int) *simulation {
-	s := &simulation{now: windowStart, reporters: map[id.Node]*duty.Reporter{}, incarnations: map[id.Node]id.Incarnation{}, stopped: map[id.Node]bool{}, clockSkew: map[id.Node]time.Duration{}, knownFrom: map[id.Node]duty.Window{}, gossip: true}
+	s := &simulation{now: windowStart, reporters: map[id.Node]*duty.Reporter{}, incarnations: map[id.Node]id.Incarnation{}, stopped: map[id.Node]bool{}, clockSkew: map[id.Node]time.Duration{}, knownFrom: map[id.Node]duty.Window{}, knownEra: map[id.Node]feed.Era{}, rows: map[duty.Member]claimRow{}, gossip: true}
 	for i := range n {
 		node := id.Node(fmt.Sprint("entry-", i))
 		s.nodes = append(s.nodes, node)
@@ -59,9 +74,39 @@
 	s.knownFrom[node] = s.reporters[node].WindowAt(fleetTime)
 }
 
+// end returns the end of the topic.
+func (s *simulation) end() feed.Position {
+	return feed.Position{Era: s.era, Offset: feed.Offset(len(s.topic))}
+}
+
+// rewind restores the store from a copy that lacks the last claims.
+func (s *simulation) rewind(lost int) {
+	s.topic = slices.Clone(s.topic[:max(0, len(s.topic)-lost)])
+	s.era++
+}
+
+// unclaimed returns View.Unclaimed of a gateway.
+func (s *simulation) unclaimed(node id.Node) func(duty.Window) bool {
+	return func(w duty.Window) bool {
+		for member, row := range s.rows {
+			if member != (duty.Member{Node: node, Incarnation: s.incarnations[node]}) && (row.era < s.knownEra[node] || row.claimed.Has(w)) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// publishRow tells the peers of a gateway what it has claimed.
+func (s *simulation) publishRow(node id.Node) {
+	claimed, era := s.reporters[node].Claimed()
+	s.rows[duty.Member{Node: node, Incarnation: s.incarnations[node]}] = claimRow{s.now, claimed, era}
+	maps.DeleteFunc(s.rows, func(_ duty.Member, r claimRow) bool { return s.now.Sub(r.at) > rowRetention })
+}
+
 // view returns the fleet as a gateway sees it.
 func (s *simulation) view(node id.Node) duty.View {
-	v := duty.View{FleetTime: s.now.Add(s.clockSkew[node]), KnownFrom: s.knownFrom[node]}
+	v := duty.View{FleetTime: s.now.Add(s.clockSkew[node]), KnownFrom: s.knownFrom[node], Era: s.knownEra[node], Unclaimed: s.unclaimed(node)}
 	for _, other := range s.nodes {
 		if !s.stopped[other] {
 			v.Live = append(v.Live, duty.Member{Node: other, Incarnation: s.incarnations[other]})
@@ -81,24 +126,39 @@
 // the gateway does not learn of their success.
 func (s *simulation) runGateway(node id.Node, loseAnswers bool) {
 	r := s.reporters[node]
+	defer func() {
+		if s.gossip {
+			s.publishRow(node)
+		}
+	}()
 	for range 20 {
 		switch a := r.Step(s.now, s.view(node)).(type) {
 		case *duty.Wait:
 			return
 		case *duty.ReadClaims:
-			r.ClaimsRead(s.now, s.now.Add(s.clockSkew[node]), s.topic[a.From:], feed.Offset(len(s.topic)))
+			if a.From.Era != s.era {
+				s.knownEra[node] = s.era
+				continue
+			}
+			r.ClaimsRead(s.now, s.now.Add(s.clockSkew[node]), s.topic[a.From.Offset:], s.end())
 		case *duty.AppendClaim:
-			if a.ExpectedEnd != feed.Offset(len(s.topic)) {
+			if a.ExpectedEnd.Offset != s.end().Offset {
+				s.knownEra[node] = s.era
 				r.RequireReread()
 				continue
 			}
 			claim := *a.Claim
-			claim.Offset = a.ExpectedEnd
+			claim.Position = s.end() // the store compares offsets only
 			s.topic = append(s.topic, &claim)
 			if loseAnswers {
 				r.RequireReread()
 				return
 			}
+			if claim.Position.Era != a.ExpectedEnd.Era {
+				s.knownEra[node] = s.era
+				r.RequireReread()
+				continue
+			}
 			r.ClaimAppended(s.now, &claim)
 		case *duty.SendReport:
 			s.sent = append(s.sent, sentReport{s.now, node, a.Window, a.Counts["ws"], a.Term})
@@ -190,6 +250,75 @@
 	require.Less(t, s.now.Sub(windowStart.Add(15*time.Second)), 2*time.Second)
 }
 
+// TestLostClaim guards against two reports of a window when the store has lost the claim that
+// one of them was made by, and against an end of the reports after that. The claim was not
+// read by others, whose counts differ.
+func TestLostClaim(t *testing.T) {
+	for name, reported := range map[string]bool{"reported before": true, "not reported": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(3)
+			s.now = windowStart.Add(cfg.WindowLength + time.Second)
+			s.runGateway("entry-0", !reported)
+			require.Len(t, s.topic, 1)
+			s.reported = duty.WindowSet{} // the others have not heard of a report
+			s.rewind(1)
+			require.Empty(t, s.topic)
+			for s.now.Before(windowStart.Add(4 * cfg.WindowLength)) {
+				s.now = s.now.Add(100 * time.Millisecond)
+				for _, n := range []id.Node{"entry-2", "entry-1", "entry-0"} {
+					s.runGateway(n, false)
+				}
+			}
+			s.checkReports(t)
+			var windows []duty.Window
+			for _, report := range s.sent {
+				windows = append(windows, report.window)
+			}
+			first := s.reporters["entry-0"].WindowAt(windowStart)
+			require.Subset(t, windows, []duty.Window{first, first + 1, first + 2})
+		})
+	}
+}
+
+// TestExpiringClaim guards against a report by a claim from before the store came back, after
+// another gateway has claimed in the new era.
+func TestExpiringClaim(t *testing.T) {
+	s := newSimulation(2)
+	s.now = windowStart.Add(cfg.WindowLength + time.Second)
+	old := s.reporters["entry-0"]
+	for range 3 {
+		switch a := old.Step(s.now, s.view("entry-0")).(type) {
+		case *duty.ReadClaims:
+			old.ClaimsRead(s.now, s.now, nil, s.end())
+		case *duty.AppendClaim:
+			claim := *a.Claim
+			claim.Position = s.end()
+			old.ClaimAppended(s.now, &claim)
+		}
+	}
+	require.IsType(t, &duty.SendReport{}, old.Step(s.now, s.view("entry-0")))
+	s.rewind(0)
+	s.knownEra["entry-1"] = s.era
+	acted := func() bool { return len(s.topic) > 0 }
+	for !acted() && s.now.Before(windowStart.Add(3*cfg.WindowLength)) {
+		s.runGateway("entry-1", false)
+		if !acted() {
+			s.now = s.now.Add(100 * time.Millisecond)
+		}
+	}
+	require.True(t, acted())
+	_, acts := old.Step(s.now, s.view("entry-0")).(*duty.SendReport)
+	require.False(t, acts)
+}
+
+// TestTermRisesWithEra guards against a fencing number that begins lower in a new era.
+func TestTermRisesWithEra(t *testing.T) {
+	last := &duty.Claim{Position: feed.Position{Era: 3, Offset: 1 << 30}}
+	first := &duty.Claim{Position: feed.Position{Era: 4}}
+	require.Greater(t, first.Term(), last.Term())
+	require.Equal(t, id.Term(1), (&duty.Claim{}).Term())
+}
+
 // TestRestartedGatewayReportsEarlierWindows guards against windows that nobody reports after
 // every gateway was restarted in turn: a gateway that knows the counts of a window from its
 // peers reports it though it started later, also if a newer window is reported already.
@@ -215,7 +344,8 @@
 
 // TestFaultsNeverCauseConflictingReports guards against reports that differ or come from
 // two gateways at once, while gateways pause, lose answers, do not learn of reports and
-// have slightly different clocks.
+// have slightly different clocks, and while the store comes back from copies that lack the
+// last claims.
 func TestFaultsNeverCauseConflictingReports(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(rapid.IntRange(2, 5).Draw(t, "gateways"))
@@ -233,6 +363,10 @@
 				s.gossip = !s.gossip
 			case 2:
 				s.startGateway(n, id.Incarnation(s.now.UnixNano()), s.now.Add(s.clockSkew[n]))
+			case 3:
+				s.rewind(rapid.IntRange(0, 3).Draw(t, "lost"))
+			case 4:
+				s.knownEra[n] = s.era // from a peer
 			}
 			for _, n := range s.nodes {
 				s.stopped[n] = s.now.Before(stoppedUntil[n])
--- a/feed/copier.go
+++ b/feed/copier.go
@@ -62,7 +62,7 @@
 	for wait := loadDelay; sleep(ctx, wait) && !c.follower.View().Loaded; wait = loadRetryPause {
 		c.loadAll(ctx)
 	}
-	var savedNext Offset
+	var savedNext Position
 	var lastSave time.Time
 	for sleep(ctx, copyCheckInterval) {
 		now := time.Now()
@@ -80,7 +80,7 @@
 // saveAll saves the view of the follower at every place. It reports whether all saves
 // succeeded.
 func (c *Copier) saveAll(ctx context.Context) bool {
-	page := c.follower.ViewFor(0, false).Page
+	page := c.follower.ViewFor(Position{}, false).Page
 	errs := c.forEachPlace(ctx, func(ctx context.Context, place int) error { return c.store.Save(ctx, place, page) })
 	complete := true
 	for place, err := range errs {
--- a/feed/copier_test.go
+++ b/feed/copier_test.go
@@ -57,7 +57,7 @@
 	return feed.Page{}, errors.New("the topic cannot be read")
 }
 
-func (unreadableTopic) Since(context.Context, feed.Offset, time.Duration) (feed.Page, error) {
+func (unreadableTopic) Since(context.Context, feed.Position, time.Duration) (feed.Page, error) {
 	return feed.Page{}, errors.New("the topic cannot be read")
 }
 
@@ -88,7 +88,7 @@
 	store.pages = []feed.Page{copyPage(7, "old"), copyPage(9, "new"), copyPage(12, "newer, out of reach"), {}}
 	store.unavailable[2] = true
 	f, sink := startCopier(t, unreadableTopic{}, store, func() bool { return true })
-	require.Eventually(t, func() bool { return f.View().Next == 9 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return f.View().Next.Offset == 9 }, 5*time.Second, time.Millisecond)
 	sink.mu.Lock()
 	require.Equal(t, "new", sink.values["a"])
 	sink.mu.Unlock()
@@ -114,7 +114,7 @@
 			for range tc.saves {
 				<-store.saved
 			}
-			require.Equal(t, feed.Offset(4), f.View().Next)
+			require.Equal(t, feed.Offset(4), f.View().Next.Offset)
 			store.mu.Lock()
 			defer store.mu.Unlock()
 			require.Equal(t, tc.saves, store.saves)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -3,6 +3,10 @@
 //
 // Follower reads a topic, or adopts what peers have read, and passes the records to a
 // Sink, which interprets them.
+//
+// The store may come back from a copy that lacks its last seconds. Its era then rises by
+// one, offsets are assigned again, and the operators and upstreams write again what was
+// lost. Position orders what was read before and after.
 package feed
 
 import (
@@ -22,6 +26,25 @@
 // Offset is a position in a topic. The first record has offset 0.
 type Offset uint64
 
+// Era is how often the store has come back from a copy. Its offsets are only comparable
+// within an era.
+type Era uint64
+
+// Position is a position in a topic of a store that may lose its last records.
+type Position struct {
+	Era    Era
+	Offset Offset
+}
+
+// Compare returns a negative number if p is older than o, a positive one if it is newer,
+// and zero if they are equal.
+func (p Position) Compare(o Position) int {
+	return cmp.Or(cmp.Compare(p.Era, o.Era), cmp.Compare(p.Offset, o.Offset))
+}
+
+// String returns the position in the form of log lines.
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era, p.Offset) }
+
 // Record is a record of a keyed topic.
 type Record struct {
 	Offset Offset
@@ -32,7 +55,7 @@
 // Page is the result of one read.
 type Page struct {
 	Records []Record
-	Next    Offset // from which the next read continues
+	Next    Position // from which the next read continues
 }
 
 // Topic reads one keyed topic of the store.
@@ -40,10 +63,18 @@
 	// Newest returns the newest record of each key. It sets its own timeouts, since the
 	// number of calls that it makes depends on the size of the topic.
 	Newest(ctx context.Context) (Page, error)
-	// Since returns the records from an offset on. If there are none, it waits up to the
+	// Since returns the records from a position on. If there are none, it waits up to the
 	// given time for the first. It returns a *TrimmedError if some of the records are no
-	// longer kept.
-	Since(ctx context.Context, from Offset, wait time.Duration) (Page, error)
+	// longer kept, and an *EraError if the store is in another era.
+	Since(ctx context.Context, from Position, wait time.Duration) (Page, error)
+}
+
+// EraError means that the store is in another era than the one that the call was for. Has
+// the call added a record, then it did so in the store's era.
+type EraError struct{ Expected, Actual Era }
+
+func (e *EraError) Error() string {
+	return fmt.Sprintf("the store is in era %d, not %d", e.Actual, e.Expected)
 }
 
 // TrimmedError means that records from offset From on are no longer kept. First is the
@@ -61,6 +92,11 @@
 	Replace(now time.Time, records []Record)
 	// Apply adds new records, in the order of their offsets.
 	Apply(now time.Time, records []Record)
+	// Rewind is called in place of Replace when the store has come back from a copy. Each
+	// record may be older than one that was applied before, and newer records may be
+	// missing: the sink must not go back to an older state. Apply follows with the records
+	// that are written again, and Replace once all of them should have been.
+	Rewind(now time.Time, records []Record)
 	// Recovered is called when the topic can be read again after an outage.
 	Recovered(now time.Time)
 }
@@ -82,6 +118,11 @@
 	// outageThreshold is how long reads must fail for the failures to count as an outage of
 	// the topic.
 	outageThreshold = 500 * time.Millisecond
+	// eraSettleTime is how long after a change of era the content of the store is not
+	// believed where it is older than what was applied. Operators write again what was lost
+	// at once, upstreams within about a second, and the records of upstreams that have
+	// ended expire within some seconds.
+	eraSettleTime = 6 * time.Second
 )
 
 // Config sets how a topic is followed.
@@ -105,10 +146,11 @@
 	registry metrics.Registry
 
 	mu           sync.Mutex
-	next         Offset
+	next         Position
+	settleAt     time.Time         // until when the sink holds what is newer than the store; zero: it holds nothing
 	loaded       bool              // the content is known, from a read, a peer or a copy
 	newest       map[string]Record // the newest record of each key, including keys deleted from completeFrom on
-	completeFrom Offset            // newest has every change from this offset on
+	completeFrom Offset            // newest has every change from this offset of the present era on
 	contact      time.Time         // start of the last successful read, here or at a peer
 	failingSince time.Time         // start of the first of the consecutive failed reads; zero: the last read succeeded
 }
@@ -138,6 +180,14 @@
 	return now.Sub(f.failingSince)
 }
 
+// Settled reports whether the content is that of the store. It is not for a time after the
+// store has come back from a copy.
+func (f *Follower) Settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.settleAt.IsZero()
+}
+
 // View is the content of a topic as a follower passes it to a peer.
 type View struct {
 	Page
@@ -156,16 +206,16 @@
 // ViewFor returns the view for a peer that has loaded all records before peerNext, or
 // none if peerLoaded is false. It has the records that the peer lacks if these are still
 // held, and otherwise the newest of all keys.
-func (f *Follower) ViewFor(peerNext Offset, peerLoaded bool) View {
+func (f *Follower) ViewFor(peerNext Position, peerLoaded bool) View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := View{Page: Page{Next: f.next}, Loaded: f.loaded, Contact: f.contact}
-	if !f.loaded || peerLoaded && peerNext >= f.next {
+	if !f.loaded || peerLoaded && peerNext.Compare(f.next) >= 0 {
 		return v
 	}
-	v.Incremental = peerLoaded && peerNext >= f.completeFrom
+	v.Incremental = peerLoaded && peerNext.Era == f.next.Era && peerNext.Offset >= f.completeFrom
 	for _, r := range f.newest {
-		if v.Incremental && r.Offset >= peerNext || !v.Incremental && r.Value != nil {
+		if v.Incremental && r.Offset >= peerNext.Offset || !v.Incremental && r.Value != nil {
 			v.Records = append(v.Records, r)
 		}
 	}
@@ -179,11 +229,11 @@
 func (f *Follower) Adopt(now time.Time, v View) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !v.Loaded || f.loaded && v.Next < f.next {
+	if !v.Loaded || f.loaded && v.Next.Compare(f.next) < 0 {
 		return false
 	}
-	isNew := !f.loaded || v.Next > f.next
-	if isNew && len(v.Records) == 0 || v.Incremental && !f.loaded {
+	isNew := !f.loaded || v.Next.Compare(f.next) > 0
+	if isNew && len(v.Records) == 0 || v.Incremental && (!f.loaded || v.Next.Era != f.next.Era) {
 		return false // the peer was asked for no records, or for others than are missing now
 	}
 	if v.Contact.After(f.contact) {
@@ -196,7 +246,7 @@
 	case !isNew:
 		return false
 	case v.Incremental:
-		records := recordsFrom(v.Records, f.next)
+		records := recordsFrom(v.Records, f.next.Offset)
 		f.recordLocked(records)
 		f.sink.Apply(now, records)
 		f.next = v.Next
@@ -206,12 +256,39 @@
 	return true
 }
 
-// replaceLocked replaces the content by that of a full read. The caller holds the lock.
+// replaceLocked replaces the content by that of a full read. In a new era, the sink holds
+// what is newer. The caller holds the lock.
 func (f *Follower) replaceLocked(now time.Time, p Page) {
+	previous, rewinds := f.next, f.loaded && p.Next.Era > f.next.Era
 	f.newest = make(map[string]Record, len(p.Records))
 	f.recordLocked(p.Records)
-	f.sink.Replace(now, p.Records)
-	f.next, f.completeFrom, f.loaded = p.Next, p.Next, true
+	f.next, f.completeFrom, f.loaded = p.Next, p.Next.Offset, true
+	if rewinds {
+		f.settleAt = now.Add(eraSettleTime)
+		metrics.GetOrRegisterCounter("feed_era_changed_"+f.cfg.Name, f.registry).Inc(1)
+		_ = f.logger.Log("event", "feed_era_changed", "from", previous, "to", p.Next, "records", len(p.Records), "held_for", eraSettleTime)
+	}
+	if f.settleAt.IsZero() {
+		f.sink.Replace(now, p.Records)
+	} else {
+		f.sink.Rewind(now, p.Records)
+	}
+}
+
+// settle gives up what the sink holds beyond the content of the store, once the time for it
+// to be written again has passed.
+func (f *Follower) settle(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.settleAt.IsZero() || now.Before(f.settleAt) {
+		return
+	}
+	f.settleAt = time.Time{}
+	records := slices.Collect(maps.Values(f.newest))
+	records = slices.DeleteFunc(records, func(r Record) bool { return r.Value == nil })
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	f.sink.Replace(now, records)
+	_ = f.logger.Log("event", "feed_era_settled", "at", f.next, "records", len(records))
 }
 
 // recordLocked holds records for peers. Records of deleted keys are held too, since peers
@@ -231,6 +308,7 @@
 	retryPause := minRetryPause
 	for ctx.Err() == nil {
 		started := time.Now()
+		f.settle(started)
 		if f.peerViewSuffices(started) {
 			if !sleep(ctx, peerViewCheckInterval) {
 				return
@@ -282,6 +360,10 @@
 		_ = f.logger.Log("event", "feed_trimmed", "from", from, "first", trimmed.First)
 		return f.readAll(ctx)
 	}
+	var otherEra *EraError
+	if errors.As(err, &otherEra) {
+		return f.readAll(ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -307,16 +389,20 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.loaded && page.Next.Era < f.next.Era {
+		_ = f.logger.Log("event", "feed_page_outdated", "page", page.Next, "at", f.next)
+		return
+	}
 	f.endOutageLocked(now, page.Next)
 	f.contact = started
-	if f.loaded && page.Next < f.next {
+	if f.loaded && page.Next.Compare(f.next) < 0 {
 		return
 	}
 	if full {
 		f.replaceLocked(now, page)
 		return
 	}
-	if records := recordsFrom(page.Records, f.next); len(records) > 0 {
+	if records := recordsFrom(page.Records, f.next.Offset); len(records) > 0 {
 		f.recordLocked(records)
 		f.sink.Apply(now, records)
 	}
@@ -326,7 +412,7 @@
 // endOutageLocked records that a read has succeeded after failed ones, here or at a peer.
 // If the failures count as an outage and the content was known before, it tells the sink.
 // The caller holds the lock.
-func (f *Follower) endOutageLocked(now time.Time, next Offset) {
+func (f *Follower) endOutageLocked(now time.Time, next Position) {
 	if f.failingSince.IsZero() {
 		return
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/ragwortpass/ragwortpass/feed"
 )
@@ -50,7 +53,7 @@
 
 func (s *scriptedTopic) Newest(ctx context.Context) (feed.Page, error) { return s.next(ctx, "newest") }
 
-func (s *scriptedTopic) Since(ctx context.Context, _ feed.Offset, _ time.Duration) (feed.Page, error) {
+func (s *scriptedTopic) Since(ctx context.Context, _ feed.Position, _ time.Duration) (feed.Page, error) {
 	return s.next(ctx, "since")
 }
 
@@ -59,6 +62,7 @@
 	mu         sync.Mutex
 	values     map[string]string
 	recoveries int
+	rewinds    int
 }
 
 func (s *mapSink) Replace(_ time.Time, records []feed.Record) {
@@ -82,6 +86,18 @@
 
 func (s *mapSink) Recovered(time.Time) { s.recoveries++ }
 
+// Rewind implements feed.Sink. It holds every key that it has, and adds the others.
+func (s *mapSink) Rewind(_ time.Time, records []feed.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rewinds++
+	for _, r := range records {
+		if _, held := s.values[r.Key]; !held {
+			s.values[r.Key] = string(r.Value)
+		}
+	}
+}
+
 // record returns a record, that of a deleted key if the value is empty.
 func record(offset feed.Offset, key, value string) feed.Record {
 	r := feed.Record{Offset: offset, Key: key}
@@ -91,8 +107,11 @@
 	return r
 }
 
-func page(next feed.Offset, records ...feed.Record) feed.Page {
-	return feed.Page{Records: records, Next: next}
+func page(next feed.Offset, records ...feed.Record) feed.Page { return pageOf(0, next, records...) }
+
+// pageOf returns a page of an era.
+func pageOf(era feed.Era, next feed.Offset, records ...feed.Record) feed.Page {
+	return feed.Page{Records: records, Next: feed.Position{Era: era, Offset: next}}
 }
 
 // runFollower runs a follower until its topic has returned all results. It returns the
@@ -204,7 +223,7 @@
 	now := time.Now()
 	for next := range feed.Offset(5) {
 		f, sink, _ := runFollower(t, readResult{page: page(2, record(0, "a", "1"), record(1, "b", "2"))})
-		v := ahead.ViewFor(next, true)
+		v := ahead.ViewFor(feed.Position{Offset: next}, true)
 		require.Equal(t, next >= 2, v.Incremental)
 		if next >= 3 {
 			continue // the view leaves out records that this follower lacks
@@ -213,9 +232,9 @@
 		require.Equal(t, aheadSink.values, sink.values)
 	}
 	empty, sink, _ := runFollower(t, readResult{err: errUnavailable})
-	require.True(t, empty.Adopt(now, ahead.ViewFor(0, false)))
+	require.True(t, empty.Adopt(now, ahead.ViewFor(feed.Position{}, false)))
 	require.Equal(t, aheadSink.values, sink.values)
-	require.Empty(t, ahead.ViewFor(5, true).Records)
+	require.Empty(t, ahead.ViewFor(feed.Position{Offset: 5}, true).Records)
 }
 
 // TestFreshPeerViewReplacesOwnReads guards against reads by every gateway: a follower with
@@ -233,3 +252,152 @@
 	<-topic.done
 	require.Equal(t, []string{"newest", "since"}, topic.calls)
 }
+
+// TestNewEraIsReadInFull checks that a follower whose store has come back from a copy reads
+// everything anew, does not go back on what it has until the records are written again, and
+// ignores what was asked for in the era before.
+func TestNewEraIsReadInFull(t *testing.T) {
+	f, sink, calls := runFollower(t,
+		readResult{page: pageOf(1, 9, record(7, "a", "new"), record(8, "b", "new"))},
+		readResult{err: &feed.EraError{Expected: 1, Actual: 2}},
+		readResult{page: pageOf(2, 5, record(3, "a", "old"), record(4, "c", "old"))},
+		readResult{page: pageOf(2, 6, record(5, "a", "newer"))},
+		readResult{page: pageOf(1, 12, record(11, "a", "late answer"))},
+	)
+	require.Equal(t, []string{"newest", "since", "newest", "since", "since", "since"}, calls)
+	require.Equal(t, map[string]string{"a": "newer", "b": "new", "c": "old"}, sink.values)
+	require.Equal(t, 1, sink.rewinds)
+	require.False(t, f.Settled())
+	require.Equal(t, feed.Position{Era: 2, Offset: 6}, f.View().Next)
+}
+
+// TestPeersOfDifferentEras guards against a view of an older era that replaces one of a newer
+// era by its higher offset, and against an incremental view across eras.
+func TestPeersOfDifferentEras(t *testing.T) {
+	behind, behindSink, _ := runFollower(t, readResult{page: pageOf(1, 9, record(8, "a", "new"))})
+	ahead, aheadSink, _ := runFollower(t, readResult{page: pageOf(2, 3, record(2, "b", "1"))}, readResult{page: pageOf(2, 4, record(3, "b", "2"))})
+	now := time.Now()
+	require.False(t, ahead.Adopt(now, behind.ViewFor(feed.Position{}, false)))
+	require.Equal(t, map[string]string{"b": "2"}, aheadSink.values)
+	v := ahead.ViewFor(behind.View().Next, true)
+	require.False(t, v.Incremental)
+	require.True(t, behind.Adopt(now, v))
+	require.Equal(t, map[string]string{"a": "new", "b": "2"}, behindSink.values)
+	require.Empty(t, behind.ViewFor(ahead.View().Next, true).Records)
+}
+
+// eraStore is the content of a topic whose store can come back from a copy.
+type eraStore struct {
+	era     feed.Era
+	records []feed.Record
+}
+
+func (s *eraStore) end() feed.Position {
+	return feed.Position{Era: s.era, Offset: feed.Offset(len(s.records))}
+}
+
+func (s *eraStore) append(key, value string) {
+	s.records = append(s.records, record(s.end().Offset, key, value))
+}
+
+// newest returns the newest record of each key that is not deleted.
+func (s *eraStore) newest() feed.Page {
+	latest := map[string]feed.Record{}
+	for _, r := range s.records {
+		latest[r.Key] = r
+	}
+	p := feed.Page{Next: s.end()}
+	for _, r := range s.records {
+		if latest[r.Key].Offset == r.Offset && r.Value != nil {
+			p.Records = append(p.Records, r)
+		}
+	}
+	return p
+}
+
+// versionSink is a sink of records whose values are versions; like the sinks of a gateway, it
+// does not go back to an older version after a rewind.
+type versionSink struct {
+	t       require.TestingT
+	highest map[string]string
+}
+
+func (s *versionSink) Replace(_ time.Time, records []feed.Record) { s.Apply(time.Time{}, records) }
+func (s *versionSink) Recovered(time.Time)                        {}
+
+func (s *versionSink) Rewind(_ time.Time, records []feed.Record) {
+	for _, r := range records {
+		s.highest[r.Key] = max(s.highest[r.Key], string(r.Value))
+	}
+}
+
+func (s *versionSink) Apply(_ time.Time, records []feed.Record) {
+	for _, r := range records {
+		require.GreaterOrEqual(s.t, string(r.Value), s.highest[r.Key], "key %s went back", r.Key)
+		s.highest[r.Key] = string(r.Value)
+	}
+}
+
+// TestErasNeverBringBackOldRecords runs followers over random sequences of appends, reads,
+// exchanges between peers and returns of the store from copies, after which writers write
+// their newest records again. No follower may go back to an older version outside a rewind,
+// and all must have the newest in the end.
+func TestErasNeverBringBackOldRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &eraStore{era: 1}
+		written := map[string]string{} // newest version of each key, as its writer knows
+		version := 0
+		write := func(key string) {
+			version++
+			written[key] = fmt.Sprintf("%06d", version)
+			store.append(key, written[key])
+		}
+		write("a")
+		var followers []*feed.Follower
+		var sinks []*versionSink
+		for range 3 {
+			sink := &versionSink{t: t, highest: map[string]string{}}
+			f := feed.New(feed.Config{Name: "test"}, nil, sink, log.NewNopLogger(), metrics.NewRegistry())
+			followers, sinks = append(followers, f), append(sinks, sink)
+		}
+		now := time.Unix(1_800_000_000, 0)
+		read := func(f *feed.Follower) { // as a peer that has just read everything
+			f.Adopt(now, feed.View{Page: store.newest(), Loaded: true, Contact: now})
+		}
+		rewrite := func() {
+			for _, key := range []string{"a", "b", "c"} {
+				if written[key] != "" {
+					store.append(key, written[key])
+				}
+			}
+		}
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			now = now.Add(100 * time.Millisecond)
+			f := rapid.SampledFrom(followers).Draw(t, "follower")
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0, 1:
+				write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"))
+			case 2, 3:
+				read(f)
+			case 4, 5:
+				other := rapid.SampledFrom(followers).Draw(t, "peer")
+				v := f.View()
+				other.Adopt(now, f.ViewFor(other.View().Next, other.View().Loaded))
+				require.Equal(t, v, f.View())
+			case 6:
+				keep := rapid.IntRange(1, len(store.records)).Draw(t, "kept")
+				store.records = slices.Clone(store.records[:keep])
+				store.era++
+				if rapid.Bool().Draw(t, "read before the records are written again") {
+					read(f)
+				}
+				rewrite()
+			}
+		}
+		for i, f := range followers {
+			read(f)
+			require.Equal(t, store.end(), f.View().Next)
+			require.Equal(t, written, sinks[i].highest)
+		}
+	})
+}
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -155,6 +155,6 @@
 	defer c.mu.Unlock()
 	if !c.closed && !c.idleSince.IsZero() && !c.idleSince.After(t) {
 		c.closed = true
-		_ = c.Conn.Close() // nothing is lost: no request has begun
+		_ = c.Close() // nothing is lost: no request has begun
 	}
 }
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -124,9 +124,9 @@
 	currentCatalog := new(catalog.Latest)
 	upstreamPool := pool.New(currentCatalog)
 	operators := feed.New(feed.Config{Name: "operators", ReadWait: operatorReadWait}, platform.OperatorTopic,
-		&operatorSink{decoder: platform.Decoder, currentCatalog: currentCatalog, pool: upstreamPool, logger: logger, registry: registry}, logger, registry)
+		newOperatorSink(platform.Decoder, currentCatalog, upstreamPool, logger, registry), logger, registry)
 	listings := feed.New(feed.Config{Name: "upstreams", ReadPause: upstreamReadInterval, MaxPeerViewAge: maxPeerViewAge, IsLeader: p.isLeader}, platform.UpstreamTopic,
-		&listingSink{decoder: platform.Decoder, pool: upstreamPool, logger: logger, registry: registry, logged: make(map[id.Upstream]loggedState)}, logger, registry)
+		newListingSink(platform.Decoder, upstreamPool, logger, registry), logger, registry)
 	p.pool = upstreamPool
 	p.retryBudgets = NewRetryBudgets(RetryBudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
 	p.followers = []*feed.Follower{operators, listings}
@@ -149,9 +149,13 @@
 		self := p.table.Self()
 		p.reportDriver = &reportDriver{
 			cfg: cfg, reporter: duty.New(cfg, self.Node, self.Incarnation), table: p.table, clock: bootClock,
-			fleetTime: fleetTime, claims: platform.Claims, sink: platform.UsageSink, logger: logger, registry: registry,
+			fleetTime: fleetTime, claimLog: platform.Claims, sink: platform.UsageSink, logger: logger, registry: registry,
 		}
 		p.reportDriver.reported.Store(new(duty.WindowSet))
+		p.reportDriver.claims.Store(new(claimState))
+		p.reportDriver.storeEra = func() feed.Era {
+			return max(platform.Claims.Era(), operators.View().Next.Era, listings.View().Next.Era)
+		}
 	}
 	return p
 }
@@ -173,19 +177,21 @@
 
 // ownRow returns a function that makes this gateway's row for its peers and reports
 // whether the row is urgent. A row is urgent when a usage window has ended, as the
-// report of the window waits for its counts, and when the process begins to shut down.
+// report of the window waits for its counts, when the process begins to shut down, and when
+// the store is in a new era, as peers then need to know what this gateway has claimed.
 // The function also updates by how many gateways the limits of the pool and of the retry
 // budgets are shared.
 func (p *Program) ownRow(fleetTime func() time.Time) func(time.Time) (*peer.Row, bool) {
 	var last struct {
 		window  duty.Window
 		leaving bool
+		era     uint64
 	}
-	return func(now time.Time) (*peer.Row, bool) {
+	return func(now time.Time) (row *peer.Row, urgent bool) {
 		live := len(p.table.Live(now))
 		p.pool.SetGatewayCount(live)
 		p.retryBudgets.SetGatewayCount(live)
-		row := &peer.Row{
+		row = &peer.Row{
 			Address: p.settings.Listen.Peers, DataCentre: string(p.settings.DataCentre), Leaving: p.gateway.ShuttingDown(),
 			CountedToUnixMs: fleetTime().UnixMilli(),
 		}
@@ -193,9 +199,11 @@
 			reported := *p.reportDriver.reported.Load()
 			row.ReportedWindow, row.ReportedBefore = int64(reported.Newest), reported.Before
 			row.Use = p.usage.unreportedWindows(reported)
+			claims := p.reportDriver.claims.Load()
+			row.StoreEra, row.ClaimedWindow, row.ClaimedBefore = uint64(claims.era), int64(claims.claimed.Newest), claims.claimed.Before
 		}
 		previous := last
-		last.window, last.leaving = p.usage.windowAt(fleetTime()), row.GetLeaving()
+		last.window, last.leaving, last.era = p.usage.windowAt(fleetTime()), row.GetLeaving(), row.GetStoreEra()
 		return row, last != previous
 	}
 }
@@ -216,15 +224,7 @@
 	signal.Notify(reloadRequested, syscall.SIGHUP)
 	defer signal.Stop(reloadRequested)
 	var tasks sync.WaitGroup
-	for _, f := range p.followers {
-		tasks.Go(func() { f.Run(ctx) })
-	}
-	for _, c := range p.copiers {
-		tasks.Go(func() { c.Run(ctx) })
-	}
-	if p.reportDriver != nil {
-		tasks.Go(func() { p.reportDriver.run(ctx) })
-	}
+	p.startTasks(ctx, &tasks)
 	callers := &http.Server{
 		Handler: p.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -235,8 +235,7 @@
 			return eris.Wrapf(err, "listen on %s", address)
 		}
 		if server == callers {
-			p.callerConns, l = p.gateway.TrackCallers(callers, l)
-			p.callerListener = l
+			l = p.trackCallers(server, l)
 		}
 		tasks.Go(func() { failed <- server.Serve(l) })
 		return nil
@@ -274,6 +273,26 @@
 	return err
 }
 
+// startTasks starts everything that runs beside the servers.
+func (p *Program) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
+	for _, f := range p.followers {
+		tasks.Go(func() { f.Run(ctx) })
+	}
+	for _, c := range p.copiers {
+		tasks.Go(func() { c.Run(ctx) })
+	}
+	if p.reportDriver != nil {
+		tasks.Go(func() { p.reportDriver.run(ctx) })
+	}
+}
+
+// trackCallers tracks the connections of callers for the shutdown. It returns the listener
+// that the server must use.
+func (p *Program) trackCallers(server *http.Server, l net.Listener) net.Listener {
+	p.callerConns, p.callerListener = p.gateway.TrackCallers(server, l)
+	return p.callerListener
+}
+
 // shutDown ends the service within the grace period that the platform gives. It serves
 // all requests until the load balancer has noticed, then refuses those that may outlast
 // the process, and returns when running requests have finished and no new ones arrive.
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -4,6 +4,8 @@
 // topic, with the catalog and evacuations, and the topic of the listed upstreams.
 
 import (
+	"cmp"
+	"maps"
 	"sync"
 	"time"
 
@@ -52,10 +54,43 @@
 	pool           *pool.Pool
 	logger         log.Logger
 	registry       metrics.Registry
+	ended          map[id.DataCentre]bool // data centres whose evacuation was seen to end; used under the follower's lock only
 }
 
 var _ feed.Sink = (*operatorSink)(nil)
 
+// newOperatorSink returns a sink that has received nothing.
+func newOperatorSink(decoder RecordDecoder, current *catalog.Latest, p *pool.Pool, logger log.Logger, registry metrics.Registry) *operatorSink {
+	return &operatorSink{decoder: decoder, currentCatalog: current, pool: p, logger: logger, registry: registry, ended: make(map[id.DataCentre]bool)}
+}
+
+// Rewind implements feed.Sink. It keeps a newer catalog, evacuations that the records do not
+// name, and data centres in use whose evacuation has ended.
+func (o *operatorSink) Rewind(now time.Time, records []feed.Record) {
+	evacuated := make(map[id.DataCentre]bool)
+	for _, r := range records {
+		change, err := o.decoder.DecodeChange(r)
+		if e, ok := change.(*Evacuation); err == nil && ok && e.Active {
+			evacuated[e.DataCentre] = true
+			if o.ended[e.DataCentre] {
+				_ = o.logger.Log("event", "evacuation_held", "data_centre", e.DataCentre, "on", false, "offset", r.Offset)
+				continue
+			}
+		}
+		if c, ok := change.(*CatalogChange); err == nil && ok {
+			if current := o.currentCatalog.Load(); current != nil && c.Catalog.Version < current.Version {
+				_ = o.logger.Log("event", "config_held", "config", current.Version, "store_has", c.Catalog.Version, "offset", r.Offset)
+			}
+		}
+		o.apply(now, r)
+	}
+	for _, dc := range o.pool.Evacuated() {
+		if !evacuated[dc] {
+			_ = o.logger.Log("event", "evacuation_held", "data_centre", dc, "on", true)
+		}
+	}
+}
+
 // Replace implements feed.Sink. It ends the evacuations that no record names any more.
 func (o *operatorSink) Replace(now time.Time, records []feed.Record) {
 	evacuated := make(map[id.DataCentre]bool)
@@ -104,6 +139,7 @@
 // evacuate starts or ends an evacuation and logs it.
 func (o *operatorSink) evacuate(now time.Time, e *Evacuation) {
 	o.pool.SetEvacuated(now, e.DataCentre, e.Active)
+	o.ended[e.DataCentre] = !e.Active
 	_ = o.logger.Log("event", "evacuation", "data_centre", e.DataCentre, "on", e.Active)
 }
 
@@ -119,10 +155,22 @@
 	logger   log.Logger
 	registry metrics.Registry
 
-	mu     sync.Mutex
-	logged map[id.Upstream]loggedState // last logged state of each listed upstream
+	mu       sync.Mutex
+	logged   map[id.Upstream]loggedState     // last logged state of each listed upstream
+	versions map[id.Upstream]*listingVersion // of the last listing, also of upstreams that are gone
 }
 
+// listingVersion orders the listings of one upstream.
+type listingVersion struct {
+	startUnixMS int64
+	sequence    uint64
+	goneAt      time.Time // zero: it is listed
+}
+
+// versionRetention is how long the version of the last listing of an upstream that is gone is
+// kept. Copies of the store are some seconds old.
+const versionRetention = time.Minute
+
 // loggedState holds the parts of a listing whose changes are logged.
 type loggedState struct {
 	draining    bool
@@ -132,6 +180,49 @@
 
 var _ feed.Sink = (*listingSink)(nil)
 
+// newListingSink returns a sink that has received nothing.
+func newListingSink(decoder RecordDecoder, p *pool.Pool, logger log.Logger, registry metrics.Registry) *listingSink {
+	return &listingSink{
+		decoder: decoder, pool: p, logger: logger, registry: registry,
+		logged: make(map[id.Upstream]loggedState), versions: make(map[id.Upstream]*listingVersion),
+	}
+}
+
+// Rewind implements feed.Sink. It ignores listings that are not newer than the last one of
+// the same upstream, so that one that is draining or gone does not come back. An upstream
+// without a record stays in use for the time in which expired listings reappear.
+func (l *listingSink) Rewind(now time.Time, records []feed.Record) {
+	l.pool.StoreRecovered(now)
+	listed := make(map[id.Upstream]bool)
+	held := 0
+	for _, r := range records {
+		listed[id.Upstream(r.Key)] = true
+		if listing, err := l.decoder.DecodeListing(r); err == nil && !l.isNewer(listing) {
+			held++
+			continue
+		}
+		l.apply(now, r)
+	}
+	for _, u := range l.pool.Upstreams() {
+		if !listed[u] {
+			l.remove(now, u, "not_listed")
+		}
+	}
+	_ = l.logger.Log("event", "listings_held", "count", held, "of", len(records))
+}
+
+// isNewer reports whether a listing is newer than the last one of the same upstream, as far
+// as its version tells.
+func (l *listingSink) isNewer(listing pool.Listing) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.versions[listing.ID]
+	if last == nil || listing.Sequence == 0 {
+		return true
+	}
+	return cmp.Or(cmp.Compare(listing.StartUnixMS, last.startUnixMS), cmp.Compare(listing.Sequence, last.sequence)) > 0
+}
+
 // Replace implements feed.Sink. It removes the upstreams that are no longer listed.
 func (l *listingSink) Replace(now time.Time, records []feed.Record) {
 	listed := make(map[id.Upstream]bool)
@@ -172,16 +263,17 @@
 		return
 	}
 	l.pool.Put(now, listing)
-	l.logIfChanged(listing)
+	l.recordListing(listing)
 }
 
-// logIfChanged logs a listing whose logged state differs from the last one. Upstreams
-// repeat their listings about once a second.
-func (l *listingSink) logIfChanged(listing pool.Listing) {
+// recordListing records the version of a listing, and logs the listing if its logged state
+// differs from the last one. Upstreams repeat their listings about once a second.
+func (l *listingSink) recordListing(listing pool.Listing) {
 	state := loggedState{draining: listing.Draining, cold: listing.ColdFor > 0, startUnixMS: listing.StartUnixMS}
 	l.mu.Lock()
 	previous, known := l.logged[listing.ID]
 	l.logged[listing.ID] = state
+	l.versions[listing.ID] = &listingVersion{startUnixMS: listing.StartUnixMS, sequence: listing.Sequence}
 	l.mu.Unlock()
 	if !known || previous != state {
 		_ = l.logger.Log("event", "upstream_listed", "upstream", listing.ID, "service", listing.Service, "address", listing.Address,
@@ -194,6 +286,12 @@
 	l.mu.Lock()
 	_, known := l.logged[u]
 	delete(l.logged, u)
+	if v := l.versions[u]; v != nil && v.goneAt.IsZero() {
+		v.goneAt = now
+	}
+	maps.DeleteFunc(l.versions, func(_ id.Upstream, v *listingVersion) bool {
+		return !v.goneAt.IsZero() && now.Sub(v.goneAt) > versionRetention
+	})
 	l.mu.Unlock()
 	if known {
 		_ = l.logger.Log("event", "upstream_gone", "upstream", u, "why", reason)
@@ -212,5 +310,5 @@
 // Fresh implements CatalogStatus.
 func (s operatorStatus) Fresh(now time.Time) bool {
 	contact, known := s.Contact()
-	return known && now.Sub(contact) < s.maxAge
+	return known && s.Settled() && now.Sub(contact) < s.maxAge
 }
--- a/gateway/usage_report.go
+++ b/gateway/usage_report.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,11 +22,14 @@
 
 // ClaimLog is the topic that holds the claims of the usage duty.
 type ClaimLog interface {
-	// Read returns the claims from an offset on, and the end of the topic.
-	Read(ctx context.Context, from feed.Offset) ([]*duty.Claim, feed.Offset, error)
+	// Era returns the newest era that the store is known to be in.
+	Era() feed.Era
+	// Read returns the claims from a position on, and the end of the topic. The error is a
+	// *feed.EraError if the store is in another era.
+	Read(ctx context.Context, from feed.Position) ([]*duty.Claim, feed.Position, error)
 	// Append adds a claim if the topic ends at the offset, and otherwise returns a
-	// *duty.ConflictError.
-	Append(ctx context.Context, at feed.Offset, c *duty.Claim) error
+	// *duty.ConflictError. After a *feed.EraError, the claim was added in another era.
+	Append(ctx context.Context, at feed.Position, c *duty.Claim) error
 }
 
 // UsageReport is the usage of one window, by workspace.
@@ -52,6 +56,12 @@
 	failureDelay = 300 * time.Millisecond
 )
 
+// claimState is what peers must know of this gateway's claims when the store has lost some.
+type claimState struct {
+	claimed duty.WindowSet
+	era     feed.Era // claims from before it are not acted on any more
+}
+
 // reportDriver makes the calls that a duty.Reporter decides on.
 type reportDriver struct {
 	cfg         duty.Config
@@ -59,12 +69,14 @@
 	table       *peer.Table
 	clock       *clock.Clock
 	fleetTime   func() time.Time // time of day by the median clock of the fleet
-	claims      ClaimLog
+	claimLog    ClaimLog
 	sink        UsageSink
 	logger      log.Logger
 	registry    metrics.Registry
 	pausedUntil time.Time                      // end of the delay after a failed call, by clock
+	storeEra    func() feed.Era                // newest era that this gateway knows
 	reported    atomic.Pointer[duty.WindowSet] // windows known to be reported by any gateway; stored by the driver's goroutine only
+	claims      atomic.Pointer[claimState]     // stored by the driver's goroutine only
 }
 
 // run makes the calls that are due until ctx is done.
@@ -90,7 +102,10 @@
 		return false
 	}
 	var err error
-	switch action := r.reporter.Step(bootNow, r.dutyView()).(type) {
+	action := r.reporter.Step(bootNow, r.dutyView())
+	claimed, era := r.reporter.Claimed()
+	r.claims.Store(&claimState{claimed, era})
+	switch action := action.(type) {
 	case *duty.Wait:
 		return false
 	case *duty.ReadClaims:
@@ -110,7 +125,9 @@
 // dutyView returns what is known of the fleet, for the decision.
 func (r *reportDriver) dutyView() duty.View {
 	now := time.Now()
-	view := duty.View{FleetTime: r.fleetTime(), KnownFrom: r.reporter.WindowAt(r.table.HistoryFrom(now)), Reported: *r.reported.Load()}
+	view := duty.View{
+		FleetTime: r.fleetTime(), KnownFrom: r.reporter.WindowAt(r.table.HistoryFrom(now)), Reported: *r.reported.Load(), Era: r.storeEra(),
+	}
 	for _, row := range r.table.Live(now) {
 		if !row.GetLeaving() {
 			view.Live = append(view.Live, duty.Member{Node: id.Node(row.GetNode()), Incarnation: id.Incarnation(row.GetIncarnation())})
@@ -120,6 +137,13 @@
 		view.Reported = view.Reported.Union(duty.WindowSet{Newest: duty.Window(row.GetReportedWindow()), Before: row.GetReportedBefore()})
 	}
 	r.reported.Store(&view.Reported)
+	view.Unclaimed = func(w duty.Window) bool {
+		return !slices.ContainsFunc(r.table.Rows(), func(row *peer.Row) bool {
+			claimed := duty.WindowSet{Newest: duty.Window(row.GetClaimedWindow()), Before: row.GetClaimedBefore()}
+			isOther := row.GetNode() != string(r.table.Self().Node) || row.GetIncarnation() != uint64(r.table.Self().Incarnation)
+			return isOther && (feed.Era(row.GetStoreEra()) < view.Era || claimed.Has(w))
+		})
+	}
 	view.WindowCounts = func(w duty.Window) (duty.Counts, bool) {
 		return sumUsage(r.table, now, w, time.Unix(0, int64(w+1)*int64(r.cfg.WindowLength)))
 	}
@@ -130,7 +154,12 @@
 func (r *reportDriver) readClaims(ctx context.Context, action *duty.ReadClaims) error {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	claims, end, err := r.claims.Read(ctx, action.From)
+	claims, end, err := r.claimLog.Read(ctx, action.From)
+	var otherEra *feed.EraError
+	if errors.As(err, &otherEra) {
+		_ = r.logger.Log("event", "duty_era", "from", otherEra.Expected, "to", otherEra.Actual, "call", "read")
+		return nil // the next view has the era
+	}
 	if err != nil {
 		return r.logFailure("read", err)
 	}
@@ -147,7 +176,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	requestedAt := r.clock.Now()
-	err := r.claims.Append(ctx, action.ExpectedEnd, action.Claim)
+	err := r.claimLog.Append(ctx, action.ExpectedEnd, action.Claim)
 	var conflict *duty.ConflictError
 	if err != nil {
 		r.reporter.RequireReread()
@@ -155,10 +184,15 @@
 			_ = r.logger.Log("event", "duty_claim_lost", "at", action.ExpectedEnd, "end", conflict.End)
 			return nil
 		}
+		var otherEra *feed.EraError
+		if errors.As(err, &otherEra) {
+			_ = r.logger.Log("event", "duty_era", "from", otherEra.Expected, "to", otherEra.Actual, "call", "append")
+			return nil // the next view has the era
+		}
 		return r.logFailure("append", err)
 	}
 	claim := *action.Claim
-	claim.Offset = action.ExpectedEnd
+	claim.Position = action.ExpectedEnd
 	r.reporter.ClaimAppended(requestedAt, &claim)
 	_ = r.logger.Log("event", "duty_claimed", "term", claim.Term(), "windows", len(claim.Windows))
 	return nil
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -208,8 +208,8 @@
 	return connect.NewResponse(&ragwortv1.ExchangeResponse{
 		SenderUnixMs: x.clock.Now().UnixMilli(), Rows: x.table.MissingRows(request.Msg.GetMarks()), Marks: x.table.Marks(),
 		HistoryFromUnixMs: x.table.HistoryFrom(time.Now()).UnixMilli(),
-		Operators: topicResponse(x.topics.Operators, request.Msg.GetOperators()),
-		Upstreams: topicResponse(x.topics.Upstreams, request.Msg.GetUpstreams()),
+		Operators:         topicResponse(x.topics.Operators, request.Msg.GetOperators()),
+		Upstreams:         topicResponse(x.topics.Upstreams, request.Msg.GetUpstreams()),
 	}), nil
 }
 
@@ -224,7 +224,7 @@
 // for the rest.
 func topicRequest(f *feed.Follower) *ragwortv1.TopicView {
 	v := f.View()
-	return &ragwortv1.TopicView{Next: uint64(v.Next), Known: v.Loaded, Wanted: !v.Loaded || time.Since(v.Contact) > topicRequestAge}
+	return &ragwortv1.TopicView{Era: uint64(v.Next.Era), Next: uint64(v.Next.Offset), Known: v.Loaded, Wanted: !v.Loaded || time.Since(v.Contact) > topicRequestAge}
 }
 
 // topicResponse returns the records that a peer lacks if it asks for them, and the age of
@@ -233,10 +233,10 @@
 func topicResponse(f *feed.Follower, request *ragwortv1.TopicView) *ragwortv1.TopicView {
 	v := f.View()
 	if request.GetWanted() {
-		v = f.ViewFor(feed.Offset(request.GetNext()), request.GetKnown())
+		v = f.ViewFor(position(request), request.GetKnown())
 	}
 	view := &ragwortv1.TopicView{
-		Next: uint64(v.Next), Known: v.Loaded, Onwards: v.Incremental,
+		Era: uint64(v.Next.Era), Next: uint64(v.Next.Offset), Known: v.Loaded, Onwards: v.Incremental,
 		AgeMs: uint32(min(time.Since(v.Contact), time.Hour).Milliseconds()),
 	}
 	for _, r := range v.Records {
@@ -245,12 +245,17 @@
 	return view
 }
 
+// position returns how far the sender of a view has read the topic.
+func position(v *ragwortv1.TopicView) feed.Position {
+	return feed.Position{Era: feed.Era(v.GetEra()), Offset: feed.Offset(v.GetNext())}
+}
+
 // adoptView passes a peer's view of a topic to the follower of the topic, and counts the
 // view if records of it were taken over.
 func (x *Exchanger) adoptView(topic string, f *feed.Follower, view *ragwortv1.TopicView) {
 	now := time.Now()
 	v := feed.View{
-		Page: feed.Page{Next: feed.Offset(view.GetNext())}, Loaded: view.GetKnown(), Incremental: view.GetOnwards(),
+		Page: feed.Page{Next: position(view)}, Loaded: view.GetKnown(), Incremental: view.GetOnwards(),
 		Contact: now.Add(-time.Duration(view.GetAgeMs()) * time.Millisecond),
 	}
 	for _, r := range view.GetRecords() {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -30,6 +30,7 @@
 	Slots       int           // most requests that it runs concurrently; zero: unknown
 	ColdFor     time.Duration // how much longer it is cold
 	StartUnixMS int64         // when it started, in Unix milliseconds; zero: unknown
+	Sequence    uint64        // rises with each listing from the same start; zero: unknown
 }
 
 const (
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -39,6 +39,7 @@
 	mu          sync.Mutex
 	runs        map[id.Request]int // runs of all requests
 	bookingRuns map[id.Request]int // runs of POST requests, which must not be repeated
+	byUpstream  map[id.Upstream]int
 	version     catalog.Version
 }
 
@@ -57,7 +58,7 @@
 
 // newRelayFleet starts n relay processes and waits until they are ready.
 func newRelayFleet(t *testing.T, n int) *relayFleet {
-	f := &relayFleet{t: t, store: standin.NewStore(), runs: make(map[id.Request]int), bookingRuns: make(map[id.Request]int)}
+	f := &relayFleet{t: t, store: standin.NewStore(), runs: make(map[id.Request]int), bookingRuns: make(map[id.Request]int), byUpstream: make(map[id.Upstream]int)}
 	server := httptest.NewServer(f.store.Handler())
 	t.Cleanup(server.Close)
 	f.storeAddress = strings.TrimPrefix(server.URL, "http://")
@@ -88,6 +89,7 @@
 		rq := standin.ParseReplicaRequest(r.Header).Request
 		f.mu.Lock()
 		f.runs[rq]++
+		f.byUpstream[name]++
 		if r.Method == http.MethodPost {
 			f.bookingRuns[rq]++
 		}
@@ -406,3 +408,65 @@
 	}, "a withdrawn key is refused after the outage")
 	outcomes.requireNoViolations(t)
 }
+
+// statusFor returns the status of a request to a node with a key.
+func (f *relayFleet) statusFor(r *relayNode, key string) int {
+	rq, err := http.NewRequest(http.MethodGet, "http://"+r.callerAddress+"/look/x", http.NoBody)
+	require.NoError(f.t, err)
+	rq.Host = "desk.example"
+	standin.SetRequestHeaders(rq.Header, id.Request(fmt.Sprintf("%016x", rand.Uint64())), key, 2*time.Second)
+	rs, err := http.DefaultClient.Do(rq)
+	require.NoError(f.t, err)
+	defer rs.Body.Close()
+	_, err = io.Copy(io.Discard, rs.Body)
+	require.NoError(f.t, err)
+	return rs.StatusCode
+}
+
+// TestRelaysKeepWhatTheStoreLost guards against a withdrawn key and an upstream that has left
+// coming back when the store returns from a copy that is older, against changes that are
+// ignored because their offsets are lower than before, and against usage that is reported
+// twice with different counts.
+func TestRelaysKeepWhatTheStoreLost(t *testing.T) {
+	f := newRelayFleet(t, 3)
+	for range 10 { // so that the offsets of the copy lie well below those after it
+		f.putCatalog("key-1", "key-2")
+	}
+	ragworttest.Eventually(t, func() bool { return f.statusFor(f.nodes[0], "key-2") == http.StatusOK }, "key-2 is in force")
+	outcomes, stop := f.startLoad(4)
+	ragworttest.Eventually(t, func() bool { return len(f.store.UsageReports()) > 0 }, "usage is reported")
+	copied := f.store.Copy()
+	f.putCatalog("key-1")
+	f.store.DeleteListing("i-2")
+	for _, r := range f.nodes {
+		ragworttest.Eventually(t, func() bool { return f.statusFor(r, "key-2") == http.StatusUnauthorized }, "%s refuses the withdrawn key", r.name)
+	}
+	time.Sleep(2 * time.Second) // the drain bound of the users' pages
+	runs := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.byUpstream["i-2"]
+	}
+	before := runs()
+	f.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	time.Sleep(300 * time.Millisecond)
+	rewrite := f.store.Restore(copied)
+	f.store.SetFaults(standin.StoreFaults{})
+	for deadline := time.Now().Add(2500 * time.Millisecond); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		for _, r := range f.nodes {
+			require.NotEqual(t, http.StatusOK, f.statusFor(r, "key-2"), "%s accepts a withdrawn key", r.name)
+		}
+	}
+	rewrite()
+	f.putCatalog("key-1", "key-3")
+	for _, r := range f.nodes {
+		ragworttest.Eventually(t, func() bool { return f.statusFor(r, "key-3") == http.StatusOK }, "%s applies a change after the return", r.name)
+		require.NotEqual(t, http.StatusOK, f.statusFor(r, "key-2"))
+	}
+	reports := len(f.store.UsageReports())
+	ragworttest.Eventually(t, func() bool { return len(f.store.UsageReports()) > reports+2 }, "usage is reported again")
+	stop()
+	require.Equal(t, before, runs(), "an upstream that has left got requests")
+	outcomes.requireNoViolations(t)
+	require.NoError(t, f.usageViolations())
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -48,6 +48,9 @@
 	// storeDelay delays each response of the store to fifty times its usual duration, and
 	// lostAppends is how many appends in a row are stored without a response.
 	storeDelay, lostAppends = 200 * time.Millisecond, 5
+	// storeAbsence is how long a store is away before it comes back from a copy, and
+	// rewriteDelay bounds the time until operators and upstreams have written again.
+	storeAbsence, rewriteDelay = 300 * time.Millisecond, 600 * time.Millisecond
 	// maxLinkDelay bounds the delay of a slow link.
 	maxLinkDelay = time.Second
 	// servesAfterRemoval is how long an upstream still serves after its listing was removed.
@@ -57,17 +60,23 @@
 // drawFaults draws the schedule of faults that end within the total time.
 func (tb *testbed) drawFaults(total time.Duration) []scheduledFault {
 	var faults []scheduledFault
-	for start := time.Duration(0); ; {
+	for start := time.Duration(0); start < total; {
 		start += time.Duration(tb.rng.ExpFloat64() * float64(meanFaultInterval))
 		f := scheduledFault{
 			name: faultNames[tb.rng.IntN(len(faultNames))], target: tb.rng.IntN(1 << 16), start: start, variant: tb.rng.IntN(1 << 16),
 			duration: minFaultDuration + time.Duration(tb.rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
 		}
 		if start+f.duration > total {
-			return faults
+			break
 		}
 		faults = append(faults, f)
 	}
+	// Drawn after all others, which stay as they were for seeds that once failed.
+	if f := (scheduledFault{name: "platform_rewinds", duration: maxFaultDuration, variant: tb.rng.IntN(1 << 16)}); total > 2*maxFaultDuration {
+		f.start = time.Duration(tb.rng.Int64N(int64(total - 2*maxFaultDuration)))
+		faults = append(faults, f)
+	}
+	return faults
 }
 
 // inject applies a fault and waits until it is over, except for terminate and platform_forgets.
@@ -165,6 +174,9 @@
 		faults.ResponseDelay = storeDelay
 	case "platform_loses":
 		faults.DropResponses = lostAppends
+	case "platform_rewinds":
+		tb.rewindStore(f)
+		return
 	case "platform_partly":
 		faults.UnavailablePartitions = [][]string{
 			{standin.OperatorsTopic},
@@ -186,6 +198,23 @@
 	tb.store.SetFaults(standin.StoreFaults{})
 }
 
+// rewindStore takes the store away for a moment and brings it back from the content that it had
+// at the start of the fault. Operators and upstreams write again what was lost.
+func (tb *testbed) rewindStore(f scheduledFault) {
+	copied := tb.store.Copy()
+	if !tb.sleep(f.duration) {
+		return
+	}
+	from := tb.now()
+	tb.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	tb.sleep(storeAbsence)
+	rewrite := tb.store.Restore(copied)
+	tb.store.SetFaults(standin.StoreFaults{})
+	tb.sleep(time.Duration(f.variant%int(rewriteDelay.Milliseconds())) * time.Millisecond)
+	rewrite()
+	tb.addDisturbance(disturbance{cause: f.name, span: span{from, tb.now()}})
+}
+
 func (tb *testbed) injectUpstreamFault(f scheduledFault) {
 	all := tb.listedUpstreams()
 	u := all[f.target%len(all)]
--- a/standin/store.go
+++ b/standin/store.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -43,6 +44,7 @@
 	callCounts   map[string]int // by URL path
 	usageReports []ReceivedUsage
 	listingSeq   int           // sequence number of the last listing
+	era          atomic.Uint64 // rises each time the store comes back from a copy; changed under mu
 	appended     chan struct{} // closed at the next append to any partition
 }
 
@@ -62,7 +64,9 @@
 
 // NewStore returns a store without topics.
 func NewStore() *Store {
-	return &Store{partitions: make(map[string]*partition), callCounts: make(map[string]int), appended: make(chan struct{})}
+	s := &Store{partitions: make(map[string]*partition), callCounts: make(map[string]int), appended: make(chan struct{})}
+	s.era.Store(1)
+	return s
 }
 
 // Handler serves the log of topics and the interface for usage reports.
@@ -73,6 +77,7 @@
 	mux.HandleFunc("GET /api/log-newest", s.handleNewest)
 	mux.HandleFunc("POST /usage", s.handleUsageReport)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w = &eraWriter{ResponseWriter: w, store: s}
 		if s.applyFaults(w, r) {
 			mux.ServeHTTP(w, r)
 		}
@@ -132,6 +137,80 @@
 	s.faults = f
 }
 
+// Copy is the content of a store at some time.
+type Copy struct{ partitions map[string]*partition }
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Copy{partitions: make(map[string]*partition, len(s.partitions))}
+	for name, p := range s.partitions {
+		c.partitions[name] = p.clone()
+	}
+	return c
+}
+
+// Restore replaces the content by that of a copy and begins the next era. The returned
+// function writes again what operators and replicas have written since the copy.
+func (s *Store) Restore(c *Copy) (rewrite func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := make(map[string][]string) // keys written since the copy, by topic
+	for _, topic := range []string{OperatorsTopic, ReplicasTopic} {
+		now, then := s.partition(topic), c.partitions[topic]
+		if then == nil {
+			then = &partition{}
+		}
+		for _, record := range now.records[min(len(now.records), int(max(then.end(), now.firstOffset)-now.firstOffset)):] {
+			lost[topic] = append(lost[topic], string(record[1:1+int(record[0])]))
+		}
+	}
+	before := s.partitions
+	s.partitions = make(map[string]*partition, len(c.partitions))
+	for name, p := range c.partitions {
+		s.partitions[name] = p.clone()
+	}
+	s.era.Add(1)
+	s.wakeReaders()
+	return func() {
+		for topic, keys := range lost {
+			for _, key := range keys {
+				s.Put(topic, key, before[topic].newest[key].value)
+			}
+		}
+	}
+}
+
+// clone returns a copy of a partition. Records are never changed and may be shared.
+func (p *partition) clone() *partition {
+	return &partition{firstOffset: p.firstOffset, records: slices.Clone(p.records), staleEnd: p.staleEnd, newest: maps.Clone(p.newest)}
+}
+
+// eraWriter adds the store's era to a response.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+	done  bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	if !w.done {
+		w.done = true
+		w.Header().Set("Store-Era", strconv.FormatUint(w.store.era.Load(), 10)) // handlers that answer from the content hold the lock
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(b []byte) (int, error) {
+	if !w.done {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
 // CallCount returns how many calls a path received, such as /api/log-read.
 func (s *Store) CallCount(path string) int {
 	s.mu.Lock()
@@ -195,6 +274,11 @@
 		}
 	}
 	p.records = append(p.records, record)
+	s.wakeReaders()
+}
+
+// wakeReaders wakes the reads that wait for a record. The caller holds the lock.
+func (s *Store) wakeReaders() {
 	close(s.appended)
 	s.appended = make(chan struct{})
 }
@@ -241,16 +325,14 @@
 		if s.faults.StaleReads {
 			end = p.staleEnd
 		}
-		if from < p.firstOffset {
-			first := p.firstOffset
+		if from < p.firstOffset || from > p.end() {
+			writeStatusJSON(w, http.StatusGone, map[string]uint64{"First": p.firstOffset})
 			s.mu.Unlock()
-			writeStatusJSON(w, http.StatusGone, map[string]uint64{"First": first})
 			return
 		}
 		if from < end || wait == 0 {
-			out := p.encodeRecords(from, end)
+			_, _ = w.Write(p.encodeRecords(min(from, end), end))
 			s.mu.Unlock()
-			_, _ = w.Write(out)
 			return
 		}
 		s.mu.Unlock()
--- a/standin/wire_test.go
+++ b/standin/wire_test.go
@@ -59,7 +59,7 @@
 		}
 	}
 
-	listing := pool.Listing{ID: "i-1", Service: "desk", Address: "192.0.2.1:80", DataCentre: "th-a", Draining: true, Slots: 8, ColdFor: time.Second, StartUnixMS: 9}
+	listing := pool.Listing{ID: "i-1", Service: "desk", Address: "192.0.2.1:80", DataCentre: "th-a", Draining: true, Slots: 8, ColdFor: time.Second, StartUnixMS: 9, Sequence: 1}
 	require.NoError(t, store.PutListing(listing))
 	page, err = adapter.UpstreamTopic.Newest(t.Context())
 	require.NoError(t, err)
