pool, gateway: upstreams that say they are leaving, and upstreams that ask for a wait

A gateway took an upstream out only by its listing, and sent further requests to one that had refused with Retry-After. Change: remarks of an upstream in its responses (Server-Leaving in any response; Retry-After with 503) are kept by its start in package pool, also while its listing is away. A leaving one gets no new requests; one that asked for a wait is not eligible until the time is over, 10 minutes at most. Callers are told the earliest time at which one is free. A value that names no time is logged, counted and ignored. The stand-in and the soak play both, with a checker each. Before: TestLeavingUpstreamGetsNoNewRequests, TestUpstreamAsksForWait and the tests of pool/remark_test.go fail or do not build.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -96,6 +96,7 @@
 // handleResponse checks an upstream's response and relays it if it is usable.
 func (f *forwarding) handleResponse(ctx context.Context, assignment *pool.Assignment, resp *http.Response) outcome {
 	info := f.gateway.deps.Codec.ParseResponse(resp)
+	f.noteRemarks(time.Now(), assignment, info)
 	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	switch {
 	case !info.Signed || info.NotRun:
@@ -128,6 +129,28 @@
 	return f.relayBuffered(ctx, resp)
 }
 
+// noteRemarks passes on to the pool what an upstream says of itself in a response. One from
+// another upstream than the requested one says nothing about that.
+func (f *forwarding) noteRemarks(now time.Time, assignment *pool.Assignment, info ResponseInfo) {
+	if info.Misdirected {
+		return
+	}
+	u := &assignment.Upstream
+	if info.Leaving && f.gateway.deps.Pool.MarkLeaving(now, u) {
+		f.gateway.incrementCounter("upstream_leaving")
+		_ = f.gateway.logRequest(f.req, "event", "upstream_leaving", "upstream", u.ID, "born", u.StartUnixMS, "listed_draining", u.Draining)
+	}
+	switch {
+	case info.Wait > 0:
+		until := f.gateway.deps.Pool.AskWait(now, u, info.Wait)
+		f.gateway.incrementCounter("upstream_asked_wait")
+		_ = f.gateway.logRequest(f.req, "event", "upstream_asked_wait", "upstream", u.ID, "asked", info.Wait, "granted", until.Sub(now))
+	case info.InvalidWait != "":
+		f.gateway.incrementCounter("upstream_wait_invalid")
+		_ = f.gateway.logRequest(f.req, "event", "upstream_wait_invalid", "upstream", u.ID, "retry_after", info.InvalidWait)
+	}
+}
+
 // canRetry reports whether a response with a 5xx status may be followed by another
 // attempt instead of being relayed.
 func (f *forwarding) canRetry() bool {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -138,7 +138,7 @@
 }
 
 // chooseUpstream chooses an upstream for the next attempt. It waits for up to maxColdWait
-// if the rate limit of cold upstreams requires it.
+// if the rate limit of cold upstreams, or a wait that upstreams have asked for, requires it.
 func (f *forwarding) chooseUpstream(ctx context.Context) (*pool.Assignment, *problem.Problem) {
 	query := &pool.Request{Service: f.req.service, Prompt: f.req.info.Prompt, Avoid: f.avoid}
 	latestStart := time.Now().Add(maxColdWait)
@@ -148,12 +148,16 @@
 		case *pool.Assignment:
 			return choice, nil
 		case *pool.NoUpstream:
+			retryAfter := busyRetryAfter
+			if !choice.RetryAt.IsZero() {
+				retryAfter = choice.RetryAt.Sub(now)
+			}
 			return nil, problem.New(problem.NoUpstream, f.runState(), http.StatusServiceUnavailable,
-				"none of %d upstreams of %s takes requests", choice.Known, f.req.service).WithRetryAfter(busyRetryAfter)
+				"none of %d upstreams of %s takes requests", choice.Known, f.req.service).WithRetryAfter(retryAfter)
 		case *pool.Throttled:
 			if choice.Until.After(latestStart) {
 				return nil, problem.New(problem.UpstreamBusy, f.runState(), http.StatusServiceUnavailable,
-					"the upstreams of %s are cold", f.req.service).WithRetryAfter(choice.Until.Sub(now))
+					"the upstreams of %s are cold or have asked for a wait", f.req.service).WithRetryAfter(choice.Until.Sub(now))
 			}
 			if !sleepUntil(ctx, choice.Until) {
 				return nil, f.abandonProblem(abandonReason(ctx))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,11 @@
 	NotRun      bool       // the upstream did not run the request and never will
 	Misdirected bool       // the address now belongs to another upstream than the requested one
 	Signed      bool       // carries an upstream's signature
+	Leaving     bool       // the upstream is leaving and must get no new requests
+	// Wait is how long the upstream, which refuses the request, wants no further ones; zero:
+	// not given. If the response has an unusable value, InvalidWait is its text.
+	Wait        time.Duration
+	InvalidWait string
 }
 
 // HeaderCodec translates the headers of requests and responses.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -347,6 +348,73 @@
 	require.EqualValues(t, 2, arrived.Load())
 }
 
+// TestLeavingUpstreamGetsNoNewRequests has an upstream say that it is leaving in a response of
+// any status, while its listing says that it is ready.
+func TestLeavingUpstreamGetsNoNewRequests(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			f := newFixture(t)
+			var arrived atomic.Int64
+			leaving := f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				arrived.Add(1)
+				w.Header().Set("Server-Leaving", "1")
+				if status == http.StatusServiceUnavailable {
+					w.Header().Set("X-Not-Run", "1")
+				}
+				w.WriteHeader(status)
+			})
+			for arrived.Load() == 0 {
+				f.call(http.MethodPost, "/once/x", "")
+			}
+			f.serveUpstream(func(http.ResponseWriter, *http.Request) {})
+			for range 20 {
+				require.Equal(t, http.StatusOK, f.call(http.MethodPost, "/once/x", "").status)
+			}
+			require.EqualValues(t, 1, arrived.Load())
+			require.Len(t, f.logged("upstream_leaving", string(leaving)), 1)
+		})
+	}
+}
+
+// TestUpstreamAsksForWait has the only upstream refuse with a time to wait. It gets no further
+// request until then, and callers are told when to return.
+func TestUpstreamAsksForWait(t *testing.T) {
+	f := newFixture(t)
+	var arrived atomic.Int64
+	f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+		if arrived.Add(1) == 1 {
+			w.Header().Set("X-Not-Run", "1")
+			w.Header().Set("Retry-After", "0.9")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	asked := time.Now()
+	for range 4 {
+		got := f.call(http.MethodPost, "/once2/x", "")
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.InDelta(t, 0.9-time.Since(asked).Seconds(), wait, 0.1)
+		require.EqualValues(t, 1, arrived.Load())
+	}
+	time.Sleep(time.Until(asked.Add(time.Second)))
+	require.Equal(t, http.StatusOK, f.call(http.MethodPost, "/once2/x", "").status)
+}
+
+// TestInvalidWaitIsIgnored has an upstream refuse with a Retry-After that names no time.
+func TestInvalidWaitIsIgnored(t *testing.T) {
+	f := newFixture(t)
+	f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "1")
+		w.Header().Set("Retry-After", "Fri, 04 Dec 2026 12:00:00 GMT")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	for range 3 {
+		require.Equal(t, "0.300", f.call(http.MethodPost, "/once/x", "").header.Get("Retry-After"))
+	}
+	require.Len(t, f.logged("upstream_wait_invalid", "12:00:00"), 3)
+}
+
 // TestMisdirectedRequestIsRetried has another upstream at a listed address. A request that
 // was sent there must still get its one attempt elsewhere, and no further request may be
 // sent there.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -54,13 +54,16 @@
 	prefillDone  bool
 }
 
-// Throttled means that every remaining upstream is cold and has reached its rate limit.
-// Until is the earliest time at which one accepts a request again.
+// Throttled means that every remaining upstream is cold and has reached its rate limit, or
+// has asked this gateway to wait. Until is the earliest time at which one accepts a request
+// again.
 type Throttled struct{ Until time.Time }
 
-// NoUpstream means that no upstream accepts the request. Known is how many upstreams
-// the pool has for the service.
-type NoUpstream struct{ Known int }
+// NoUpstream means that no upstream accepts the request.
+type NoUpstream struct {
+	Known   int       // upstreams that the pool has for the service
+	RetryAt time.Time // earliest time at which one accepts requests again; zero: not known
+}
 
 func (*Assignment) decision() {}
 func (*Throttled) decision()  {}
@@ -105,7 +108,7 @@
 		if !retryAt.IsZero() {
 			return &Throttled{Until: retryAt}
 		}
-		return &NoUpstream{Known: len(p.byService[rq.Service])}
+		return &NoUpstream{Known: len(p.byService[rq.Service]), RetryAt: p.earliestWait(now, rq.Service)}
 	}
 	u, reason := p.selectUpstream(now, eligible, rq)
 	if now.Before(u.coldUntil) {
@@ -119,21 +122,48 @@
 	return a
 }
 
+// earliestWait returns when the first upstream of a service takes requests again, if all
+// that are in use have asked this gateway to wait, and otherwise zero. The caller holds the
+// lock.
+func (p *Pool) earliestWait(now time.Time, s id.Service) time.Time {
+	var earliest time.Time
+	for _, u := range p.byService[s] {
+		if !p.acceptsWork(u) {
+			continue
+		}
+		until, waits := u.waitsUntil(now)
+		if !waits {
+			return time.Time{}
+		}
+		if earliest.IsZero() || until.Before(earliest) {
+			earliest = until
+		}
+	}
+	return earliest
+}
+
 // eligible returns the upstreams that accept the request now, in hash order, and the
-// earliest time at which a rate-limited cold upstream accepts one, if there are any.
+// earliest time at which one that is rate-limited or has asked for a wait accepts one, if
+// there are any.
 // Upstreams that are backing off after a failed connection are returned only if there
 // are no others. Upstreams whose removal is due are removed. The caller holds the lock.
 func (p *Pool) eligible(now time.Time, rq *Request) (eligible []*upstreamState, retryAt time.Time) {
 	var backingOff []*upstreamState
+	retry := func(at time.Time) {
+		if retryAt.IsZero() || at.Before(retryAt) {
+			retryAt = at
+		}
+	}
 	for _, u := range slices.Clone(p.byService[rq.Service]) {
+		waitUntil, waits := u.waitsUntil(now)
 		switch {
 		case !u.removeAt.IsZero() && !now.Before(u.removeAt):
 			p.removeLocked(u)
 		case !p.acceptsWork(u), slices.Contains(rq.Avoid, u.ID):
+		case waits:
+			retry(waitUntil)
 		case p.throttled(now, u):
-			if retryAt.IsZero() || u.coldPacer.nextAt.Before(retryAt) {
-				retryAt = u.coldPacer.nextAt
-			}
+			retry(u.coldPacer.nextAt)
 		case now.Before(u.unreachableUntil):
 			backingOff = append(backingOff, u)
 		default:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,7 +4,7 @@
 // A Pool records which upstreams exist, which accept new requests, which are cold, and
 // what this gateway has running on each of them. choose.go defines how an upstream is
 // chosen, split.go the separation of long prompts from short ones, and pacer.go the rate
-// limit of cold upstreams.
+// limit of cold upstreams, and remark.go what upstreams say of themselves in responses.
 package pool
 
 import (
@@ -54,6 +54,7 @@
 	unreachableUntil time.Time // until then it is used only if there is no other
 	connectFailures  int       // consecutive failed connections
 	addressReused    bool      // its address belongs to another upstream now
+	remark           *remark   // nil: it has said nothing
 	running          int       // requests of this gateway that it runs
 	prefillTokens    id.Tokens // prompt tokens of these requests that it has not processed yet
 }
@@ -69,6 +70,7 @@
 	latest            *catalog.Latest
 	gatewayCount      int // live gateways, which share the capacity of the upstreams
 	splits            map[id.Service]*engineSplit
+	remarks           map[run]*remark
 }
 
 // New returns an empty pool that reads the settings of services from the latest catalog.
@@ -76,7 +78,7 @@
 	return &Pool{
 		upstreams: make(map[id.Upstream]*upstreamState), byService: make(map[id.Service][]*upstreamState),
 		evacuated: make(map[id.DataCentre]bool), evacuationEndedAt: make(map[id.DataCentre]time.Time),
-		splits: make(map[id.Service]*engineSplit), latest: latest, gatewayCount: 1,
+		splits: make(map[id.Service]*engineSplit), remarks: make(map[run]*remark), latest: latest, gatewayCount: 1,
 	}
 }
 
@@ -99,7 +101,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = &upstreamState{hashOrder: xxhash.Sum64String(string(l.ID))}
+		u = &upstreamState{hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[run{l.ID, l.StartUnixMS}]}
 		p.upstreams[l.ID] = u
 		list := p.byService[l.Service]
 		at, _ := slices.BinarySearchFunc(list, u.hashOrder, func(x *upstreamState, order uint64) int { return cmp.Compare(x.hashOrder, order) })
--- /dev/null
+++ b/pool/remark_test.go
@@ -0,0 +1,103 @@
+package pool_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pool"
+)
+
+// chosen returns the upstreams that n requests are assigned to, by how often.
+func chosen(t *testing.T, p *pool.Pool, at time.Time, n int) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for range n {
+		a := choose(t, p, at, pool.Request{})
+		a.End()
+		out[string(a.Upstream.ID)]++
+	}
+	return out
+}
+
+// TestLeavingUpstream marks one of two upstreams as leaving, before, after and without a
+// listing that says so, and while its listing disappears and returns.
+func TestLeavingUpstream(t *testing.T) {
+	draining := listing(0)
+	draining.Draining = true
+	for name, tc := range map[string]struct {
+		then   []pool.Listing // further listings
+		remove bool           // its listing disappears before these
+		used   bool
+	}{
+		"not listed as draining":         {},
+		"listed as ready again":          {then: []pool.Listing{listing(0)}},
+		"listed as draining after":       {then: []pool.Listing{draining}},
+		"listed as draining, then ready": {then: []pool.Listing{draining, listing(0)}},
+		"listing returns":                {then: []pool.Listing{listing(0)}, remove: true},
+		"started anew":                   {then: []pool.Listing{startedAt(2)}, used: true},
+		"started anew, gone between":     {then: []pool.Listing{startedAt(2)}, remove: true, used: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(2)
+			l := listing(0)
+			require.True(t, p.MarkLeaving(now, &l))
+			require.False(t, p.MarkLeaving(now, &l), "known already")
+			require.NotContains(t, chosen(t, p, now, 50), "i-0")
+			if tc.remove {
+				p.Remove(now, "i-0")
+			}
+			for _, l := range tc.then {
+				p.Put(now, l)
+			}
+			if tc.used {
+				require.Contains(t, chosen(t, p, now, 50), "i-0")
+			} else {
+				require.NotContains(t, chosen(t, p, now, 50), "i-0")
+			}
+		})
+	}
+}
+
+// startedAt returns the listing of the first upstream with another start.
+func startedAt(unixMS int64) pool.Listing {
+	l := listing(0)
+	l.StartUnixMS = unixMS
+	return l
+}
+
+// TestLateMarkOfEarlierStart guards against a mark of an earlier start of an upstream that
+// takes out the present one.
+func TestLateMarkOfEarlierStart(t *testing.T) {
+	p := newPool(2)
+	p.Put(now, startedAt(2))
+	l := listing(0)
+	p.MarkLeaving(now, &l)
+	p.AskWait(now, &l, time.Minute)
+	require.Contains(t, chosen(t, p, now, 50), "i-0")
+}
+
+// TestAskedWait checks which upstreams get requests while some have asked for a wait, and
+// what is known of the time after which one is free.
+func TestAskedWait(t *testing.T) {
+	p := newPool(2)
+	first, second := listing(0), listing(1)
+	require.Equal(t, now.Add(4*time.Second), p.AskWait(now, &first, 4*time.Second))
+	require.Equal(t, now.Add(4*time.Second), p.AskWait(now, &first, time.Second), "a shorter wait does not end a longer one")
+	require.Equal(t, map[string]int{"i-1": 50}, chosen(t, p, now.Add(4*time.Second-1), 50))
+	require.Contains(t, chosen(t, p, now.Add(4*time.Second), 50), "i-0")
+
+	p.AskWait(now, &second, 2*time.Second)
+	require.Equal(t, &pool.Throttled{Until: now.Add(2 * time.Second)}, p.Choose(now, &pool.Request{Service: modelService}))
+	after := pool.Request{Service: modelService, Avoid: []id.Upstream{"i-0", "i-1"}}
+	require.Equal(t, now.Add(2*time.Second), p.Choose(now, &after).(*pool.NoUpstream).RetryAt)
+	require.Zero(t, p.Choose(now.Add(3*time.Second), &after).(*pool.NoUpstream).RetryAt, "i-1 refused without asking for a wait")
+
+	p.Put(now, startedAt(2))
+	require.Equal(t, map[string]int{"i-0": 50}, chosen(t, p, now, 50), "a new start begins without a wait")
+	l := startedAt(2)
+	require.Equal(t, now.Add(10*time.Minute), p.AskWait(now, &l, math.MaxInt64), "the longest wait")
+}
--- a/pool/split.go
+++ b/pool/split.go
@@ -208,5 +208,5 @@
 // acceptsWork reports whether an upstream may get new requests at all. The caller holds
 // the lock.
 func (p *Pool) acceptsWork(u *upstreamState) bool {
-	return !u.Draining && !u.addressReused && !p.evacuated[u.DataCentre]
+	return !u.Draining && !u.isLeaving() && !u.addressReused && !p.evacuated[u.DataCentre]
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -36,6 +36,8 @@
 	{"nothing_lost", checkNothingLost},
 	{"caller_gone", checkCallerGone},
 	{"drain", checkDrain},
+	{"leaving", checkLeaving},
+	{"asked_wait", checkAskedWait},
 	{"evacuation", checkEvacuation},
 	{"configuration_in_force", checkConfigInForce},
 	{"configuration_never_back", checkConfigNeverBack},
@@ -199,6 +201,91 @@
 	return v
 }
 
+// relation is an upstream as one process of a node has met it.
+type relation struct {
+	node        id.Node
+	incarnation int
+	upstream    id.Upstream
+}
+
+// checkLeaving checks every process, in contact with the store or not: once it has passed on a
+// response of an upstream that says it is leaving, it must not send a request there that a
+// caller sends later than the time to drain.
+func checkLeaving(h *history) (v checkResult) {
+	runs := h.arrivalsByRequest()
+	known := make(map[relation]time.Duration)
+	for _, r := range h.results {
+		for _, a := range runs[r.request] {
+			to := relation{r.node, r.incarnation, a.upstream}
+			if at, seen := known[to]; a.leaving && r.complete && r.incarnation >= 0 && (!seen || r.done < at) {
+				known[to] = r.done
+			}
+		}
+	}
+	for _, r := range h.results {
+		for _, a := range runs[r.request] {
+			at, seen := known[relation{r.node, r.incarnation, a.upstream}]
+			if !seen {
+				continue
+			}
+			v.checked++
+			if r.sent > at+h.bounds.drain && h.undisturbed(r.node, span{at, a.at}) {
+				v.violation("%s was sent to %s at %v and reached %s, which had said at %v that it is leaving", r.request, r.node, r.sent, a.upstream, at)
+			}
+		}
+	}
+	return v
+}
+
+// waitSlack is how long requests that are on their way may arrive after an upstream has asked
+// for a wait, and maxDuringWait how many may arrive later than that and before its end.
+const (
+	waitSlack     = 500 * time.Millisecond
+	maxDuringWait = 2
+)
+
+// checkAskedWait checks that upstreams that have asked a node for a wait get it.
+func checkAskedWait(h *history) (v checkResult) {
+	type sender struct {
+		node        id.Node
+		incarnation int
+	}
+	senders := make(map[id.Request]sender, len(h.results))
+	for _, r := range h.results {
+		senders[r.request] = sender{r.node, r.incarnation}
+	}
+	arrived := make(map[relation][]time.Duration)
+	add := func(request id.Request, upstream id.Upstream, at time.Duration) relation {
+		s := senders[request]
+		to := relation{s.node, s.incarnation, upstream}
+		arrived[to] = append(arrived[to], at)
+		return to
+	}
+	for _, a := range h.arrivals {
+		add(a.request, a.upstream, a.at)
+	}
+	asked := make([]relation, len(h.waits))
+	for i, w := range h.waits {
+		asked[i] = add(w.request, w.upstream, w.from)
+	}
+	for i, w := range h.waits {
+		if asked[i].incarnation < 0 || !h.undisturbed(asked[i].node, w.span) {
+			continue
+		}
+		v.checked++
+		n := 0
+		for _, at := range arrived[asked[i]] {
+			if at > w.from+waitSlack && at < w.until {
+				n++
+			}
+		}
+		if n > maxDuringWait {
+			v.violation("%s got %d requests from %s while it had asked for none from %v to %v", w.upstream, n, asked[i].node, w.from, w.until)
+		}
+	}
+	return v
+}
+
 func checkEvacuation(h *history) (v checkResult) {
 	nodes := h.nodeByRequest()
 	for _, c := range h.changes {
--- a/soak/history.go
+++ b/soak/history.go
@@ -39,6 +39,14 @@
 	began       time.Duration // first event of a stream, otherwise the arrival; zero: never
 	ended       time.Duration // when the upstream stopped working on it; zero: never
 	interrupted bool          // a fault of the upstream or its link ended it
+	leaving     bool          // the response said that the upstream is leaving
+}
+
+// askedWait is a refusal by which an upstream asked a node for a wait.
+type askedWait struct {
+	request  id.Request
+	upstream id.Upstream
+	span
 }
 
 // result is a request and its response as the caller saw them.
@@ -87,6 +95,7 @@
 	bounds         bounds
 	arrivals       []*arrival
 	results        []*result
+	waits          []askedWait
 	changes        []change
 	disturbances   []disturbance
 	reports        []usageReport
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -228,7 +228,11 @@
 	case "upstream_slow", "upstream_silent", "upstream_cut":
 		tb.disturbLink(f, u.link)
 	case "upstream_full", "upstream_failing", "upstream_cutting":
-		u.setMode(f.name[len("upstream_"):])
+		mode := f.name[len("upstream_"):]
+		if mode == "full" && f.variant%2 == 1 {
+			mode = "asking_wait"
+		}
+		u.setMode(mode)
 		tb.sleep(f.duration)
 		u.setMode("")
 	default:
@@ -259,6 +263,7 @@
 	tb.addUpstream(u.service, u.dataCentre, true)
 	u.mu.Lock()
 	u.draining, u.unlisted = f.name == "drain", f.name == "replace"
+	u.leaving = f.variant%2 == 1
 	u.mu.Unlock()
 	if f.name == "drain" {
 		u.publishListing()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,7 +18,7 @@
 // validHistory returns a history without violations in which each checker has cases to check.
 func validHistory() *history {
 	seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
-	h := &history{bounds: testedBounds, duration: seconds(60), faultsEnded: seconds(40), endedProcesses: 1, dataCentreOf: map[id.Upstream]id.DataCentre{"i-1": "th-a", "i-2": "th-a"}}
+	h := &history{bounds: testedBounds, duration: seconds(60), faultsEnded: seconds(40), endedProcesses: 1, dataCentreOf: map[id.Upstream]id.DataCentre{"i-1": "th-a", "i-2": "th-a", "i-3": "th-a"}}
 	h.start = time.Unix(0, 1000*int64(testedBounds.window)) // a usage window begins with the run
 	h.changes = []change{
 		{kind: "key_added", name: "key-a"}, {kind: "key_added", name: "key-w"},
@@ -46,6 +46,9 @@
 	}
 	_, a := add("drained", catalog.KindSafe, "key-a", 21, 200, true, [2]int{0, 1})
 	a.upstream = "i-1" // within the time to drain
+	_, a = add("leaver", catalog.KindSafe, "key-a", 16, 200, true, [2]int{0, 1})
+	a.upstream, a.leaving = "i-3", true
+	h.waits = []askedWait{{"drained", "i-2", span{seconds(21), seconds(22.5)}}}
 	add("once", catalog.KindOnce, "key-a", 4.5, 200, true, [2]int{0, 0})
 	add("other", catalog.KindSafe, "key-w", 5, 200, true, [2]int{1, 1})
 	add("withdrawn", catalog.KindSafe, "key-w", 13, 401, false, [2]int{1, 1})
@@ -59,7 +62,7 @@
 	repeated := *a
 	repeated.at += time.Millisecond
 	h.arrivals = append(h.arrivals, &repeated)
-	for _, second := range []int64{4, 5, 15, 21, 22, 31, 50} { // one request began in each
+	for _, second := range []int64{4, 5, 15, 16, 21, 22, 31, 50} { // one request began in each
 		h.reports = append(h.reports, usageReport{at: seconds(float64(second) + 2), ReceivedUsage: standin.ReceivedUsage{
 			Holder: "entry-0", FencingNumber: uint64(second), WindowID: 1000 + second, Counts: map[string]uint64{"ws-a": 1},
 		}})
@@ -118,6 +121,16 @@
 			h.arrivalOf("after").upstream = "i-1"
 			h.arrivalOf("after").at = h.resultOf("after").sent
 		}},
+		{"sent to a leaving upstream", "leaving", func(h *history) {
+			h.arrivalOf("planned").upstream = "i-3"
+		}},
+		{"requests during an asked wait", "asked_wait", func(h *history) {
+			a := *h.arrivalOf("drained")
+			a.upstream, a.at, a.ran = "i-2", 21800*time.Millisecond, false
+			for range maxDuringWait + 1 {
+				h.arrivals = append(h.arrivals, &a)
+			}
+		}},
 		{"sent to an evacuated data centre", "evacuation", func(h *history) { h.dataCentreOf["i-2"] = "th-b" }},
 		{"withdrawn key accepted", "configuration_in_force", func(h *history) {
 			r := h.resultOf("again")
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -47,6 +47,8 @@
 	// streamEvents is the number of events of a stream, eventInterval the time between two.
 	streamEvents  = 8
 	eventInterval = 15 * time.Millisecond
+	// upstreamWait is how long an upstream asks for no further requests.
+	upstreamWait = 1500 * time.Millisecond
 	// maxWork bounds how long an upstream works on a request that is not a stream.
 	maxWork = 30 * time.Millisecond
 )
@@ -71,7 +73,8 @@
 	mu            sync.Mutex
 	unlisted      bool // its listing was removed
 	draining      bool
-	mode          string        // empty: healthy; or full, failing, cutting
+	mode          string        // empty: healthy; or full, asking_wait, failing, cutting
+	leaving       bool          // says in every response that it is leaving
 	lastDisturbed time.Duration // last fault of it or of its link; zero: never
 }
 
@@ -360,16 +363,27 @@
 		return // the sender disconnected before anything ran
 	}
 	u.mu.Lock()
-	mode := u.mode
+	mode, leaving := u.mode, u.leaving
 	u.mu.Unlock()
 	replicaRequest := standin.ParseReplicaRequest(r.Header)
+	if leaving {
+		standin.MarkLeaving(rw.Header())
+	}
+	if mode == "asking_wait" && replicaRequest.ExpectedReplica == u.name {
+		now := u.testbed.now()
+		u.testbed.add(func() {
+			u.testbed.waits = append(u.testbed.waits, askedWait{replicaRequest.Request, u.name, span{now, now + upstreamWait}})
+		})
+		standin.AskWait(rw.Header(), upstreamWait)
+		mode = "full"
+	}
 	if mode == "full" || replicaRequest.ExpectedReplica != u.name {
 		standin.RefuseRequest(rw, replicaRequest, u.name)
 		return
 	}
 	a := &arrival{
 		at: u.testbed.now(), request: replicaRequest.Request, upstream: u.name, service: u.service, workspace: replicaRequest.Workspace,
-		urgency: replicaRequest.Urgency, ran: true, // without an urgency, checkPriority fails
+		urgency: replicaRequest.Urgency, ran: true, leaving: leaving, // without an urgency, checkPriority fails
 	}
 	u.testbed.add(func() { u.testbed.arrivals = append(u.testbed.arrivals, a) })
 	defer u.recordEnd(a)
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -162,6 +162,15 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// MarkLeaving sets the header that a replica adds to every response once it is leaving.
+func MarkLeaving(h http.Header) { h.Set("Server-Leaving", "1") }
+
+// AskWait sets the header by which a replica that refuses a request asks for no further ones
+// for a time.
+func AskWait(h http.Header, wait time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+}
+
 // SetRequestHeaders sets the headers of a client's request. The timeout is the time that the
 // client grants for the response.
 func SetRequestHeaders(h http.Header, requestID id.Request, key string, timeout time.Duration) {
