--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,6 +102,7 @@
 	Meter         UsageMeter
 	CatalogStatus CatalogStatus
 	Client        *http.Client
+	MemoryMB      float64 // memory of the process; zero: not limited
 	Metrics       metrics.Registry
 	Logger        log.Logger
 }
@@ -109,6 +110,7 @@
 // Gateway relays the requests of callers to upstreams.
 type Gateway struct {
 	deps             Deps
+	buffers          *responseBuffers
 	shutdownStarted  atomic.Int64 // Unix nanoseconds; zero: not shutting down
 	shutdownDeadline atomic.Int64 // when the process ends, in Unix nanoseconds; zero: not known
 	inFlight         atomic.Int64 // requests that are being served
@@ -116,7 +118,9 @@
 }
 
 // New returns a gateway.
-func New(deps Deps) *Gateway { return &Gateway{deps: deps} }
+func New(deps Deps) *Gateway {
+	return &Gateway{deps: deps, buffers: newResponseBuffers(deps.MemoryMB)}
+}
 
 // Handler returns the handler for callers' requests.
 func (g *Gateway) Handler() http.Handler {
@@ -208,6 +212,8 @@
 	keepAliveCount    = 3
 	// maxIdleConnsPerUpstream limits the idle connections kept open to one upstream.
 	maxIdleConnsPerUpstream = 64
+	// maxResponseHeaderBytes limits the status line and headers of an upstream's response.
+	maxResponseHeaderBytes = 64 << 10
 	// upstreamIdleTimeout closes idle connections before upstreams do, which close them
 	// after some seconds.
 	upstreamIdleTimeout = 4 * time.Second
@@ -242,9 +248,10 @@
 				}
 				return &countingConn{Conn: c}, nil
 			},
-			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
-			IdleConnTimeout:     upstreamIdleTimeout,
-			DisableCompression:  true,
+			MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
+			IdleConnTimeout:        upstreamIdleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -140,7 +140,7 @@
 	p.usage = newUsageCounter(durationS(s.Bounds.WindowS), fleetTime)
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
-		CatalogStatus: operatorStatus{operators, operatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(), Metrics: registry, Logger: logger,
+		CatalogStatus: operatorStatus{operators, operatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(), MemoryMB: s.MemoryMB, Metrics: registry, Logger: logger,
 	})
 	p.peers = peer.NewExchanger(peer.Config{Address: s.Listen.Peers, Seeds: s.Seeds}, p.table,
 		peer.Topics{Operators: operators, Upstreams: listings}, bootClock, p.ownRow(fleetTime), logger, registry)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -23,7 +23,7 @@
 	// complete.
 	maxBufferedResponse = 16 << 20
 	// maxEventBytes limits one event of a stream.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 	// eventBufferBytes is the size of the read buffer of a stream. Events may be larger.
 	eventBufferBytes = 4 << 10
 )
@@ -66,20 +66,21 @@
 // relayBuffered relays a response once it is complete, so that the request can be
 // retried if the response is cut off.
 func (f *forwarding) relayBuffered(ctx context.Context, resp *http.Response) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	body, err := f.gateway.buffers.read(resp.Body)
+	defer body.release()
 	switch {
 	case err != nil && ctx.Err() != nil:
 		f.mayHaveRun = true
 		return &abandoned{abandonReason(ctx)}
+	case errors.Is(err, errResponseTooLarge), errors.Is(err, errBuffersFull):
+		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.length, err)}
 	case err != nil:
 		return &responseLost{problem.UpstreamCut, err}
-	case len(body) > maxBufferedResponse:
-		return &responseLost{problem.AnswerTruncated, fmt.Errorf("the response exceeds %d bytes", maxBufferedResponse)}
 	}
 	f.copyResponseHeaders(resp)
-	f.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	f.w.Header().Set("Content-Length", strconv.Itoa(body.length))
 	f.w.WriteHeader(resp.StatusCode)
-	if _, err := f.w.Write(body); err != nil {
+	if _, err := body.WriteTo(f.w); err != nil {
 		f.mayHaveRun = true
 		return callerWriteFailed(ctx)
 	}
--- a/pool/remark_test.go
+++ b/pool/remark_test.go
@@ -11,11 +11,14 @@
 	"github.com/ragwortpass/ragwortpass/pool"
 )
 
-// chosen returns the upstreams that n requests are assigned to, by how often.
-func chosen(t *testing.T, p *pool.Pool, at time.Time, n int) map[string]int {
+// choices is how many requests chosen assigns.
+const choices = 50
+
+// chosen returns the upstreams that requests are assigned to, by how often.
+func chosen(t *testing.T, p *pool.Pool, at time.Time) map[string]int {
 	t.Helper()
 	out := map[string]int{}
-	for range n {
+	for range choices {
 		a := choose(t, p, at, pool.Request{})
 		a.End()
 		out[string(a.Upstream.ID)]++
@@ -38,15 +41,15 @@
 		"listed as draining after":       {then: []pool.Listing{draining}},
 		"listed as draining, then ready": {then: []pool.Listing{draining, listing(0)}},
 		"listing returns":                {then: []pool.Listing{listing(0)}, remove: true},
-		"started anew":                   {then: []pool.Listing{startedAt(2)}, used: true},
-		"started anew, gone between":     {then: []pool.Listing{startedAt(2)}, remove: true, used: true},
+		"started anew":                   {then: []pool.Listing{restarted()}, used: true},
+		"started anew, gone between":     {then: []pool.Listing{restarted()}, remove: true, used: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPool(2)
 			l := listing(0)
 			require.True(t, p.MarkLeaving(now, &l))
 			require.False(t, p.MarkLeaving(now, &l), "known already")
-			require.NotContains(t, chosen(t, p, now, 50), "i-0")
+			require.NotContains(t, chosen(t, p, now), "i-0")
 			if tc.remove {
 				p.Remove(now, "i-0")
 			}
@@ -54,18 +57,18 @@
 				p.Put(now, l)
 			}
 			if tc.used {
-				require.Contains(t, chosen(t, p, now, 50), "i-0")
+				require.Contains(t, chosen(t, p, now), "i-0")
 			} else {
-				require.NotContains(t, chosen(t, p, now, 50), "i-0")
+				require.NotContains(t, chosen(t, p, now), "i-0")
 			}
 		})
 	}
 }
 
-// startedAt returns the listing of the first upstream with another start.
-func startedAt(unixMS int64) pool.Listing {
+// restarted returns the listing of the first upstream after another start.
+func restarted() pool.Listing {
 	l := listing(0)
-	l.StartUnixMS = unixMS
+	l.StartUnixMS = 2
 	return l
 }
 
@@ -73,11 +76,11 @@
 // takes out the present one.
 func TestLateMarkOfEarlierStart(t *testing.T) {
 	p := newPool(2)
-	p.Put(now, startedAt(2))
+	p.Put(now, restarted())
 	l := listing(0)
 	p.MarkLeaving(now, &l)
 	p.AskWait(now, &l, time.Minute)
-	require.Contains(t, chosen(t, p, now, 50), "i-0")
+	require.Contains(t, chosen(t, p, now), "i-0")
 }
 
 // TestAskedWait checks which upstreams get requests while some have asked for a wait, and
@@ -87,8 +90,8 @@
 	first, second := listing(0), listing(1)
 	require.Equal(t, now.Add(4*time.Second), p.AskWait(now, &first, 4*time.Second))
 	require.Equal(t, now.Add(4*time.Second), p.AskWait(now, &first, time.Second), "a shorter wait does not end a longer one")
-	require.Equal(t, map[string]int{"i-1": 50}, chosen(t, p, now.Add(4*time.Second-1), 50))
-	require.Contains(t, chosen(t, p, now.Add(4*time.Second), 50), "i-0")
+	require.Equal(t, map[string]int{"i-1": choices}, chosen(t, p, now.Add(4*time.Second-1)))
+	require.Contains(t, chosen(t, p, now.Add(4*time.Second)), "i-0")
 
 	p.AskWait(now, &second, 2*time.Second)
 	require.Equal(t, &pool.Throttled{Until: now.Add(2 * time.Second)}, p.Choose(now, &pool.Request{Service: modelService}))
@@ -96,8 +99,8 @@
 	require.Equal(t, now.Add(2*time.Second), p.Choose(now, &after).(*pool.NoUpstream).RetryAt)
 	require.Zero(t, p.Choose(now.Add(3*time.Second), &after).(*pool.NoUpstream).RetryAt, "i-1 refused without asking for a wait")
 
-	p.Put(now, startedAt(2))
-	require.Equal(t, map[string]int{"i-0": 50}, chosen(t, p, now, 50), "a new start begins without a wait")
-	l := startedAt(2)
+	p.Put(now, restarted())
+	require.Equal(t, map[string]int{"i-0": choices}, chosen(t, p, now), "a new start begins without a wait")
+	l := restarted()
 	require.Equal(t, now.Add(10*time.Minute), p.AskWait(now, &l, math.MaxInt64), "the longest wait")
 }
--- a/ragworttest/fleet.go
+++ b/ragworttest/fleet.go
@@ -179,6 +179,18 @@
 	p.WaitExit(t)
 }
 
+// PeakMemoryMB returns the most memory that the process has had resident.
+func (p *Process) PeakMemoryMB(t testing.TB) float64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	_, line, ok := strings.Cut(string(status), "VmHWM:")
+	require.True(t, ok)
+	var kilobytes float64
+	_, err = fmt.Sscanf(line, "%f kB", &kilobytes)
+	require.NoError(t, err)
+	return kilobytes / 1024
+}
+
 // Exited reports whether the process has exited.
 func (p *Process) Exited() bool {
 	select {
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -1,6 +1,7 @@
 package ragworttest_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -53,6 +54,9 @@
 	process       *ragworttest.Process
 }
 
+// relayMemoryMB is the memory of a relay process, about that of the smallest VMs of the users.
+const relayMemoryMB = 184
+
 // relayUsageWindow is the length of the windows for which usage is reported.
 const relayUsageWindow = time.Second
 
@@ -115,7 +119,7 @@
 	}
 	c := &catalog.Catalog{
 		Version: f.version, RequireKeys: true, Limits: catalog.Limits{BodyBytes: 65536},
-		Routes:     []catalog.Route{route("book", catalog.KindOnce, 1), route("look", catalog.KindSafe, 2)},
+		Routes:     []catalog.Route{route("book", catalog.KindOnce, 1), route("look", catalog.KindSafe, 2), route("stream", catalog.KindStream, 1)},
 		Services:   map[id.Service]*catalog.Service{"desk": {Name: "desk"}},
 		Workspaces: make(map[string]*catalog.Workspace),
 	}
@@ -127,7 +131,7 @@
 
 func (f *relayFleet) writeSettings(r *relayNode) {
 	s := &gateway.Settings{
-		Node: r.name, DataCentre: "th-a", Seeds: f.seeds, StoreAddress: f.storeAddress, DutyAddress: f.storeAddress, Duties: []string{"usage"}, MemoryMB: 200,
+		Node: r.name, DataCentre: "th-a", Seeds: f.seeds, StoreAddress: f.storeAddress, DutyAddress: f.storeAddress, Duties: []string{"usage"}, MemoryMB: relayMemoryMB,
 		Bounds: gateway.Bounds{
 			ConfigMS: 2000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, GraceS: 6, LeaseMS: 500,
 			WindowS: relayUsageWindow.Seconds(), UsageLateS: 8,
@@ -182,7 +186,7 @@
 		outcomes.addViolation("%v", err)
 		return
 	}
-	requestID := id.Request(fmt.Sprintf("%016x", rand.Uint64()))
+	requestID := newRequestID()
 	rq.Host = "desk.example"
 	standin.SetRequestHeaders(rq.Header, requestID, "key-1", 2*time.Second)
 	rs, err := client.Do(rq)
@@ -211,6 +215,8 @@
 	}
 }
 
+func newRequestID() id.Request { return id.Request(fmt.Sprintf("%016x", rand.Uint64())) }
+
 // startLoad runs concurrent callers that send requests to the ready nodes until stop is called.
 // A third of the requests are bookings.
 func (f *relayFleet) startLoad(callers int) (outcomes *callOutcomes, stop func()) {
@@ -409,17 +415,30 @@
 	outcomes.requireNoViolations(t)
 }
 
-// statusFor returns the status of a request to a node with a key.
+// statusFor returns the status of a lookup at a node with a key.
 func (f *relayFleet) statusFor(r *relayNode, key string) int {
-	rq, err := http.NewRequest(http.MethodGet, "http://"+r.callerAddress+"/look/x", http.NoBody)
-	require.NoError(f.t, err)
+	status := f.statusOf(r, http.MethodGet, "/look/x", key, newRequestID())
+	require.NotZero(f.t, status)
+	return status
+}
+
+// statusOf returns the status of a request to a node with a key; zero: the response is missing
+// or incomplete.
+func (f *relayFleet) statusOf(r *relayNode, method, path, key string, requestID id.Request) int {
+	rq, err := http.NewRequest(method, "http://"+r.callerAddress+path, http.NoBody)
+	if err != nil {
+		panic("making a request: " + err.Error())
+	}
 	rq.Host = "desk.example"
-	standin.SetRequestHeaders(rq.Header, id.Request(fmt.Sprintf("%016x", rand.Uint64())), key, 2*time.Second)
+	standin.SetRequestHeaders(rq.Header, requestID, key, 2*time.Second)
 	rs, err := http.DefaultClient.Do(rq)
-	require.NoError(f.t, err)
+	if err != nil {
+		return 0
+	}
 	defer rs.Body.Close()
-	_, err = io.Copy(io.Discard, rs.Body)
-	require.NoError(f.t, err)
+	if _, err = io.Copy(io.Discard, rs.Body); err != nil {
+		return 0
+	}
 	return rs.StatusCode
 }
 
@@ -470,3 +489,80 @@
 	outcomes.requireNoViolations(t)
 	require.NoError(t, f.usageViolations())
 }
+
+// TestEndlessResponses has upstreams send 2 GB on 50 connections at once, as heads, bodies and
+// events without an end. The process must stay within its memory, answer every request before
+// its deadline and serve others.
+func TestEndlessResponses(t *testing.T) {
+	const (
+		connections  = 50
+		bytesPerConn = 2 << 30 / connections
+	)
+	for name, tc := range map[string]struct {
+		path   string
+		header func(h http.Header)
+		head   string // begins a response that is not HTTP; empty: a proper head
+	}{
+		"head":            {path: "/look/x", head: "HTTP/1.1 200 OK\r\nX-Replica-Stamp: "},
+		"no response":     {path: "/look/x", head: "00000000"},
+		"unsigned body":   {path: "/book/x"},
+		"signed body":     {path: "/book/x", header: func(h http.Header) { h.Set("X-Replica-Stamp", "signed") }},
+		"event of stream": {path: "/stream/x", header: func(h http.Header) { h.Set("X-Replica-Stamp", "signed") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newRelayFleet(t, 1)
+			chunk := bytes.Repeat([]byte("x"), 64<<10)
+			var arrived sync.Map // id.Request
+			endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				arrived.Store(standin.ParseReplicaRequest(r.Header).Request, true)
+				var out io.Writer = w
+				if tc.head != "" {
+					c, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					defer c.Close()
+					out = c
+					_, _ = io.WriteString(c, tc.head) // the writes below fail too if this does
+				} else {
+					w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+					if tc.header != nil {
+						tc.header(w.Header())
+					}
+				}
+				for sent := 0; sent < bytesPerConn; sent += len(chunk) {
+					if _, err := out.Write(chunk); err != nil {
+						return
+					}
+				}
+			}))
+			t.Cleanup(endless.Close)
+			t.Cleanup(endless.CloseClientConnections)
+			f.store.DeleteListing("i-1")
+			f.store.DeleteListing("i-2")
+			require.NoError(t, f.store.PutListing(pool.Listing{
+				ID: "i-9", Service: "desk", Address: strings.TrimPrefix(endless.URL, "http://"), DataCentre: "th-a", Slots: 64, StartUnixMS: 1,
+			}))
+			statuses, requestIDs := make([]int, connections), make([]id.Request, connections)
+			ragworttest.Eventually(t, func() bool { return strings.Contains(f.nodes[0].process.Log.String(), "upstream_gone upstream=i-2") }, "the upstream is chosen")
+			var callers sync.WaitGroup
+			for i := range statuses {
+				requestIDs[i] = newRequestID()
+				callers.Go(func() { statuses[i] = f.statusOf(f.nodes[0], http.MethodPost, tc.path, "key-1", requestIDs[i]) })
+			}
+			callers.Wait()
+			for i, status := range statuses {
+				if _, ran := arrived.Load(requestIDs[i]); ran {
+					require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout, 0}, status)
+				} else {
+					require.Equal(t, http.StatusServiceUnavailable, status)
+				}
+			}
+			require.False(t, f.nodes[0].process.Exited())
+			require.Less(t, f.nodes[0].process.PeakMemoryMB(t), float64(relayMemoryMB))
+			f.addUpstream("i-3")
+			f.store.DeleteListing("i-9")
+			ragworttest.Eventually(t, func() bool { return f.statusFor(f.nodes[0], "key-1") == http.StatusOK }, "others are served")
+		})
+	}
+}
