pool: the first requests of all gateways to a cold upstream are spread

Cause: a pacer let each gateway send its first request at once. With 25 gateways a cold upstream may get 25 requests in the second in which a surge reaches it, with 103 four times what the users' rule allows; gateways that had just started counted themselves as alone. Change: slots begin at a random phase of the interval, which follows the number of gateways, and are lost when they pass unused for half a second. Before: TestColdUpstreamsAreRateLimited, now with 1 to 400 gateways and a surge amid the cold time, fails with 103 and 400. After: it passes.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -163,7 +163,7 @@
 		case waits:
 			retry(waitUntil)
 		case p.throttled(now, u):
-			retry(u.coldPacer.nextAt)
+			retry(u.coldPacer.slot(now, p.coldRequestRate(u.Service)))
 		case now.Before(u.unreachableUntil):
 			backingOff = append(backingOff, u)
 		default:
@@ -182,9 +182,10 @@
 // holds the lock.
 func (p *Pool) throttled(now time.Time, u *upstreamState) bool {
 	if until := p.evacuationEndedAt[u.DataCentre].Add(p.coldDuration(u.Service)); now.Before(until) && u.coldUntil.Before(until) {
-		u.coldUntil = until
+		u.becomeCold(now, until)
 	}
-	return now.Before(u.coldUntil) && p.coldRequestRate(u.Service) > 0 && !u.coldPacer.ready(now)
+	rate := p.coldRequestRate(u.Service)
+	return now.Before(u.coldUntil) && rate > 0 && now.Before(u.coldPacer.slot(now, rate))
 }
 
 // serviceConfig returns the configuration of a service, or nil if it is not known.
--- a/pool/pacer.go
+++ b/pool/pacer.go
@@ -11,11 +11,35 @@
 // how many of them are alive.
 const coldRateShare = 0.7
 
-// pacer is a rate limiter that spaces requests evenly and allows no bursts.
-type pacer struct{ nextAt time.Time }
+// pacerSlotLength is how long a gateway may use the slot that its pacer gives it. Slots that
+// pass unused are lost: without this, all gateways of a large fleet could send their requests
+// at the moment at which a surge begins.
+const pacerSlotLength = 500 * time.Millisecond
 
-// ready reports whether a request may be sent now.
-func (p *pacer) ready(now time.Time) bool { return !now.Before(p.nextAt) }
+// pacer is a rate limiter that spaces requests evenly and allows no bursts. The first slot
+// begins at a random phase, so that the slots of many gateways are spread.
+type pacer struct {
+	startedAt time.Time
+	phase     float64   // of the first slot, as a fraction of the interval between slots
+	nextAt    time.Time // start of the next slot; zero: the first one
+}
+
+// start begins a period in which the rate is limited. Phase is from 0 to 1.
+func (p *pacer) start(now time.Time, phase float64) { *p = pacer{startedAt: now, phase: phase} }
+
+// slot returns when the present slot began or the next one begins, at a limit of rate requests
+// a second.
+func (p *pacer) slot(now time.Time, rate float64) time.Time {
+	interval := time.Duration(float64(time.Second) / rate)
+	at := p.nextAt
+	if at.IsZero() {
+		at = p.startedAt.Add(time.Duration(p.phase * float64(interval)))
+	}
+	if late := now.Sub(at) - pacerSlotLength; late > 0 {
+		at = at.Add((late + interval - 1) / interval * interval)
+	}
+	return at
+}
 
 // take records that a request is sent, at a limit of rate requests a second.
 func (p *pacer) take(now time.Time, rate float64) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -109,13 +110,23 @@
 		isNew = true
 	}
 	u.Listing, u.removeAt, u.listedAt = l, time.Time{}, now
-	u.coldUntil = time.Time{}
 	if l.ColdFor > 0 {
-		u.coldUntil = now.Add(l.ColdFor)
+		u.becomeCold(now, now.Add(l.ColdFor))
+	} else {
+		u.coldUntil = time.Time{}
 	}
 	return isNew
 }
 
+// becomeCold sets until when an upstream is cold, and starts to limit its requests if it was
+// not cold before.
+func (u *upstreamState) becomeCold(now, until time.Time) {
+	if !now.Before(u.coldUntil) {
+		u.coldPacer.start(now, rand.Float64())
+	}
+	u.coldUntil = until
+}
+
 // Remove removes an upstream whose listing is gone. A listing that disappears shortly
 // after an outage of the store may merely have expired during the outage, so that its
 // upstream stays in use for recoveryGrace after the outage.
