peer, feed, gateway: one reader of the store's topics for each data centre

Every gateway waited on the operators' topic (one call in 2 s) and, as views pass through random peers in more than a second, most read the upstreams' topic too (one in 0.7 s). Change: in a fleet of eight gateways or more, the first live gateway of a data centre reads both topics and the others ask it in each round, by a call without rows and marks; data centres with fewer than three gateways are one group. A view older than 1.1 s is replaced by an own read, as before. Other peers are asked for records only when a view is older than 0.8 s. Small fleets are as before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -127,9 +127,9 @@
 
 // Config sets how a topic is followed.
 type Config struct {
-	Name      string        // of the topic, for logs and metrics
-	ReadWait  time.Duration // how long a read waits for new records
-	ReadPause time.Duration // pause between two reads
+	Name      string               // of the topic, for logs and metrics
+	ReadWait  func() time.Duration // how long a read waits for new records; nil: not at all
+	ReadPause time.Duration        // pause between two reads
 	// MaxPeerViewAge is the age up to which views of peers replace own reads. While its
 	// view is more recent, a follower reads only if IsLeader returns true. If MaxPeerViewAge
 	// is zero, every follower reads for itself and IsLeader is not called.
@@ -352,8 +352,12 @@
 		return f.readAll(ctx)
 	}
 	started := time.Now()
-	readCtx, cancel := context.WithTimeout(ctx, f.cfg.ReadWait+readTimeoutMargin)
-	page, err := f.topic.Since(readCtx, from, f.cfg.ReadWait)
+	wait := time.Duration(0)
+	if f.cfg.ReadWait != nil {
+		wait = f.cfg.ReadWait()
+	}
+	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	page, err := f.topic.Since(readCtx, from, wait)
 	cancel()
 	var trimmed *TrimmedError
 	if errors.As(err, &trimmed) {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -118,7 +118,7 @@
 // follower, its sink and the calls of the topic.
 func runFollower(t *testing.T, results ...readResult) (*feed.Follower, *mapSink, []string) {
 	topic, sink := &scriptedTopic{results: results, done: make(chan struct{})}, &mapSink{values: map[string]string{}}
-	f := feed.New(feed.Config{Name: "test", ReadWait: time.Minute}, topic, sink, log.NewNopLogger(), metrics.NewRegistry())
+	f := feed.New(feed.Config{Name: "test", ReadWait: func() time.Duration { return time.Minute }}, topic, sink, log.NewNopLogger(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -48,13 +48,16 @@
 	// operatorReadWait is how long a read of the operators' topic waits for a record. It
 	// also limits how long a connection that no longer delivers anything goes unnoticed.
 	operatorReadWait = 2 * time.Second
+	// groupReadWait is the same for a gateway that reads for a group, whose views must not be
+	// older than maxPeerViewAge.
+	groupReadWait = 500 * time.Millisecond
 	// upstreamReadInterval is the time between two reads of the upstreams' topic. Every
 	// upstream writes there about once a second, so that a read that waits for the next
 	// record would mean one call for each record.
 	upstreamReadInterval = 700 * time.Millisecond
-	// maxPeerViewAge limits the age of a peer's view of the upstreams that replaces a read
-	// of the topic. A draining upstream must get no new requests from two seconds after it
-	// has announced the drain.
+	// maxPeerViewAge limits the age of a peer's view of a topic that replaces an own read. A
+	// configuration must be in force from two seconds after it was published, and a draining upstream must get no new requests
+	// from two seconds after it has announced the drain.
 	maxPeerViewAge = 1100 * time.Millisecond
 	// operatorCopyInterval is the least time between two copies of the operators' topic,
 	// which seldom changes.
@@ -123,9 +126,9 @@
 	}
 	currentCatalog := new(catalog.Latest)
 	upstreamPool := pool.New(currentCatalog)
-	operators := feed.New(feed.Config{Name: "operators", ReadWait: operatorReadWait}, platform.OperatorTopic,
+	operators := feed.New(feed.Config{Name: "operators", ReadWait: p.operatorReadWait, MaxPeerViewAge: maxPeerViewAge, IsLeader: p.readsOperators}, platform.OperatorTopic,
 		newOperatorSink(platform.Decoder, currentCatalog, upstreamPool, logger, registry), logger, registry)
-	listings := feed.New(feed.Config{Name: "upstreams", ReadPause: upstreamReadInterval, MaxPeerViewAge: maxPeerViewAge, IsLeader: p.isLeader}, platform.UpstreamTopic,
+	listings := feed.New(feed.Config{Name: "upstreams", ReadPause: upstreamReadInterval, MaxPeerViewAge: maxPeerViewAge, IsLeader: p.readsUpstreams}, platform.UpstreamTopic,
 		newListingSink(platform.Decoder, upstreamPool, logger, registry), logger, registry)
 	p.pool = upstreamPool
 	p.retryBudgets = NewRetryBudgets(RetryBudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
@@ -142,7 +145,7 @@
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
 		CatalogStatus: operatorStatus{operators, operatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(), MemoryMB: s.MemoryMB, Metrics: registry, Logger: logger,
 	})
-	p.peers = peer.NewExchanger(peer.Config{Address: s.Listen.Peers, Seeds: s.Seeds}, p.table,
+	p.peers = peer.NewExchanger(peer.Config{Address: s.Listen.Peers, DataCentre: s.DataCentre, Seeds: s.Seeds}, p.table,
 		peer.Topics{Operators: operators, Upstreams: listings}, bootClock, p.ownRow(fleetTime), logger, registry)
 	if platform.UsageSink != nil && slices.Contains(s.Duties, usageDuty) {
 		cfg := duty.Config{WindowLength: durationS(s.Bounds.WindowS), ReportWithin: durationS(s.Bounds.UsageLateS), Lease: durationMS(s.Bounds.LeaseMS)}
@@ -160,9 +163,33 @@
 	return p
 }
 
-// isLeader reports whether this gateway reads the upstreams' topic for its peers and saves
-// the copies of both topics. The leader is the first by name among the live gateways that
-// are not shutting down. If all are shutting down, every gateway is a leader.
+// operatorReadWait returns how long a read of the operators' topic waits for a record.
+func (p *Program) operatorReadWait() time.Duration {
+	if _, grouped := p.table.Reader(time.Now(), p.settings.DataCentre); grouped {
+		return groupReadWait
+	}
+	return operatorReadWait
+}
+
+// readsOperators reports whether this gateway reads the operators' topic. In a small fleet,
+// every gateway does, so that a configuration is in force at once.
+func (p *Program) readsOperators() bool {
+	reader, grouped := p.table.Reader(time.Now(), p.settings.DataCentre)
+	return !grouped || reader == nil || reader.GetNode() == string(p.settings.Node)
+}
+
+// readsUpstreams reports whether this gateway reads the upstreams' topic for its peers: the
+// reader of its group does, or in a small fleet the leader.
+func (p *Program) readsUpstreams() bool {
+	if _, grouped := p.table.Reader(time.Now(), p.settings.DataCentre); !grouped {
+		return p.isLeader()
+	}
+	return p.readsOperators()
+}
+
+// isLeader reports whether this gateway saves the copies of both topics. The leader is the
+// first by name among the live gateways that are not shutting down. If all are shutting down,
+// every gateway is a leader.
 func (p *Program) isLeader() bool {
 	for _, r := range p.table.Live(time.Now()) {
 		if !r.GetLeaving() {
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -45,6 +45,11 @@
 	// are asked for their view of it. A peer that reads the topic itself then has a view
 	// that is fresher by about as much.
 	topicRequestAge = 400 * time.Millisecond
+	// readerRequestAge is the age of a view from which on the reader of the group is asked in
+	// each round, and groupRequestAge that from which on other peers are asked in addition.
+	// Records thus do not travel between data centres while the reader answers.
+	readerRequestAge = 200 * time.Millisecond
+	groupRequestAge  = 800 * time.Millisecond
 	// maxMessageBytes bounds a message. A configuration has at most some 100 KB.
 	maxMessageBytes = 16 << 20
 )
@@ -54,8 +59,9 @@
 
 // Config holds the addresses by which gateways find one another.
 type Config struct {
-	Address string   // at which peers reach this gateway
-	Seeds   []string // addresses of peers, which may be outdated
+	Address    string // at which peers reach this gateway
+	DataCentre id.DataCentre
+	Seeds      []string // addresses of peers, which may be outdated
 }
 
 // Exchanger calls peers, serves their calls and keeps a table up to date.
@@ -102,8 +108,16 @@
 		now := time.Now()
 		row, urgent := x.makeRow(now)
 		x.table.Publish(now, row, urgent)
+		reader, grouped := x.table.Reader(now, x.cfg.DataCentre)
+		requestAge := topicRequestAge
+		if grouped {
+			requestAge = groupRequestAge
+		}
 		for _, address := range x.selectAddresses(round) {
-			go x.exchange(ctx, address)
+			go x.exchange(ctx, address, requestAge)
+		}
+		if address := reader.GetAddress(); address != "" && address != x.cfg.Address {
+			go x.pullTopics(ctx, address)
 		}
 		select {
 		case <-ctx.Done():
@@ -157,38 +171,63 @@
 	return c
 }
 
-// exchange calls a peer, merges the rows of its answer, measures its clock and adopts its
-// views of the topics.
-func (x *Exchanger) exchange(ctx context.Context, address string) {
+// call makes one call to a peer and counts its failures.
+func (x *Exchanger) call(ctx context.Context, address string, request *ragwortv1.ExchangeRequest) (*ragwortv1.ExchangeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	sentAt := x.clock.Now()
-	response, err := x.client(address).Exchange(ctx, connect.NewRequest(&ragwortv1.ExchangeRequest{
-		SenderUnixMs: sentAt.UnixMilli(), Rows: []*Row{x.table.OwnRow()}, Marks: x.table.Marks(),
-		Operators: topicRequest(x.topics.Operators), Upstreams: topicRequest(x.topics.Upstreams),
-	}))
+	response, err := x.client(address).Exchange(ctx, connect.NewRequest(request))
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	if err != nil {
 		x.failures[address]++
-	} else {
-		delete(x.failures, address)
-	}
-	x.mu.Unlock()
-	if err != nil {
 		metrics.GetOrRegisterCounter("peer_exchange_failed", x.registry).Inc(1)
+		return nil, err
+	}
+	delete(x.failures, address)
+	return response.Msg, nil
+}
+
+// adoptViews adopts a peer's views of the topics.
+func (x *Exchanger) adoptViews(response *ragwortv1.ExchangeResponse) {
+	x.adoptView("operators", x.topics.Operators, response.GetOperators())
+	x.adoptView("upstreams", x.topics.Upstreams, response.GetUpstreams())
+}
+
+// pullTopics asks the reader of the group for its views of the topics, if the own ones are not
+// fresh. If that fails, the views grow old until this gateway reads for itself.
+func (x *Exchanger) pullTopics(ctx context.Context, address string) {
+	request := &ragwortv1.ExchangeRequest{
+		TopicsOnly: true, Operators: topicRequest(x.topics.Operators, readerRequestAge), Upstreams: topicRequest(x.topics.Upstreams, readerRequestAge),
+	}
+	if !request.GetOperators().GetWanted() && !request.GetUpstreams().GetWanted() {
 		return
 	}
+	if response, err := x.call(ctx, address, request); err == nil {
+		x.adoptViews(response)
+	}
+}
+
+// exchange calls a peer, merges the rows of its answer, measures its clock and adopts its
+// views of the topics, which it asks for if the own ones are older than requestAge.
+func (x *Exchanger) exchange(ctx context.Context, address string, requestAge time.Duration) {
+	sentAt := x.clock.Now()
+	response, err := x.call(ctx, address, &ragwortv1.ExchangeRequest{
+		SenderUnixMs: sentAt.UnixMilli(), Rows: []*Row{x.table.OwnRow()}, Marks: x.table.Marks(),
+		Operators: topicRequest(x.topics.Operators, requestAge), Upstreams: topicRequest(x.topics.Upstreams, requestAge),
+	})
+	if err != nil {
+		return // counted
+	}
 	receivedAt := x.clock.Now()
-	x.merge(response.Msg.GetRows(), response.Msg.GetMarks())
-	if from := response.Msg.GetHistoryFromUnixMs(); from > 0 {
+	x.merge(response.GetRows(), response.GetMarks())
+	if from := response.GetHistoryFromUnixMs(); from > 0 {
 		x.table.ExtendHistory(time.UnixMilli(from))
 	}
 	if node, ok := x.nodeAt(address); ok {
 		oneWay := receivedAt.Sub(sentAt) / 2
-		x.table.RecordClockOffset(time.Now(), node, time.UnixMilli(response.Msg.GetSenderUnixMs()).Sub(sentAt.Add(oneWay)))
+		x.table.RecordClockOffset(time.Now(), node, time.UnixMilli(response.GetSenderUnixMs()).Sub(sentAt.Add(oneWay)))
 	}
-	x.adoptView("operators", x.topics.Operators, response.Msg.GetOperators())
-	x.adoptView("upstreams", x.topics.Upstreams, response.Msg.GetUpstreams())
+	x.adoptViews(response)
 }
 
 // nodeAt returns the live node whose row has the address.
@@ -204,13 +243,16 @@
 // Exchange implements ragwortv1connect.PeerServiceHandler. It merges the request of a peer
 // and returns what the peer lacks.
 func (x *Exchanger) Exchange(_ context.Context, request *connect.Request[ragwortv1.ExchangeRequest]) (*connect.Response[ragwortv1.ExchangeResponse], error) {
-	x.merge(request.Msg.GetRows(), request.Msg.GetMarks())
-	return connect.NewResponse(&ragwortv1.ExchangeResponse{
-		SenderUnixMs: x.clock.Now().UnixMilli(), Rows: x.table.MissingRows(request.Msg.GetMarks()), Marks: x.table.Marks(),
-		HistoryFromUnixMs: x.table.HistoryFrom(time.Now()).UnixMilli(),
-		Operators:         topicResponse(x.topics.Operators, request.Msg.GetOperators()),
-		Upstreams:         topicResponse(x.topics.Upstreams, request.Msg.GetUpstreams()),
-	}), nil
+	response := &ragwortv1.ExchangeResponse{
+		Operators: topicResponse(x.topics.Operators, request.Msg.GetOperators()),
+		Upstreams: topicResponse(x.topics.Upstreams, request.Msg.GetUpstreams()),
+	}
+	if !request.Msg.GetTopicsOnly() {
+		x.merge(request.Msg.GetRows(), request.Msg.GetMarks())
+		response.SenderUnixMs, response.HistoryFromUnixMs = x.clock.Now().UnixMilli(), x.table.HistoryFrom(time.Now()).UnixMilli()
+		response.Rows, response.Marks = x.table.MissingRows(request.Msg.GetMarks()), x.table.Marks()
+	}
+	return connect.NewResponse(response), nil
 }
 
 // merge merges rows and marks into the table and logs new members.
@@ -221,10 +263,10 @@
 }
 
 // topicRequest returns how far this gateway has read a topic, and whether it asks the peer
-// for the rest.
-func topicRequest(f *feed.Follower) *ragwortv1.TopicView {
+// for the rest: it does if its view is older than an age.
+func topicRequest(f *feed.Follower, age time.Duration) *ragwortv1.TopicView {
 	v := f.View()
-	return &ragwortv1.TopicView{Era: uint64(v.Next.Era), Next: uint64(v.Next.Offset), Known: v.Loaded, Wanted: !v.Loaded || time.Since(v.Contact) > topicRequestAge}
+	return &ragwortv1.TopicView{Era: uint64(v.Next.Era), Next: uint64(v.Next.Offset), Known: v.Loaded, Wanted: !v.Loaded || time.Since(v.Contact) > age}
 }
 
 // topicResponse returns the records that a peer lacks if it asks for them, and the age of
--- a/peer/table.go
+++ b/peer/table.go
@@ -198,6 +198,42 @@
 	return slices.SortedFunc(maps.Values(latest), func(a, b *Row) int { return cmp.Compare(a.GetNode(), b.GetNode()) })
 }
 
+const (
+	// minGroupedFleet is the number of live gateways from which on the gateways of a data
+	// centre read the platform's topics together. In a smaller fleet, what every gateway
+	// reads costs less than it takes to notice that a common reader has failed.
+	minGroupedFleet = 8
+	// minGroup is the smallest number of gateways of a data centre that are a group of their
+	// own. Those of smaller data centres are one group.
+	minGroup = 3
+)
+
+// Reader returns the row of the gateway that reads the platform's topics for this one and the
+// others of its group: the first by name that is not shutting down. Grouped is false if the
+// fleet is too small for groups. The row is nil if every gateway of the group is shutting down.
+func (t *Table) Reader(now time.Time, dataCentre id.DataCentre) (reader *Row, grouped bool) {
+	live := t.Live(now)
+	if len(live) < minGroupedFleet {
+		return nil, false
+	}
+	sizes := make(map[string]int)
+	for _, r := range live {
+		sizes[r.GetDataCentre()]++
+	}
+	groupOf := func(dataCentre string) string {
+		if sizes[dataCentre] < minGroup {
+			return ""
+		}
+		return dataCentre
+	}
+	for _, r := range live {
+		if !r.GetLeaving() && groupOf(r.GetDataCentre()) == groupOf(string(dataCentre)) {
+			return r, true
+		}
+	}
+	return nil, true
+}
+
 // isAlive reports whether the last heartbeat of a member is recent.
 func (t *Table) isAlive(now time.Time, m Member) bool {
 	t.mu.Lock()
