--- a/peer/table_test.go
+++ b/peer/table_test.go
@@ -116,3 +116,48 @@
 	require.Equal(t, 2400*time.Millisecond, b.MedianClockOffset(now))
 	require.Zero(t, b.MedianClockOffset(now.Add(time.Minute)), "offsets that were measured long ago must not count")
 }
+
+// TestReader checks which gateway reads the topics for the others, as a fleet grows, shrinks
+// and shuts down.
+func TestReader(t *testing.T) {
+	type gateway struct {
+		node, dataCentre string
+		leaving          bool
+	}
+	fleet := func(gateways ...gateway) *peer.Table {
+		table := peer.NewTable(peer.Member{Node: "z", Incarnation: 1}, now)
+		table.Publish(now, &peer.Row{Address: "z", DataCentre: "th-z"}, false)
+		for _, g := range gateways {
+			other := peer.NewTable(peer.Member{Node: id.Node(g.node), Incarnation: 1}, now)
+			other.Publish(now, &peer.Row{Address: g.node, DataCentre: g.dataCentre, Leaving: g.leaving}, false)
+			pull(now, table, other)
+		}
+		return table
+	}
+	large := []gateway{
+		{"a1", "th-a", true}, {"a2", "th-a", false}, {"a3", "th-a", false},
+		{"b1", "th-b", false}, {"b2", "th-b", false}, {"c1", "th-c", true},
+		{"d1", "th-d", true}, {"d2", "th-d", true}, {"d3", "th-d", true},
+	}
+	for name, tc := range map[string]struct {
+		gateways   []gateway
+		dataCentre id.DataCentre
+		reader     string
+		grouped    bool
+	}{
+		"small fleet":                          {large[:6], "th-a", "", false},
+		"first that is not leaving":            {large, "th-a", "a2", true},
+		"small data centres are one group":     {large, "th-c", "b1", true},
+		"the same group":                       {large, "th-z", "b1", true},
+		"all of a data centre are leaving":     {large, "th-d", "", true},
+		"a data centre that nobody else names": {large, "th-x", "b1", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader, grouped := fleet(tc.gateways...).Reader(now, tc.dataCentre)
+			require.Equal(t, tc.reader, reader.GetNode())
+			require.Equal(t, tc.grouped, grouped)
+		})
+	}
+	_, grouped := fleet(large...).Reader(now.Add(2*time.Second), "th-a")
+	require.False(t, grouped, "gateways that are not heard of do not count")
+}
