--- a/pool/split.go
+++ b/pool/split.go
@@ -35,12 +35,15 @@
 	outputTokenWork = 7
 	// referenceSpeed is the speed of reading that is assumed before any answer, in tokens a
 	// second as speedSamples measures them.
-	referenceSpeed = 55_000
+	referenceSpeed = 62_000
 	// The fraction of the engines that is for long prompts before any work was recorded is
 	// 1 / (shortPromptWork + outputWork*speed/referenceSpeed): relative to the time for long
 	// prompts, engines need shortPromptWork-1 for short ones at any speed, and for output
 	// more, the faster they read.
 	shortPromptWork, outputWork = 1.1, 0.718
+	// maxSlowSpeed is the largest speed, in tokens a second, that differs from referenceSpeed
+	// by more than load explains.
+	maxSlowSpeed = 0.6 * referenceSpeed
 	// minSpeedTokens is how many private tokens a prompt needs for its answer to tell how fast
 	// an engine reads.
 	minSpeedTokens = 1500
@@ -48,7 +51,7 @@
 	// many are kept, and speedQuantile the quantile that counts: most answers have also waited
 	// for others.
 	minSpeedSamples, maxSpeedSamples = 5, 64
-	speedQuantile                    = 0.8
+	speedQuantile                    = 0.92
 	// minLongShare and maxLongShare bound the fraction of the engines for long prompts,
 	// so that both groups have engines whatever the work.
 	minLongShare, maxLongShare = 0.2, 0.8
@@ -140,9 +143,10 @@
 	}
 }
 
-// relative returns the speed relative to referenceSpeed.
+// relative returns the speed relative to referenceSpeed. Engines under load answer later, so
+// that they count as slower only if they are clearly so.
 func (m *speedSamples) relative() float64 {
-	if m.speed == 0 {
+	if m.speed == 0 || m.speed > maxSlowSpeed {
 		return 1
 	}
 	return m.speed / referenceSpeed
