--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -298,6 +298,12 @@
 	}
 	require.IsType(t, &duty.SendReport{}, old.Step(s.now, s.view("entry-0")))
 	s.rewind(0)
+	aware := s.view("entry-0")
+	aware.Era = s.era
+	unaware := *old
+	_, acts := old.Step(s.now, aware).(*duty.SendReport)
+	require.False(t, acts, "a claim must not be acted on once its era is known to be over")
+	old = &unaware
 	s.knownEra["entry-1"] = s.era
 	acted := func() bool { return len(s.topic) > 0 }
 	for !acted() && s.now.Before(windowStart.Add(3*cfg.WindowLength)) {
@@ -307,10 +313,29 @@
 		}
 	}
 	require.True(t, acted())
-	_, acts := old.Step(s.now, s.view("entry-0")).(*duty.SendReport)
+	_, acts = old.Step(s.now, s.view("entry-0")).(*duty.SendReport)
 	require.False(t, acts)
 }
 
+// TestClaimWaitsForLostOnesToExpire checks the same for the holder by the restored claims, which
+// need not wait for a lease: another gateway may act on a claim that was lost.
+func TestClaimWaitsForLostOnesToExpire(t *testing.T) {
+	s := newSimulation(1)
+	s.now = windowStart.Add(cfg.WindowLength + time.Second)
+	s.runGateway("entry-0", false)
+	require.Len(t, s.topic, 1)
+	s.now = windowStart.Add(2*cfg.WindowLength - 100*time.Millisecond)
+	s.rewind(0)
+	s.knownEra["entry-0"] = s.era
+	s.runGateway("entry-0", false) // learns of the era; no window is due
+	s.now = windowStart.Add(2*cfg.WindowLength + time.Second)
+	s.runGateway("entry-0", false)
+	require.Len(t, s.topic, 1, "the window has settled, but a lost claim may still be valid")
+	s.now = s.now.Add(500 * time.Millisecond)
+	s.runGateway("entry-0", false)
+	require.Len(t, s.topic, 2)
+}
+
 // TestTermRisesWithEra guards against a fencing number that begins lower in a new era.
 func TestTermRisesWithEra(t *testing.T) {
 	last := &duty.Claim{Position: feed.Position{Era: 3, Offset: 1 << 30}}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -9,8 +9,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pool"
 )
 
 func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: part %d\n\n", n, n) }
@@ -162,3 +166,95 @@
 		})
 	}
 }
+
+// TestSlowStreamIsNotCut sends events with long pauses, within the caller's deadline. The
+// stream must be relayed whole, from one run.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	f := newFixture(t)
+	var runs atomic.Int64
+	f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		for n := 1; n <= 4; n++ {
+			time.Sleep(500 * time.Millisecond)
+			_, _ = io.WriteString(w, eventText(n))
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+	for _, path := range []string{"/stream/x", "/resumable/x"} {
+		runs.Store(0)
+		got := f.call(http.MethodPost, path, "p")
+		require.NoError(t, got.err)
+		require.Equal(t, eventTexts(1, 4), got.body)
+		require.EqualValues(t, 1, runs.Load())
+	}
+}
+
+// TestStalledStreamEnds has an upstream send a byte now and then that never completes an event.
+// The request must end at the caller's deadline, and the upstream must learn of it.
+func TestStalledStreamEnds(t *testing.T) {
+	const deadline = 600 * time.Millisecond
+	for _, begun := range []bool{false, true} {
+		t.Run(fmt.Sprint("after an event ", begun), func(t *testing.T) {
+			f := newFixture(t)
+			stopped := make(chan time.Time, 2)
+			f.serveUpstream(func(w http.ResponseWriter, r *http.Request) {
+				if begun {
+					_, _ = io.WriteString(w, eventText(1))
+				}
+				for r.Context().Err() == nil {
+					_, _ = io.WriteString(w, ":")
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(20 * time.Millisecond)
+				}
+				stopped <- time.Now()
+			})
+			req := f.request(t.Context(), http.MethodPost, "/stream/x", "p")
+			req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+			sent := time.Now()
+			got := f.do(req)
+			if begun {
+				require.Error(t, got.err, "a stream that is cut must not look complete")
+			} else {
+				require.Equal(t, http.StatusGatewayTimeout, got.status)
+			}
+			require.Less(t, time.Since(sent), deadline+500*time.Millisecond)
+			require.Less(t, (<-stopped).Sub(sent), deadline+500*time.Millisecond)
+		})
+	}
+}
+
+// TestRunningRequestOutlivesListing guards against running work that is given up or started
+// again elsewhere when its upstream is no longer listed, cannot be connected to or leaves.
+func TestRunningRequestOutlivesListing(t *testing.T) {
+	for name, change := range map[string]func(f *fixture, u id.Upstream){
+		"listing removed": func(f *fixture, u id.Upstream) { f.pool.Remove(time.Now(), u) },
+		"unreachable":     func(f *fixture, u id.Upstream) { f.pool.MarkUnreachable(time.Now(), u) },
+		"leaving":         func(f *fixture, u id.Upstream) { f.pool.MarkLeaving(time.Now(), &pool.Listing{ID: u}) },
+		"evacuated":       func(f *fixture, _ id.Upstream) { f.pool.SetEvacuated(time.Now(), "th-a", true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			var runs atomic.Int64
+			running, proceed := make(chan struct{}), make(chan struct{})
+			u := f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				_, _ = io.WriteString(w, eventText(1))
+				_ = http.NewResponseController(w).Flush()
+				running <- struct{}{}
+				<-proceed
+				_, _ = io.WriteString(w, eventTexts(2, 3))
+			})
+			f.addUpstream("127.0.0.1:1") // nothing listens there: a second run would fail
+			f.pool.MarkUnreachable(time.Now(), "i-2")
+			done := make(chan response)
+			go func() { done <- f.call(http.MethodPost, "/resumable/x", "p") }()
+			<-running
+			change(f, u)
+			close(proceed)
+			got := <-done
+			require.NoError(t, got.err)
+			require.Equal(t, eventTexts(1, 3), got.body)
+			require.EqualValues(t, 1, runs.Load())
+		})
+	}
+}
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -566,3 +566,31 @@
 		})
 	}
 }
+
+// TestRestartedRelayKeepsWithdrawals restarts a process while the store does not answer. A key
+// that was withdrawn and an upstream that has left must not be in use again: the process takes
+// the views of its peers, which are newer than the copies.
+func TestRestartedRelayKeepsWithdrawals(t *testing.T) {
+	f := newRelayFleet(t, 3)
+	f.putCatalog("key-1")
+	f.store.DeleteListing("i-2")
+	for _, r := range f.nodes {
+		ragworttest.Eventually(t, func() bool { return f.statusFor(r, "key-2") == http.StatusUnauthorized }, "%s refuses the withdrawn key", r.name)
+		ragworttest.Eventually(t, func() bool { return strings.Contains(r.process.Log.String(), "upstream_gone upstream=i-2") }, "%s has removed i-2", r.name)
+	}
+	f.store.SetFaults(standin.StoreFaults{Hang: true})
+	f.mu.Lock()
+	before := f.byUpstream["i-2"]
+	f.mu.Unlock()
+	restarted := f.nodes[0]
+	restarted.process.Kill(t)
+	f.startNode(restarted)
+	f.waitReady(restarted)
+	for range 50 {
+		require.NotEqual(t, http.StatusOK, f.statusFor(restarted, "key-2"))
+		require.Equal(t, http.StatusOK, f.statusFor(restarted, "key-1"))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.Equal(t, before, f.byUpstream["i-2"], "an upstream that has left got requests")
+}
