--- a/pool/choose.go
+++ b/pool/choose.go
@@ -48,12 +48,10 @@
 	ListingAge time.Duration // since the upstream was last listed
 	Running    int           // requests of this gateway that were already running there
 
-	pool        *Pool
-	state       *upstreamState
-	prompt      Prompt
-	prefillDone bool
-	startedAt   time.Time
-	split       *engineSplit // nil: the service is not divided
+	pool         *Pool
+	state        *upstreamState
+	promptTokens id.Tokens
+	prefillDone  bool
 }
 
 // Throttled means that every remaining upstream is cold and has reached its rate limit, or
@@ -118,9 +116,9 @@
 			u.coldPacer.take(now, rate)
 		}
 	}
-	a := &Assignment{Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u, prompt: rq.Prompt, startedAt: now, split: p.splits[rq.Service]}
+	a := &Assignment{Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u, promptTokens: rq.Prompt.Length}
 	u.running++
-	u.prefillTokens += a.prompt.Length
+	u.prefillTokens += a.promptTokens
 	return a
 }
 
@@ -329,12 +327,9 @@
 
 // PrefillDone records that the upstream has processed the whole prompt. Further calls
 // have no effect.
-func (a *Assignment) PrefillDone(now time.Time) {
+func (a *Assignment) PrefillDone() {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	if !a.prefillDone && a.split != nil {
-		a.split.speeds.add(&a.prompt, now.Sub(a.startedAt))
-	}
 	a.finishPrefill()
 }
 
@@ -343,7 +338,7 @@
 func (a *Assignment) finishPrefill() {
 	if !a.prefillDone {
 		a.prefillDone = true
-		a.state.prefillTokens -= a.prompt.Length
+		a.state.prefillTokens -= a.promptTokens
 	}
 }
 
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -322,7 +322,7 @@
 			count := map[id.Upstream]int{}
 			for range tc.requests {
 				assignment := choose(t, p, now, pool.Request{Prompt: prompt("hot", 50, 100)})
-				assignment.PrefillDone(now)
+				assignment.PrefillDone()
 				if strings.HasPrefix(assignment.Reason, "affine") {
 					count[assignment.Upstream.ID]++
 				}
@@ -353,7 +353,7 @@
 	borrowed, own := 0, 0
 	for i := range engines * slots / gateways {
 		assignment := choose(t, p, now, pool.Request{Prompt: prompt(fmt.Sprint("short-", i%40), 50, 100)})
-		assignment.PrefillDone(now)
+		assignment.PrefillDone()
 		if forLong[assignment.Upstream.ID] {
 			borrowed++
 		} else {
@@ -374,30 +374,3 @@
 		assignment.End()
 	}
 }
-
-// TestSlowerEnginesGetMoreForLongPrompts answers long prompts at the pace of engines that read
-// fast and slowly. Slow ones need more of their number for the same prompts.
-func TestSlowerEnginesGetMoreForLongPrompts(t *testing.T) {
-	for _, tc := range []struct {
-		tokensPerSecond float64
-		engines         int // for long prompts, of ten
-	}{{62_000, 6}, {45_000, 6}, {28_000, 8}, {0, 6}} {
-		t.Run(fmt.Sprint(tc.tokensPerSecond, " tokens a second"), func(t *testing.T) {
-			p := newPool(10)
-			used := map[id.Upstream]bool{}
-			at := now
-			for i := range 200 {
-				at = at.Add(50 * time.Millisecond)
-				a := choose(t, p, at, pool.Request{Prompt: prompt(fmt.Sprint("document-", i), 6000, 3000)})
-				if i >= 100 {
-					used[a.Upstream.ID] = true
-				}
-				if tc.tokensPerSecond > 0 {
-					a.PrefillDone(at.Add(time.Duration(3000 / tc.tokensPerSecond * float64(time.Second))))
-				}
-				a.End()
-			}
-			require.Len(t, used, tc.engines)
-		})
-	}
-}
--- a/pool/split.go
+++ b/pool/split.go
@@ -12,7 +12,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -29,29 +28,13 @@
 	sharedPrefixDivisor = 4
 	// defaultMaxEventGap applies to services none of whose routes sets an event gap.
 	defaultMaxEventGap = 200 * time.Millisecond
-	// outputTokenWork is the work of one output token, in prompt tokens, for an engine of
-	// referenceSpeed: an additional request in a batch lengthens each step by the time that
-	// it takes to prefill this many tokens.
+	// outputTokenWork is the work of one output token, in prompt tokens: an additional
+	// request in a batch lengthens each step by the time that it takes to prefill this
+	// many tokens.
 	outputTokenWork = 7
-	// referenceSpeed is the speed of reading that is assumed before any answer, in tokens a
-	// second as speedSamples measures them.
-	referenceSpeed = 62_000
-	// The fraction of the engines that is for long prompts before any work was recorded is
-	// 1 / (shortPromptWork + outputWork*speed/referenceSpeed): relative to the time for long
-	// prompts, engines need shortPromptWork-1 for short ones at any speed, and for output
-	// more, the faster they read.
-	shortPromptWork, outputWork = 1.1, 0.718
-	// maxSlowSpeed is the largest speed, in tokens a second, that differs from referenceSpeed
-	// by more than load explains.
-	maxSlowSpeed = 0.6 * referenceSpeed
-	// minSpeedTokens is how many private tokens a prompt needs for its answer to tell how fast
-	// an engine reads.
-	minSpeedTokens = 1500
-	// minSpeedSamples and maxSpeedSamples are how many answers are needed for a speed and how
-	// many are kept, and speedQuantile the quantile that counts: most answers have also waited
-	// for others.
-	minSpeedSamples, maxSpeedSamples = 5, 64
-	speedQuantile                    = 0.92
+	// initialLongShare is the fraction of the engines that is for long prompts before any
+	// work was recorded.
+	initialLongShare = 0.55
 	// minLongShare and maxLongShare bound the fraction of the engines for long prompts,
 	// so that both groups have engines whatever the work.
 	minLongShare, maxLongShare = 0.2, 0.8
@@ -81,7 +64,6 @@
 // engineSplit is the division of one service's engines into two groups.
 type engineSplit struct {
 	longWork, shortWork float64 // recent work, in prompt tokens, decayed up to updatedAt
-	speeds              speedSamples
 	updatedAt           time.Time
 	longEngines         int // engines for long prompts
 	totalEngines        int // engines in both groups when longEngines was set
@@ -112,7 +94,7 @@
 		s.shortWork *= decay
 	}
 	s.updatedAt = now
-	work := float64(prompt.Length) + outputTokenWork*s.speeds.relative()*float64(prompt.Output)
+	work := float64(prompt.Length) + outputTokenWork*float64(prompt.Output)
 	if long {
 		s.longWork += work
 	} else {
@@ -120,42 +102,9 @@
 	}
 }
 
-// speedSamples measures how fast the engines of a service read prompts, by the first events of
-// recent answers.
-type speedSamples struct {
-	samples [maxSpeedSamples]float64 // tokens a second
-	count   int                      // samples ever added
-	speed   float64                  // zero: too few samples
-}
-
-// add adds an answer, whose first event took some time from the request. The upstream has read
-// at least the private part of the prompt in that time.
-func (m *speedSamples) add(prompt *Prompt, took time.Duration) {
-	private := prompt.Length - prompt.sharedTokens()
-	if private < minSpeedTokens || took <= 0 {
-		return
-	}
-	m.samples[m.count%maxSpeedSamples] = float64(private) / took.Seconds()
-	m.count++
-	if n := min(m.count, maxSpeedSamples); n >= minSpeedSamples {
-		sorted := slices.Sorted(slices.Values(m.samples[:n]))
-		m.speed = sorted[int(speedQuantile*float64(n))]
-	}
-}
-
-// relative returns the speed relative to referenceSpeed. Engines under load answer later, so
-// that they count as slower only if they are clearly so.
-func (m *speedSamples) relative() float64 {
-	if m.speed == 0 || m.speed > maxSlowSpeed {
-		return 1
-	}
-	return m.speed / referenceSpeed
-}
-
 // divideEngines returns how many of n engines are for long prompts.
 func (s *engineSplit) divideEngines(n int) int {
-	initialShare := 1 / (shortPromptWork + outputWork*s.speeds.relative())
-	share := (s.longWork + initialShare*initialShareWeightTokens) / (s.longWork + s.shortWork + initialShareWeightTokens)
+	share := (s.longWork + initialLongShare*initialShareWeightTokens) / (s.longWork + s.shortWork + initialShareWeightTokens)
 	wanted := min(max(share, minLongShare), maxLongShare) * float64(n)
 	if s.totalEngines != n || math.Abs(wanted-float64(s.longEngines)) > resplitThreshold {
 		s.totalEngines, s.longEngines = n, min(max(int(math.Round(wanted)), 1), n-1)
