--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -20,8 +20,10 @@
 // process that was stopped for a while reads what has arrived meanwhile.
 const unreadGrace = 100 * time.Millisecond
 
-// CallerConns tracks the connections of one http.Server. It is safe for concurrent use.
+// CallerConns is the listener of one http.Server and tracks its connections. It is safe for
+// concurrent use.
 type CallerConns struct {
+	net.Listener
 	idleTimeout func() time.Duration // zero: no limit
 
 	mu    sync.Mutex
@@ -29,11 +31,20 @@
 }
 
 // TrackCallers makes a server close idle connections after the timeout of the catalog in
-// force. It returns the listener that the server must use.
-func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) (*CallerConns, net.Listener) {
-	c := &CallerConns{idleTimeout: g.idleTimeout, conns: make(map[net.Conn]*callerConn)}
+// force. The server must accept its connections from the returned listener.
+func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) *CallerConns {
+	c := &CallerConns{Listener: l, idleTimeout: g.idleTimeout, conns: make(map[net.Conn]*callerConn)}
 	server.ConnState = c.connStateChanged
-	return c, &callerListener{Listener: l, conns: c}
+	return c
+}
+
+// Accept implements net.Listener.
+func (c *CallerConns) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: conn, idleSince: time.Now()}, nil
 }
 
 // Len returns the number of open connections.
@@ -78,21 +89,6 @@
 	}
 }
 
-// callerListener accepts connections as *callerConn.
-type callerListener struct {
-	net.Listener
-	conns *CallerConns
-}
-
-// Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: conn, idleSince: time.Now()}, nil
-}
-
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -125,7 +125,8 @@
 		Metrics:      metrics.NewRegistry(), Logger: f,
 	})
 	f.server = httptest.NewUnstartedServer(f.gateway.Handler())
-	f.callerConns, f.server.Listener = f.gateway.TrackCallers(f.server.Config, f.server.Listener)
+	f.callerConns = f.gateway.TrackCallers(f.server.Config, f.server.Listener)
+	f.server.Listener = f.callerConns
 	f.server.Start()
 	t.Cleanup(f.server.Close)
 	return f
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -56,8 +56,8 @@
 	// record would mean one call for each record.
 	upstreamReadInterval = 700 * time.Millisecond
 	// maxPeerViewAge limits the age of a peer's view of a topic that replaces an own read. A
-	// configuration must be in force from two seconds after it was published, and a draining upstream must get no new requests
-	// from two seconds after it has announced the drain.
+	// configuration must be in force from two seconds after it was published, and a draining
+	// upstream must get no new requests from two seconds after it has announced the drain.
 	maxPeerViewAge = 1100 * time.Millisecond
 	// operatorCopyInterval is the least time between two copies of the operators' topic,
 	// which seldom changes.
@@ -111,8 +111,7 @@
 	registry     metrics.Registry
 	logger       log.Logger
 
-	callerListener net.Listener // set by Run
-	callerConns    *CallerConns // set by Run
+	callers *CallerConns // connections of callers; set by Run
 }
 
 // NewProgram returns a program that has not started yet. ReadSettings rereads its
@@ -262,7 +261,8 @@
 			return eris.Wrapf(err, "listen on %s", address)
 		}
 		if server == callers {
-			l = p.trackCallers(server, l)
+			p.callers = p.gateway.TrackCallers(server, l)
+			l = p.callers
 		}
 		tasks.Go(func() { failed <- server.Serve(l) })
 		return nil
@@ -313,13 +313,6 @@
 	}
 }
 
-// trackCallers tracks the connections of callers for the shutdown. It returns the listener
-// that the server must use.
-func (p *Program) trackCallers(server *http.Server, l net.Listener) net.Listener {
-	p.callerConns, p.callerListener = p.gateway.TrackCallers(server, l)
-	return p.callerListener
-}
-
 // shutDown ends the service within the grace period that the platform gives. It serves
 // all requests until the load balancer has noticed, then refuses those that may outlast
 // the process, and returns when running requests have finished and no new ones arrive.
@@ -338,14 +331,14 @@
 	p.gateway.SetShutdownDeadline(deadline)
 	for !p.gateway.Idle(time.Now(), shutdownIdlePeriod) && sleepUntil(ctx, time.Now().Add(shutdownPollInterval)) {
 	}
-	err := p.callerListener.Close()
+	err := p.callers.Close()
 	for {
-		p.callerConns.CloseIdle(time.Now(), shutdownIdlePeriod)
-		if p.callerConns.Len() == 0 || !sleepUntil(ctx, time.Now().Add(shutdownPollInterval)) {
+		p.callers.CloseIdle(time.Now(), shutdownIdlePeriod)
+		if p.callers.Len() == 0 || !sleepUntil(ctx, time.Now().Add(shutdownPollInterval)) {
 			break // some requests may have outlasted the grace period; the log line counts them
 		}
 	}
-	_ = p.logger.Log("event", "left", "after", time.Since(started), "running", p.gateway.InFlight(), "connections", p.callerConns.Len(), "err", err)
+	_ = p.logger.Log("event", "left", "after", time.Since(started), "running", p.gateway.InFlight(), "connections", p.callers.Len(), "err", err)
 	return err
 }
 
