gateway, pool, duty: records decoded once, words, a test for the lease

operatorSink.Rewind decoded each record twice, a configuration of some 100 KB included. The start of an upstream is an incarnation here as elsewhere.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -317,6 +317,24 @@
 	require.False(t, acts)
 }
 
+// TestTakeoverWaitsForLease guards against a gateway that claims within a lease of the last
+// claim of one that has ended: the latter's last report may have been sent just now.
+func TestTakeoverWaitsForLease(t *testing.T) {
+	s := newSimulation(2)
+	s.now = windowStart.Add(2*cfg.WindowLength - 500*time.Millisecond)
+	s.runGateway("entry-0", false) // late, shortly before the next window ends
+	require.Len(t, s.topic, 1)
+	claimedAt := s.now
+	s.stopped["entry-0"] = true
+	for len(s.topic) == 1 && s.now.Before(claimedAt.Add(cfg.WindowLength+cfg.ReportWithin)) {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.runGateway("entry-1", false)
+	}
+	require.Len(t, s.topic, 2)
+	require.Greater(t, s.now.Sub(claimedAt), cfg.Lease)
+	s.checkReports(t)
+}
+
 // TestClaimWaitsForLostOnesToExpire checks the same for the holder by the restored claims, which
 // need not wait for a lease: another gateway may act on a claim that was lost.
 func TestClaimWaitsForLostOnesToExpire(t *testing.T) {
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -69,20 +69,20 @@
 func (o *operatorSink) Rewind(now time.Time, records []feed.Record) {
 	evacuated := make(map[id.DataCentre]bool)
 	for _, r := range records {
-		change, err := o.decoder.DecodeChange(r)
-		if e, ok := change.(*Evacuation); err == nil && ok && e.Active {
-			evacuated[e.DataCentre] = true
-			if o.ended[e.DataCentre] {
-				_ = o.logger.Log("event", "evacuation_held", "data_centre", e.DataCentre, "on", false, "offset", r.Offset)
-				continue
-			}
-		}
-		if c, ok := change.(*CatalogChange); err == nil && ok {
+		change := o.decode(r)
+		switch c := change.(type) {
+		case *CatalogChange:
 			if current := o.currentCatalog.Load(); current != nil && c.Catalog.Version < current.Version {
 				_ = o.logger.Log("event", "config_held", "config", current.Version, "store_has", c.Catalog.Version, "offset", r.Offset)
 			}
+		case *Evacuation:
+			evacuated[c.DataCentre] = c.Active
+			if c.Active && o.ended[c.DataCentre] {
+				_ = o.logger.Log("event", "evacuation_held", "data_centre", c.DataCentre, "on", false, "offset", r.Offset)
+				continue
+			}
 		}
-		o.apply(now, r)
+		o.apply(now, r, change)
 	}
 	for _, dc := range o.pool.Evacuated() {
 		if !evacuated[dc] {
@@ -95,7 +95,9 @@
 func (o *operatorSink) Replace(now time.Time, records []feed.Record) {
 	evacuated := make(map[id.DataCentre]bool)
 	for _, r := range records {
-		if e, ok := o.apply(now, r).(*Evacuation); ok && e.Active {
+		change := o.decode(r)
+		o.apply(now, r, change)
+		if e, ok := change.(*Evacuation); ok && e.Active {
 			evacuated[e.DataCentre] = true
 		}
 	}
@@ -109,7 +111,7 @@
 // Apply implements feed.Sink.
 func (o *operatorSink) Apply(now time.Time, records []feed.Record) {
 	for _, r := range records {
-		o.apply(now, r)
+		o.apply(now, r, o.decode(r))
 	}
 }
 
@@ -117,14 +119,18 @@
 // outage.
 func (*operatorSink) Recovered(time.Time) {}
 
-// apply puts the change of a record into effect and returns it. An unreadable record
-// changes nothing.
-func (o *operatorSink) apply(now time.Time, r feed.Record) OperatorChange {
+// decode returns the change of a record. An unreadable record changes nothing.
+func (o *operatorSink) decode(r feed.Record) OperatorChange {
 	change, err := o.decoder.DecodeChange(r)
 	if err != nil {
 		o.logUnreadable(r, err)
 		return &UnknownChange{}
 	}
+	return change
+}
+
+// apply puts the change of a record into effect.
+func (o *operatorSink) apply(now time.Time, r feed.Record, change OperatorChange) {
 	switch c := change.(type) {
 	case *CatalogChange:
 		if o.currentCatalog.Update(c.Catalog) {
@@ -133,7 +139,6 @@
 	case *Evacuation:
 		o.evacuate(now, c)
 	}
-	return change
 }
 
 // evacuate starts or ends an evacuation and logs it.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -71,7 +71,7 @@
 	latest            *catalog.Latest
 	gatewayCount      int // live gateways, which share the capacity of the upstreams
 	splits            map[id.Service]*engineSplit
-	remarks           map[run]*remark
+	remarks           map[incarnation]*remark
 }
 
 // New returns an empty pool that reads the settings of services from the latest catalog.
@@ -79,7 +79,7 @@
 	return &Pool{
 		upstreams: make(map[id.Upstream]*upstreamState), byService: make(map[id.Service][]*upstreamState),
 		evacuated: make(map[id.DataCentre]bool), evacuationEndedAt: make(map[id.DataCentre]time.Time),
-		splits: make(map[id.Service]*engineSplit), remarks: make(map[run]*remark), latest: latest, gatewayCount: 1,
+		splits: make(map[id.Service]*engineSplit), remarks: make(map[incarnation]*remark), latest: latest, gatewayCount: 1,
 	}
 }
 
@@ -102,7 +102,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = &upstreamState{hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[run{l.ID, l.StartUnixMS}]}
+		u = &upstreamState{hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[incarnation{l.ID, l.StartUnixMS}]}
 		p.upstreams[l.ID] = u
 		list := p.byService[l.Service]
 		at, _ := slices.BinarySearchFunc(list, u.hashOrder, func(x *upstreamState, order uint64) int { return cmp.Compare(x.hashOrder, order) })
--- a/pool/remark.go
+++ b/pool/remark.go
@@ -17,13 +17,13 @@
 	remarkRetention = 2 * maxAskedWait
 )
 
-// run identifies one run of an upstream, which may start again under its id.
-type run struct {
+// incarnation identifies an upstream from its start on, as it may start again under its id.
+type incarnation struct {
 	upstream    id.Upstream
 	startUnixMS int64
 }
 
-// remark is what a run of an upstream has said in its responses.
+// remark is what an incarnation of an upstream has said in its responses.
 type remark struct {
 	leaving   bool
 	waitUntil time.Time // it wants no requests before
@@ -52,10 +52,10 @@
 	return r.waitUntil
 }
 
-// remarkFor returns the remark of a run, which it creates if there is none, and forgets old
+// remarkFor returns the remark of an incarnation, which it creates if there is none, and forgets old
 // ones. The caller holds the lock.
 func (p *Pool) remarkFor(now time.Time, l *Listing) *remark {
-	key := run{l.ID, l.StartUnixMS}
+	key := incarnation{l.ID, l.StartUnixMS}
 	r := p.remarks[key]
 	if r == nil {
 		for other, old := range p.remarks {
