--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -171,19 +171,29 @@
 	return c
 }
 
-// call makes one call to a peer and counts its failures.
+// call makes one call to a peer. It counts its failures and logs the first of consecutive ones.
 func (x *Exchanger) call(ctx context.Context, address string, request *ragwortv1.ExchangeRequest) (*ragwortv1.ExchangeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	response, err := x.client(address).Exchange(ctx, connect.NewRequest(request))
 	x.mu.Lock()
-	defer x.mu.Unlock()
+	failed := x.failures[address]
 	if err != nil {
 		x.failures[address]++
+	} else {
+		delete(x.failures, address)
+	}
+	x.mu.Unlock()
+	switch {
+	case err != nil:
 		metrics.GetOrRegisterCounter("peer_exchange_failed", x.registry).Inc(1)
+		if failed == 0 {
+			_ = x.logger.Log("event", "peer_lost", "address", address, "err", err)
+		}
 		return nil, err
+	case failed > 0:
+		_ = x.logger.Log("event", "peer_regained", "address", address, "failed", failed)
 	}
-	delete(x.failures, address)
 	return response.Msg, nil
 }
 
@@ -194,7 +204,7 @@
 }
 
 // pullTopics asks the reader of the group for its views of the topics, if the own ones are not
-// fresh. If that fails, the views grow old until this gateway reads for itself.
+// fresh. If that fails, which call logs, the views grow old until this gateway reads for itself.
 func (x *Exchanger) pullTopics(ctx context.Context, address string) {
 	request := &ragwortv1.ExchangeRequest{
 		TopicsOnly: true, Operators: topicRequest(x.topics.Operators, readerRequestAge), Upstreams: topicRequest(x.topics.Upstreams, readerRequestAge),
@@ -216,7 +226,7 @@
 		Operators: topicRequest(x.topics.Operators, requestAge), Upstreams: topicRequest(x.topics.Upstreams, requestAge),
 	})
 	if err != nil {
-		return // counted
+		return // counted and logged by call
 	}
 	receivedAt := x.clock.Now()
 	x.merge(response.GetRows(), response.GetMarks())
