gateway, pool: lines that tell a silent upstream from a busy one

Change: the pool records when an upstream last sent this gateway anything. sent and attempt_failed carry heard, attempt_failed the connection; attempt_abandoned is a new line for requests that their caller or deadline ends at an upstream; abandoned_unheard counts those whose upstream had sent nothing since the attempt began. No decision changes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -19,9 +19,21 @@
 // writeTracker tells whether any byte of an attempt was written to its connection.
 type writeTracker struct {
 	conn          *countingConn // nil: no connection yet
+	reused        bool          // the connection was opened for an earlier request
 	writtenBefore int64         // bytes written to the connection before the attempt
 }
 
+// connection returns which connection the attempt used, for the log: none, new or kept.
+func (t *writeTracker) connection() string {
+	switch {
+	case t.conn == nil:
+		return "none"
+	case t.reused:
+		return "kept"
+	}
+	return "new"
+}
+
 // wroteAny reports whether the attempt has written any byte.
 func (t *writeTracker) wroteAny() bool {
 	return t.conn != nil && t.conn.written.Load() > t.writtenBefore
@@ -32,10 +44,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tracker := &writeTracker{}
-	f.attemptStarted = time.Now()
+	f.attemptStarted, f.tracker = time.Now(), tracker
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if counted, ok := info.Conn.(*countingConn); ok {
-			tracker.conn, tracker.writtenBefore = counted, counted.written.Load()
+			tracker.conn, tracker.reused, tracker.writtenBefore = counted, info.Reused, counted.written.Load()
 		}
 		if !info.Reused {
 			f.gateway.incrementCounter("upstream_connections")
@@ -105,6 +117,9 @@
 	default:
 		f.meterOnce(time.Since(f.attemptStarted)) // a failure without NotRun has run, also that of a stream
 	}
+	if !info.Misdirected {
+		assignment.Heard(time.Now())
+	}
 	switch {
 	case info.Misdirected:
 		f.gateway.deps.Pool.MarkAddressReused(assignment.Upstream.ID)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -74,6 +74,7 @@
 	resuming          bool          // the caller has received a part of the stream, from this request or an earlier one
 	metered           bool          // the request has been counted as usage
 	attemptStarted    time.Time     // start of the latest attempt
+	tracker           *writeTracker // of the latest attempt
 }
 
 // dispatch sends a request to upstreams until the caller has a response.
@@ -106,6 +107,7 @@
 			_ = f.gateway.logRequest(f.req, "event", "answered", "status", result.status, "upstream", assignment.Upstream.ID, "attempts", f.countedAttempts+f.uncountedAttempts+1)
 			return nil
 		case *abandoned:
+			f.logAbandoned(assignment, result.reason)
 			return f.abandonProblem(result.reason)
 		case *notSent:
 			f.uncountedAttempts++
@@ -134,7 +136,26 @@
 // request does, this line is the only trace of where the request was sent.
 func (f *forwarding) logAssignment(assignment *pool.Assignment) {
 	_ = f.gateway.logRequest(f.req, "event", "sent", "upstream", assignment.Upstream.ID, "choice", assignment.Reason, "running", assignment.Running,
-		"listed_age", assignment.ListingAge.Round(time.Millisecond), "urgency", f.req.urgency, "limit", f.req.deadlineSource, "left", time.Until(f.req.deadline).Round(time.Millisecond))
+		"heard", f.heardAge(assignment), "listed_age", assignment.ListingAge.Round(time.Millisecond), "urgency", f.req.urgency, "limit", f.req.deadlineSource, "left", time.Until(f.req.deadline).Round(time.Millisecond))
+}
+
+// logAbandoned logs where a request was that its caller or its deadline has ended. An upstream
+// that was not heard from since the attempt began has given no sign that it received the request.
+func (f *forwarding) logAbandoned(assignment *pool.Assignment, reason problem.Reason) {
+	if assignment.LastHeard().Before(f.attemptStarted) {
+		f.gateway.incrementCounter("abandoned_unheard")
+	}
+	_ = f.gateway.logRequest(f.req, "event", "attempt_abandoned", "reason", reason, "upstream", assignment.Upstream.ID,
+		"connection", f.tracker.connection(), "heard", f.heardAge(assignment), "started", f.headSent)
+}
+
+// heardAge returns how long ago this gateway last heard from an upstream, for the log.
+func (f *forwarding) heardAge(assignment *pool.Assignment) string {
+	last := assignment.LastHeard()
+	if last.IsZero() {
+		return "never"
+	}
+	return time.Since(last).Round(time.Millisecond).String()
 }
 
 // chooseUpstream chooses an upstream for the next attempt. It waits for up to maxColdWait
@@ -192,7 +213,7 @@
 	f.avoid = append(f.avoid, assignment.Upstream.ID)
 	stop := f.stopReason(ctx)
 	_ = f.gateway.logRequest(f.req, "event", "attempt_failed", "reason", failed.Reason, "run", failed.Run, "upstream", assignment.Upstream.ID,
-		"detail", failed.Detail, "sends", f.countedAttempts, "started", f.headSent, "stop", stop)
+		"detail", failed.Detail, "connection", f.tracker.connection(), "heard", f.heardAge(assignment), "sends", f.countedAttempts, "started", f.headSent, "stop", stop)
 	if stop == "" {
 		f.gateway.incrementCounter("retried_" + string(failed.Reason))
 		return nil
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -104,7 +104,7 @@
 		case err != nil:
 			return &responseLost{problem.UpstreamCut, err}
 		}
-		assignment.PrefillDone()
+		assignment.PrefillDone(time.Now())
 		f.meterOnce(0)
 		if event.hasID && f.resuming && event.id <= f.lastEventID {
 			continue
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -325,11 +325,12 @@
 	return best
 }
 
-// PrefillDone records that the upstream has processed the whole prompt. Further calls
-// have no effect.
-func (a *Assignment) PrefillDone() {
+// PrefillDone records that the upstream has sent an event, for which it has processed the
+// whole prompt.
+func (a *Assignment) PrefillDone(now time.Time) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
+	a.state.lastHeard = now
 	a.finishPrefill()
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,7 +4,8 @@
 // A Pool records which upstreams exist, which accept new requests, which are cold, and
 // what this gateway has running on each of them. choose.go defines how an upstream is
 // chosen, split.go the separation of long prompts from short ones, and pacer.go the rate
-// limit of cold upstreams, and remark.go what upstreams say of themselves in responses.
+// limit of cold upstreams, remark.go what upstreams say of themselves in responses, and
+// contact.go when they were last heard from.
 package pool
 
 import (
@@ -54,6 +55,7 @@
 	removeAt         time.Time // when it is to be removed from the pool; zero: never
 	unreachableUntil time.Time // until then it is used only if there is no other
 	connectFailures  int       // consecutive failed connections
+	lastHeard        time.Time // when it last sent something to this gateway; zero: never
 	addressReused    bool      // its address belongs to another upstream now
 	remark           *remark   // nil: it has said nothing
 	running          int       // requests of this gateway that it runs
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -322,7 +322,7 @@
 			count := map[id.Upstream]int{}
 			for range tc.requests {
 				assignment := choose(t, p, now, pool.Request{Prompt: prompt("hot", 50, 100)})
-				assignment.PrefillDone()
+				assignment.PrefillDone(now)
 				if strings.HasPrefix(assignment.Reason, "affine") {
 					count[assignment.Upstream.ID]++
 				}
@@ -353,7 +353,7 @@
 	borrowed, own := 0, 0
 	for i := range engines * slots / gateways {
 		assignment := choose(t, p, now, pool.Request{Prompt: prompt(fmt.Sprint("short-", i%40), 50, 100)})
-		assignment.PrefillDone()
+		assignment.PrefillDone(now)
 		if forLong[assignment.Upstream.ID] {
 			borrowed++
 		} else {
