pool, gateway: requests to an upstream that may have gone use a new connection

Cause: an upstream that goes without a word leaves its connections open. The gateway wrote further requests to those it had kept, and noticed only when it had used them up and a new one failed. A request that may run only once is then lost: it cannot be sent elsewhere, and its caller leaves. Each failure kept other requests away for 400 ms only, after which all of them tried again, also over kept connections.

Change: the pool doubts an upstream that is silent for half of the shortest permitted event gap while it runs requests, that is idle and unheard for a second (for requests that run once), or that could not be connected to. The next request to it goes over a new connection, beside which others avoid it; a connection that is accepted, or anything sent, ends the doubt. Pool.MarkReachable is part of Assignment.Heard.

Why it works: a connection cannot be opened to a VM without power. The request has then not been sent, and goes elsewhere.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -50,6 +50,7 @@
 			tracker.conn, tracker.reused, tracker.writtenBefore = counted, info.Reused, counted.written.Load()
 		}
 		if !info.Reused {
+			assignment.Heard(time.Now())
 			f.gateway.incrementCounter("upstream_connections")
 		}
 	}})
@@ -57,7 +58,7 @@
 	if err != nil {
 		return &notSent{err}
 	}
-	resp, err := f.gateway.deps.Client.Do(upstreamReq)
+	resp, err := f.gateway.deps.Client.Do(upstreamReq, assignment.NewConnection)
 	if err != nil {
 		switch {
 		case !tracker.wroteAny() && ctx.Err() == nil:
@@ -73,7 +74,6 @@
 		return &abandoned{abandonReason(ctx)}
 	}
 	defer resp.Body.Close()
-	f.gateway.deps.Pool.MarkReachable(assignment.Upstream.ID)
 	return f.handleResponse(ctx, assignment, resp)
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -161,7 +161,7 @@
 // chooseUpstream chooses an upstream for the next attempt. It waits for up to maxColdWait
 // if the rate limit of cold upstreams, or a wait that upstreams have asked for, requires it.
 func (f *forwarding) chooseUpstream(ctx context.Context) (*pool.Assignment, *problem.Problem) {
-	query := &pool.Request{Service: f.req.service, Prompt: f.req.info.Prompt, Avoid: f.avoid}
+	query := &pool.Request{Service: f.req.service, Prompt: f.req.info.Prompt, Avoid: f.avoid, RunsOnce: !f.req.route.Kind.Retryable()}
 	latestStart := time.Now().Add(maxColdWait)
 	for {
 		now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,8 +12,6 @@
 package gateway
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -101,7 +99,7 @@
 	RetryBudgets  *RetryBudgets
 	Meter         UsageMeter
 	CatalogStatus CatalogStatus
-	Client        *http.Client
+	Client        *UpstreamClient
 	MemoryMB      float64 // memory of the process; zero: not limited
 	Metrics       metrics.Registry
 	Logger        log.Logger
@@ -199,60 +197,3 @@
 	h := g.deps.Metrics.GetOrRegister(name, func() metrics.Histogram { return metrics.NewHistogram(sample()) })
 	h.(metrics.Histogram).Update(d.Milliseconds())
 }
-
-const (
-	// connectTimeout limits the time to connect to an upstream. Upstreams are a few
-	// milliseconds away, and TCP repeats a lost SYN only after one second: trying another
-	// upstream is faster.
-	connectTimeout = 150 * time.Millisecond
-	// TCP keep-alive probes detect an upstream that has become unreachable while its
-	// requests still have time left for a retry. An upstream that is only slow to respond
-	// acknowledges the probes.
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
-	// maxIdleConnsPerUpstream limits the idle connections kept open to one upstream.
-	maxIdleConnsPerUpstream = 64
-	// maxResponseHeaderBytes limits the status line and headers of an upstream's response.
-	maxResponseHeaderBytes = 64 << 10
-	// upstreamIdleTimeout closes idle connections before upstreams do, which close them
-	// after some seconds.
-	upstreamIdleTimeout = 4 * time.Second
-)
-
-// countingConn is a connection that counts the bytes written to it.
-type countingConn struct {
-	net.Conn
-	written atomic.Int64
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
-	return n, err
-}
-
-// NewUpstreamClient returns an HTTP client for upstreams. It does not follow redirects:
-// callers receive them.
-func NewUpstreamClient() *http.Client {
-	dialer := &net.Dialer{
-		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
-	}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				c, err := dialer.DialContext(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return &countingConn{Conn: c}, nil
-			},
-			MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
-			IdleConnTimeout:        upstreamIdleTimeout,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -35,6 +35,9 @@
 	Service id.Service
 	Prompt  Prompt
 	Avoid   []id.Upstream // upstreams already tried, which are not chosen again
+	// RunsOnce means that the request is lost if the upstream is no longer there: nobody can
+	// know that it has not run.
+	RunsOnce bool
 }
 
 // Decision is the result of Pool.Choose: *Assignment, *Throttled or *NoUpstream.
@@ -47,6 +50,9 @@
 	Reason     string        // why this upstream was chosen, for the log
 	ListingAge time.Duration // since the upstream was last listed
 	Running    int           // requests of this gateway that were already running there
+	// NewConnection means that open connections to the upstream may be dead, so that the request
+	// must be sent over a new one, which cannot be opened to an upstream that has gone.
+	NewConnection bool
 
 	pool         *Pool
 	state        *upstreamState
@@ -117,6 +123,13 @@
 		}
 	}
 	a := &Assignment{Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u, promptTokens: rq.Prompt.Length}
+	if p.maySilentlyHaveGone(now, u, rq) {
+		a.NewConnection = true
+		u.startTrial(now)
+	}
+	if u.running == 0 {
+		u.busySince = now
+	}
 	u.running++
 	u.prefillTokens += a.promptTokens
 	return a
@@ -330,7 +343,7 @@
 func (a *Assignment) PrefillDone(now time.Time) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	a.state.lastHeard = now
+	a.state.heard(now)
 	a.finishPrefill()
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,7 +5,7 @@
 // what this gateway has running on each of them. choose.go defines how an upstream is
 // chosen, split.go the separation of long prompts from short ones, and pacer.go the rate
 // limit of cold upstreams, remark.go what upstreams say of themselves in responses, and
-// contact.go when they were last heard from.
+// contact.go which of them may have gone without a word.
 package pool
 
 import (
@@ -56,6 +56,8 @@
 	unreachableUntil time.Time // until then it is used only if there is no other
 	connectFailures  int       // consecutive failed connections
 	lastHeard        time.Time // when it last sent something to this gateway; zero: never
+	inDoubt          bool      // it was silent or could not be connected to, and was not heard from since
+	busySince        time.Time // since when it has had requests of this gateway, if it has any
 	addressReused    bool      // its address belongs to another upstream now
 	remark           *remark   // nil: it has said nothing
 	running          int       // requests of this gateway that it runs
@@ -211,7 +213,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if u := p.upstreams[upstream]; u != nil {
-		u.unreachableUntil = now.Add(min(unreachableBackoff<<min(u.connectFailures, 4), maxUnreachableBackoff))
+		u.inDoubt, u.unreachableUntil = true, now.Add(min(unreachableBackoff<<min(u.connectFailures, 4), maxUnreachableBackoff))
 		u.connectFailures++
 	}
 }
@@ -225,12 +227,3 @@
 		u.addressReused = true
 	}
 }
-
-// MarkReachable records that an upstream answered, which ends its backoff.
-func (p *Pool) MarkReachable(upstream id.Upstream) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if u := p.upstreams[upstream]; u != nil {
-		u.connectFailures, u.unreachableUntil = 0, time.Time{}
-	}
-}
--- a/pool/split.go
+++ b/pool/split.go
@@ -115,14 +115,18 @@
 // longPromptThreshold returns the length above which a prompt for a service counts as
 // long.
 func (p *Pool) longPromptThreshold(s id.Service) id.Tokens {
-	gap := time.Duration(0)
+	return id.Tokens(prefillTokensPerSecond * longPromptGapFraction * p.shortestEventGap(s).Seconds())
+}
+
+// shortestEventGap returns the shortest time that a route to a service permits between two
+// events of a stream.
+func (p *Pool) shortestEventGap(s id.Service) time.Duration {
 	if c := p.latest.Load(); c != nil {
-		gap = c.ShortestEventGap(s)
-	}
-	if gap == 0 {
-		gap = defaultMaxEventGap
+		if gap := c.ShortestEventGap(s); gap > 0 {
+			return gap
+		}
 	}
-	return id.Tokens(prefillTokensPerSecond * longPromptGapFraction * gap.Seconds())
+	return defaultMaxEventGap
 }
 
 // engineGroup records the work of a request and returns the eligible upstreams of the
