--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -136,7 +136,7 @@
 // request does, this line is the only trace of where the request was sent.
 func (f *forwarding) logAssignment(assignment *pool.Assignment) {
 	_ = f.gateway.logRequest(f.req, "event", "sent", "upstream", assignment.Upstream.ID, "choice", assignment.Reason, "running", assignment.Running,
-		"heard", f.heardAge(assignment), "listed_age", assignment.ListingAge.Round(time.Millisecond), "urgency", f.req.urgency, "limit", f.req.deadlineSource, "left", time.Until(f.req.deadline).Round(time.Millisecond))
+		"heard", f.heardAge(assignment), "doubted", assignment.NewConnection, "listed_age", assignment.ListingAge.Round(time.Millisecond), "urgency", f.req.urgency, "limit", f.req.deadlineSource, "left", time.Until(f.req.deadline).Round(time.Millisecond))
 }
 
 // logAbandoned logs where a request was that its caller or its deadline has ended. An upstream
