gateway, pool: repeatable requests leave an upstream that has gone

Callers saw: summaries and lookups that were at an upstream when it lost power got 504 at their deadline, and long drafts went on four seconds later, when the upstream's VM was back and reset the connections.

Requests that hang count as load, so that new ones go elsewhere and nobody finds out.

Change: a gateway tries to connect to upstreams that have been silent for two permitted gaps while repeatable requests run there. Where an upstream in doubt cannot be connected to and has been silent for a permitted gap, these requests are sent elsewhere, within the retry budget, streams after their last event. Requests that may run once stay.

Why it works: a slow upstream accepts connections, one without power does not.

TestRepeatableRequestsLeaveSilentUpstream failed before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -41,8 +42,11 @@
 
 // send sends the request to one upstream and relays the response.
 func (f *forwarding) send(ctx context.Context, assignment *pool.Assignment) outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if f.req.route.Kind.Retryable() {
+		go cancelIfGone(ctx, cancel, assignment.Gone())
+	}
 	tracker := &writeTracker{}
 	f.attemptStarted, f.tracker = time.Now(), tracker
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -71,12 +75,32 @@
 			f.mayHaveRun = true
 			f.meterUnlessStream()
 		}
-		return &abandoned{abandonReason(ctx)}
+		return interrupted(ctx)
 	}
 	defer resp.Body.Close()
 	return f.handleResponse(ctx, assignment, resp)
 }
 
+// errUpstreamGone is why an attempt ends whose upstream has gone without a word.
+var errUpstreamGone = errors.New("the upstream is silent and cannot be connected to")
+
+// cancelIfGone cancels an attempt when its upstream is found to have gone.
+func cancelIfGone(ctx context.Context, cancel context.CancelCauseFunc, gone <-chan struct{}) {
+	select {
+	case <-gone:
+		cancel(errUpstreamGone)
+	case <-ctx.Done():
+	}
+}
+
+// interrupted returns the outcome of an attempt whose ctx is done.
+func interrupted(ctx context.Context) outcome {
+	if cause := context.Cause(ctx); errors.Is(cause, errUpstreamGone) {
+		return &responseLost{problem.UpstreamCut, cause}
+	}
+	return &abandoned{abandonReason(ctx)}
+}
+
 // singleUseBody hides the type of a body from the transport, which otherwise sends an
 // idempotent request a second time by itself.
 type singleUseBody struct{ io.Reader }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -129,6 +129,7 @@
 	f.server.Listener = f.callerConns
 	f.server.Start()
 	t.Cleanup(f.server.Close)
+	go f.gateway.TryUpstreams(t.Context())
 	return f
 }
 
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -308,6 +308,7 @@
 	for _, c := range p.copiers {
 		tasks.Go(func() { c.Run(ctx) })
 	}
+	tasks.Go(func() { p.gateway.TryUpstreams(ctx) })
 	if p.reportDriver != nil {
 		tasks.Go(func() { p.reportDriver.run(ctx) })
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -71,7 +71,7 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		f.mayHaveRun = true
-		return &abandoned{abandonReason(ctx)}
+		return interrupted(ctx)
 	case errors.Is(err, errResponseTooLarge), errors.Is(err, errBuffersFull):
 		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.length, err)}
 	case err != nil:
@@ -100,7 +100,7 @@
 			return &answered{resp.StatusCode}
 		case err != nil && ctx.Err() != nil:
 			f.mayHaveRun = true
-			return &abandoned{abandonReason(ctx)}
+			return interrupted(ctx)
 		case err != nil:
 			return &responseLost{problem.UpstreamCut, err}
 		}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -38,7 +38,7 @@
 	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Replica-Stamp", "signed")
-		for n := 1; n <= events; n++ {
+		for n := lastEvent(r) + 1; n <= events; n++ {
 			if !wait() {
 				return
 			}
@@ -71,6 +71,21 @@
 	return responses
 }
 
+// TestRepeatableRequestsLeaveSilentUpstream guards against requests that may be repeated waiting until
+// their deadline at an upstream that has gone, while others are free.
+func TestRepeatableRequestsLeaveSilentUpstream(t *testing.T) {
+	const events = 10
+	f := newFixture(t)
+	gone := f.serveSilent(events)
+	f.serveSilent(events)
+	time.AfterFunc(90*time.Millisecond, gone.silence) // a few events have passed
+	for _, got := range f.callConcurrently(20, "/resumable/x", 2*time.Second) {
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		require.Equal(t, eventTexts(1, events), got.body)
+	}
+}
+
 // TestRequestsAreNotLostAtSilentUpstream guards against requests that wait until their deadline
 // on a connection to an upstream that has gone without closing it, while others are free.
 func TestRequestsAreNotLostAtSilentUpstream(t *testing.T) {
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -45,6 +45,7 @@
 // UpstreamClient sends requests to upstreams over connections that it keeps open, or over new
 // ones. It does not follow redirects: callers receive them.
 type UpstreamClient struct {
+	dialer     *net.Dialer
 	reusing    *http.Client
 	connecting *http.Client // opens a connection for each request and closes it afterwards
 }
@@ -74,7 +75,12 @@
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
-	return &UpstreamClient{reusing: client(true), connecting: client(false)}
+	return &UpstreamClient{dialer: dialer, reusing: client(true), connecting: client(false)}
+}
+
+// Connect opens a connection to an upstream.
+func (c *UpstreamClient) Connect(ctx context.Context, address string) (net.Conn, error) {
+	return c.dialer.DialContext(ctx, "tcp", address)
 }
 
 // Do sends a request, over a new connection if that is asked for. Its error is that of
--- a/pool/contact_test.go
+++ b/pool/contact_test.go
@@ -116,3 +116,61 @@
 		a.End()
 	}
 }
+
+// isClosed reports whether a channel is closed, without waiting.
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestSilentUpstreamIsFoundGone guards against repeatable requests that stay at an upstream that has
+// gone, and against running ones that are taken from one that was only silent.
+func TestSilentUpstreamIsFoundGone(t *testing.T) {
+	const permittedGap = 200 * time.Millisecond // of latestCatalog
+	at := now.Add(2 * permittedGap)
+	for _, tc := range []struct {
+		name   string
+		events func(t *testing.T, p *pool.Pool, a *pool.Assignment)
+		gone   bool
+	}{
+		{"silent and unreachable", func(t *testing.T, p *pool.Pool, _ *pool.Assignment) {
+			require.Empty(t, p.StartTrials(at.Add(-time.Millisecond)))
+			require.Len(t, p.StartTrials(at), 1)
+			require.Empty(t, p.StartTrials(at), "one trial at a time")
+			p.MarkUnreachable(at, "i-0")
+		}, true},
+		{"silent and reachable", func(t *testing.T, p *pool.Pool, _ *pool.Assignment) {
+			require.Len(t, p.StartTrials(at), 1)
+			p.MarkReachable(at, "i-0")
+			require.Empty(t, p.StartTrials(at.Add(permittedGap)))
+		}, false},
+		{"unreachable while it sends events", func(_ *testing.T, p *pool.Pool, a *pool.Assignment) {
+			p.MarkUnreachable(at, "i-0")
+			a.PrefillDone(at)
+			p.MarkUnreachable(at, "i-0")
+		}, false},
+		{"heard from during the trial", func(t *testing.T, p *pool.Pool, a *pool.Assignment) {
+			require.Len(t, p.StartTrials(at), 1)
+			a.Heard(at)
+			p.MarkUnreachable(at, "i-0")
+		}, false},
+		{"unreachable after a short silence", func(t *testing.T, p *pool.Pool, _ *pool.Assignment) {
+			second := choose(t, p, now.Add(permittedGap*3/4), pool.Request{})
+			require.True(t, second.NewConnection)
+			second.End()
+			p.MarkUnreachable(now.Add(permittedGap*3/4), "i-0")
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPool(1)
+			a := choose(t, p, now, pool.Request{})
+			gone := a.Gone()
+			tc.events(t, p, a)
+			require.Equal(t, tc.gone, isClosed(gone))
+		})
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -35,15 +35,9 @@
 	Sequence    uint64        // rises with each listing from the same start; zero: unknown
 }
 
-const (
-	// recoveryGrace is how long expired listings may take to reappear after an outage of
-	// the store. The platform grants about two seconds.
-	recoveryGrace = 2200 * time.Millisecond
-	// unreachableBackoff is how long an upstream is avoided after a failed connection. The
-	// time doubles with each consecutive failure, up to maxUnreachableBackoff.
-	unreachableBackoff    = 400 * time.Millisecond
-	maxUnreachableBackoff = 3 * time.Second
-)
+// recoveryGrace is how long expired listings may take to reappear after an outage of the
+// store. The platform grants about two seconds.
+const recoveryGrace = 2200 * time.Millisecond
 
 // upstreamState is an upstream of the pool with its load and availability.
 type upstreamState struct {
@@ -51,17 +45,18 @@
 	hashOrder        uint64 // sort key among the upstreams of a service, the same at every gateway
 	coldUntil        time.Time
 	coldPacer        pacer
-	listedAt         time.Time // when its listing was last received
-	removeAt         time.Time // when it is to be removed from the pool; zero: never
-	unreachableUntil time.Time // until then it is used only if there is no other
-	connectFailures  int       // consecutive failed connections
-	lastHeard        time.Time // when it last sent something to this gateway; zero: never
-	inDoubt          bool      // it was silent or could not be connected to, and was not heard from since
-	busySince        time.Time // since when it has had requests of this gateway, if it has any
-	addressReused    bool      // its address belongs to another upstream now
-	remark           *remark   // nil: it has said nothing
-	running          int       // requests of this gateway that it runs
-	prefillTokens    id.Tokens // prompt tokens of these requests that it has not processed yet
+	listedAt         time.Time     // when its listing was last received
+	removeAt         time.Time     // when it is to be removed from the pool; zero: never
+	unreachableUntil time.Time     // until then it is used only if there is no other
+	connectFailures  int           // consecutive failed connections
+	lastHeard        time.Time     // when it last sent something to this gateway; zero: never
+	inDoubt          bool          // it was silent or could not be connected to, and was not heard from since
+	gone             chan struct{} // closed once it is found to have gone; nil: nobody waits for it
+	busySince        time.Time     // since when it has had requests of this gateway, if it has any
+	addressReused    bool          // its address belongs to another upstream now
+	remark           *remark       // nil: it has said nothing
+	running          int           // requests of this gateway that it runs
+	prefillTokens    id.Tokens     // prompt tokens of these requests that it has not processed yet
 }
 
 // Pool holds the upstreams that a gateway knows. It is safe for concurrent use.
@@ -207,17 +202,6 @@
 	}
 }
 
-// MarkUnreachable records that a connection to an upstream failed. The upstream is
-// avoided for a time that doubles with each consecutive failure.
-func (p *Pool) MarkUnreachable(now time.Time, upstream id.Upstream) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if u := p.upstreams[upstream]; u != nil {
-		u.inDoubt, u.unreachableUntil = true, now.Add(min(unreachableBackoff<<min(u.connectFailures, 4), maxUnreachableBackoff))
-		u.connectFailures++
-	}
-}
-
 // MarkAddressReused records that another upstream answered at the address of this one.
 // The upstream gets no requests until Put adds it anew.
 func (p *Pool) MarkAddressReused(upstream id.Upstream) {
