gateway: connections are kept for one start of an upstream

Callers saw (in a test): 502 for requests that may run once, sent to an upstream that is back at its address after it had gone without a word.

Cause: connections were kept by address. Those to the earlier start stay open at the gateway for up to four seconds, and the VM resets them when a request arrives, which may then have run.

Change: the client keeps connections by address, upstream and start, so that a new start begins with none. Clients of earlier starts are dropped a minute after their last request.

Evidence: TestRestartedUpstreamGetsNewConnections failed before with 502 on the first request to the second start.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return &notSent{err}
 	}
-	resp, err := f.gateway.deps.Client.Do(upstreamReq, assignment.NewConnection)
+	resp, err := f.gateway.deps.Client.Do(f.attemptStarted, upstreamReq, assignment)
 	if err != nil {
 		switch {
 		case !tracker.wroteAny() && ctx.Err() == nil:
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -1,17 +1,22 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/pool"
 )
 
 // silentUpstream is an upstream that can fall silent: its open connections stay open, but
@@ -123,3 +128,41 @@
 		})
 	}
 }
+
+// TestRestartedUpstreamGetsNewConnections guards against requests that are lost on connections to the
+// earlier start of an upstream, which went without closing them and is back at its address.
+func TestRestartedUpstreamGetsNewConnections(t *testing.T) {
+	f := newFixture(t)
+	var starts atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				start, in := starts.Load(), bufio.NewReader(c)
+				for {
+					r, ok := readRequest(in)
+					if !ok || starts.Load() != start {
+						return // the VM does not know the connection any more
+					}
+					_, _ = io.WriteString(c, signedHead(r, "Content-Length: 2\r\n\r\nok"))
+				}
+			}()
+		}
+	}()
+	for start := range int64(2) {
+		starts.Store(start)
+		f.pool.Put(time.Now(), pool.Listing{ID: "i-1", Service: service, Address: l.Addr().String(), DataCentre: "th-a", StartUnixMS: start + 1})
+		for range 3 {
+			got := f.call(http.MethodPost, "/once/x", "p")
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status, got.body)
+		}
+	}
+}
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -6,8 +6,12 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pool"
 )
 
 const (
@@ -27,6 +31,9 @@
 	// upstreamIdleTimeout closes idle connections before upstreams do, which close them
 	// after some seconds.
 	upstreamIdleTimeout = 4 * time.Second
+	// clientRetention is how long the client of one start of an upstream is kept after its last
+	// request.
+	clientRetention = time.Minute
 )
 
 // countingConn is a connection that counts the bytes written to it.
@@ -42,40 +49,63 @@
 	return n, err
 }
 
+// upstreamStart identifies one start of an upstream at an address. Connections to an earlier
+// start are of no use to a later one, which does not know them.
+type upstreamStart struct {
+	address     string
+	upstream    id.Upstream
+	startUnixMS int64
+}
+
+// startClient is the client for one start of an upstream.
+type startClient struct {
+	*http.Client
+	lastUsed time.Time
+}
+
 // UpstreamClient sends requests to upstreams over connections that it keeps open, or over new
-// ones. It does not follow redirects: callers receive them.
+// ones. It does not follow redirects: callers receive them. It is safe for concurrent use.
 type UpstreamClient struct {
 	dialer     *net.Dialer
-	reusing    *http.Client
 	connecting *http.Client // opens a connection for each request and closes it afterwards
+
+	mu       sync.Mutex
+	reusing  map[upstreamStart]*startClient
+	prunedAt time.Time
 }
 
 // NewUpstreamClient returns a client without connections.
 func NewUpstreamClient() *UpstreamClient {
-	dialer := &net.Dialer{
-		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
+	c := &UpstreamClient{
+		dialer: &net.Dialer{
+			Timeout:         connectTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
+		},
+		reusing: make(map[upstreamStart]*startClient),
 	}
-	client := func(keepAlive bool) *http.Client {
-		return &http.Client{
-			Transport: &http.Transport{
-				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-					c, err := dialer.DialContext(ctx, network, address)
-					if err != nil {
-						return nil, err
-					}
-					return &countingConn{Conn: c}, nil
-				},
-				MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
-				IdleConnTimeout:        upstreamIdleTimeout,
-				DisableKeepAlives:      !keepAlive,
-				DisableCompression:     true,
-				MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	c.connecting = c.newClient(false)
+	return c
+}
+
+// newClient returns a client that keeps its connections open if keepAlive is set.
+func (c *UpstreamClient) newClient(keepAlive bool) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := c.dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &countingConn{Conn: conn}, nil
 			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}
+			MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
+			IdleConnTimeout:        upstreamIdleTimeout,
+			DisableKeepAlives:      !keepAlive,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &UpstreamClient{dialer: dialer, reusing: client(true), connecting: client(false)}
 }
 
 // Connect opens a connection to an upstream.
@@ -83,11 +113,33 @@
 	return c.dialer.DialContext(ctx, "tcp", address)
 }
 
-// Do sends a request, over a new connection if that is asked for. Its error is that of
-// http.Client.Do.
-func (c *UpstreamClient) Do(req *http.Request, newConnection bool) (*http.Response, error) {
-	if newConnection {
+// Do sends a request to an assigned upstream, over a new connection if the assignment asks for
+// one. Its error is that of http.Client.Do.
+func (c *UpstreamClient) Do(now time.Time, req *http.Request, assignment *pool.Assignment) (*http.Response, error) {
+	if assignment.NewConnection {
 		return c.connecting.Do(req)
 	}
-	return c.reusing.Do(req)
+	return c.clientFor(now, &assignment.Upstream).Do(req)
+}
+
+// clientFor returns the client for the present start of an upstream.
+func (c *UpstreamClient) clientFor(now time.Time, l *pool.Listing) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.prunedAt) > clientRetention {
+		c.prunedAt = now
+		for start, old := range c.reusing {
+			if now.Sub(old.lastUsed) > clientRetention {
+				delete(c.reusing, start)
+			}
+		}
+	}
+	start := upstreamStart{l.Address, l.ID, l.StartUnixMS}
+	client := c.reusing[start]
+	if client == nil {
+		client = &startClient{Client: c.newClient(true)}
+		c.reusing[start] = client
+	}
+	client.lastUsed = now
+	return client.Client
 }
