gateway: a last attempt stays at a silent upstream

Callers saw (in a test): 502 from a request whose upstream was silent for a second and refused connections, but answered after all.

Cause: requests that may be repeated left an upstream taken for gone also when no further attempt was left, so that leaving was giving up.

Change: only an attempt that may be followed by another one leaves.

Evidence: TestLastAttemptStaysAtSilentUpstream failed before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,7 +44,7 @@
 func (f *forwarding) send(ctx context.Context, assignment *pool.Assignment) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if f.req.route.Kind.Retryable() {
+	if f.canRetry() {
 		go cancelIfGone(ctx, cancel, assignment.Gone())
 	}
 	tracker := &writeTracker{}
@@ -190,8 +190,7 @@
 	}
 }
 
-// canRetry reports whether a response with a 5xx status may be followed by another
-// attempt instead of being relayed.
+// canRetry reports whether the attempt may be followed by another one, whatever it comes to.
 func (f *forwarding) canRetry() bool {
 	return f.req.route.Kind.Retryable() && f.countedAttempts+1 < f.req.route.MaxAttempts
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -154,8 +154,8 @@
 	return f.addUpstream(strings.TrimPrefix(server.URL, "http://"))
 }
 
-// serveConns adds an upstream that hands each connection to h.
-func (f *fixture) serveConns(h func(c net.Conn, in *bufio.Reader)) {
+// serveConns adds an upstream that hands each connection to h, and returns its address.
+func (f *fixture) serveConns(h func(c net.Conn, in *bufio.Reader)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { l.Close() })
@@ -172,6 +172,7 @@
 		}
 	}()
 	f.addUpstream(l.Addr().String())
+	return l.Addr().String()
 }
 
 var lastRequestID atomic.Int64
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -129,36 +129,42 @@
 	}
 }
 
+// TestLastAttemptStaysAtSilentUpstream guards against requests that are given up at a silent upstream
+// although they cannot go elsewhere, and are answered after all.
+func TestLastAttemptStaysAtSilentUpstream(t *testing.T) {
+	f := newFixture(t)
+	var u *httptest.Server
+	u = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u.Listener.Close()
+		time.Sleep(time.Second)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Replica-Stamp", "signed")
+	}))
+	t.Cleanup(u.Close)
+	f.addUpstream(strings.TrimPrefix(u.URL, "http://"))
+	got := f.call(http.MethodGet, "/safe1/x", "")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status, got.body)
+}
+
 // TestRestartedUpstreamGetsNewConnections guards against requests that are lost on connections to the
 // earlier start of an upstream, which went without closing them and is back at its address.
 func TestRestartedUpstreamGetsNewConnections(t *testing.T) {
 	f := newFixture(t)
 	var starts atomic.Int64
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
+	address := f.serveConns(func(c net.Conn, in *bufio.Reader) {
+		start := starts.Load()
 		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
+			r, ok := readRequest(in)
+			if !ok || starts.Load() != start {
+				return // the VM does not know the connection any more
 			}
-			go func() {
-				defer c.Close()
-				start, in := starts.Load(), bufio.NewReader(c)
-				for {
-					r, ok := readRequest(in)
-					if !ok || starts.Load() != start {
-						return // the VM does not know the connection any more
-					}
-					_, _ = io.WriteString(c, signedHead(r, "Content-Length: 2\r\n\r\nok"))
-				}
-			}()
+			_, _ = io.WriteString(c, signedHead(r, "Content-Length: 2\r\n\r\nok"))
 		}
-	}()
+	})
 	for start := range int64(2) {
 		starts.Store(start)
-		f.pool.Put(time.Now(), pool.Listing{ID: "i-1", Service: service, Address: l.Addr().String(), DataCentre: "th-a", StartUnixMS: start + 1})
+		f.pool.Put(time.Now(), pool.Listing{ID: "i-1", Service: service, Address: address, DataCentre: "th-a", StartUnixMS: start + 1})
 		for range 3 {
 			got := f.call(http.MethodPost, "/once/x", "p")
 			require.NoError(t, got.err)
