pool: only requests that run once doubt a silent upstream, trials after four gaps

Cause: engines with too much to do are silent for longer than half of a permitted event gap.

Change: by silence only requests that may run once doubt an upstream; the others can leave it when it is found to have gone. The trial for that comes after four permitted gaps instead of two.

--- a/pool/contact.go
+++ b/pool/contact.go
@@ -6,8 +6,9 @@
 // An upstream whose VM loses power does not close its connections. Whatever is written to them
 // is lost, and a request that may run only once cannot be repeated elsewhere. A new connection
 // tells: it fails if the upstream has gone, before anything is sent, and otherwise costs a
-// round trip. So a request goes over a new connection if the upstream has sent nothing for longer
-// than one that works would. Until its result is known, other requests avoid the upstream.
+// round trip. So such a request goes over a new connection if the upstream has sent nothing for
+// longer than one that works would. Until its result is known, other requests avoid the upstream.
+// Requests that may be repeated leave an upstream that is found to have gone.
 
 import (
 	"time"
@@ -27,7 +28,7 @@
 	trialDuration = 200 * time.Millisecond
 	// trialSilenceGaps is after how many of the shortest permitted event gaps an upstream that has
 	// sent nothing is tried without a request to send.
-	trialSilenceGaps = 2
+	trialSilenceGaps = 4
 	// unreachableBackoff is how long an upstream is avoided after a failed connection. The
 	// time doubles with each consecutive failure, up to maxUnreachableBackoff.
 	unreachableBackoff    = 400 * time.Millisecond
@@ -43,7 +44,7 @@
 	case u.running == 0:
 		return rq.RunsOnce && !u.lastHeard.IsZero() && now.Sub(u.lastHeard) > maxIdleSilence
 	}
-	return u.silence(now) > time.Duration(maxSilenceGapFraction*float64(p.shortestEventGap(u.Service)))
+	return rq.RunsOnce && u.silence(now) > time.Duration(maxSilenceGapFraction*float64(p.shortestEventGap(u.Service)))
 }
 
 // silence returns for how long an upstream has sent nothing while it had requests of this
