--- a/standin/wire.go
+++ b/standin/wire.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/catalog"
@@ -181,3 +182,26 @@
 
 // ResponseRequestID returns the ID of the request that a response answers.
 func ResponseRequestID(h http.Header) id.Request { return id.Request(h.Get("X-Request-Id")) }
+
+// SetPrompt sets the headers that describe the prompt of a client's request by the ids of its
+// parts, each with the same number of tokens.
+func SetPrompt(h http.Header, model id.Model, parts ...string) {
+	const partTokens = 20
+	sized := make([]string, 0, len(parts))
+	for _, part := range parts {
+		sized = append(sized, fmt.Sprintf("%s:%d", part, partTokens))
+	}
+	h.Set("X-Model", string(model))
+	h.Set("X-Token-Count", fmt.Sprintf("%d,8", partTokens*len(parts)))
+	h.Set("X-Prompt-Prefix", strings.Join(sized, ","))
+}
+
+// PromptParts returns the ids of the parts of a request's prompt, in order.
+func PromptParts(h http.Header) []string {
+	var ids []string
+	for part := range strings.SplitSeq(h.Get("X-Prompt-Prefix"), ",") {
+		name, _, _ := strings.Cut(part, ":")
+		ids = append(ids, name)
+	}
+	return ids
+}
