quarantine, emulator: begun requests speak less against a part, sound parts are told to peers

Change: a request whose engine had sent events counts half; a gateway that knows a part to be sound says so when it comes under suspicion, and such a part needs more; suspects are compared in proportion to what holds them. Emulator: gateways with the real tables, registers and pools, engines, other faults, in simulated time.

--- /dev/null
+++ b/emulator/gateway.go
@@ -0,0 +1,113 @@
+package emulator
+
+// This file defines the gateways of a Fleet, which exchange rows as package peer does.
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/peer"
+	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/quarantine"
+)
+
+const (
+	roundInterval   = 250 * time.Millisecond // of exchanges between peers
+	fanout          = 2
+	keepInterval    = 200 * time.Millisecond // between checks of whether the holds must be saved
+	loadTime        = 30 * time.Millisecond  // from the start of a gateway to when it knows the saved holds
+	exchangeLatency = 15 * time.Millisecond
+)
+
+// gateway is a gateway with its partial views.
+type gateway struct {
+	fleet       *Fleet
+	name        id.Node
+	incarnation id.Incarnation
+	table       *peer.Table
+	register    *quarantine.Register
+	pool        *pool.Pool
+	down        bool
+	version     uint64 // of the last report
+}
+
+// newGateway returns a gateway that takes part in exchanges.
+func (f *Fleet) newGateway(n int) *gateway {
+	g := &gateway{fleet: f, name: id.Node(fmt.Sprintf("gateway-%03d", n)), pool: pool.New(f.latest)}
+	g.start()
+	f.clock.After(f.between(0, roundInterval), func() { f.clock.Every(roundInterval, g.exchange) })
+	f.clock.After(f.between(0, keepInterval), func() { f.clock.Every(keepInterval, g.keepHolds) })
+	return g
+}
+
+// start begins a new incarnation, which knows nothing.
+func (g *gateway) start() {
+	now := g.fleet.clock.Now()
+	g.incarnation++
+	g.table = peer.NewTable(peer.Member{Node: g.name, Incarnation: g.incarnation}, now)
+	g.register = quarantine.New()
+	g.pool.SetGatewayCount(g.fleet.cfg.Gateways)
+	g.version = 0
+}
+
+// restart kills the gateway and starts it again. Its view of the engines is complete at once.
+func (g *gateway) restart() {
+	g.down = true
+	g.fleet.clock.After(gatewayRestart, func() {
+		g.start()
+		g.fleet.clock.After(loadTime, func() {
+			g.fleet.noteChanges(g.register.Restore(g.fleet.clock.Now(), g.fleet.saved))
+			g.down = false
+		})
+	})
+}
+
+// leads reports whether the gateway is the first by name that it knows to be alive.
+func (g *gateway) leads() bool {
+	live := g.table.Live(g.fleet.clock.Now())
+	return len(live) == 0 || live[0].GetNode() == string(g.name)
+}
+
+// exchange publishes the own row and exchanges rows with random peers.
+func (g *gateway) exchange() {
+	f, now := g.fleet, g.fleet.clock.Now()
+	if g.down {
+		return
+	}
+	report, version := g.register.Report(now, g.leads())
+	g.table.Publish(now, &peer.Row{Address: string(g.name), Prompts: quarantine.Encode(report, true)}, version != g.version)
+	g.version = version
+	for range min(fanout, len(f.gateways)-1) {
+		other := f.gateways[f.rand.IntN(len(f.gateways))]
+		if other == g || f.rand.Float64() < f.cfg.Faults.LostExchanges {
+			continue
+		}
+		f.clock.After(exchangeLatency, func() { g.exchangeWith(other) })
+	}
+}
+
+func (g *gateway) exchangeWith(other *gateway) {
+	if g.down || other.down {
+		return
+	}
+	if own := g.table.OwnRow(); own != nil {
+		other.merge([]*peer.Row{own}, g.table.Marks())
+	}
+	g.merge(other.table.MissingRows(g.table.Marks()), other.table.Marks())
+}
+
+func (g *gateway) merge(rows []*peer.Row, marks []*peer.Mark) {
+	now := g.fleet.clock.Now()
+	g.table.Merge(now, rows, marks)
+	for _, r := range rows {
+		g.fleet.noteChanges(g.register.Merge(now, quarantine.Decode(r.GetPrompts())))
+	}
+}
+
+// keepHolds saves the holds for the fleet.
+func (g *gateway) keepHolds() {
+	if !g.down && g.leads() {
+		g.fleet.saved = g.register.Holds(g.fleet.clock.Now())
+	}
+}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -115,10 +115,10 @@
 	if isNew {
 		f.gateway.incrementCounter("upstream_crashed")
 	}
-	_ = f.gateway.logRequest(f.req, "event", "upstream_crashed", "upstream", u.ID, "born", u.StartUnixMS, "parts", loggedParts(&f.req.info.Prompt))
+	_ = f.gateway.logRequest(f.req, "event", "upstream_crashed", "upstream", u.ID, "born", u.StartUnixMS, "begun", !f.firstEvent.IsZero(), "parts", loggedParts(&f.req.info.Prompt))
 	if len(f.parts) > 0 {
 		now := f.gateway.deps.FleetTime()
-		f.gateway.LogHolds(f.gateway.deps.Quarantine.RecordCrash(now, quarantine.Start{Upstream: u.ID, UnixMS: u.StartUnixMS}, f.parts))
+		f.gateway.LogHolds(f.gateway.deps.Quarantine.RecordCrash(now, quarantine.Start{Upstream: u.ID, UnixMS: u.StartUnixMS}, f.parts, !f.firstEvent.IsZero()))
 	}
 }
 
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -1,11 +1,11 @@
 package gateway
 
-// This file defines how the evidence and the holds of package quarantine travel between
-// gateways, in their rows, and how the holds are kept on the store.
+// This file defines how the parts of prompts that are held are kept on the store.
 
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +15,6 @@
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/peer"
 	"github.com/ragwortpass/ragwortpass/quarantine"
-	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
 const (
@@ -25,48 +24,8 @@
 	keepTimeout = 500 * time.Millisecond
 	// keepFailureDelay is the pause after a failed load or save.
 	keepFailureDelay = time.Second
-	// holdLoadPatience is how long a starting gateway waits for a peer that knows the saved
-	// holds before it reads them itself.
-	holdLoadPatience = 1500 * time.Millisecond
 )
 
-// encodeEvidence returns the wire form of a report.
-func encodeEvidence(report quarantine.Report, holdsComplete bool) *ragwortv1.PromptEvidence {
-	out := &ragwortv1.PromptEvidence{HoldsComplete: holdsComplete}
-	for _, c := range report.Crashes {
-		crash := &ragwortv1.EngineCrash{Upstream: string(c.Start.Upstream), StartUnixMs: c.Start.UnixMS, AtUnixMs: c.At.UnixMilli()}
-		for _, part := range c.Parts {
-			crash.Parts = append(crash.Parts, string(part))
-		}
-		out.Crashes = append(out.Crashes, crash)
-	}
-	for _, c := range report.Clearances {
-		out.Clearances = append(out.Clearances, &ragwortv1.PartClearance{Part: string(c.Part), AtUnixMs: c.At.UnixMilli()})
-	}
-	for _, h := range report.Holds {
-		out.Holds = append(out.Holds, &ragwortv1.PartHold{Part: string(h.Part), SinceUnixMs: h.Since.UnixMilli(), Crashes: uint32(h.Crashes)})
-	}
-	return out
-}
-
-// decodeEvidence returns the report of a peer.
-func decodeEvidence(evidence *ragwortv1.PromptEvidence) (report quarantine.Report) {
-	for _, c := range evidence.GetCrashes() {
-		crash := quarantine.Crash{Start: quarantine.Start{Upstream: id.Upstream(c.GetUpstream()), UnixMS: c.GetStartUnixMs()}, At: time.UnixMilli(c.GetAtUnixMs())}
-		for _, part := range c.GetParts() {
-			crash.Parts = append(crash.Parts, id.PromptPart(part))
-		}
-		report.Crashes = append(report.Crashes, crash)
-	}
-	for _, c := range evidence.GetClearances() {
-		report.Clearances = append(report.Clearances, quarantine.Clearance{Part: id.PromptPart(c.GetPart()), At: time.UnixMilli(c.GetAtUnixMs())})
-	}
-	for _, h := range evidence.GetHolds() {
-		report.Holds = append(report.Holds, quarantine.Hold{Part: id.PromptPart(h.GetPart()), Since: time.UnixMilli(h.GetSinceUnixMs()), Crashes: int(h.GetCrashes())})
-	}
-	return report
-}
-
 // savedHold is the JSON form of the value of a record that saves a hold; its key is the part.
 type savedHold struct {
 	SinceUnixMS int64 `json:"since_unix_ms"`
@@ -111,17 +70,17 @@
 	logger    log.Logger
 
 	complete atomic.Bool // the saved holds are known
-	saved    string      // records of the last page that was saved or loaded; used by the keeper's goroutine only
-	savedAt  feed.Position
-	known    bool // saved is what the store has
+	// The following are used by the keeper's goroutine only.
+	saved   []quarantine.Hold // as they were last saved or loaded, in the order of their parts
+	savedAt feed.Position
+	known   bool // saved is what the store has, unless it has lost it
 }
 
 // run loads and saves the holds until ctx is done.
 func (k *holdKeeper) run(ctx context.Context) {
-	started := time.Now()
-	for wait := keepInterval; sleepFor(ctx, wait); {
+	for wait := time.Duration(0); sleepFor(ctx, wait); {
 		wait = keepInterval
-		if !k.step(ctx, time.Since(started)) {
+		if !k.step(ctx) {
 			wait = keepFailureDelay
 		}
 	}
@@ -131,15 +90,13 @@
 func sleepFor(ctx context.Context, d time.Duration) bool { return sleepUntil(ctx, time.Now().Add(d)) }
 
 // step loads or saves the holds if that is due. It reports false after a failure.
-func (k *holdKeeper) step(ctx context.Context, age time.Duration) bool {
-	leads := k.isLeader()
+func (k *holdKeeper) step(ctx context.Context) bool {
 	if !k.complete.Load() && k.peerIsComplete() {
 		k.complete.Store(true)
 	}
-	if !k.known && (leads || !k.complete.Load() && age > holdLoadPatience) {
-		if !k.load(ctx) {
-			return false
-		}
+	leads := k.isLeader()
+	if (leads || !k.complete.Load()) && !k.known && !k.load(ctx) {
+		return false
 	}
 	if !leads {
 		k.known = false // another gateway saves from now on
@@ -159,10 +116,8 @@
 	return false
 }
 
-// load adopts the newest copy of the holds. It reports false if no place can be read.
+// load adopts the holds from the first place that can be read. It reports false if none can.
 func (k *holdKeeper) load(ctx context.Context) bool {
-	var newest feed.Page
-	read := 0
 	for place := range k.store.Places() {
 		callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
 		page, err := k.store.Load(callCtx, place)
@@ -171,44 +126,30 @@
 			_ = k.logger.Log("event", "holds_unread", "place", place, "err", err)
 			continue
 		}
-		read++
-		if read == 1 || newest.Next.Compare(page.Next) < 0 {
-			newest = page
-		}
-	}
-	if read == 0 {
-		return false
-	}
-	text, err := json.Marshal(newest.Records)
-	if err != nil {
-		_ = k.logger.Log("event", "holds_unread", "err", err)
-		return false
+		holds := parseHolds(page.Records, k.logger)
+		k.saved, k.savedAt, k.known = holds, page.Next, true
+		k.gateway.LogHolds(k.register.Restore(k.fleetTime(), holds))
+		k.complete.Store(true)
+		_ = k.logger.Log("event", "holds_loaded", "holds", len(holds), "place", place, "offset", page.Next)
+		return true
 	}
-	holds := parseHolds(newest.Records, k.logger)
-	k.saved, k.savedAt, k.known = string(text), newest.Next, true
-	k.gateway.LogHolds(k.register.Restore(k.fleetTime(), holds))
-	k.complete.Store(true)
-	_ = k.logger.Log("event", "holds_loaded", "holds", len(holds), "offset", newest.Next)
-	return true
+	return false
 }
 
 // save saves the holds at every place if they have changed, or the store is in a new era and
 // may have lost them. It reports false after a failure.
 func (k *holdKeeper) save(ctx context.Context) bool {
-	records, err := holdRecords(k.register.Holds(k.fleetTime()))
-	if err != nil {
-		_ = k.logger.Log("event", "holds_not_saved", "err", err)
-		return false
+	holds := k.register.Holds(k.fleetTime())
+	next := feed.Position{Era: max(k.storeEra(), k.savedAt.Era), Offset: k.savedAt.Offset}
+	same := slices.EqualFunc(holds, k.saved, func(a, b quarantine.Hold) bool { return a.Part == b.Part && a.Crashes == b.Crashes })
+	if same && (next.Era == k.savedAt.Era || len(holds) == 0) {
+		return true
 	}
-	text, err := json.Marshal(records)
+	records, err := holdRecords(holds)
 	if err != nil {
 		_ = k.logger.Log("event", "holds_not_saved", "err", err)
 		return false
 	}
-	next := feed.Position{Era: max(k.storeEra(), k.savedAt.Era), Offset: k.savedAt.Offset}
-	if string(text) == k.saved && (next.Era == k.savedAt.Era || len(records) == 0) {
-		return true
-	}
 	next.Offset++
 	saved := 0
 	for place := range k.store.Places() {
@@ -224,7 +165,7 @@
 	if saved < k.store.Places() {
 		return false
 	}
-	k.saved, k.savedAt = string(text), next
+	k.saved, k.savedAt = holds, next
 	_ = k.logger.Log("event", "holds_saved", "holds", len(records), "offset", next)
 	return true
 }
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -157,7 +157,7 @@
 	}
 	onRows := func(rows []*peer.Row) {
 		for _, r := range rows {
-			p.gateway.LogHolds(p.quarantine.Merge(fleetTime(), decodeEvidence(r.GetPrompts())))
+			p.gateway.LogHolds(p.quarantine.Merge(fleetTime(), quarantine.Decode(r.GetPrompts())))
 		}
 	}
 	p.peers = peer.NewExchanger(peer.Config{Address: s.Listen.Peers, DataCentre: s.DataCentre, Seeds: s.Seeds, OnRows: onRows}, p.table,
@@ -247,7 +247,7 @@
 			row.StoreEra, row.ClaimedWindow, row.ClaimedBefore = uint64(claims.era), int64(claims.claimed.Newest), claims.claimed.Before
 		}
 		report, version := p.quarantine.Report(fleetTime(), p.isLeader())
-		row.Prompts = encodeEvidence(report, p.holdKeeper != nil && p.holdKeeper.complete.Load())
+		row.Prompts = quarantine.Encode(report, p.holdKeeper != nil && p.holdKeeper.complete.Load())
 		previous := last
 		last.window, last.leaving, last.era, last.prompts = p.usage.windowAt(fleetTime()), row.GetLeaving(), row.GetStoreEra(), version
 		return row, last != previous
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,10 +2,11 @@
 // requests are held back for it.
 //
 // A part is under suspicion in a crash if a request with it was at the engine and had not
-// shown that the engine survives it. An answer that is complete, or an engine that goes on
-// for ProofOfLife after the first event, clears all shared parts of its request of the crashes
-// before. A part is held when it is under suspicion in several crashes at different times that
-// no other held part explains. verdict.go defines this decision.
+// shown that the engine survives it. The suspicion is weaker if the engine had sent events of the
+// answer. An answer that is complete, or an engine that goes on for ProofOfLife after the first
+// event, clears all shared parts of its request of the crashes before. A part is held when it is
+// under suspicion in several crashes at different times that no other held part explains.
+// verdict.go defines this decision.
 //
 // Register combines what its own gateway has seen with the reports of peers. It has no clock,
 // and does no I/O.
@@ -36,6 +37,9 @@
 	// reportRetention is how long a gateway repeats a crash, a clearance or a hold of its own to
 	// peers: several times what these take to reach the whole fleet.
 	reportRetention = 20 * time.Second
+	// clearanceInterval is how often a part is reported to be sound, if no engine has ended under
+	// it meanwhile.
+	clearanceInterval = time.Second
 	// The following bound the memory and the messages, as callers choose the ids of parts.
 	maxCrashes        = 256
 	maxPartsPerCrash  = 48
@@ -55,9 +59,10 @@
 
 // Crash is an engine that has ended, with the parts that are under suspicion.
 type Crash struct {
-	Start Start
-	At    time.Time // by the time of the fleet
-	Parts []id.PromptPart
+	Start  Start
+	At     time.Time       // by the time of the fleet
+	Silent []id.PromptPart // of requests of which the engine had sent no event
+	Begun  []id.PromptPart // of other requests
 }
 
 // Clearance says that an engine survived a request with a part.
@@ -90,15 +95,15 @@
 // crash is what is known of a crash.
 type crash struct {
 	at    time.Time
-	parts map[id.PromptPart]bool
+	parts map[id.PromptPart]weight
 }
 
 // Register holds the evidence and the verdicts of one gateway. It is safe for concurrent use.
 type Register struct {
 	mu         sync.Mutex
 	crashes    map[Start]*crash
-	cleared    map[id.PromptPart]time.Time // last clearance of parts under suspicion
-	sound      [2]map[id.PromptPart]bool   // parts that were cleared of late, by generation
+	cleared    map[id.PromptPart]time.Time    // last clearance of parts under suspicion
+	sound      [2]map[id.PromptPart]time.Time // when engines last survived parts, in two generations
 	holds      map[id.PromptPart]Hold
 	released   map[id.PromptPart]time.Time // holds that are over; older ones of peers do not count
 	own        Report                      // what this gateway has found by itself
@@ -109,7 +114,7 @@
 func New() *Register {
 	return &Register{
 		crashes: make(map[Start]*crash), cleared: make(map[id.PromptPart]time.Time),
-		sound: [2]map[id.PromptPart]bool{make(map[id.PromptPart]bool), make(map[id.PromptPart]bool)},
+		sound: [2]map[id.PromptPart]time.Time{make(map[id.PromptPart]time.Time), make(map[id.PromptPart]time.Time)},
 		holds: make(map[id.PromptPart]Hold), released: make(map[id.PromptPart]time.Time),
 	}
 }
@@ -144,11 +149,17 @@
 }
 
 // RecordCrash records that an engine has ended while it had a request with the given shared
-// parts, of which none was cleared.
-func (r *Register) RecordCrash(now time.Time, start Start, parts []id.PromptPart) []Change {
+// parts that had not cleared them. Begun says that the engine had sent events.
+func (r *Register) RecordCrash(now time.Time, start Start, parts []id.PromptPart, begun bool) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.addCrash(now, Crash{Start: start, At: now, Parts: parts}) {
+	evidence := Crash{Start: start, At: now}
+	if begun {
+		evidence.Begun = parts
+	} else {
+		evidence.Silent = parts
+	}
+	if !r.addCrash(now, evidence) {
 		return nil
 	}
 	r.ownVersion++
@@ -162,13 +173,20 @@
 		i = len(r.own.Crashes) - 1
 	}
 	own := &r.own.Crashes[i]
-	own.Parts = slices.Clone(own.Parts)
+	own.Silent = appendParts(own.Silent, evidence.Silent)
+	own.Begun = appendParts(own.Begun, evidence.Begun)
+	return r.judge(now, "own")
+}
+
+// appendParts returns a copy of known with the parts that it lacks, up to maxPartsPerCrash.
+func appendParts(known, parts []id.PromptPart) []id.PromptPart {
+	known = slices.Clone(known)
 	for _, part := range parts {
-		if part = shorten(part); len(own.Parts) < maxPartsPerCrash && !slices.Contains(own.Parts, part) {
-			own.Parts = append(own.Parts, part)
+		if part = shorten(part); len(known) < maxPartsPerCrash && !slices.Contains(known, part) {
+			known = append(known, part)
 		}
 	}
-	return r.judge(now, "own")
+	return known
 }
 
 // addCrash adds parts under suspicion in a crash and reports whether any is new. The caller
@@ -182,17 +200,26 @@
 		if len(r.crashes) >= maxCrashes {
 			r.dropOldestCrash()
 		}
-		known = &crash{at: c.At, parts: make(map[id.PromptPart]bool)}
+		known = &crash{at: c.At, parts: make(map[id.PromptPart]weight)}
 		r.crashes[c.Start] = known
 	}
 	if c.At.Before(known.at) {
 		known.at = c.At
 	}
-	for _, part := range c.Parts {
-		if part = shorten(part); len(known.parts) < 4*maxPartsPerCrash && !known.parts[part] {
-			known.parts[part], isNew = true, true
+	add := func(parts []id.PromptPart, w weight) {
+		for _, part := range parts {
+			part = shorten(part)
+			if len(known.parts) >= 4*maxPartsPerCrash || known.parts[part] >= w {
+				continue
+			}
+			if at := r.lastSound(part); known.parts[part] == 0 && !at.IsZero() {
+				r.reportSound(now, part, at)
+			}
+			known.parts[part], isNew = w, true
 		}
 	}
+	add(c.Silent, silentWeight)
+	add(c.Begun, begunWeight)
 	return isNew
 }
 
@@ -207,33 +234,50 @@
 	defer r.mu.Unlock()
 	for _, part := range parts {
 		part = shorten(part)
-		r.remember(part)
+		r.remember(part, now)
 		if !r.underSuspicion(part) {
 			continue
 		}
 		r.cleared[part] = now
-		if last := slices.IndexFunc(r.own.Clearances, func(c Clearance) bool { return c.Part == part }); last >= 0 {
-			if now.Sub(r.own.Clearances[last].At) < reportRetention/20 && !r.crashedSince(part, r.own.Clearances[last].At) {
-				continue // the clearance that peers have says as much
-			}
-			r.own.Clearances = slices.Concat(r.own.Clearances[:last], r.own.Clearances[last+1:])
-		}
-		r.own.Clearances = append(slices.Clone(r.own.Clearances), Clearance{part, now})
-		if len(r.own.Clearances) > maxOwnClearances {
-			r.own.Clearances = r.own.Clearances[1:]
-		}
-		r.ownVersion++
+		r.reportSound(now, part, now)
 		changes = append(changes, r.release(now, part, "cleared")...)
 	}
 	return changes
 }
 
-// remember adds a part to those that were cleared of late.
-func (r *Register) remember(part id.PromptPart) {
+// remember records when an engine last survived a part.
+func (r *Register) remember(part id.PromptPart, at time.Time) {
 	if len(r.sound[0]) >= maxSoundParts {
-		r.sound[1], r.sound[0] = r.sound[0], make(map[id.PromptPart]bool)
+		r.sound[1], r.sound[0] = r.sound[0], make(map[id.PromptPart]time.Time)
+	}
+	if at.After(r.sound[0][part]) {
+		r.sound[0][part] = at
 	}
-	r.sound[0][part] = true
+}
+
+// lastSound returns when an engine last survived a part; zero: not known.
+func (r *Register) lastSound(part id.PromptPart) time.Time {
+	if at, known := r.sound[0][part]; known {
+		return at
+	}
+	return r.sound[1][part]
+}
+
+// reportSound tells peers when an engine last survived a part, unless the last report says as
+// much.
+func (r *Register) reportSound(now time.Time, part id.PromptPart, at time.Time) {
+	if last := slices.IndexFunc(r.own.Clearances, func(c Clearance) bool { return c.Part == part }); last >= 0 {
+		reported := r.own.Clearances[last].At
+		if now.Sub(reported) < clearanceInterval && !r.crashedSince(part, reported) {
+			return
+		}
+		r.own.Clearances = slices.Concat(r.own.Clearances[:last], r.own.Clearances[last+1:])
+	}
+	r.own.Clearances = append(slices.Clone(r.own.Clearances), Clearance{part, at})
+	if len(r.own.Clearances) > maxOwnClearances {
+		r.own.Clearances = r.own.Clearances[1:]
+	}
+	r.ownVersion++
 }
 
 // underSuspicion reports whether a part is in the evidence or held.
@@ -242,7 +286,7 @@
 		return true
 	}
 	for _, c := range r.crashes {
-		if c.parts[part] {
+		if c.parts[part] > 0 {
 			return true
 		}
 	}
@@ -252,7 +296,7 @@
 // crashedSince reports whether an engine has ended under a part later than a time.
 func (r *Register) crashedSince(part id.PromptPart, since time.Time) bool {
 	for _, c := range r.crashes {
-		if c.parts[part] && c.at.After(since) {
+		if c.parts[part] > 0 && c.at.After(since) {
 			return true
 		}
 	}
@@ -269,7 +313,11 @@
 	}
 	for _, c := range report.Clearances {
 		part := shorten(c.Part)
-		if c.At.Sub(now) <= evidenceRetention && c.At.After(r.cleared[part]) && r.underSuspicion(part) {
+		if c.At.Sub(now) > evidenceRetention {
+			continue
+		}
+		r.remember(part, c.At)
+		if c.At.After(r.cleared[part]) && r.underSuspicion(part) {
 			r.cleared[part], changed = c.At, true
 			if h, held := r.holds[part]; held && c.At.After(h.Since) {
 				changes = append(changes, r.release(now, part, "cleared_by_peer")...)
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -11,13 +11,16 @@
 	"github.com/ragwortpass/ragwortpass/id"
 )
 
+// weight is how strongly a crash speaks against a part.
+type weight int
+
 const (
-	// crashesToHold is how many separate crashes hold a part that no engine is known to have
-	// survived.
-	crashesToHold = 3
-	// crashesToHoldSound is the same for a part that engines survived before the first of these
-	// crashes.
-	crashesToHoldSound = 5
+	// silentWeight applies if the engine had sent no event of the answer, begunWeight if it had.
+	silentWeight, begunWeight weight = 2, 1
+	// weightToHold holds a part that no engine is known to have survived.
+	weightToHold = 3 * silentWeight
+	// weightToHoldSound holds a part that engines survived before the first of the crashes.
+	weightToHoldSound = 5 * silentWeight
 	// crashSpacing is the shortest time between two crashes that count as separate. Engines that
 	// end together have a common cause, such as a rack without power.
 	crashSpacing = 100 * time.Millisecond
@@ -25,10 +28,10 @@
 
 // suspect is a part with the crashes that it may have caused.
 type suspect struct {
-	part    id.PromptPart
-	needed  int // separate crashes that hold it
-	starts  []Start
-	crashes int // separate ones among starts
+	part   id.PromptPart
+	needed weight // of separate crashes that hold it
+	starts []Start
+	weight weight // of the separate ones among starts
 }
 
 // judge updates the holds to the evidence. The caller holds the lock.
@@ -41,7 +44,7 @@
 	explained := make(map[Start]bool)
 	guilty := make(map[id.PromptPart]bool)
 	for _, s := range suspects {
-		if _, held := r.holds[s.part]; held && s.crashes < s.needed { // held on evidence that is not known here
+		if _, held := r.holds[s.part]; held && s.weight < s.needed { // held on evidence that is not known here
 			guilty[s.part] = true
 			explain(explained, s.starts)
 		}
@@ -54,7 +57,7 @@
 		guilty[worst.part] = true
 		explain(explained, worst.starts)
 		if _, held := r.holds[worst.part]; !held {
-			h := Hold{Part: worst.part, Since: now, Crashes: worst.crashes}
+			h := Hold{Part: worst.part, Since: now, Crashes: len(worst.starts)}
 			changes = append(changes, r.hold(h, reason)...)
 			r.own.Holds = append(slices.Clone(r.own.Holds), h)
 			r.ownVersion++
@@ -89,9 +92,9 @@
 			}
 			s := byPart[part]
 			if s == nil {
-				s = &suspect{part: part, needed: crashesToHold}
-				if r.sound[0][part] || r.sound[1][part] {
-					s.needed = crashesToHoldSound
+				s = &suspect{part: part, needed: weightToHold}
+				if !r.lastSound(part).IsZero() {
+					s.needed = weightToHoldSound
 				}
 				byPart[part] = s
 			}
@@ -100,42 +103,47 @@
 	}
 	all := slices.SortedFunc(maps.Values(byPart), func(a, b *suspect) int { return cmp.Compare(a.part, b.part) })
 	for _, s := range all {
-		s.crashes = r.separate(s.starts, nil)
+		s.weight = r.separateWeight(s, nil)
 	}
 	return all
 }
 
-// separate counts crashes, in the order of time, that are not explained and not closer together
-// than crashSpacing.
-func (r *Register) separate(starts []Start, explained map[Start]bool) (n int) {
+// separateWeight adds the weights of the crashes of a suspect that are not explained and not closer
+// together than crashSpacing.
+func (r *Register) separateWeight(s *suspect, explained map[Start]bool) (sum weight) {
 	var last time.Time
-	for _, start := range starts {
-		if at := r.crashes[start].at; !explained[start] && (n == 0 || at.Sub(last) >= crashSpacing) {
-			n, last = n+1, at
+	var counted weight // of the crash at last
+	for _, start := range s.starts {
+		c := r.crashes[start]
+		w := c.parts[s.part]
+		switch {
+		case explained[start]:
+		case sum == 0 || c.at.Sub(last) >= crashSpacing:
+			sum, last, counted = sum+w, c.at, w
+		case w > counted:
+			sum, counted = sum+w-counted, w
 		}
 	}
-	return n
+	return sum
 }
 
-// worst returns the suspect with the most separate crashes that no guilty part explains, if
-// they suffice to hold it. Among equals, it prefers one that is held already, then one that no
-// engine is known to have survived.
+// worst returns the suspect against which the crashes that no guilty part explains weigh most, in
+// proportion to what holds it, if they suffice. Among equals, it prefers one that is held already.
 func (r *Register) worst(suspects []*suspect, explained map[Start]bool, guilty map[id.PromptPart]bool) *suspect {
 	var worst *suspect
-	most, worstHeld := 0, false
+	var most weight
+	worstHeld := false
 	for _, s := range suspects {
-		if guilty[s.part] || s.crashes < s.needed {
+		if guilty[s.part] || s.weight < s.needed {
 			continue
 		}
-		n := r.separate(s.starts, explained)
-		if n < s.needed {
+		w := r.separateWeight(s, explained)
+		if w < s.needed {
 			continue
 		}
 		_, held := r.holds[s.part]
-		better := worst == nil || n > most ||
-			n == most && (held && !worstHeld || held == worstHeld && s.needed < worst.needed)
-		if better {
-			worst, most, worstHeld = s, n, held
+		if worst == nil || w*worst.needed > most*s.needed || w*worst.needed == most*s.needed && held && !worstHeld {
+			worst, most, worstHeld = s, w, held
 		}
 	}
 	return worst
