gateway: an unframed stream without events is not an answer

Cause: an engine that crashes after the head of such a stream ends its connection in order, and the gateway passed on an empty stream as complete. Change: without any event, and unless the stream is the rest of an earlier one, it was cut off. Also: the soak has the fault crashing_prompts and the checker crashing; entries with sidecars give up a request after two upstreams have broken off under it before delivering anything, four before (package retry).

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -98,6 +98,8 @@
 	for {
 		event, err := events.next()
 		switch {
+		case errors.Is(err, io.EOF) && f.firstEvent.IsZero() && !f.resuming && isUnframed(resp):
+			return &responseLost{problem.UpstreamCut, errors.New("the connection ended before the first event")}
 		case errors.Is(err, io.EOF):
 			f.noteSurvived()
 			f.startStream(resp)
@@ -129,6 +131,12 @@
 	}
 }
 
+// isUnframed reports whether a response has neither a length nor chunks, so that its end is the
+// end of its connection, whatever ended that.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // startStream sends the status and the headers of a stream, unless the caller has them
 // from an earlier attempt.
 func (f *forwarding) startStream(resp *http.Response) {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -16,6 +16,7 @@
 )
 
 const (
+	maxSilentCuts    = 2  // consecutive attempts that delivered nothing before the upstream broke off, as one that crashes under the request does
 	maxUnproductive  = 4  // consecutive attempts that may have run but delivered nothing
 	maxRefused       = 32 // attempts that were refused before they ran, or preempted
 	immediateRetries = 3  // refused attempts without a backoff; of those that may have run, only the first has none
@@ -76,6 +77,9 @@
 		return giveUp
 	case c.AtMostOnce && f.Run != problem.NotRun:
 		return giveUp
+	case f.Reason == problem.UpstreamCut && c.UnproductiveAttempts >= maxSilentCuts:
+		giveUp.RetryAfter = retryAfterAdvice
+		return giveUp
 	case uncharged && c.RefusedAttempts >= maxRefused, !uncharged && c.UnproductiveAttempts >= maxUnproductive:
 		giveUp.RetryAfter = retryAfterAdvice
 		return giveUp
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -18,6 +18,7 @@
 func TestDecide(t *testing.T) {
 	notRun := Failure{problem.UpstreamBusy, problem.NotRun}
 	cut := Failure{problem.UpstreamCut, problem.RunUnknown}
+	failed := Failure{problem.UpstreamFailed, problem.RunUnknown}
 	preempted := Failure{problem.Preempted, problem.RunUnknown}
 	cases := []struct {
 		name    string
@@ -31,7 +32,9 @@
 		{"at most once, refused", Call{AtMostOnce: true, RefusedAttempts: 1}, notRun, &Resend{}},
 		{"at most once, connection cut", Call{AtMostOnce: true, UnproductiveAttempts: 1}, cut, &GiveUp{Reason: problem.UpstreamCut}},
 		{"connection cut", Call{UnproductiveAttempts: 1}, cut, &Resend{Charged: true}},
-		{"connection cut too often", Call{UnproductiveAttempts: maxUnproductive}, cut, &GiveUp{Reason: problem.UpstreamCut, RetryAfter: retryAfterAdvice}},
+		{"connection cut too often", Call{UnproductiveAttempts: maxSilentCuts}, cut, &GiveUp{Reason: problem.UpstreamCut, RetryAfter: retryAfterAdvice}},
+		{"failed a second time", Call{UnproductiveAttempts: maxSilentCuts}, failed, &Resend{Delay: minBackoff, Charged: true}},
+		{"failed too often", Call{UnproductiveAttempts: maxUnproductive}, failed, &GiveUp{Reason: problem.UpstreamFailed, RetryAfter: retryAfterAdvice}},
 		{"connection cut in a resumable answer", Call{Relayed: true, Resumable: true}, cut, &Resend{Charged: true}},
 		{"connection cut in an answer that cannot be resumed", Call{Relayed: true}, cut, &GiveUp{Reason: problem.UpstreamCut}},
 		{"preempted in a resumable answer", Call{Relayed: true, Resumable: true}, preempted, &Resend{}},
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -99,7 +99,7 @@
 		client := &http.Client{Transport: transport}
 		for range 1 + rand.IntN(maxRequestsPerConnection) {
 			n++
-			if !tb.callersRunning() || !tb.send(client, target, id.Request(fmt.Sprintf("%d-%d-%08x", caller, n, rand.Uint32()))) || !tb.sleep(thinkTime) {
+			if !tb.callersRunning() || !tb.send(client, target, id.Request(fmt.Sprintf("%d-%d-%08x", caller, n, rand.Uint32())), testRoutes[rand.IntN(len(testRoutes))], nil) || !tb.sleep(thinkTime) {
 				break
 			}
 		}
@@ -136,9 +136,9 @@
 	return "", 0
 }
 
-// send sends one request and records the result; it reports whether to reuse the connection.
-func (tb *testbed) send(client *http.Client, target *node, requestID id.Request) bool {
-	route := testRoutes[rand.IntN(len(testRoutes))]
+// send sends one request, with a prompt if parts are given, and records the result; it reports
+// whether to reuse the connection.
+func (tb *testbed) send(client *http.Client, target *node, requestID id.Request, route testRoute, parts []string) bool {
 	key, workspacePriority := tb.pickKey()
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
@@ -153,8 +153,14 @@
 	}
 	req.Host = hostName
 	standin.SetRequestHeaders(req.Header, requestID, key, callerDeadline)
+	if len(parts) > 0 {
+		standin.SetPrompt(req.Header, "m", parts...)
+	}
 	abandons := rand.Float64() < abandonShare
 	r := &result{request: requestID, kind: route.kind, key: key, node: target.name, incarnation: target.currentIncarnation(), sent: tb.now(), priority: [2]int{workspacePriority, route.priority}}
+	if len(parts) > 0 {
+		r.prompt = parts[len(parts)-2] // the last part that others share
+	}
 	if abandons {
 		hangUp := time.AfterFunc(time.Duration(rand.Int64N(int64(eventInterval*streamEvents))), cancel)
 		defer hangUp.Stop()
--- a/soak/check.go
+++ b/soak/check.go
@@ -46,6 +46,7 @@
 	{"cold", checkCold},
 	{"retry_budget", checkRetryBudget},
 	{"priority", checkPriority},
+	{"crashing", checkCrashing},
 	{"recovery", checkRecovery},
 	{"own_ends", func(h *history) checkResult { return checkResult{h.endedProcesses, h.unexpectedEnds} }},
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -63,6 +63,7 @@
 	own         bool   // the content is the upstream's response to this request
 	abandoned   bool   // the caller disconnected at done
 	priority    [2]int // of the workspace and of the route
+	prompt      string // its last shared part; empty: it has no prompt
 }
 
 func (r *result) refused() bool {
@@ -96,6 +97,7 @@
 	arrivals       []*arrival
 	results        []*result
 	waits          []askedWait
+	crashes        []time.Duration // of upstreams under a request
 	changes        []change
 	disturbances   []disturbance
 	reports        []usageReport
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -76,6 +76,11 @@
 		f.start = time.Duration(tb.rng.Int64N(int64(total - 2*maxFaultDuration)))
 		faults = append(faults, f)
 	}
+	if f := (scheduledFault{name: "crashing_prompts"}); total > 2*tb.bounds.contact {
+		f.start = time.Duration(tb.rng.Int64N(int64(total / 4)))
+		f.duration = total - f.start
+		faults = append(faults, f)
+	}
 	return faults
 }
 
@@ -130,6 +135,8 @@
 		tb.rotateKey(f)
 	case "evacuate":
 		tb.evacuate(f)
+	case "crashing_prompts":
+		tb.sendCrashingPrompts(f)
 	default:
 		tb.injectStoreFault(f, record)
 	}
@@ -218,12 +225,7 @@
 func (tb *testbed) injectUpstreamFault(f scheduledFault) {
 	all := tb.listedUpstreams()
 	u := all[f.target%len(all)]
-	markDisturbed := func() {
-		u.mu.Lock()
-		u.lastDisturbed = tb.now()
-		u.mu.Unlock()
-	}
-	markDisturbed()
+	u.markDisturbed()
 	switch f.name {
 	case "upstream_slow", "upstream_silent", "upstream_cut":
 		tb.disturbLink(f, u.link)
@@ -238,7 +240,14 @@
 	default:
 		tb.t.Errorf("unknown fault %q", f.name)
 	}
-	markDisturbed()
+	u.markDisturbed()
+}
+
+// markDisturbed records that a fault affects the upstream or its link now.
+func (u *upstream) markDisturbed() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lastDisturbed = u.testbed.now()
 }
 
 func (u *upstream) setMode(mode string) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -62,6 +63,12 @@
 	repeated := *a
 	repeated.at += time.Millisecond
 	h.arrivals = append(h.arrivals, &repeated)
+	h.crashes = []time.Duration{seconds(5), seconds(5), seconds(5.2), seconds(5.4), seconds(6)}
+	crashing, _ := add("crashing", catalog.KindResumable, "key-a", 16, 502, true, [2]int{0, 1})
+	crashing.prompt = crashingPart
+	h.arrivalOf("crashing").began = 0
+	beside, _ := add("beside", catalog.KindResumable, "key-a", 16.2, 503, false, [2]int{0, 1})
+	beside.prompt = sharedPart
 	for _, second := range []int64{4, 5, 15, 16, 21, 22, 31, 50} { // one request began in each
 		h.reports = append(h.reports, usageReport{at: seconds(float64(second) + 2), ReceivedUsage: standin.ReceivedUsage{
 			Holder: "entry-0", FencingNumber: uint64(second), WindowID: 1000 + second, Counts: map[string]uint64{"ws-a": 1},
@@ -166,6 +173,21 @@
 		}},
 		{"retries beyond the budget", "retry_budget", func(h *history) { repeat(h, "after", 60, time.Millisecond) }},
 		{"the lower priority is more urgent", "priority", func(h *history) { h.arrivalOf("once").urgency = 5 }},
+		{"requests that crash upstreams go on", "crashing", func(h *history) {
+			for range maxCrashesLate + 1 {
+				a := *h.arrivalOf("crashing")
+				a.ran = false
+				h.arrivals = append(h.arrivals, &a)
+			}
+		}},
+		{"sound requests beside those are held back", "crashing", func(h *history) {
+			r := *h.resultOf("beside")
+			for n := range minSoundPrompts {
+				other := r
+				other.request = id.Request(fmt.Sprint("beside-", n))
+				h.results = append(h.results, &other)
+			}
+		}},
 		{"not served after the faults", "recovery", func(h *history) { h.resultOf("after").status = 502 }},
 		{"a process that crashed", "own_ends", func(h *history) { h.unexpectedEnds = []string{"entry-0"} }},
 	} {
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +32,7 @@
 	link        *ragworttest.Proxy
 	startUnixMS int64
 	coldUntil   time.Time
+	crashing    sync.WaitGroup // calls of crash
 
 	mu            sync.Mutex
 	unlisted      bool // its listing was removed
@@ -59,10 +61,12 @@
 	u.publishListing()
 }
 
-// stop closes all connections of the upstream and waits until its handlers have returned.
+// stop closes all connections of the upstream and waits until its handlers have returned and its
+// crashes are over.
 func (u *upstream) stop() {
 	u.server.CloseClientConnections()
 	u.server.Close()
+	u.crashing.Wait()
 }
 
 // publishListing writes the upstream's listing to the store, unless it was removed.
@@ -159,6 +163,12 @@
 		return
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
+	if slices.Contains(standin.PromptParts(r.Header), crashingPart) {
+		time.Sleep(crashTime)
+		u.crashing.Go(u.crash)
+		<-r.Context().Done()
+		return
+	}
 	for n := replicaRequest.LastEventID + 1; n <= streamEvents; n++ {
 		select {
 		case <-time.After(eventInterval):
