gateway, ragwortctl: operators list and release held parts; fewer calls for holds

GET /holds and DELETE /holds/PART on the address of the metrics, ragwortctl holds list and release. A release travels to peers as a clearance. A start reads one place of the saved holds at a time. Whether an upstream has crashed is found out only where it makes a difference: for prompts with shared parts, and routes with more than two attempts, as it takes a connection.

--- a/cmd/ragwortctl/main.go
+++ b/cmd/ragwortctl/main.go
@@ -35,6 +35,7 @@
 	Key     keyCommand     `cmd:"" help:"Give, withdraw and list keys."`
 	Status  statusCommand  `cmd:"" help:"Show every process and upstream."`
 	Explain explainCommand `cmd:"" help:"Show the decisions taken about a request."`
+	Holds   holdsCommand   `cmd:"" help:"Show and release parts of prompts that are held back."`
 	Usage   usageCommand   `cmd:"" help:"Show what workspaces have used."`
 	Drain   drainCommand   `cmd:"" help:"Take a data centre out of service: publish the rules with a drain rule."`
 	Undrain undrainCommand `cmd:"" help:"Put a data centre back into service."`
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -103,6 +103,12 @@
 		"part %.64q of the prompt is held back since %s: %d engines have crashed under it", string(hold.Part), hold.Since.UTC().Format(time.RFC3339), hold.Crashes)
 }
 
+// mindsCrashes reports whether it makes a difference that an upstream has crashed under the
+// request: to find out takes a connection.
+func (f *forwarding) mindsCrashes() bool {
+	return len(f.parts) > 0 || f.req.route.MaxAttempts > maxCrashesPerRequest
+}
+
 // noteCut records that a response was cut off before its engine had shown that it survives the
 // request, if that was because the upstream has crashed.
 func (f *forwarding) noteCut(ctx context.Context, assignment *pool.Assignment) {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -135,7 +135,7 @@
 		case *responseLost:
 			f.countedAttempts++
 			f.mayHaveRun, f.reachedUpstream = true, true
-			if result.reason == problem.UpstreamCut && !f.survived {
+			if result.reason == problem.UpstreamCut && !f.survived && f.mindsCrashes() {
 				f.noteCut(ctx, assignment)
 			}
 			failed = problem.New(result.reason, problem.RunUnknown, http.StatusBadGateway, "upstream %s: %v", assignment.Upstream.ID, result.err)
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -1,10 +1,13 @@
 package gateway
 
-// This file defines how the parts of prompts that are held are kept on the store.
+// This file defines how the parts of prompts that are held are kept on the store, and how operators
+// see and release them.
 
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -74,6 +77,7 @@
 	saved   []quarantine.Hold // as they were last saved or loaded, in the order of their parts
 	savedAt feed.Position
 	known   bool // saved is what the store has, unless it has lost it
+	loads   int  // calls of load
 }
 
 // run loads and saves the holds until ctx is done.
@@ -116,24 +120,26 @@
 	return false
 }
 
-// load adopts the holds from the first place that can be read. It reports false if none can.
+// load adopts the holds from one place, another with each call. It reports false if the place
+// cannot be read.
 func (k *holdKeeper) load(ctx context.Context) bool {
-	for place := range k.store.Places() {
-		callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
-		page, err := k.store.Load(callCtx, place)
-		cancel()
-		if err != nil {
-			_ = k.logger.Log("event", "holds_unread", "place", place, "err", err)
-			continue
-		}
-		holds := parseHolds(page.Records, k.logger)
-		k.saved, k.savedAt, k.known = holds, page.Next, true
-		k.gateway.LogHolds(k.register.Restore(k.fleetTime(), holds))
-		k.complete.Store(true)
+	place := k.loads % k.store.Places()
+	k.loads++
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	page, err := k.store.Load(ctx, place)
+	if err != nil {
+		_ = k.logger.Log("event", "holds_unread", "place", place, "err", err)
+		return false
+	}
+	holds := parseHolds(page.Records, k.logger)
+	k.saved, k.savedAt, k.known = holds, page.Next, true
+	k.gateway.LogHolds(k.register.Restore(k.fleetTime(), holds))
+	k.complete.Store(true)
+	if len(holds) > 0 {
 		_ = k.logger.Log("event", "holds_loaded", "holds", len(holds), "place", place, "offset", page.Next)
-		return true
 	}
-	return false
+	return true
 }
 
 // save saves the holds at every place if they have changed, or the store is in a new era and
@@ -169,3 +175,37 @@
 	_ = k.logger.Log("event", "holds_saved", "holds", len(records), "offset", next)
 	return true
 }
+
+// operatorHold is a hold as operators see it.
+type operatorHold struct {
+	Part    string    `json:"part"`
+	Since   time.Time `json:"since"`
+	Crashes int       `json:"crashes"`
+}
+
+// HoldsHandler returns the handler for operators: GET /holds lists the parts of prompts that are
+// held back, and DELETE /holds/PART releases one on all gateways.
+func (g *Gateway) HoldsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /holds", func(w http.ResponseWriter, _ *http.Request) {
+		list := []operatorHold{}
+		for _, h := range g.deps.Quarantine.Holds(g.deps.FleetTime()) {
+			list = append(list, operatorHold{Part: string(h.Part), Since: h.Since.UTC(), Crashes: h.Crashes})
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(list); err != nil {
+			_ = g.deps.Logger.Log("event", "holds_not_listed", "err", err)
+		}
+	})
+	mux.HandleFunc("DELETE /holds/{part}", func(w http.ResponseWriter, r *http.Request) {
+		part := id.PromptPart(r.PathValue("part"))
+		changes := g.deps.Quarantine.Release(g.deps.FleetTime(), part)
+		if len(changes) == 0 {
+			http.Error(w, fmt.Sprintf("part %q is not held", string(part)), http.StatusNotFound)
+			return
+		}
+		g.LogHolds(changes)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -288,7 +288,7 @@
 		return nil
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: readHeaderTimeout}
-	metricsServer := &http.Server{Handler: process.MetricsHandler(p.registry), ReadHeaderTimeout: readHeaderTimeout}
+	metricsServer := &http.Server{Handler: p.operatorPages(), ReadHeaderTimeout: readHeaderTimeout}
 	err := errors.Join(serve(callers, s.Listen.Callers), serve(ready, s.Listen.Ready))
 	peers := &http.Server{Handler: p.peers.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	if s.Listen.Peers != "" {
@@ -320,6 +320,15 @@
 	return err
 }
 
+// operatorPages returns the handler of the metrics and of what else operators ask a gateway.
+func (p *Program) operatorPages() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", process.MetricsHandler(p.registry))
+	mux.Handle("/holds", p.gateway.HoldsHandler())
+	mux.Handle("/holds/", p.gateway.HoldsHandler())
+	return mux
+}
+
 // startTasks starts everything that runs beside the servers.
 func (p *Program) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
 	for _, f := range p.followers {
