gateway, peer: evidence of crashes travels at once, pending attempts with a held part end

Cause (in simulated time): after the first crash, most of the others came while the evidence waited for the next round of exchanges, 250 ms each, or from requests that were already waiting at an engine. Change: a gateway that has seen a crash exchanges rows with up to eight peers at once, at most ten times a second; when a part is held, attempts with it of which no event has come are ended, and their callers hear 502 (they may have run). An empty rest of a stream clears nothing.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -105,7 +105,7 @@
 		clock.After(min(work, quarantine.ProofOfLife), func() {
 			if !r.ended {
 				r.survived = true
-				f.noteChanges(r.gateway.register.RecordSound(clock.Now(), r.request.parts))
+				f.applyChanges(r.gateway, r.gateway.register.RecordSound(clock.Now(), r.request.parts))
 			}
 		})
 		clock.After(work, r.complete)
@@ -129,7 +129,8 @@
 		now := f.clock.Now()
 		r.gateway.pool.MarkUnreachable(now, r.engine.listing.ID)
 		start := quarantine.Start{Upstream: r.engine.listing.ID, UnixMS: r.engine.listing.StartUnixMS}
-		f.noteChanges(r.gateway.register.RecordCrash(now, start, r.request.parts, r.begun))
+		f.applyChanges(r.gateway, r.gateway.register.RecordCrash(now, start, r.request.parts, r.begun))
+		r.gateway.exchangeUrgently()
 	}
 	r.request.avoid = append(r.request.avoid, r.engine.listing.ID)
 	r.request.send(r.gateway)
@@ -196,5 +197,7 @@
 	if rq.bad && f.afterFifth(f.cfg.Contact) {
 		f.result.BadLate++
 	}
-	e.accept(&run{request: rq, gateway: g, assignment: assignment, engine: e})
+	r := &run{request: rq, gateway: g, assignment: assignment, engine: e}
+	g.runs = append(g.runs, r)
+	e.accept(r)
 }
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -201,9 +201,13 @@
 	return len(f.badCrashes) >= 5 && f.clock.Now().Sub(f.badCrashes[4]) > d
 }
 
-// noteChanges counts what a gateway has decided.
-func (f *Fleet) noteChanges(changes []quarantine.Change) {
+// applyChanges counts what a gateway has decided, and ends its attempts with a held part of which
+// no event has come.
+func (f *Fleet) applyChanges(g *gateway, changes []quarantine.Change) {
 	for _, c := range changes {
+		if c.Held {
+			g.cancelPending(c.Hold.Part)
+		}
 		switch {
 		case !c.Held:
 		case c.Hold.Part != badPart:
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -15,6 +16,8 @@
 const (
 	roundInterval   = 250 * time.Millisecond // of exchanges between peers
 	fanout          = 2
+	urgentFanout    = 8
+	urgentInterval  = 100 * time.Millisecond
 	keepInterval    = 200 * time.Millisecond // between checks of whether the holds must be saved
 	loadTime        = 30 * time.Millisecond  // from the start of a gateway to when it knows the saved holds
 	exchangeLatency = 15 * time.Millisecond
@@ -30,6 +33,8 @@
 	pool        *pool.Pool
 	down        bool
 	version     uint64 // of the last report
+	lastUrgent  time.Time
+	runs        []*run // attempts, ended ones included until the next hold
 }
 
 // newGateway returns a gateway that takes part in exchanges.
@@ -57,7 +62,7 @@
 	g.fleet.clock.After(gatewayRestart, func() {
 		g.start()
 		g.fleet.clock.After(loadTime, func() {
-			g.fleet.noteChanges(g.register.Restore(g.fleet.clock.Now(), g.fleet.saved))
+			g.fleet.applyChanges(g, g.register.Restore(g.fleet.clock.Now(), g.fleet.saved))
 			g.down = false
 		})
 	})
@@ -69,8 +74,28 @@
 	return len(live) == 0 || live[0].GetNode() == string(g.name)
 }
 
+// cancelPending ends the attempts with a part of which no event has come.
+func (g *gateway) cancelPending(part id.PromptPart) {
+	for _, r := range g.runs {
+		if !r.ended && !r.begun && slices.Contains(r.request.parts, part) {
+			r.complete()
+		}
+	}
+	g.runs = slices.DeleteFunc(g.runs, func(r *run) bool { return r.ended })
+}
+
+// exchangeUrgently exchanges rows with many peers at once, unless it did so of late.
+func (g *gateway) exchangeUrgently() {
+	if now := g.fleet.clock.Now(); now.Sub(g.lastUrgent) >= urgentInterval {
+		g.lastUrgent = now
+		g.exchangeWithRandom(urgentFanout)
+	}
+}
+
 // exchange publishes the own row and exchanges rows with random peers.
-func (g *gateway) exchange() {
+func (g *gateway) exchange() { g.exchangeWithRandom(fanout) }
+
+func (g *gateway) exchangeWithRandom(calls int) {
 	f, now := g.fleet, g.fleet.clock.Now()
 	if g.down {
 		return
@@ -78,8 +103,8 @@
 	report, version := g.register.Report(now, g.leads())
 	g.table.Publish(now, &peer.Row{Address: string(g.name), Prompts: quarantine.Encode(report, true)}, version != g.version)
 	g.version = version
-	for range min(fanout, len(f.gateways)-1) {
-		other := f.gateways[f.rand.IntN(len(f.gateways))]
+	for _, n := range f.rand.Perm(len(f.gateways))[:min(calls+1, len(f.gateways))] {
+		other := f.gateways[n]
 		if other == g || f.rand.Float64() < f.cfg.Faults.LostExchanges {
 			continue
 		}
@@ -101,7 +126,7 @@
 	now := g.fleet.clock.Now()
 	g.table.Merge(now, rows, marks)
 	for _, r := range rows {
-		g.fleet.noteChanges(g.register.Merge(now, quarantine.Decode(r.GetPrompts())))
+		g.fleet.applyChanges(g, g.register.Merge(now, quarantine.Decode(r.GetPrompts())))
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,6 +44,8 @@
 func (f *forwarding) send(ctx context.Context, assignment *pool.Assignment) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	f.gateway.pending.add(f, cancel)
+	defer f.gateway.pending.remove(f)
 	if f.canRetry() {
 		go cancelIfGone(ctx, cancel, assignment.Gone())
 	}
@@ -95,8 +97,11 @@
 
 // interrupted returns the outcome of an attempt whose ctx is done.
 func interrupted(ctx context.Context) outcome {
-	if cause := context.Cause(ctx); errors.Is(cause, errUpstreamGone) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errUpstreamGone):
 		return &responseLost{problem.UpstreamCut, cause}
+	case errors.Is(cause, errPromptHeld):
+		return &responseLost{problem.PromptHeld, cause}
 	}
 	return &abandoned{abandonReason(ctx)}
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -124,7 +125,8 @@
 	_ = f.gateway.logRequest(f.req, "event", "upstream_crashed", "upstream", u.ID, "born", u.StartUnixMS, "begun", !f.firstEvent.IsZero(), "parts", loggedParts(&f.req.info.Prompt))
 	if len(f.parts) > 0 {
 		now := f.gateway.deps.FleetTime()
-		f.gateway.LogHolds(f.gateway.deps.Quarantine.RecordCrash(now, quarantine.Start{Upstream: u.ID, UnixMS: u.StartUnixMS}, f.parts, !f.firstEvent.IsZero()))
+		f.gateway.ApplyHolds(f.gateway.deps.Quarantine.RecordCrash(now, quarantine.Start{Upstream: u.ID, UnixMS: u.StartUnixMS}, f.parts, !f.firstEvent.IsZero()))
+		f.gateway.deps.TellPeers()
 	}
 }
 
@@ -133,6 +135,7 @@
 func (f *forwarding) noteEvent(now time.Time) {
 	if f.firstEvent.IsZero() {
 		f.firstEvent = now
+		f.gateway.pending.remove(f)
 	}
 	if now.Sub(f.firstEvent) >= quarantine.ProofOfLife {
 		f.noteSurvived()
@@ -146,18 +149,62 @@
 	}
 	f.survived = true
 	if len(f.parts) > 0 {
-		f.gateway.LogHolds(f.gateway.deps.Quarantine.RecordSound(f.gateway.deps.FleetTime(), f.parts))
+		f.gateway.ApplyHolds(f.gateway.deps.Quarantine.RecordSound(f.gateway.deps.FleetTime(), f.parts))
 	}
 }
 
-// LogHolds logs and counts the parts of prompts that are held from now on, or no longer.
-func (g *Gateway) LogHolds(changes []quarantine.Change) {
+// ApplyHolds logs and counts the parts of prompts that are held from now on, or no longer, and
+// ends the attempts with a held part of which no event has come: their engines would crash.
+func (g *Gateway) ApplyHolds(changes []quarantine.Change) {
 	for _, c := range changes {
-		event := "prompt_released"
+		event, ended := "prompt_released", 0
 		if c.Held {
-			event = "prompt_held"
+			event, ended = "prompt_held", g.pending.cancel(c.Hold.Part)
 		}
 		g.incrementCounter(event)
-		_ = g.deps.Logger.Log("event", event, "part", string(c.Hold.Part), "crashes", c.Hold.Crashes, "since", c.Hold.Since.UTC().Format(time.RFC3339Nano), "why", c.Reason)
+		_ = g.deps.Logger.Log("event", event, "part", string(c.Hold.Part), "crashes", c.Hold.Crashes, "since", c.Hold.Since.UTC().Format(time.RFC3339Nano), "why", c.Reason, "attempts_ended", ended)
 	}
 }
+
+// errPromptHeld is why an attempt ends when a part of its prompt is held.
+var errPromptHeld = errors.New("a part of the prompt is held back")
+
+// pendingAttempts are the attempts of which no event has come yet. It is safe for concurrent use.
+type pendingAttempts struct {
+	mu       sync.Mutex
+	attempts map[*forwarding]context.CancelCauseFunc
+}
+
+func newPendingAttempts() *pendingAttempts {
+	return &pendingAttempts{attempts: make(map[*forwarding]context.CancelCauseFunc)}
+}
+
+// add adds an attempt of a request with parts that it may share with others.
+func (p *pendingAttempts) add(f *forwarding, cancel context.CancelCauseFunc) {
+	if len(f.parts) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.attempts[f] = cancel
+}
+
+// remove removes an attempt, if it is pending.
+func (p *pendingAttempts) remove(f *forwarding) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.attempts, f)
+}
+
+// cancel ends the attempts with a part and returns their number.
+func (p *pendingAttempts) cancel(part id.PromptPart) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for f, cancel := range p.attempts {
+		if slices.Contains(f.parts, part) {
+			cancel(errPromptHeld)
+			n++
+		}
+	}
+	return n
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -139,6 +139,9 @@
 				f.noteCut(ctx, assignment)
 			}
 			failed = problem.New(result.reason, problem.RunUnknown, http.StatusBadGateway, "upstream %s: %v", assignment.Upstream.ID, result.err)
+			if result.reason == problem.PromptHeld {
+				return failed
+			}
 		}
 		if p := f.retryOrStop(ctx, assignment, failed); p != nil {
 			return p
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,7 @@
 	Client        *UpstreamClient
 	Quarantine    *quarantine.Register
 	FleetTime     func() time.Time // the time that the evidence of Quarantine has
+	TellPeers     func()           // asks for an exchange with peers soon
 	MemoryMB      float64          // memory of the process; zero: not limited
 	Metrics       metrics.Registry
 	Logger        log.Logger
@@ -112,6 +113,7 @@
 type Gateway struct {
 	deps             Deps
 	crashes          *crashDetector
+	pending          *pendingAttempts
 	buffers          *responseBuffers
 	shutdownStarted  atomic.Int64 // Unix nanoseconds; zero: not shutting down
 	shutdownDeadline atomic.Int64 // when the process ends, in Unix nanoseconds; zero: not known
@@ -121,7 +123,7 @@
 
 // New returns a gateway.
 func New(deps Deps) *Gateway {
-	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), buffers: newResponseBuffers(deps.MemoryMB)}
+	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), pending: newPendingAttempts(), buffers: newResponseBuffers(deps.MemoryMB)}
 }
 
 // Handler returns the handler for callers' requests.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -123,7 +123,7 @@
 	f.gateway = gateway.New(gateway.Deps{
 		Codec: platform.HeaderCodec{}, Catalog: f.currentCatalog, Pool: f.pool, Meter: f, CatalogStatus: f, Client: gateway.NewUpstreamClient(),
 		RetryBudgets: gateway.NewRetryBudgets(gateway.RetryBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}),
-		Quarantine:   quarantine.New(), FleetTime: time.Now,
+		Quarantine:   quarantine.New(), FleetTime: time.Now, TellPeers: func() {},
 		Metrics: metrics.NewRegistry(), Logger: f,
 	})
 	f.server = httptest.NewUnstartedServer(f.gateway.Handler())
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -134,7 +134,7 @@
 	}
 	holds := parseHolds(page.Records, k.logger)
 	k.saved, k.savedAt, k.known = holds, page.Next, true
-	k.gateway.LogHolds(k.register.Restore(k.fleetTime(), holds))
+	k.gateway.ApplyHolds(k.register.Restore(k.fleetTime(), holds))
 	k.complete.Store(true)
 	if len(holds) > 0 {
 		_ = k.logger.Log("event", "holds_loaded", "holds", len(holds), "place", place, "offset", page.Next)
@@ -204,7 +204,7 @@
 			http.Error(w, fmt.Sprintf("part %q is not held", string(part)), http.StatusNotFound)
 			return
 		}
-		g.LogHolds(changes)
+		g.ApplyHolds(changes)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -101,7 +101,9 @@
 		case errors.Is(err, io.EOF) && f.firstEvent.IsZero() && !f.resuming && isUnframed(resp):
 			return &responseLost{problem.UpstreamCut, errors.New("the connection ended before the first event")}
 		case errors.Is(err, io.EOF):
-			f.noteSurvived()
+			if !f.firstEvent.IsZero() {
+				f.noteSurvived()
+			}
 			f.startStream(resp)
 			return &answered{resp.StatusCode}
 		case err != nil && ctx.Err() != nil:
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -31,6 +31,11 @@
 	// makes thus does not grow with the fleet, and a row reaches n gateways in about
 	// log2(n) rounds.
 	fanout = 2
+	// An urgent round, which Wake asks for, calls more peers, so that what happens to the fleet as
+	// a whole is known to a small one within one call. There is at least urgentInterval between
+	// two of them.
+	urgentFanout   = 8
+	urgentInterval = 100 * time.Millisecond
 	// exchangeTimeout bounds one exchange. The latency between peers is a few
 	// milliseconds.
 	exchangeTimeout = 600 * time.Millisecond
@@ -76,6 +81,7 @@
 	httpClient *http.Client
 	logger     log.Logger
 	registry   metrics.Registry
+	wake       chan struct{} // holds a value if an urgent round is due
 
 	mu       sync.Mutex
 	failures map[string]int // consecutive failed exchanges, by address
@@ -91,7 +97,7 @@
 	return &Exchanger{
 		cfg: cfg, table: table, topics: topics, clock: clock, makeRow: makeRow, logger: logger, registry: registry,
 		httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}},
-		failures:   make(map[string]int), clients: make(map[string]ragwortv1connect.PeerServiceClient),
+		wake:       make(chan struct{}, 1), failures: make(map[string]int), clients: make(map[string]ragwortv1connect.PeerServiceClient),
 	}
 }
 
@@ -106,6 +112,7 @@
 func (x *Exchanger) Run(ctx context.Context) {
 	tick := time.NewTicker(roundInterval)
 	defer tick.Stop()
+	var lastUrgent time.Time
 	for round := 0; ; round++ {
 		now := time.Now()
 		row, urgent := x.makeRow(now)
@@ -115,23 +122,49 @@
 		if grouped {
 			requestAge = groupRequestAge
 		}
-		for _, address := range x.selectAddresses(round) {
+		for _, address := range x.selectAddresses(round, fanout) {
 			go x.exchange(ctx, address, requestAge)
 		}
 		if address := reader.GetAddress(); address != "" && address != x.cfg.Address {
 			go x.pullTopics(ctx, address)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				waiting = false
+			case <-x.wake:
+				if now := time.Now(); now.Sub(lastUrgent) >= urgentInterval {
+					lastUrgent = now
+					x.exchangeUrgently(ctx, now)
+				}
+			}
 		}
 	}
 }
 
+// Wake asks for a round before the next is due, if there was none of late.
+func (x *Exchanger) Wake() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// exchangeUrgently publishes the own row and calls many peers.
+func (x *Exchanger) exchangeUrgently(ctx context.Context, now time.Time) {
+	row, _ := x.makeRow(now)
+	x.table.Publish(now, row, true)
+	for _, address := range x.selectAddresses(1, urgentFanout) {
+		go x.exchange(ctx, address, topicRequestAge)
+	}
+}
+
 // selectAddresses returns the addresses to call in a round: all in the first round, later
-// a random choice of live peers and, at times or without live peers, one fallback address.
-func (x *Exchanger) selectAddresses(round int) []string {
+// a random choice of up to calls live peers and, at times or without live peers, one fallback
+// address.
+func (x *Exchanger) selectAddresses(round, calls int) []string {
 	var selected, fallback []string
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -153,7 +186,7 @@
 	}
 	rand.Shuffle(len(selected), func(i, j int) { selected[i], selected[j] = selected[j], selected[i] })
 	if round > 0 {
-		selected = selected[:min(len(selected), fanout)]
+		selected = selected[:min(len(selected), calls)]
 	}
 	if len(fallback) > 0 && (len(selected) == 0 || round%fallbackRoundInterval == 0) {
 		selected = append(selected, fallback[rand.IntN(len(fallback))])
