--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -34,6 +34,7 @@
 	t              *testing.T
 	currentCatalog *catalog.Latest
 	pool           *pool.Pool
+	quarantine     *quarantine.Register
 	gateway        *gateway.Gateway
 	server         *httptest.Server
 	callerConns    *gateway.CallerConns
@@ -119,11 +120,11 @@
 }
 
 func newFixtureWith(t *testing.T, currentCatalog *catalog.Latest) *fixture {
-	f := &fixture{t: t, currentCatalog: currentCatalog, pool: pool.New(currentCatalog)}
+	f := &fixture{t: t, currentCatalog: currentCatalog, pool: pool.New(currentCatalog), quarantine: quarantine.New()}
 	f.gateway = gateway.New(gateway.Deps{
 		Codec: platform.HeaderCodec{}, Catalog: f.currentCatalog, Pool: f.pool, Meter: f, CatalogStatus: f, Client: gateway.NewUpstreamClient(),
 		RetryBudgets: gateway.NewRetryBudgets(gateway.RetryBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}),
-		Quarantine:   quarantine.New(), FleetTime: time.Now, TellPeers: func() {},
+		Quarantine:   f.quarantine, FleetTime: time.Now, TellPeers: func() {},
 		Metrics: metrics.NewRegistry(), Logger: f,
 	})
 	f.server = httptest.NewUnstartedServer(f.gateway.Handler())
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -13,34 +13,20 @@
 )
 
 // serveUnframed adds an upstream that answers each request with a head and a body without a length
-// or chunks, and then closes the connection, or resets it.
+// or chunks, and then closes the connection, or resets it. It returns the number of requests.
 func (f *fixture) serveUnframed(body string, reset bool) *atomic.Int64 {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(f.t, err)
-	f.t.Cleanup(func() { listener.Close() })
 	served := new(atomic.Int64)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // the test is over
-			}
-			go func() {
-				defer conn.Close()
-				rq, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return // a trial connection
-				}
-				_, _ = io.Copy(io.Discard, rq.Body)
-				served.Add(1)
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Replica-Stamp: signed\r\nX-Request-Id: "+rq.Header.Get("X-Request-Id")+"\r\n\r\n"+body)
-				if tcp, ok := conn.(*net.TCPConn); ok && reset {
-					_ = tcp.SetLinger(0)
-				}
-			}()
+	f.serveConns(func(c net.Conn, in *bufio.Reader) {
+		r, ok := readRequest(in)
+		if !ok {
+			return
+		}
+		served.Add(1)
+		_, _ = io.WriteString(c, signedHead(r, "\r\n"+body))
+		if tcp, ok := c.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0)
 		}
-	}()
-	f.addUpstream(listener.Addr().String())
+	})
 	return served
 }
 
