quarantine: clearances are forgotten with the crashes that they clear

Cause: found by reading: as long as some engine ended every two minutes, the clearance of each part that had ever been under suspicion was kept, and callers choose the ids of parts. Change: clearances older than any crash that counts are dropped. Not measured; the tests of the package pass.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -124,13 +125,7 @@
 	if len(part) <= maxPartIDBytes {
 		return part
 	}
-	const hexDigits = "0123456789abcdef"
-	sum := xxhash.Sum64String(string(part))
-	out := []byte("long-")
-	for shift := 60; shift >= 0; shift -= 4 {
-		out = append(out, hexDigits[sum>>shift&15])
-	}
-	return id.PromptPart(out)
+	return id.PromptPart("long-" + strconv.FormatUint(xxhash.Sum64String(string(part)), 16))
 }
 
 // Held returns the first of a request's shared parts that is held.
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -37,9 +37,7 @@
 // judge updates the holds to the evidence. The caller holds the lock.
 func (r *Register) judge(now time.Time, reason string) (changes []Change) {
 	maps.DeleteFunc(r.crashes, func(_ Start, c *crash) bool { return now.Sub(c.at) > evidenceRetention })
-	if len(r.crashes) == 0 {
-		clear(r.cleared)
-	}
+	maps.DeleteFunc(r.cleared, func(_ id.PromptPart, at time.Time) bool { return now.Sub(at) > evidenceRetention })
 	suspects := r.suspects()
 	explained := make(map[Start]bool)
 	guilty := make(map[id.PromptPart]bool)
