--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -44,22 +44,25 @@
 }
 
 // hasCrashed reports whether an upstream that has cut a response has ended: nothing listens at
-// its address. IsNew is true for the first caller that learns it.
-func (d *crashDetector) hasCrashed(ctx context.Context, l *pool.Listing) (crashed, isNew bool) {
+// its address. IsNew is true for the first caller that learns it. The error is that of a connection
+// that failed for another reason, so that nothing is known.
+func (d *crashDetector) hasCrashed(ctx context.Context, l *pool.Listing) (crashed, isNew bool, err error) {
 	start := upstreamStart{l.Address, l.ID, l.StartUnixMS}
 	if d.isKnown(start) {
-		return true, false
+		return true, false, nil
 	}
-	result, _, _ := d.checks.Do(l.Address+" "+string(l.ID), func() (any, error) {
+	_, err, _ = d.checks.Do(l.Address+" "+string(l.ID), func() (any, error) {
 		conn, err := d.client.Connect(context.WithoutCancel(ctx), l.Address)
 		if err == nil {
 			conn.Close()
-			return false, nil
 		}
-		return errors.Is(err, syscall.ECONNREFUSED), nil
+		return nil, err
 	})
-	if crashed, _ = result.(bool); !crashed {
-		return false, false
+	switch {
+	case err == nil:
+		return false, false, nil
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return false, false, err
 	}
 	now := time.Now()
 	d.mu.Lock()
@@ -74,7 +77,7 @@
 	if !known {
 		d.pool.MarkUnreachable(now, l.ID)
 	}
-	return true, !known
+	return true, !known, nil
 }
 
 func (d *crashDetector) isKnown(start upstreamStart) bool {
@@ -114,8 +117,9 @@
 // request, if that was because the upstream has crashed.
 func (f *forwarding) noteCut(ctx context.Context, assignment *pool.Assignment) {
 	u := &assignment.Upstream
-	crashed, isNew := f.gateway.crashes.hasCrashed(ctx, u)
+	crashed, isNew, err := f.gateway.crashes.hasCrashed(ctx, u)
 	if !crashed {
+		_ = f.gateway.logRequest(f.req, "event", "response_lost", "upstream", u.ID, "err", err)
 		return
 	}
 	f.crashes++
