--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
 )
@@ -35,9 +36,33 @@
 	return "new"
 }
 
+// written returns how many bytes the attempt has written.
+func (t *writeTracker) written() int64 {
+	if t.conn == nil {
+		return 0
+	}
+	return t.conn.written.Load() - t.writtenBefore
+}
+
+// seenResponse is what the log says of the head of a response.
+type seenResponse struct {
+	status int
+	id     id.Request // request that the response is for
+	notRun bool
+	signed bool
+}
+
+// String implements fmt.Stringer.
+func (r *seenResponse) String() string {
+	if r == nil {
+		return "none"
+	}
+	return fmt.Sprintf("%d for=%.64q not_run=%t signed=%t", r.status, string(r.id), r.notRun, r.signed)
+}
+
 // wroteAny reports whether the attempt has written any byte.
 func (t *writeTracker) wroteAny() bool {
-	return t.conn != nil && t.conn.written.Load() > t.writtenBefore
+	return t.written() > 0
 }
 
 // send sends the request to one upstream and relays the response.
@@ -50,7 +75,7 @@
 		go cancelIfGone(ctx, cancel, assignment.Gone())
 	}
 	tracker := &writeTracker{}
-	f.attemptStarted, f.tracker, f.firstEvent, f.survived = time.Now(), tracker, time.Time{}, false
+	f.attemptStarted, f.tracker, f.firstEvent, f.survived, f.response = time.Now(), tracker, time.Time{}, false, nil
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if counted, ok := info.Conn.(*countingConn); ok {
 			tracker.conn, tracker.reused, tracker.writtenBefore = counted, info.Reused, counted.written.Load()
@@ -137,6 +162,7 @@
 // handleResponse checks an upstream's response and relays it if it is usable.
 func (f *forwarding) handleResponse(ctx context.Context, assignment *pool.Assignment, resp *http.Response) outcome {
 	info := f.gateway.deps.Codec.ParseResponse(resp)
+	f.response = &seenResponse{resp.StatusCode, info.RequestID, info.NotRun, info.Signed}
 	f.noteRemarks(time.Now(), assignment, info)
 	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	switch {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -83,6 +83,7 @@
 	tracker           *writeTracker   // of the latest attempt
 	firstEvent        time.Time       // of the latest attempt; zero: none yet
 	survived          bool            // the upstream of the latest attempt has survived the request
+	response          *seenResponse   // of the latest attempt; nil: none yet
 }
 
 // dispatch sends a request to upstreams until the caller has a response.
@@ -115,7 +116,7 @@
 		case *answered:
 			f.gateway.incrementCounter("answered")
 			f.gateway.observeDuration("whole_answer_ms", time.Since(f.req.arrived))
-			_ = f.gateway.logRequest(f.req, "event", "answered", "status", result.status, "upstream", assignment.Upstream.ID, "attempts", f.countedAttempts+f.uncountedAttempts+1)
+			_ = f.gateway.logRequest(f.req, "event", "answered", "status", result.status, "upstream", assignment.Upstream.ID, "attempts", f.countedAttempts+f.uncountedAttempts+1, "connection", f.tracker.connection(), "response", f.response)
 			return nil
 		case *abandoned:
 			f.logAbandoned(assignment, result.reason)
@@ -173,7 +174,7 @@
 		f.gateway.incrementCounter("abandoned_unheard")
 	}
 	_ = f.gateway.logRequest(f.req, "event", "attempt_abandoned", "reason", reason, "upstream", assignment.Upstream.ID,
-		"connection", f.tracker.connection(), "heard", f.heardAge(assignment), "started", f.headSent)
+		"connection", f.tracker.connection(), "written", f.tracker.written(), "response", f.response, "heard", f.heardAge(assignment), "started", f.headSent)
 }
 
 // heardAge returns how long ago this gateway last heard from an upstream, for the log.
@@ -240,7 +241,7 @@
 	f.avoid = append(f.avoid, assignment.Upstream.ID)
 	stop := f.stopReason(ctx)
 	_ = f.gateway.logRequest(f.req, "event", "attempt_failed", "reason", failed.Reason, "run", failed.Run, "upstream", assignment.Upstream.ID,
-		"detail", failed.Detail, "connection", f.tracker.connection(), "heard", f.heardAge(assignment), "sends", f.countedAttempts, "started", f.headSent, "stop", stop)
+		"detail", failed.Detail, "connection", f.tracker.connection(), "written", f.tracker.written(), "response", f.response, "heard", f.heardAge(assignment), "sends", f.countedAttempts, "started", f.headSent, "stop", stop)
 	if stop == "" {
 		f.gateway.incrementCounter("retried_" + string(failed.Reason))
 		return nil
