gateway: failing tests of refusals that are told to callers whose requests have run

Raw connections: an upstream repeats an earlier refusal (503, 429, 421) on a kept connection, sends one without an id, answers one request late; an upstream's own 408, 429 or 503, which does not say not run, is passed on.

--- /dev/null
+++ b/gateway/foreign_response_test.go
@@ -0,0 +1,193 @@
+package gateway_test
+
+// This file tests what the gateway makes of responses that do not belong to the request that was
+// sent, and of statuses that promise more than the upstream has said.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// rawResponse returns a response to the request with an id. A status other than 200 is a refusal
+// of a request that was not run.
+func rawResponse(status int, id, body string) string {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if id != "" {
+		head += "X-Request-Id: " + id + "\r\n"
+	}
+	if status == http.StatusOK {
+		head += "X-Replica-Stamp: signed\r\n"
+	} else {
+		head += "X-Not-Run: 1\r\n"
+	}
+	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+}
+
+// serveScript adds an upstream that responds to the nth request on a connection, from 0, with
+// what respond returns. It runs the request, so that it counts, if respond returns true.
+func (f *fixture) serveScript(respond func(n int, id string) (raw string, ran bool)) *atomic.Int64 {
+	runs := new(atomic.Int64)
+	f.serveConns(func(c net.Conn, in *bufio.Reader) {
+		for n := 0; ; n++ {
+			r, ok := readRequest(in)
+			if !ok {
+				return
+			}
+			raw, ran := respond(n, r.Header.Get("X-Request-Id"))
+			if ran {
+				runs.Add(1)
+			}
+			if _, err := io.WriteString(c, raw); err != nil {
+				return
+			}
+		}
+	})
+	return runs
+}
+
+// TestRepeatedRefusalIsNotToldToTheNextCaller has an upstream that repeats the refusal of the first
+// request on a connection before the response to the second, which it runs.
+func TestRepeatedRefusalIsNotToldToTheNextCaller(t *testing.T) {
+	for _, tc := range []struct {
+		name, path, body string
+		status           int
+	}{
+		{"full", "/once/x", "", http.StatusServiceUnavailable},
+		{"full with a body", "/once/x", "full", http.StatusServiceUnavailable},
+		{"too many requests", "/once/x", "", http.StatusTooManyRequests},
+		{"another upstream's address", "/once/x", "", http.StatusMisdirectedRequest},
+		{"two attempts", "/once2/x", "", http.StatusServiceUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			first := ""
+			runs := f.serveScript(func(n int, id string) (string, bool) {
+				switch n {
+				case 0:
+					first = id
+					return rawResponse(http.StatusServiceUnavailable, id, ""), false
+				case 1:
+					return rawResponse(tc.status, first, tc.body) + rawResponse(http.StatusOK, id, "own"), true
+				}
+				return rawResponse(http.StatusOK, id, "own"), true
+			})
+			require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/once/x", "steel").status)
+			got := f.call(http.MethodPost, tc.path, "steel")
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status, "%+v", got)
+			require.Equal(t, "own", got.body)
+			require.EqualValues(t, 1, runs.Load())
+			require.Equal(t, "own", f.call(http.MethodPost, tc.path, "steel").body, "the upstream is still in use")
+		})
+	}
+}
+
+// TestResponseWithoutIDSaysNothing has an upstream run requests and send a refusal without an id
+// before its response.
+func TestResponseWithoutIDSaysNothing(t *testing.T) {
+	f := newFixture(t)
+	runs := f.serveScript(func(_ int, id string) (string, bool) {
+		return rawResponse(http.StatusServiceUnavailable, "", "") + rawResponse(http.StatusOK, id, "own"), true
+	})
+	for range 3 {
+		require.Equal(t, http.StatusBadGateway, f.call(http.MethodPost, "/once2/x", "").status)
+	}
+	require.EqualValues(t, 3, runs.Load())
+}
+
+// TestResponsesOneRequestLate has an upstream whose every response on a connection, from the
+// second on, is the refusal of the request before.
+func TestResponsesOneRequestLate(t *testing.T) {
+	f := newFixture(t)
+	previous := ""
+	runs := f.serveScript(func(n int, id string) (string, bool) {
+		defer func() { previous = id }()
+		if n == 0 {
+			return rawResponse(http.StatusServiceUnavailable, id, ""), false
+		}
+		return rawResponse(http.StatusServiceUnavailable, previous, ""), true
+	})
+	for n := range 8 {
+		before := runs.Load()
+		req := f.request(t.Context(), http.MethodPost, "/once/x", "")
+		req.Header.Set("X-Deadline-Ms", "300")
+		got := f.do(req)
+		if runs.Load() > before {
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, got.status, "request %d", n)
+			require.Empty(t, got.header.Get("Retry-After"))
+		}
+	}
+	require.Positive(t, runs.Load())
+}
+
+// TestForeignResponseSaysNothingOfTheUpstream has another request's response say that the upstream
+// is leaving, asks for a wait and is not the one at its address.
+func TestForeignResponseSaysNothingOfTheUpstream(t *testing.T) {
+	f := newFixture(t)
+	f.serveScript(func(_ int, id string) (string, bool) {
+		foreign := strings.Replace(rawResponse(http.StatusMisdirectedRequest, "other", ""), "\r\n", "\r\nServer-Leaving: 1\r\nRetry-After: 5\r\n", 1)
+		busy := strings.Replace(rawResponse(http.StatusServiceUnavailable, "other", ""), "\r\n", "\r\nRetry-After: 5\r\n", 1)
+		return foreign + busy + rawResponse(http.StatusOK, id, "own"), true
+	})
+	for range 3 {
+		got := f.call(http.MethodPost, "/once/x", "")
+		require.Equal(t, http.StatusOK, got.status, "%+v", got)
+	}
+	require.Empty(t, f.logged("upstream_leaving"))
+	require.Empty(t, f.logged("upstream_asked_wait"))
+}
+
+// TestOwnPromiseOfUpstreamIsNotPassedOn has an upstream fail requests that it has run with a
+// status that promises callers that they have not run.
+func TestOwnPromiseOfUpstreamIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, path := range []string{"/once/x", "/once2/x", "/safe1/x", "/stream/x"} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				f := newFixture(t)
+				var arrived atomic.Int64
+				f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+					arrived.Add(1)
+					w.Header().Set("Retry-After", "0.1")
+					w.WriteHeader(status)
+				})
+				got := f.call(http.MethodPost, path, "steel")
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusBadGateway, got.status)
+				require.Empty(t, got.header.Get("X-Replica-Stamp"))
+				require.Empty(t, got.header.Get("Retry-After"))
+				require.EqualValues(t, 1, arrived.Load())
+				require.EqualValues(t, 1, f.counted(), "it has run")
+			})
+		}
+	}
+}
+
+// TestForeignResponsesWithoutEnd has an upstream that sends other requests' responses for as long
+// as the connection is open.
+func TestForeignResponsesWithoutEnd(t *testing.T) {
+	f := newFixture(t)
+	var sent atomic.Int64
+	f.serveConns(func(c net.Conn, in *bufio.Reader) {
+		if _, ok := readRequest(in); !ok {
+			return
+		}
+		for {
+			if _, err := io.WriteString(c, rawResponse(http.StatusOK, "other", strings.Repeat("x", 1<<10))); err != nil {
+				return
+			}
+			sent.Add(1)
+		}
+	})
+	began := time.Now()
+	require.Equal(t, http.StatusBadGateway, f.call(http.MethodPost, "/once/x", "").status)
+	require.Less(t, time.Since(began), 2*time.Second)
+}
