gateway: a response says something of a request only if it carries the request's id

Without a body it left the connection in use, one response behind, and each refusal on it was told to the wrong caller. With two attempts the request ran twice.

UpstreamClient now runs each exchange itself with http.Request.Write and http.ReadResponse: responses to other requests are skipped (8 responses, 64 KB each, and the time of two latency objectives, one second at least), the own one is returned as an ownResponse, and only that type has NotRun, Misdirected, Leaving and Wait. net/http's Transport cannot read on, and reads ahead, so that what follows a response is taken for the next one. A connection with foreign bytes is closed after the request. A request that returns to an upstream gets a new connection, since its id can't tell a repeated refusal from a new one. Nothing was sent is decided by the exchange, which seals itself: a write that has begun counts as sent, where the count of bytes was raised only after the system call. An attempt's outcome says whether the request may have run; the default is that it may.

TestWriteInProgressCountsAsSent holds the write; that cause is suspected only, no run shows it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,62 +8,28 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptrace"
+	"slices"
 	"time"
 
-	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
 )
 
-// writeTracker tells whether any byte of an attempt was written to its connection.
-type writeTracker struct {
-	conn          *countingConn // nil: no connection yet
-	reused        bool          // the connection was opened for an earlier request
-	writtenBefore int64         // bytes written to the connection before the attempt
-}
-
-// connection returns which connection the attempt used, for the log: none, new or kept.
-func (t *writeTracker) connection() string {
-	switch {
-	case t.conn == nil:
-		return "none"
-	case t.reused:
-		return "kept"
-	}
-	return "new"
-}
-
-// written returns how many bytes the attempt has written.
-func (t *writeTracker) written() int64 {
-	if t.conn == nil {
-		return 0
-	}
-	return t.conn.written.Load() - t.writtenBefore
-}
-
-// seenResponse is what the log says of the head of a response.
-type seenResponse struct {
-	status int
-	id     id.Request // request that the response is for
-	notRun bool
-	signed bool
-}
-
-// String implements fmt.Stringer.
-func (r *seenResponse) String() string {
+// String returns what the log says of the head of a response.
+func (r *ownResponse) String() string {
 	if r == nil {
 		return "none"
 	}
-	return fmt.Sprintf("%d for=%.64q not_run=%t signed=%t", r.status, string(r.id), r.notRun, r.signed)
+	return fmt.Sprintf("%d not_run=%t signed=%t", r.StatusCode, r.NotRun, r.Signed)
 }
 
-// wroteAny reports whether the attempt has written any byte.
-func (t *writeTracker) wroteAny() bool {
-	return t.written() > 0
-}
+// A request that has got the response to another one waits for its own for ownResponseObjectives
+// latency objectives of its route, and for minOwnResponseWait at least.
+const (
+	minOwnResponseWait    = time.Second
+	ownResponseObjectives = 2
+)
 
 // send sends the request to one upstream and relays the response.
 func (f *forwarding) send(ctx context.Context, assignment *pool.Assignment) outcome {
@@ -74,40 +40,85 @@
 	if f.canRetry() {
 		go cancelIfGone(ctx, cancel, assignment.Gone())
 	}
-	tracker := &writeTracker{}
-	f.attemptStarted, f.tracker, f.firstEvent, f.survived, f.response = time.Now(), tracker, time.Time{}, false, nil
-	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if counted, ok := info.Conn.(*countingConn); ok {
-			tracker.conn, tracker.reused, tracker.writtenBefore = counted, info.Reused, counted.written.Load()
-		}
-		if !info.Reused {
-			assignment.Heard(time.Now())
-			f.gateway.incrementCounter("upstream_connections")
-		}
-	}})
-	upstreamReq, err := f.newUpstreamRequest(tracedCtx, assignment)
+	f.attemptStarted, f.exchange, f.firstEvent, f.survived, f.response = time.Now(), nil, time.Time{}, false, nil
+	upstreamReq, err := f.newUpstreamRequest(ctx, assignment)
 	if err != nil {
 		return &notSent{err}
 	}
-	resp, err := f.gateway.deps.Client.Do(f.attemptStarted, upstreamReq, assignment)
+	// On a connection that has carried the request before, a repeated response to the first
+	// send could not be told from the response to this one.
+	newConn := assignment.NewConnection || slices.Contains(f.avoid, assignment.Upstream.ID)
+	observer := &attemptObserver{forwarding: f, assignment: assignment, cancel: cancel}
+	defer observer.stop()
+	resp, err := f.gateway.deps.Client.do(upstreamReq, f.req.info.ID, &assignment.Upstream, newConn, observer)
+	observer.stop()
 	if err != nil {
-		switch {
-		case !tracker.wroteAny() && ctx.Err() == nil:
-			return &notSent{err}
-		case ctx.Err() == nil:
-			f.meterOnce(time.Since(f.attemptStarted)) // the upstream most likely ran the request
-			return &responseLost{problem.UpstreamCut, err}
-		}
-		if tracker.conn != nil { // a write may still have been in progress when ctx was done
-			f.mayHaveRun = true
-			f.meterUnlessStream()
-		}
-		return interrupted(ctx)
+		return f.sendFailed(ctx, err)
 	}
 	defer resp.Body.Close()
 	return f.handleResponse(ctx, assignment, resp)
 }
 
+// sendFailed returns the outcome of an attempt without a response.
+func (f *forwarding) sendFailed(ctx context.Context, err error) outcome {
+	var unsent *UnsentError
+	var crossed *CrossedError
+	switch {
+	case errors.As(err, &unsent) && ctx.Err() == nil:
+		return &notSent{err}
+	case errors.As(err, &unsent):
+		return interruptedUnsent(ctx)
+	case ctx.Err() != nil:
+		f.meterUnlessStream()
+		return interrupted(ctx)
+	}
+	f.meterOnce(time.Since(f.attemptStarted)) // the upstream most likely ran the request
+	if errors.As(err, &crossed) {
+		return &responseLost{problem.AnswerCrossed, err}
+	}
+	return &responseLost{problem.UpstreamCut, err}
+}
+
+// attemptObserver implements exchangeObserver for one attempt.
+type attemptObserver struct {
+	forwarding *forwarding
+	assignment *pool.Assignment
+	cancel     context.CancelCauseFunc
+	timer      *time.Timer // ends the wait for the own response; nil: not started
+}
+
+var _ exchangeObserver = (*attemptObserver)(nil)
+
+// connected implements exchangeObserver.
+func (o *attemptObserver) connected(x *exchange) {
+	o.forwarding.exchange = x
+	if !x.kept {
+		o.assignment.Heard(time.Now())
+		o.forwarding.gateway.incrementCounter("upstream_connections")
+	}
+}
+
+// foreignResponse implements exchangeObserver.
+func (o *attemptObserver) foreignResponse(x *exchange, crossed *CrossedError) {
+	f := o.forwarding
+	_ = f.gateway.logRequest(f.req, "event", "foreign_response", "upstream", o.assignment.Upstream.ID, "status", crossed.Status,
+		"for", fmt.Sprintf("%.64q", string(crossed.Got)), "connection", x.connection())
+	if o.timer == nil {
+		wait := max(minOwnResponseWait, ownResponseObjectives*f.req.route.LatencyObjective)
+		o.timer = time.AfterFunc(wait, func() { o.cancel(errOwnResponseMissing) })
+	}
+}
+
+// stop ends the wait for the own response.
+func (o *attemptObserver) stop() {
+	if o.timer != nil {
+		o.timer.Stop()
+	}
+}
+
+// errOwnResponseMissing is why an attempt ends that has got only responses to other requests.
+var errOwnResponseMissing = errors.New("only responses to other requests have come")
+
 // errUpstreamGone is why an attempt ends whose upstream has gone without a word.
 var errUpstreamGone = errors.New("the upstream is silent and cannot be connected to")
 
@@ -120,32 +131,37 @@
 	}
 }
 
-// interrupted returns the outcome of an attempt whose ctx is done.
+// interrupted returns the outcome of an attempt whose ctx is done and which may have reached its
+// upstream.
 func interrupted(ctx context.Context) outcome {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errUpstreamGone):
 		return &responseLost{problem.UpstreamCut, cause}
+	case errors.Is(cause, errOwnResponseMissing):
+		return &responseLost{problem.AnswerCrossed, cause}
 	case errors.Is(cause, errPromptHeld):
 		return &responseLost{problem.PromptHeld, cause}
 	}
-	return &abandoned{abandonReason(ctx)}
+	return &abandoned{reason: abandonReason(ctx)}
 }
 
-// singleUseBody hides the type of a body from the transport, which otherwise sends an
-// idempotent request a second time by itself.
-type singleUseBody struct{ io.Reader }
-
-// Close implements io.Closer.
-func (singleUseBody) Close() error { return nil }
+// interruptedUnsent returns the outcome of an attempt whose ctx is done and of which nothing was
+// sent.
+func interruptedUnsent(ctx context.Context) outcome {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errUpstreamGone) || errors.Is(cause, errPromptHeld) {
+		return &notSent{cause}
+	}
+	return &abandoned{reason: abandonReason(ctx), unsent: true}
+}
 
 // newUpstreamRequest returns the request for the upstream.
 func (f *forwarding) newUpstreamRequest(ctx context.Context, assignment *pool.Assignment) (*http.Request, error) {
 	req := f.req
-	upstreamReq, err := http.NewRequestWithContext(ctx, req.method, "http://"+assignment.Upstream.Address+req.uri, singleUseBody{bytes.NewReader(req.body)})
+	upstreamReq, err := http.NewRequestWithContext(ctx, req.method, "http://"+assignment.Upstream.Address+req.uri, bytes.NewReader(req.body))
 	if err != nil {
 		return nil, err
 	}
-	upstreamReq.ContentLength = int64(len(req.body))
 	upstreamReq.Host = req.host
 	upstreamReq.Header = req.header.Clone()
 	removeHopByHopHeaders(upstreamReq.Header)
@@ -159,32 +175,28 @@
 	return upstreamReq, nil
 }
 
-// handleResponse checks an upstream's response and relays it if it is usable.
-func (f *forwarding) handleResponse(ctx context.Context, assignment *pool.Assignment, resp *http.Response) outcome {
-	info := f.gateway.deps.Codec.ParseResponse(resp)
-	f.response = &seenResponse{resp.StatusCode, info.RequestID, info.NotRun, info.Signed}
-	f.noteRemarks(time.Now(), assignment, info)
+// handleResponse judges the response to the request and relays it if it is usable.
+func (f *forwarding) handleResponse(ctx context.Context, assignment *pool.Assignment, resp *ownResponse) outcome {
+	f.response = resp
+	f.noteRemarks(time.Now(), assignment, resp)
 	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	switch {
-	case !info.Signed || info.NotRun:
+	case !resp.Signed || resp.NotRun:
 	case success:
 		f.meterUnlessStream()
 	default:
 		f.meterOnce(time.Since(f.attemptStarted)) // a failure without NotRun has run, also that of a stream
 	}
-	if !info.Misdirected {
+	if !resp.Misdirected {
 		assignment.Heard(time.Now())
 	}
 	switch {
-	case info.Misdirected:
+	case resp.Misdirected:
 		f.gateway.deps.Pool.MarkAddressReused(assignment.Upstream.ID)
 		return &misdirected{}
-	case info.NotRun && !success:
+	case resp.NotRun && !success:
 		return &rejected{resp.StatusCode}
-	case info.RequestID != f.req.info.ID:
-		f.gateway.incrementCounter("answer_crossed")
-		return &responseLost{problem.AnswerCrossed, fmt.Errorf("response with status %d is for request %q", resp.StatusCode, info.RequestID)}
-	case !info.Signed:
+	case !resp.Signed:
 		return &responseLost{problem.UpstreamFailed, fmt.Errorf("response with status %d is not signed", resp.StatusCode)}
 	case success && resp.Header.Get("Content-Encoding") != "":
 		return &responseLost{problem.UpstreamFailed, fmt.Errorf("the response has a Content-Encoding, %q", resp.Header.Get("Content-Encoding"))}
@@ -194,14 +206,14 @@
 		return &responseLost{problem.UpstreamFailed, fmt.Errorf("response with status %d", resp.StatusCode)}
 	}
 	if success && f.req.route.Kind.Streams() {
-		return f.relayStream(ctx, assignment, resp)
+		return f.relayStream(ctx, assignment, resp.Response)
 	}
-	return f.relayBuffered(ctx, resp)
+	return f.relayBuffered(ctx, resp.Response)
 }
 
 // noteRemarks passes on to the pool what an upstream says of itself in a response. One from
 // another upstream than the requested one says nothing about that.
-func (f *forwarding) noteRemarks(now time.Time, assignment *pool.Assignment, info ResponseInfo) {
+func (f *forwarding) noteRemarks(now time.Time, assignment *pool.Assignment, info *ownResponse) {
 	if info.Misdirected {
 		return
 	}
@@ -248,7 +260,7 @@
 // callerWriteFailed returns the outcome of a failed write to the caller.
 func callerWriteFailed(ctx context.Context) outcome {
 	if ctx.Err() != nil {
-		return &abandoned{abandonReason(ctx)}
+		return &abandoned{reason: abandonReason(ctx)}
 	}
-	return &abandoned{problem.CallerGone}
+	return &abandoned{reason: problem.CallerGone}
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -35,7 +35,11 @@
 
 // outcome is the result of one attempt: *answered, *notSent, *misdirected, *rejected,
 // *responseLost or *abandoned.
-type outcome interface{ outcome() }
+type outcome interface {
+	// mayHaveRun reports whether the upstream may have run the request, or may still run it.
+	// Only evidence to the contrary makes it false.
+	mayHaveRun() bool
+}
 
 type (
 	// answered means that the caller has received the upstream's whole response.
@@ -53,15 +57,18 @@
 		err    error
 	}
 	// abandoned means that the caller has disconnected or the deadline has passed.
-	abandoned struct{ reason problem.Reason }
+	abandoned struct {
+		reason problem.Reason
+		unsent bool // no byte of the request was written to the upstream
+	}
 )
 
-func (*answered) outcome()     {}
-func (*notSent) outcome()      {}
-func (*misdirected) outcome()  {}
-func (*rejected) outcome()     {}
-func (*responseLost) outcome() {}
-func (*abandoned) outcome()    {}
+func (*answered) mayHaveRun() bool     { return true }
+func (*notSent) mayHaveRun() bool      { return false }
+func (*misdirected) mayHaveRun() bool  { return false }
+func (*rejected) mayHaveRun() bool     { return false }
+func (*responseLost) mayHaveRun() bool { return true }
+func (a *abandoned) mayHaveRun() bool  { return !a.unsent }
 
 // forwarding is the state of forwarding one request to upstreams.
 type forwarding struct {
@@ -80,10 +87,10 @@
 	parts             []id.PromptPart // parts of the prompt that other requests may have
 	crashes           int             // upstreams that have crashed under the request before they had shown to survive it
 	attemptStarted    time.Time       // start of the latest attempt
-	tracker           *writeTracker   // of the latest attempt
+	exchange          *exchange       // of the latest attempt; nil: no connection
 	firstEvent        time.Time       // of the latest attempt; zero: none yet
 	survived          bool            // the upstream of the latest attempt has survived the request
-	response          *seenResponse   // of the latest attempt; nil: none yet
+	response          *ownResponse    // of the latest attempt; nil: none yet
 }
 
 // dispatch sends a request to upstreams until the caller has a response.
@@ -111,12 +118,13 @@
 		f.logAssignment(assignment)
 		result := f.send(ctx, assignment)
 		assignment.End()
+		f.mayHaveRun = f.mayHaveRun || result.mayHaveRun()
 		var failed *problem.Problem
 		switch result := result.(type) {
 		case *answered:
 			f.gateway.incrementCounter("answered")
 			f.gateway.observeDuration("whole_answer_ms", time.Since(f.req.arrived))
-			_ = f.gateway.logRequest(f.req, "event", "answered", "status", result.status, "upstream", assignment.Upstream.ID, "attempts", f.countedAttempts+f.uncountedAttempts+1, "connection", f.tracker.connection(), "response", f.response)
+			_ = f.gateway.logRequest(f.req, "event", "answered", "status", result.status, "upstream", assignment.Upstream.ID, "attempts", f.countedAttempts+f.uncountedAttempts+1, "connection", f.exchange.connection(), "response", f.response)
 			return nil
 		case *abandoned:
 			f.logAbandoned(assignment, result.reason)
@@ -135,7 +143,7 @@
 			failed = problem.New(problem.UpstreamBusy, f.runState(), http.StatusServiceUnavailable, "upstream %s answered %d without running it", assignment.Upstream.ID, result.status)
 		case *responseLost:
 			f.countedAttempts++
-			f.mayHaveRun, f.reachedUpstream = true, true
+			f.reachedUpstream = true
 			if result.reason == problem.UpstreamCut && !f.survived && f.mindsCrashes() {
 				f.noteCut(ctx, assignment)
 			}
@@ -174,7 +182,7 @@
 		f.gateway.incrementCounter("abandoned_unheard")
 	}
 	_ = f.gateway.logRequest(f.req, "event", "attempt_abandoned", "reason", reason, "upstream", assignment.Upstream.ID,
-		"connection", f.tracker.connection(), "written", f.tracker.written(), "response", f.response, "heard", f.heardAge(assignment), "started", f.headSent)
+		"connection", f.exchange.connection(), "written", f.exchange.bytesWritten(), "response", f.response, "heard", f.heardAge(assignment), "started", f.headSent)
 }
 
 // heardAge returns how long ago this gateway last heard from an upstream, for the log.
@@ -241,7 +249,7 @@
 	f.avoid = append(f.avoid, assignment.Upstream.ID)
 	stop := f.stopReason(ctx)
 	_ = f.gateway.logRequest(f.req, "event", "attempt_failed", "reason", failed.Reason, "run", failed.Run, "upstream", assignment.Upstream.ID,
-		"detail", failed.Detail, "connection", f.tracker.connection(), "written", f.tracker.written(), "response", f.response, "heard", f.heardAge(assignment), "sends", f.countedAttempts, "started", f.headSent, "stop", stop)
+		"detail", failed.Detail, "connection", f.exchange.connection(), "written", f.exchange.bytesWritten(), "response", f.response, "heard", f.heardAge(assignment), "sends", f.countedAttempts, "started", f.headSent, "stop", stop)
 	if stop == "" {
 		f.gateway.incrementCounter("retried_" + string(failed.Reason))
 		return nil
@@ -297,8 +305,8 @@
 	}
 	if p.Run == problem.RunUnknown {
 		p.RetryAfter = 0 // waiting does not make a retry safe
-		if p.Status == http.StatusServiceUnavailable {
-			p.Status = http.StatusBadGateway // 503 means that the request has not run
+		if problem.PromisesNotRun(p.Status) {
+			p.Status = http.StatusBadGateway
 		}
 	}
 	if p.Run == problem.NotRun && p.Status == http.StatusGatewayTimeout {
--- a/gateway/foreign_response_test.go
+++ b/gateway/foreign_response_test.go
@@ -71,11 +71,11 @@
 			f := newFixture(t)
 			first := ""
 			runs := f.serveScript(func(n int, id string) (string, bool) {
-				switch n {
-				case 0:
+				switch {
+				case first == "":
 					first = id
 					return rawResponse(http.StatusServiceUnavailable, id, ""), false
-				case 1:
+				case n == 1:
 					return rawResponse(tc.status, first, tc.body) + rawResponse(http.StatusOK, id, "own"), true
 				}
 				return rawResponse(http.StatusOK, id, "own"), true
@@ -86,6 +86,7 @@
 			require.Equal(t, http.StatusOK, got.status, "%+v", got)
 			require.Equal(t, "own", got.body)
 			require.EqualValues(t, 1, runs.Load())
+			require.NotEmpty(t, f.logged("foreign_response", "for", first))
 			require.Equal(t, "own", f.call(http.MethodPost, tc.path, "steel").body, "the upstream is still in use")
 		})
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,11 +48,10 @@
 
 // ResponseInfo holds what the headers and the status of an upstream's response say.
 type ResponseInfo struct {
-	RequestID   id.Request // request that the response belongs to; empty: not given
-	NotRun      bool       // the upstream did not run the request and never will
-	Misdirected bool       // the address now belongs to another upstream than the requested one
-	Signed      bool       // carries an upstream's signature
-	Leaving     bool       // the upstream is leaving and must get no new requests
+	NotRun      bool // the upstream did not run the request and never will
+	Misdirected bool // the address now belongs to another upstream than the requested one
+	Signed      bool // carries an upstream's signature
+	Leaving     bool // the upstream is leaving and must get no new requests
 	// Wait is how long the upstream, which refuses the request, wants no further ones; zero:
 	// not given. If the response has an unusable value, InvalidWait is its text.
 	Wait        time.Duration
@@ -65,7 +64,10 @@
 	ParseRequest(h http.Header) RequestInfo
 	// SetUpstreamHeaders turns the headers of a caller's request into those for an upstream.
 	SetUpstreamHeaders(h http.Header, info UpstreamRequestInfo)
-	// ParseResponse reads the headers of an upstream's response.
+	// ResponseRequestID returns the request that a response belongs to; empty: not given.
+	ResponseRequestID(h http.Header) id.Request
+	// ParseResponse reads the headers of the response to a request. What they say holds only
+	// for that request and its upstream.
 	ParseResponse(resp *http.Response) ResponseInfo
 	// SetRequestID adds the request's id to a response that the gateway makes itself.
 	SetRequestID(h http.Header, req id.Request)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -121,11 +121,13 @@
 
 func newFixtureWith(t *testing.T, currentCatalog *catalog.Latest) *fixture {
 	f := &fixture{t: t, currentCatalog: currentCatalog, pool: pool.New(currentCatalog), quarantine: quarantine.New()}
+	registry := metrics.NewRegistry()
 	f.gateway = gateway.New(gateway.Deps{
-		Codec: platform.HeaderCodec{}, Catalog: f.currentCatalog, Pool: f.pool, Meter: f, CatalogStatus: f, Client: gateway.NewUpstreamClient(),
+		Client: gateway.NewUpstreamClient(platform.HeaderCodec{}, registry, f),
+		Codec:  platform.HeaderCodec{}, Catalog: f.currentCatalog, Pool: f.pool, Meter: f, CatalogStatus: f,
 		RetryBudgets: gateway.NewRetryBudgets(gateway.RetryBudgetConfig{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}),
 		Quarantine:   f.quarantine, FleetTime: time.Now, TellPeers: func() {},
-		Metrics: metrics.NewRegistry(), Logger: f,
+		Metrics: registry, Logger: f,
 	})
 	f.server = httptest.NewUnstartedServer(f.gateway.Handler())
 	f.callerConns = f.gateway.TrackCallers(f.server.Config, f.server.Listener)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -70,7 +70,6 @@
 	defer body.release()
 	switch {
 	case err != nil && ctx.Err() != nil:
-		f.mayHaveRun = true
 		return interrupted(ctx)
 	case errors.Is(err, errResponseTooLarge), errors.Is(err, errBuffersFull):
 		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.length, err)}
@@ -84,7 +83,6 @@
 	f.w.Header().Set("Content-Length", strconv.Itoa(body.length))
 	f.w.WriteHeader(resp.StatusCode)
 	if _, err := body.WriteTo(f.w); err != nil {
-		f.mayHaveRun = true
 		return callerWriteFailed(ctx)
 	}
 	return &answered{resp.StatusCode}
@@ -107,7 +105,6 @@
 			f.startStream(resp)
 			return &answered{resp.StatusCode}
 		case err != nil && ctx.Err() != nil:
-			f.mayHaveRun = true
 			return interrupted(ctx)
 		case err != nil:
 			return &responseLost{problem.UpstreamCut, err}
@@ -120,11 +117,9 @@
 		}
 		f.startStream(resp)
 		if _, err := f.w.Write(event.raw); err != nil {
-			f.mayHaveRun = true
 			return callerWriteFailed(ctx)
 		}
 		if err := flusher.Flush(); err != nil {
-			f.mayHaveRun = true
 			return callerWriteFailed(ctx)
 		}
 		if event.hasID {
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -1,15 +1,21 @@
 package gateway
 
-// This file defines UpstreamClient, which sends requests to upstreams.
+// This file defines UpstreamClient, which sends requests to upstreams and keeps connections to
+// them.
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 )
@@ -26,29 +32,11 @@
 	keepAliveCount    = 3
 	// maxIdleConnsPerUpstream limits the idle connections kept open to one upstream.
 	maxIdleConnsPerUpstream = 64
-	// maxResponseHeaderBytes limits the status line and headers of an upstream's response.
-	maxResponseHeaderBytes = 64 << 10
 	// upstreamIdleTimeout closes idle connections before upstreams do, which close them
 	// after some seconds.
 	upstreamIdleTimeout = 4 * time.Second
-	// clientRetention is how long the client of one start of an upstream is kept after its last
-	// request.
-	clientRetention = time.Minute
 )
 
-// countingConn is a connection that counts the bytes written to it.
-type countingConn struct {
-	net.Conn
-	written atomic.Int64
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
-	return n, err
-}
-
 // upstreamStart identifies one start of an upstream at an address. Connections to an earlier
 // start are of no use to a later one, which does not know them.
 type upstreamStart struct {
@@ -57,54 +45,27 @@
 	startUnixMS int64
 }
 
-// startClient is the client for one start of an upstream.
-type startClient struct {
-	*http.Client
-	lastUsed time.Time
-}
-
 // UpstreamClient sends requests to upstreams over connections that it keeps open, or over new
-// ones. It does not follow redirects: callers receive them. It is safe for concurrent use.
+// ones. It never sends a request a second time. It is safe for concurrent use.
 type UpstreamClient struct {
-	dialer     *net.Dialer
-	connecting *http.Client // opens a connection for each request and closes it afterwards
+	dialer   *net.Dialer
+	codec    HeaderCodec
+	registry metrics.Registry
+	logger   log.Logger
 
-	mu       sync.Mutex
-	reusing  map[upstreamStart]*startClient
-	prunedAt time.Time
+	mu   sync.Mutex
+	kept map[upstreamStart][]*upstreamConn // idle connections, the one used last at the end
 }
 
 // NewUpstreamClient returns a client without connections.
-func NewUpstreamClient() *UpstreamClient {
-	c := &UpstreamClient{
+func NewUpstreamClient(codec HeaderCodec, registry metrics.Registry, logger log.Logger) *UpstreamClient {
+	return &UpstreamClient{
 		dialer: &net.Dialer{
 			Timeout:         connectTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 		},
-		reusing: make(map[upstreamStart]*startClient),
-	}
-	c.connecting = c.newClient(false)
-	return c
-}
-
-// newClient returns a client that keeps its connections open if keepAlive is set.
-func (c *UpstreamClient) newClient(keepAlive bool) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := c.dialer.DialContext(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return &countingConn{Conn: conn}, nil
-			},
-			MaxIdleConnsPerHost:    maxIdleConnsPerUpstream,
-			IdleConnTimeout:        upstreamIdleTimeout,
-			DisableKeepAlives:      !keepAlive,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		codec: codec, registry: registry, logger: logger,
+		kept: make(map[upstreamStart][]*upstreamConn),
 	}
 }
 
@@ -113,33 +74,151 @@
 	return c.dialer.DialContext(ctx, "tcp", address)
 }
 
-// Do sends a request to an assigned upstream, over a new connection if the assignment asks for
-// one. Its error is that of http.Client.Do.
-func (c *UpstreamClient) Do(now time.Time, req *http.Request, assignment *pool.Assignment) (*http.Response, error) {
-	if assignment.NewConnection {
-		return c.connecting.Do(req)
+// exchangeObserver is told what happens on the way of a request.
+type exchangeObserver interface {
+	// connected is called before the request is written.
+	connected(x *exchange)
+	// foreignResponse is called for each response on the connection that belongs to another
+	// request or to none.
+	foreignResponse(x *exchange, crossed *CrossedError)
+}
+
+// do sends a request with an id to an assigned upstream, over a new connection that is not kept
+// if newConn is set, and returns the response that belongs to it. The response's body must be
+// closed. The error is an *UnsentError if nothing was sent, or a *CrossedError if the response
+// belongs to another request. After any other error the request may have been received.
+func (c *UpstreamClient) do(req *http.Request, want id.Request, u *pool.Listing, newConn bool, observer exchangeObserver) (*ownResponse, error) {
+	ctx := req.Context()
+	conn, kept, err := c.connection(ctx, u, newConn)
+	if err != nil {
+		return nil, &UnsentError{err}
+	}
+	req.Close = newConn
+	x := &exchange{client: c, conn: conn, kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
+	observer.connected(x)
+	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
+	go x.writeRequest()
+	resp, err := x.readResponse(func(crossed *CrossedError) { observer.foreignResponse(x, crossed) }) //nolint:bodyclose // the caller closes it
+	if err != nil {
+		unsent := x.sealUnsent()
+		x.end(false)
+		if unsent {
+			return nil, &UnsentError{err}
+		}
+		return nil, err
 	}
-	return c.clientFor(now, &assignment.Upstream).Do(req)
+	x.single = x.single || resp.Close
+	resp.Body = &exchangeBody{Reader: resp.Body, exchange: x, resp: resp}
+	return &ownResponse{Response: resp, ResponseInfo: c.codec.ParseResponse(resp)}, nil
 }
 
-// clientFor returns the client for the present start of an upstream.
-func (c *UpstreamClient) clientFor(now time.Time, l *pool.Listing) *http.Client {
+// connection returns a kept connection to the present start of an upstream, or a new one.
+func (c *UpstreamClient) connection(ctx context.Context, u *pool.Listing, newConn bool) (conn *upstreamConn, kept bool, err error) {
+	start := upstreamStart{u.Address, u.ID, u.StartUnixMS}
+	if !newConn {
+		if conn := c.take(start); conn != nil {
+			return conn, true, nil
+		}
+	}
+	opened, err := c.Connect(ctx, u.Address)
+	if err != nil {
+		return nil, false, err
+	}
+	return newUpstreamConn(opened, start), false, nil
+}
+
+// take takes a kept connection on which nothing has arrived since its last response; nil: there
+// is none.
+func (c *UpstreamClient) take(start upstreamStart) *upstreamConn {
+	for {
+		conn := c.takeAny(start)
+		if conn == nil {
+			return nil
+		}
+		_ = conn.SetReadDeadline(time.Unix(1, 0)) // ends the read; fails only if the connection is closed
+		err := <-conn.idle
+		if errors.Is(err, os.ErrDeadlineExceeded) && conn.SetReadDeadline(time.Time{}) == nil {
+			return conn
+		}
+		c.closeIdle(conn, err)
+	}
+}
+
+// closeIdle closes a connection whose read while it was idle has ended with err; nil: the upstream
+// has sent something that nobody asked for.
+func (c *UpstreamClient) closeIdle(conn *upstreamConn, err error) {
+	if err == nil {
+		c.countForeign(conn.start.upstream)
+		_ = c.logger.Log("event", "foreign_response", "upstream", conn.start.upstream, "connection", "idle")
+	}
+	conn.Close()
+}
+
+// countForeign counts a response of an upstream that belongs to no request, or to another one
+// than was sent.
+func (c *UpstreamClient) countForeign(u id.Upstream) {
+	metrics.GetOrRegisterCounter("foreign_responses", c.registry).Inc(1)
+	metrics.GetOrRegisterCounter("foreign_responses_from_"+string(u), c.registry).Inc(1)
+}
+
+func (c *UpstreamClient) takeAny(start upstreamStart) *upstreamConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.prunedAt) > clientRetention {
-		c.prunedAt = now
-		for start, old := range c.reusing {
-			if now.Sub(old.lastUsed) > clientRetention {
-				delete(c.reusing, start)
-			}
-		}
+	conns := c.kept[start]
+	if len(conns) == 0 {
+		return nil
+	}
+	conn := conns[len(conns)-1]
+	c.setKept(start, conns[:len(conns)-1])
+	return conn
+}
+
+// setKept sets the idle connections to a start. The caller holds c.mu.
+func (c *UpstreamClient) setKept(start upstreamStart, conns []*upstreamConn) {
+	if len(conns) == 0 {
+		delete(c.kept, start)
+		return
 	}
-	start := upstreamStart{l.Address, l.ID, l.StartUnixMS}
-	client := c.reusing[start]
-	if client == nil {
-		client = &startClient{Client: c.newClient(true)}
-		c.reusing[start] = client
+	c.kept[start] = conns
+}
+
+// keep keeps an idle connection until something arrives on it or the idle timeout has passed.
+func (c *UpstreamClient) keep(conn *upstreamConn) {
+	if conn.in.Buffered() > 0 || conn.SetReadDeadline(time.Now().Add(upstreamIdleTimeout)) != nil {
+		conn.Close()
+		return
+	}
+	conn.idle = make(chan error, 1)
+	c.mu.Lock()
+	conns := c.kept[conn.start]
+	full := len(conns) >= maxIdleConnsPerUpstream
+	if !full {
+		c.kept[conn.start] = append(conns, conn)
+	}
+	c.mu.Unlock()
+	if full {
+		conn.Close()
+		return
+	}
+	go func() {
+		_, err := conn.in.Peek(1)
+		dropped := c.drop(conn) // before a taker may use the connection, and keep it again
+		conn.idle <- err
+		if dropped {
+			c.closeIdle(conn, err)
+		}
+	}()
+}
+
+// drop removes a kept connection. It reports false if it was taken for a request before.
+func (c *UpstreamClient) drop(conn *upstreamConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.kept[conn.start]
+	i := slices.Index(conns, conn)
+	if i < 0 {
+		return false
 	}
-	client.lastUsed = now
-	return client.Client
+	c.setKept(conn.start, slices.Delete(conns, i, i+1))
+	return true
 }
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -29,6 +29,16 @@
 	RunUnknown RunStatus = "unknown"
 )
 
+// PromisesNotRun reports whether callers take a status for a promise that their request has not
+// run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Reason is a stable code for the cause of a refusal.
 type Reason string
 
--- a/standin/wire_test.go
+++ b/standin/wire_test.go
@@ -84,13 +84,15 @@
 	for _, tc := range []struct {
 		self id.Upstream
 		want gateway.ResponseInfo
-	}{{"i-1", gateway.ResponseInfo{RequestID: "rq", NotRun: true}}, {"i-2", gateway.ResponseInfo{RequestID: "rq", NotRun: true, Misdirected: true}}} {
+	}{{"i-1", gateway.ResponseInfo{NotRun: true}}, {"i-2", gateway.ResponseInfo{NotRun: true, Misdirected: true}}} {
 		w := httptest.NewRecorder()
 		standin.RefuseRequest(w, request, tc.self)
 		require.Equal(t, tc.want, platform.HeaderCodec{}.ParseResponse(w.Result()))
+		require.Equal(t, id.Request("rq"), platform.HeaderCodec{}.ResponseRequestID(w.Header()))
 	}
 	w := httptest.NewRecorder()
 	standin.SignResponse(w.Header(), "rq")
-	require.Equal(t, gateway.ResponseInfo{RequestID: "rq", Signed: true}, platform.HeaderCodec{}.ParseResponse(w.Result()))
+	require.Equal(t, gateway.ResponseInfo{Signed: true}, platform.HeaderCodec{}.ParseResponse(w.Result()))
+	require.Equal(t, id.Request("rq"), platform.HeaderCodec{}.ResponseRequestID(w.Header()))
 	require.Equal(t, id.Request("rq"), standin.ResponseRequestID(w.Header()))
 }
