gateway: an upstream's own 408, 429 or 503 is not passed on as a promise

An upstream that fails a request with one of them, without the mark for not run, promises nothing, but its response went to the caller as it was if no further attempt was allowed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -202,6 +202,8 @@
 		return &responseLost{problem.UpstreamFailed, fmt.Errorf("the response has a Content-Encoding, %q", resp.Header.Get("Content-Encoding"))}
 	case !success && f.headSent:
 		return &responseLost{problem.UpstreamFailed, fmt.Errorf("the request for the rest of the stream got status %d", resp.StatusCode)}
+	case problem.PromisesNotRun(resp.StatusCode):
+		return &responseLost{problem.UpstreamFailed, fmt.Errorf("response with status %d does not say that the request was not run", resp.StatusCode)}
 	case !success && resp.StatusCode >= http.StatusInternalServerError && f.canRetry():
 		return &responseLost{problem.UpstreamFailed, fmt.Errorf("response with status %d", resp.StatusCode)}
 	}
