gateway: a request that was refused on a connection does not return on it

The request goes over another connection.

TestRepeatedRefusalOfTheSameID failed before (503 of a request that ran).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/pool"
@@ -45,12 +44,9 @@
 	if err != nil {
 		return &notSent{err}
 	}
-	// On a connection that has carried the request before, a repeated response to the first
-	// send could not be told from the response to this one.
-	newConn := assignment.NewConnection || slices.Contains(f.avoid, assignment.Upstream.ID)
 	observer := &attemptObserver{forwarding: f, assignment: assignment, cancel: cancel}
 	defer observer.stop()
-	resp, err := f.gateway.deps.Client.do(upstreamReq, f.req.info.ID, &assignment.Upstream, newConn, observer)
+	resp, err := f.gateway.deps.Client.do(upstreamReq, f.req.info.ID, &assignment.Upstream, assignment.NewConnection, observer)
 	observer.stop()
 	if err != nil {
 		return f.sendFailed(ctx, err)
--- a/gateway/foreign_response_test.go
+++ b/gateway/foreign_response_test.go
@@ -7,14 +7,21 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/problem"
 )
 
 // rawResponse returns a response to the request with an id. A status other than 200 is a refusal
@@ -192,3 +199,140 @@
 	require.Equal(t, http.StatusBadGateway, f.call(http.MethodPost, "/once/x", "").status)
 	require.Less(t, time.Since(began), 2*time.Second)
 }
+
+// TestRepeatedRefusalOfTheSameID has a caller send a refused request again with the same id. The
+// upstream repeats the refusal on the connection of the first before it answers.
+func TestRepeatedRefusalOfTheSameID(t *testing.T) {
+	f := newFixture(t)
+	refused := false
+	runs := f.serveScript(func(n int, id string) (string, bool) {
+		switch {
+		case !refused:
+			refused = true
+			return rawResponse(http.StatusServiceUnavailable, id, ""), false
+		case n > 0:
+			return rawResponse(http.StatusServiceUnavailable, id, "") + rawResponse(http.StatusOK, id, "own"), true
+		}
+		return rawResponse(http.StatusOK, id, "own"), true
+	})
+	req := f.request(t.Context(), http.MethodPost, "/once/x", "")
+	again := req.Clone(t.Context())
+	require.Equal(t, http.StatusServiceUnavailable, f.do(req).status)
+	require.Equal(t, http.StatusOK, f.do(again).status)
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// runRecord counts how often upstreams have run each request.
+type runRecord struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (r *runRecord) count(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// misbehaving is an upstream that chooses at random what it writes for each request.
+type misbehaving struct {
+	record  *runRecord
+	random  func(n int) int
+	refused []string // ids of requests that it has refused
+}
+
+// respond returns what the upstream writes for a request, and whether it closes the connection
+// afterwards.
+func (u *misbehaving) respond(id string) (raw string, closes bool) {
+	u.record.mu.Lock()
+	defer u.record.mu.Unlock()
+	earlier := "none"
+	if len(u.refused) > 0 {
+		earlier = u.refused[u.random(len(u.refused))]
+	}
+	own := rawResponse(http.StatusOK, id, "answer to "+id)
+	behaviour := u.random(10)
+	if behaviour < 3 {
+		u.refused = append(u.refused, id)
+		refusal := rawResponse([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[u.random(2)], id, []string{"", "full"}[u.random(2)])
+		return refusal + []string{"", refusal}[u.random(2)], false // some refusals are written twice at once
+	}
+	u.record.runs[id]++
+	switch behaviour {
+	case 3:
+		return rawResponse(http.StatusServiceUnavailable, earlier, "") + own, false
+	case 4:
+		return rawResponse(http.StatusMisdirectedRequest, earlier, "elsewhere") + own, false
+	case 5:
+		return rawResponse(http.StatusServiceUnavailable, "", "") + own, false
+	case 6:
+		return own + rawResponse(http.StatusServiceUnavailable, earlier, ""), false // a response behind from now on
+	case 7:
+		return strings.Replace(rawResponse(http.StatusServiceUnavailable, id, ""), "X-Not-Run: 1", "X-Replica-Stamp: signed", 1), false
+	case 8:
+		return own[:len(own)-3], true
+	}
+	return own, false
+}
+
+// TestRefusalsAreTrueWhateverUpstreamsWrite sends requests over kept connections to upstreams that
+// refuse, repeat refusals, and lose responses. What is refused has not run, nothing that
+// may run once runs twice, and each answer is the request's own. SEEDS sets the number of seeds.
+func TestRefusalsAreTrueWhateverUpstreamsWrite(t *testing.T) {
+	seeds := uint64(3)
+	if text := os.Getenv("SEEDS"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+		seeds = n
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkRefusals(t, seed) })
+	}
+}
+
+// checkRefusals sends requests to upstreams whose behaviour a seed chooses, and checks what callers
+// are told.
+func checkRefusals(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	f := newFixture(t)
+	record := &runRecord{runs: make(map[string]int)}
+	for range 2 {
+		upstream := &misbehaving{record: record, random: random.IntN}
+		f.serveConns(func(c net.Conn, in *bufio.Reader) {
+			for {
+				r, ok := readRequest(in)
+				if !ok {
+					return
+				}
+				raw, closes := upstream.respond(r.Header.Get("X-Request-Id"))
+				if _, err := io.WriteString(c, raw); err != nil || closes {
+					return
+				}
+			}
+		})
+	}
+	var served, refused atomic.Int64
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for n := range 100 {
+				req := f.request(t.Context(), http.MethodPost, []string{"/once/x", "/once2/x"}[n%2], "steel")
+				id := req.Header.Get("X-Request-Id")
+				got := f.do(req)
+				runs := record.count(id)
+				switch {
+				case got.status == http.StatusOK:
+					served.Add(1)
+					assert.Equal(t, "answer to "+id, got.body)
+				case problem.PromisesNotRun(got.status):
+					refused.Add(1)
+					assert.Zero(t, runs, "%s was refused: %s", id, got.body)
+				}
+				assert.LessOrEqual(t, runs, 1, id)
+			}
+		})
+	}
+	callers.Wait()
+	require.Positive(t, served.Load())
+	require.Positive(t, refused.Load())
+}
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -89,7 +89,7 @@
 // belongs to another request. After any other error the request may have been received.
 func (c *UpstreamClient) do(req *http.Request, want id.Request, u *pool.Listing, newConn bool, observer exchangeObserver) (*ownResponse, error) {
 	ctx := req.Context()
-	conn, kept, err := c.connection(ctx, u, newConn)
+	conn, kept, err := c.connection(ctx, want, u, newConn)
 	if err != nil {
 		return nil, &UnsentError{err}
 	}
@@ -108,15 +108,20 @@
 		return nil, err
 	}
 	x.single = x.single || resp.Close
+	own := &ownResponse{Response: resp, ResponseInfo: c.codec.ParseResponse(resp)}
+	if own.NotRun || own.Misdirected {
+		x.noteRefused()
+	}
 	resp.Body = &exchangeBody{Reader: resp.Body, exchange: x, resp: resp}
-	return &ownResponse{Response: resp, ResponseInfo: c.codec.ParseResponse(resp)}, nil
+	return own, nil
 }
 
-// connection returns a kept connection to the present start of an upstream, or a new one.
-func (c *UpstreamClient) connection(ctx context.Context, u *pool.Listing, newConn bool) (conn *upstreamConn, kept bool, err error) {
+// connection returns a connection for a request to the present start of an upstream, a kept or a
+// new one.
+func (c *UpstreamClient) connection(ctx context.Context, want id.Request, u *pool.Listing, newConn bool) (conn *upstreamConn, kept bool, err error) {
 	start := upstreamStart{u.Address, u.ID, u.StartUnixMS}
 	if !newConn {
-		if conn := c.take(start); conn != nil {
+		if conn := c.take(start, want); conn != nil {
 			return conn, true, nil
 		}
 	}
@@ -127,11 +132,11 @@
 	return newUpstreamConn(opened, start), false, nil
 }
 
-// take takes a kept connection on which nothing has arrived since its last response; nil: there
-// is none.
-func (c *UpstreamClient) take(start upstreamStart) *upstreamConn {
+// take takes a kept connection on which nothing has arrived since its last response and on which
+// the request was not refused before; nil: there is none.
+func (c *UpstreamClient) take(start upstreamStart, want id.Request) *upstreamConn {
 	for {
-		conn := c.takeAny(start)
+		conn := c.takeAny(start, want)
 		if conn == nil {
 			return nil
 		}
@@ -161,16 +166,18 @@
 	metrics.GetOrRegisterCounter("foreign_responses_from_"+string(u), c.registry).Inc(1)
 }
 
-func (c *UpstreamClient) takeAny(start upstreamStart) *upstreamConn {
+// takeAny takes the kept connection that was used last and on which the request was not refused.
+func (c *UpstreamClient) takeAny(start upstreamStart, want id.Request) *upstreamConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.kept[start]
-	if len(conns) == 0 {
-		return nil
+	for i, conn := range slices.Backward(conns) {
+		if !slices.Contains(conn.refused, want) {
+			c.setKept(start, slices.Delete(conns, i, i+1))
+			return conn
+		}
 	}
-	conn := conns[len(conns)-1]
-	c.setKept(start, conns[:len(conns)-1])
-	return conn
+	return nil
 }
 
 // setKept sets the idle connections to a start. The caller holds c.mu.
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -31,6 +31,8 @@
 	maxForeignResponses = 8
 	// maxForeignBodyBytes limits the body of a response that an exchange skips.
 	maxForeignBodyBytes = 64 << 10
+	// maxRefusedPerConn is how many requests are refused on a connection before it is closed.
+	maxRefusedPerConn = 64
 	// writeFailureGrace is how long a response may still arrive after the request could not
 	// be written in full: an upstream may refuse a request without reading its body.
 	writeFailureGrace = 50 * time.Millisecond
@@ -76,8 +78,16 @@
 	start    upstreamStart
 	in       *bufio.Reader
 	out      *bufio.Writer
-	headLeft int64      // bytes that may still be read for a head; math.MaxInt64 outside of heads
-	idle     chan error // receives why the read ended that waits while the connection is idle
+	headLeft int64        // bytes that may still be read for a head; math.MaxInt64 outside of heads
+	idle     chan error   // receives why the read ended that waits while the connection is idle
+	refused  []id.Request // requests that were refused on the connection
+}
+
+// noteRefused records that the upstream has refused a request. If the caller sends it again,
+// with the same id, a repetition of the refusal could not be told from a response to it.
+func (x *exchange) noteRefused() {
+	x.conn.refused = append(x.conn.refused, x.want)
+	x.single = x.single || len(x.conn.refused) >= maxRefusedPerConn
 }
 
 // headReader reads from a connection within the limit for heads.
