--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -98,7 +98,7 @@
 func (o *attemptObserver) foreignResponse(x *exchange, crossed *CrossedError) {
 	f := o.forwarding
 	_ = f.gateway.logRequest(f.req, "event", "foreign_response", "upstream", o.assignment.Upstream.ID, "status", crossed.Status,
-		"for", fmt.Sprintf("%.64q", string(crossed.Got)), "connection", x.connection())
+		"for", fmt.Sprintf("%.64s", string(crossed.Got)), "connection", x.connection())
 	if o.timer == nil {
 		wait := max(minOwnResponseWait, ownResponseObjectives*f.req.route.LatencyObjective)
 		o.timer = time.AfterFunc(wait, func() { o.cancel(errOwnResponseMissing) })
