problem: no refusal promises "not run" of a request that may have run

Callers of an entry were sent 503 and Retry-After with run=unknown in the document: of retry_budget_spent, and of a refusal that follows an attempt that may have run. 408, 421, 429 and 503 say to a caller that the request has not run; each writer of a refusal had to remember.

Write and MarshalJSON now decide by Run: without NotRun such a status becomes 502 and Retry-After is dropped, also one that the writer has set as a header, unless the problem is marked as Repeatable (the caller may repeat it even if it has run). NotRun is written as before.

--- a/problem/problem.go
+++ b/problem/problem.go
@@ -74,6 +74,16 @@
 	Internal         Reason = "internal"
 )
 
+// PromisesNotRun reports whether a response with a status promises that the request has not
+// run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Problem is a refusal. It implements error, so that filters can return it and errors.As
 // finds it.
 type Problem struct {
@@ -82,6 +92,7 @@
 	Status     int           // HTTP status
 	Detail     string        // explanation for the caller
 	RetryAfter time.Duration // zero: no Retry-After header
+	Repeatable bool          // the caller may repeat the request even if it has run
 	Request    string        // request id
 }
 
@@ -114,6 +125,22 @@
 	return fmt.Sprintf("%s (%s): %s", p.Reason, p.Run, p.Detail)
 }
 
+// truthful returns p as callers may hear it. Unless the request is known not to have run, p
+// has no status that promises this, and invites to a repetition only if that is harmless.
+func (p *Problem) truthful() *Problem {
+	if p.Run == NotRun {
+		return p
+	}
+	c := *p
+	if PromisesNotRun(c.Status) {
+		c.Status = http.StatusBadGateway
+	}
+	if !c.Repeatable {
+		c.RetryAfter = 0
+	}
+	return &c
+}
+
 // document is the JSON form of a problem. The error member repeats the reason and detail
 // in the form that clients of the chat completions API expect.
 type document struct {
@@ -134,8 +161,9 @@
 	Code    string `json:"code"`
 }
 
-// MarshalJSON returns the problem document.
+// MarshalJSON returns the problem document. Its status is that of Write.
 func (p *Problem) MarshalJSON() ([]byte, error) {
+	p = p.truthful()
 	return json.Marshal(document{
 		Type:   "about:blank",
 		Title:  http.StatusText(p.Status),
@@ -148,7 +176,7 @@
 	})
 }
 
-// UnmarshalJSON parses a problem document, which does not include RetryAfter.
+// UnmarshalJSON parses a problem document, which includes neither RetryAfter nor Repeatable.
 func (p *Problem) UnmarshalJSON(data []byte) error {
 	var d document
 	if err := json.Unmarshal(data, &d); err != nil {
@@ -158,8 +186,14 @@
 	return nil
 }
 
-// Write sends the problem as the complete response.
+// Write sends the problem as the complete response. The status of a request that may have run
+// becomes 502 if it is one that promises the contrary (see PromisesNotRun), and there is no
+// Retry-After header unless the request is repeatable.
 func (p *Problem) Write(w http.ResponseWriter) {
+	p = p.truthful()
+	if p.Run != NotRun {
+		w.Header().Del("Retry-After")
+	}
 	body, err := json.Marshal(p)
 	if err != nil {
 		http.Error(w, string(p.Reason), p.Status)
