entry: a sidecar's refusal is believed only if it is one of this request

A response with Ragwort-Refused was taken for the refusal of the request that had been sent, before anything showed whose response it is: its document's "not_run" sent the call to a second upstream, was told to the caller, and freed the key of a booking. A document without a status made the entry write status 0, which panics. The load of whatever answers at an address, "draining" included, was applied to the upstream that used to be there.

A refusal with another id or status is now a failure whose run is unknown (answer_crossed), and a load counts only if it names the upstream.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -57,7 +57,7 @@
 		return e.sendFailure(ctx, u, err)
 	}
 	defer rs.Body.Close()
-	if l, ok := wire.ParseLoad(rs.Header.Get(wire.HeaderLoad)); ok {
+	if l, ok := loadOf(u, rs.Header); ok {
 		e.upstreams.UpdateLoad(u.ID, l, time.Now())
 	}
 	result := withTrailerRefusal(u, rs, e.relay(a, u, rs))
@@ -67,8 +67,19 @@
 	return result
 }
 
-// sendFailure classifies a request that received no response. A failed dial proves
-// that nothing was sent; the upstream then gets no requests until it is heard from.
+// loadOf returns the load that the sidecar of u reports in its response, if it is that sidecar:
+// the address may have passed to another one.
+func loadOf(u *upstream.View, h http.Header) (wire.Load, bool) {
+	if h.Get(wire.HeaderUpstream) != string(u.ID) {
+		return wire.Load{}, false
+	}
+	return wire.ParseLoad(h.Get(wire.HeaderLoad))
+}
+
+// sendFailure classifies a request that received no response. A failed dial proves that nothing
+// was sent: over HTTP/2 the transport sends a request on a second connection only if the sidecar
+// has refused its stream on the first, unprocessed. The upstream then gets no requests until it
+// is heard from.
 func (e *Entry) sendFailure(ctx context.Context, u *upstream.View, err error) attemptResult {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -27,7 +27,7 @@
 // relay passes the response to the caller.
 func (e *Entry) relay(a *answer, u *upstream.View, rs *http.Response) attemptResult {
 	if rs.Header.Get(wire.HeaderRefused) != "" {
-		return sidecarRefusal(u, rs)
+		return e.sidecarRefusal(a.rq, u, rs)
 	}
 	if statusFailed(a.rq, rs.StatusCode) {
 		return failedAttempt(problem.UpstreamFailed, u, rs.Status)
@@ -59,13 +59,18 @@
 	return &attemptFailed{problem.New(reason, problem.RunUnknown, http.StatusBadGateway, "upstream %s: %s", u.ID, detail)}
 }
 
-// sidecarRefusal returns the result of an attempt that a sidecar refused.
-func sidecarRefusal(u *upstream.View, rs *http.Response) attemptResult {
+// sidecarRefusal returns the result of an attempt that a sidecar refused. A refusal that does not
+// name the request, or contradicts the response, proves nothing.
+func (e *Entry) sidecarRefusal(rq *request, u *upstream.View, rs *http.Response) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(rs.Body, maxEventBytes))
 	var p problem.Problem
 	if err != nil || json.Unmarshal(body, &p) != nil {
 		return failedAttempt(problem.UpstreamFailed, u, "sidecar sent an unreadable refusal with reason "+rs.Header.Get(wire.HeaderRefused))
 	}
+	if p.Request != string(rq.id) || p.Status != rs.StatusCode {
+		e.count("answer_crossed")
+		return failedAttempt(problem.AnswerCrossed, u, fmt.Sprintf("sidecar sent a refusal of request %q with status %d in a response with status %d", p.Request, p.Status, rs.StatusCode))
+	}
 	if p.Run == problem.NotRun {
 		return &attemptNotRun{problem: &p}
 	}
