entry: no 503, 429, 421 or 408 to a call that may have run

Callers were sent three kinds of untrue promise. After an attempt that may have run, a refusal for another reason (queue_full, no_upstream) kept its 503 and Retry-After, and prepareRetry made 503 of the 502 of every request that was given up with a Retry-After, as of retry_budget_spent. A plain service's own 408, 421, 429 or 503 to a call with repeat=never was passed on, though the service may have run the call; a repeat of a booking was replayed the same.

502 is raised to 503 only if no attempt may have run; the rest becomes 502 (package problem). Who may repeat the request still gets Retry-After: the caller of a repeatable route, and a repeat of a booking that is pending. The four statuses of a service to a repeat=never call are failed attempts, 502 and unknown; a booking is then settled as unknown and, as before, never run again.

--- a/entry/booking.go
+++ b/entry/booking.go
@@ -162,8 +162,10 @@
 		return problem.New(problem.CallerGone, problem.RunUnknown, 499, "the caller has disconnected")
 	case <-end.C:
 	}
-	return problem.New(problem.BookingPending, problem.RunUnknown, http.StatusConflict,
+	p := problem.New(problem.BookingPending, problem.RunUnknown, http.StatusConflict,
 		"request %s runs this call and has no outcome yet", c.Owner()).WithRetryAfter(bookingRetryAfter)
+	p.Repeatable = true // a repeat of a call does not run it again
+	return p
 }
 
 // settleOrphan settles a call whose owner can no longer be running it as of unknown outcome.
@@ -243,11 +245,12 @@
 	return done
 }
 
-// replay sends the recorded outcome of an earlier request.
+// replay sends the recorded outcome of an earlier request, unless its status would promise that
+// the call has not run.
 func (b *bookingRequest) replay(w http.ResponseWriter, s *ragwortv1.BookingSettled) *problem.Problem {
 	owner := id.Request(s.GetRequest())
 	b.e.traceDecision(time.Now(), b.rq.id, "book", "repeat", "owner="+string(owner)+" outcome="+s.GetOutcome())
-	if booking.Outcome(s.GetOutcome()) != booking.Answered {
+	if booking.Outcome(s.GetOutcome()) != booking.Answered || problem.PromisesNotRun(int(s.GetStatus())) {
 		return bookingUnknown(owner)
 	}
 	if s.GetBodyBytes() > uint64(len(s.GetBody())) {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -104,7 +104,7 @@
 		l.e.traceDecision(now, rq.id, "retry", "stop", fmt.Sprintf("upstream=%s failure=%s run=%s detail=%q", u.ID, p.Reason, p.Run, p.Detail))
 		final := *p
 		final.Reason, final.RetryAfter = d.Reason, d.RetryAfter
-		if d.RetryAfter > 0 && final.Status == http.StatusBadGateway {
+		if d.RetryAfter > 0 && p.Run == problem.NotRun && !l.mayHaveRun && final.Status == http.StatusBadGateway {
 			final.Status = http.StatusServiceUnavailable
 		}
 		return &final
@@ -138,6 +138,7 @@
 // a stream. The relayed part is billed.
 func (l *retryLoop) finishFailed(r *http.Request, p *problem.Problem) {
 	final := *withWithdrawal(r.Context(), p)
+	final.Repeatable = !l.a.rq.atMostOnce()
 	if l.mayHaveRun {
 		final.Run = problem.RunUnknown // because of an earlier attempt
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -43,12 +43,13 @@
 }
 
 // statusFailed reports whether a status means that the upstream did not serve the
-// request. Any other error status of a plain service is its answer, and so is every
-// status of a call that must not be repeated.
+// request. Any other error status of a plain service is its answer. To a call that must not be
+// repeated every status is, except those that would promise the caller that it has not run, which
+// a service does not say.
 func statusFailed(rq *request, status int) bool {
 	switch {
 	case rq.atMostOnce():
-		return false
+		return problem.PromisesNotRun(status)
 	case rq.service == "":
 		return status >= http.StatusInternalServerError
 	}
