sidecar: a response is used only once it is known whose it is

Requests of entries were told not_run though the upstream had them: net/http sends a request without a body again, over a new connection, if the kept one breaks, and the dial for that may fail, as when the upstream has just ended. The failed dial counted as proof that nothing was sent. An extra or late response on a kept connection was taken for the next request's: its 503 made a sound engine count as lost, any other was passed on until the entry noticed, and the connection stayed one response behind. A 200 of this kind counted as an order's success.

Nothing was sent if the dial failed and the transport had got no connection for the request at all (httptrace). A response with another request's id is refused as answer_crossed, unknown, before its status is looked at; its connection is closed, with the idle ones, as one without a body is idle by then. Orders take a new connection, like calls that must not be repeated; they are rare, and the upstream is on the same VM. A response without an id goes to the entry as before, which refuses it. order_test.go only gains the client that orders now use.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -72,6 +72,9 @@
 		e.count("answer_crossed")
 		return failedAttempt(problem.AnswerCrossed, u, fmt.Sprintf("sidecar sent a refusal of request %q with status %d in a response with status %d", p.Request, p.Status, rs.StatusCode))
 	}
+	if p.Reason == problem.AnswerCrossed {
+		e.count("answer_crossed")
+	}
 	if p.Run == problem.NotRun {
 		return &attemptNotRun{problem: &p}
 	}
--- a/sidecar/order.go
+++ b/sidecar/order.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	rs, err := o.s.deps.UpstreamClient.Do(rq)
+	rs, err := o.s.deps.OnceClient.Do(rq) // on a kept connection, the response of an earlier call could count as the order's
 	if err != nil {
 		return err
 	}
--- a/sidecar/order_test.go
+++ b/sidecar/order_test.go
@@ -26,7 +26,7 @@
 	defer server.Close()
 	state := logbook.NewState()
 	s := New(Config{Upstream: "u", UpstreamURL: server.URL, Models: []id.Model{"m"}}, Deps{
-		State: state, UpstreamClient: process.NewExternalClient(), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+		State: state, UpstreamClient: process.NewExternalClient(), OnceClient: process.NewNoResendClient(), Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
 	})
 	order := func(name string, term uint64, kind fleet.OrderKind, untilDeadline time.Duration) *ragwortv1.OrderDecided {
 		return &ragwortv1.OrderDecided{Order: name, Term: term, Kind: string(kind), Model: "m", DeadlineUnixMs: time.Now().Add(untilDeadline).UnixMilli()}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -8,6 +8,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/problem"
@@ -80,6 +82,12 @@
 		return
 	}
 	defer rs.Body.Close()
+	if rid := rs.Header.Get(wire.HeaderRequestID); rid != "" && rid != string(e.Request) {
+		x.sample.Failed = true
+		s.dropForeignResponse(rs)
+		s.refuse(w, e, problem.New(problem.AnswerCrossed, problem.RunUnknown, http.StatusBadGateway, "upstream %s: a response with status %d is for request %q", s.cfg.Upstream, rs.StatusCode, rid))
+		return
+	}
 	if s.cfg.Service == "" && rs.StatusCode == http.StatusServiceUnavailable {
 		x.sample.Failed = true
 		s.markLost(rs.Status)
@@ -104,22 +112,49 @@
 	}
 }
 
-// sendProblem returns the refusal for a request that received no response. A failed dial
-// proves that nothing was sent, and that the upstream is gone.
+// dropForeignResponse closes the connection of a response that belongs to another request: the
+// response to the request that was sent may follow on it, and be taken for that of the next. A
+// connection whose response has no body is idle by now, and cannot be told from the others.
+func (s *Sidecar) dropForeignResponse(rs *http.Response) {
+	_ = rs.Body.Close() // before its end, which closes the connection
+	s.deps.UpstreamClient.CloseIdleConnections()
+}
+
+// notSentError reports that no connection was opened to send a request.
+type notSentError struct{ cause error }
+
+func (e *notSentError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *notSentError) Unwrap() error { return e.cause }
+
+// sendProblem returns the refusal for a request that received no response. A failed dial shows
+// that the upstream is gone.
 func (s *Sidecar) sendProblem(err error) *problem.Problem {
 	run := problem.RunUnknown
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var notSent *notSentError
+	if errors.As(err, &notSent) {
 		run = problem.NotRun
+	}
+	if dialFailed(err) {
 		s.markLost(err.Error())
 	}
 	return problem.New(problem.UpstreamFailed, run, http.StatusBadGateway, "upstream %s: %v", s.cfg.Upstream, err)
 }
 
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // sendUpstream sends the request to the upstream, without the router's own headers except for
-// the request id.
+// the request id. The error is a *notSentError if nothing was sent. A failed dial alone does not
+// prove this: if a reused connection breaks, the transport sends some requests again, over a new
+// one.
 func (s *Sidecar) sendUpstream(r *http.Request, e wire.Envelope) (*http.Response, error) {
-	rq, err := http.NewRequestWithContext(r.Context(), r.Method, s.cfg.UpstreamURL+r.URL.RequestURI(), r.Body)
+	var connected atomic.Bool
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	rq, err := http.NewRequestWithContext(ctx, r.Method, s.cfg.UpstreamURL+r.URL.RequestURI(), r.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -127,10 +162,15 @@
 	copyHeaders(rq.Header, r.Header)
 	wire.DropInternalHeaders(rq.Header)
 	rq.Header.Set(wire.HeaderRequestID, string(e.Request))
+	client := s.deps.UpstreamClient
 	if e.AtMostOnce {
-		return s.deps.OnceClient.Do(rq)
+		client = s.deps.OnceClient
+	}
+	rs, err := client.Do(rq)
+	if err != nil && dialFailed(err) && !connected.Load() {
+		return nil, &notSentError{err}
 	}
-	return s.deps.UpstreamClient.Do(rq)
+	return rs, err
 }
 
 // connectionHeaders apply to a single connection and are not forwarded.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -43,7 +43,7 @@
 	State          *logbook.State
 	PeerFetcher    *logbook.PeerFetcher
 	UpstreamClient *http.Client // for requests to the upstream
-	OnceClient     *http.Client // for requests to the upstream that must not be repeated
+	OnceClient     *http.Client // for orders, and requests to the upstream that must not be repeated
 	Traces         *trace.Log
 	Metrics        metrics.Registry
 	Logger         log.Logger
