platform: claims that do not fit into one response are not skipped

ClaimLog.Read returned the end of the topic as the position to go on from, though the response has at most 1,024 KB of records. With more claims than that, as after a start in a fleet with many workspaces, the later ones were never read, and the next claim was conditional on an end that had not been read up to: a gateway could claim against the present holder.

The position is now that after the last record of the response. A claim that is appended there fails with 412, and the topic is read on. It is never beyond the end of the topic either, as before.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -299,8 +299,8 @@
 	return v.FleetTime.Sub(r.windowEnd(oldest)) >= min(delay, r.cfg.ReportWithin-takeoverStagger)
 }
 
-// ClaimsRead applies the claims that a ReadClaims action returned, in order, and the end
-// of the topic.
+// ClaimsRead applies the claims that a ReadClaims action returned, in order, and the position
+// after them. If the topic goes on there, the next claim fails, and the topic is read again.
 func (r *Reporter) ClaimsRead(bootNow, fleetTime time.Time, claims []*Claim, end feed.Position) {
 	if end.Era != r.topicEnd.Era {
 		return
--- a/gateway/usage_report.go
+++ b/gateway/usage_report.go
@@ -24,8 +24,9 @@
 type ClaimLog interface {
 	// Era returns the newest era that the store is known to be in.
 	Era() feed.Era
-	// Read returns the claims from a position on, and the end of the topic. The error is a
-	// *feed.EraError if the store is in another era.
+	// Read returns the claims from a position on, and the position after them, which is before
+	// the end of the topic if there are too many for one call. The error is a *feed.EraError if
+	// the store is in another era.
 	Read(ctx context.Context, from feed.Position) ([]*duty.Claim, feed.Position, error)
 	// Append adds a claim if the topic ends at the offset, and otherwise returns a
 	// *duty.ConflictError. After a *feed.EraError, the claim was added in another era.
