hosting: a response must fit its call

A page of the log was applied whatever offsets its records had: one that begins further on would skip records, as withdrawn keys and claims of leases, and 304 to any call was a success: of an order, of a report, of a read without records, and of a list of VMs that had never been sent, which then was empty. Crossed responses are not known of this interface, but what these name costs nothing to check, as in the fetch from peers (logbook.ApplyFetch), which refuses gaps.

The records of a page must follow the offset that was asked for without a gap, and 304 counts only if the call has named an ETag. Otherwise the error is an *UnavailableError: the call may have had an effect.

Failed before: TestResponsesToOtherCalls "An error is expected but got nil" in seven cases.

--- a/hosting/client.go
+++ b/hosting/client.go
@@ -76,6 +76,11 @@
 	if page.OldestOffset > after+1 && page.NewestOffset > after {
 		return page, &TrimmedError{After: after, Oldest: page.OldestOffset}
 	}
+	for i, r := range page.Records {
+		if want := after + 1 + id.Offset(i); r.Offset != want {
+			return Page{}, &UnavailableError{Call: "read", Cause: fmt.Errorf("the response belongs to another read: it has record %d in place of %d", r.Offset, want)}
+		}
+	}
 	return page, nil
 }
 
@@ -186,9 +191,9 @@
 	}
 	statusErr := &statusError{call: call, status: rs.StatusCode, body: string(bytes.TrimSpace(data))}
 	switch {
-	case rs.StatusCode == http.StatusNotModified:
+	case rs.StatusCode == http.StatusNotModified && rq.Header.Get("If-None-Match") != "":
 		return rq.Header.Get("If-None-Match"), nil
-	case rs.StatusCode >= http.StatusInternalServerError:
+	case rs.StatusCode == http.StatusNotModified, rs.StatusCode >= http.StatusInternalServerError:
 		return "", &UnavailableError{Call: call, Cause: statusErr}
 	case rs.StatusCode != http.StatusOK:
 		return "", statusErr
--- a/hosting/client_test.go
+++ b/hosting/client_test.go
@@ -1,6 +1,7 @@
 package hosting_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -66,3 +67,45 @@
 	require.Equal(t, 1, leaving)
 	t.Logf("the list of %d VMs has %d bytes", vmCount, listBytes)
 }
+
+// TestResponsesToOtherCalls makes calls whose responses cannot belong to them. To believe one would
+// skip records of the log, take an order for accepted, or empty the list of VMs.
+func TestResponsesToOtherCalls(t *testing.T) {
+	record := func(offset int) string { return fmt.Sprintf(`{"offset":%d,"payload":"eA=="}`, offset) }
+	for _, tc := range []struct {
+		name   string
+		status int
+		body   string
+		call   func(*hosting.Client) error
+		wantOK bool
+	}{
+		{"page of the read", http.StatusOK, `{"first":1,"newest":4,"records":[` + record(3) + `,` + record(4) + `]}`, readAfter2, true},
+		{"page from further on", http.StatusOK, `{"first":1,"newest":5,"records":[` + record(4) + `,` + record(5) + `]}`, readAfter2, false},
+		{"page from further back", http.StatusOK, `{"first":1,"newest":5,"records":[` + record(2) + `,` + record(3) + `]}`, readAfter2, false},
+		{"page with a gap", http.StatusOK, `{"first":1,"newest":5,"records":[` + record(3) + `,` + record(5) + `]}`, readAfter2, false},
+		{"unchanged log", http.StatusNotModified, "", readAfter2, false},
+		{"unchanged order", http.StatusNotModified, "", func(c *hosting.Client) error { return c.SubmitOrder(t.Context(), hosting.Order{}) }, false},
+		{"unchanged report", http.StatusNotModified, "", func(c *hosting.Client) error { return c.SubmitUsage(t.Context(), hosting.UsageReport{}) }, false},
+		{"unchanged list that was never sent", http.StatusNotModified, "", func(c *hosting.Client) error { _, err := c.ListVMs(t.Context()); return err }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tc.status)
+				_, _ = w.Write([]byte(tc.body))
+			}))
+			defer server.Close()
+			err := tc.call(hosting.NewClient(server.URL, http.DefaultClient))
+			if tc.wantOK {
+				require.NoError(t, err)
+				return
+			}
+			var unavailable *hosting.UnavailableError
+			require.ErrorAs(t, err, &unavailable)
+		})
+	}
+}
+
+func readAfter2(c *hosting.Client) error {
+	_, err := c.Read(context.Background(), 2, 0)
+	return err
+}
