gateway: only the rest of a stream continues it

Callers found another response in the middle of their stream, or a stream that had broken off ended as if it were complete.

Cause: after a break, any signed 2xx was taken for the rest. A 204, an empty body of any type, or one without length whose connection ended at once, ended the stream as complete; every block of lines before an empty line passed as an event, such as an error's text or a whole head (also in the stream of one upstream, if a second response followed in an unframed body, also inside an event). The rest of another run, with events missing, or one that ended before what the caller has, was joined. A stream without ids was sent again from its start. Ids that went back in one response were dropped.

Now the rest is a 200 of type text/event-stream; each line of an event is a field, a comment or, as the first, a name and a number; ids increase, follow the last one by one if they did so far, and an upstream that begins earlier repeats the last event byte for byte. A rest without events ends a stream only if it is framed and no further event had begun. A first response without events is not a stream. All else is a lost response: another attempt if the route allows one, else the caller's connection is aborted.

The upstreams of TestUnframedStreamIsResumed and serveSilent now name the type of their streams, as all replicas do; what they require is unchanged.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -65,6 +65,7 @@
 
 // forwarding is the state of forwarding one request to upstreams.
 type forwarding struct {
+	streamProgress
 	gateway           *Gateway
 	req               *request
 	w                 http.ResponseWriter
@@ -74,8 +75,6 @@
 	reachedUpstream   bool            // an upstream has received something, so that a further attempt uses the retry budget
 	mayHaveRun        bool            // an upstream may have run the request
 	headSent          bool            // the caller has the status and headers of a response
-	lastEventID       uint64          // last event that the caller has received, if resuming
-	resuming          bool            // the caller has received a part of the stream, from this request or an earlier one
 	metered           bool            // the request has been counted as usage
 	parts             []id.PromptPart // parts of the prompt that other requests may have
 	crashes           int             // upstreams that have crashed under the request before they had shown to survive it
@@ -90,7 +89,7 @@
 func (g *Gateway) dispatch(w http.ResponseWriter, r *http.Request, req *request) {
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
-	f := &forwarding{gateway: g, req: req, w: w, lastEventID: req.info.LastEventID, resuming: req.info.Resumes, parts: partIDs(&req.info.Prompt)}
+	f := &forwarding{gateway: g, req: req, w: w, streamProgress: streamProgress{lastEventID: req.info.LastEventID, resuming: req.info.Resumes}, parts: partIDs(&req.info.Prompt)}
 	g.deps.RetryBudgets.CountRequest(req.arrived, req.service)
 	if p := f.runAttempts(ctx); p != nil {
 		f.finish(p)
@@ -260,7 +259,7 @@
 		return "time"
 	case f.mayHaveRun && !f.req.route.Kind.Retryable():
 		return "once"
-	case f.headSent && f.req.route.Kind != catalog.KindResumable:
+	case f.headSent && (f.req.route.Kind != catalog.KindResumable || f.unnumbered):
 		return "started"
 	case f.crashes >= maxCrashesPerRequest:
 		return "crashes"
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -91,31 +91,31 @@
 }
 
 // relayStream relays complete events as they arrive. It leaves out events that the
-// caller already has.
+// caller already has. A response that does not continue the caller's stream is lost.
 func (f *forwarding) relayStream(ctx context.Context, assignment *pool.Assignment, resp *http.Response) outcome {
+	if f.headSent {
+		if err := checkRest(resp); err != nil {
+			return &responseLost{problem.UpstreamFailed, err}
+		}
+	}
+	stream := &continuation{streamProgress: &f.streamProgress, isRest: f.headSent}
 	events := newEventReader(resp.Body)
 	flusher := http.NewResponseController(f.w)
 	for {
 		event, err := events.next()
-		switch {
-		case errors.Is(err, io.EOF) && f.firstEvent.IsZero() && !f.resuming && isUnframed(resp):
-			return &responseLost{problem.UpstreamCut, errors.New("the connection ended before the first event")}
-		case errors.Is(err, io.EOF):
-			if !f.firstEvent.IsZero() {
-				f.noteSurvived()
-			}
-			f.startStream(resp)
-			return &answered{resp.StatusCode}
-		case err != nil && ctx.Err() != nil:
-			f.mayHaveRun = true
-			return interrupted(ctx)
-		case err != nil:
-			return &responseLost{problem.UpstreamCut, err}
+		if err != nil {
+			return f.endStream(ctx, resp, stream, events, err)
+		}
+		relay, err := stream.accept(&event)
+		if err != nil {
+			return &responseLost{problem.UpstreamFailed, err}
 		}
-		assignment.PrefillDone(time.Now())
-		f.noteEvent(time.Now())
-		f.meterOnce(0)
-		if event.hasID && f.resuming && event.id <= f.lastEventID {
+		if !event.isComment() {
+			assignment.PrefillDone(time.Now())
+			f.noteEvent(time.Now())
+			f.meterOnce(0)
+		}
+		if !relay {
 			continue
 		}
 		f.startStream(resp)
@@ -127,10 +127,34 @@
 			f.mayHaveRun = true
 			return callerWriteFailed(ctx)
 		}
-		if event.hasID {
-			f.lastEventID, f.resuming = event.id, true
+		stream.noteRelayed(&event)
+	}
+}
+
+// endStream returns the outcome of a response whose events ended with err.
+func (f *forwarding) endStream(ctx context.Context, resp *http.Response, stream *continuation, events *eventReader, err error) outcome {
+	if !errors.Is(err, io.EOF) {
+		f.begun = f.begun || events.begun()
+	}
+	switch {
+	case errors.Is(err, io.EOF) && !stream.hasEvents && isUnframed(resp):
+		return &responseLost{problem.UpstreamCut, errors.New("the connection ended before the first event")}
+	case errors.Is(err, io.EOF):
+		if err := stream.checkEnd(resp); err != nil {
+			return &responseLost{problem.UpstreamFailed, err}
+		}
+		if stream.hasEvents {
+			f.noteSurvived()
 		}
+		f.startStream(resp)
+		return &answered{resp.StatusCode}
+	case errors.Is(err, errNotAnEvent):
+		return &responseLost{problem.UpstreamFailed, err}
+	case ctx.Err() != nil:
+		f.mayHaveRun = true
+		return interrupted(ctx)
 	}
+	return &responseLost{problem.UpstreamCut, err}
 }
 
 // isUnframed reports whether a response has neither a length nor chunks, so that its end is the
@@ -150,11 +174,58 @@
 	f.w.WriteHeader(resp.StatusCode)
 }
 
-// event is a server-sent event.
+// errNotAnEvent means that an upstream sent bytes that are not an event of its stream.
+var errNotAnEvent = errors.New("the response has a line that is not part of an event")
+
+// event is a server-sent event, or only comments.
 type event struct {
-	raw   []byte // including the empty line at its end
-	id    uint64
-	hasID bool
+	raw      []byte // including the empty line at its end
+	id       uint64
+	hasID    bool // id is a number
+	idLines  int
+	fields   int  // lines that are fields
+	extended bool // begins with a line of the platform's own
+}
+
+// isComment reports whether there is nothing but comments.
+func (e *event) isComment() bool { return e.fields == 0 }
+
+// addLine takes in one line of an event. It fails if the line is no field of an event: other
+// readers skip such lines, but here they show that an upstream has put something else, such
+// as another response, in place of its stream.
+func (e *event) addLine(line []byte, first bool) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "":
+		return nil
+	case "data", "event", "retry":
+	case "id":
+		n, ok := parseNumber(value)
+		e.id, e.hasID = n, ok
+		e.idLines++
+	default:
+		if _, ok := parseNumber(value); !first || !ok {
+			return errNotAnEvent
+		}
+		e.extended = true // NAME: NUMBER
+		return nil
+	}
+	e.fields++
+	return nil
+}
+
+// parseNumber parses the value of a line.
+func parseNumber(value []byte) (uint64, bool) {
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+	return n, err == nil
+}
+
+// checkWhole returns an error if the lines together are not an event.
+func (e *event) checkWhole() error {
+	if e.idLines > 1 || e.extended && e.fields == 0 {
+		return errNotAnEvent
+	}
+	return nil
 }
 
 // eventReader splits a stream into server-sent events.
@@ -167,8 +238,15 @@
 	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes)}
 }
 
+// begun reports whether a part of an event was read after the last complete one.
+func (r *eventReader) begun() bool {
+	text := bytes.TrimLeft(r.raw, "\r\n")
+	return len(text) > 0 && text[0] != ':'
+}
+
 // next returns the next complete event, which is valid until the following call. The
-// error is io.EOF if the stream ended between two events.
+// error is io.EOF if the stream ended between two events, and errNotAnEvent if it has
+// a line that can't be part of one.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
 	var e event
@@ -193,11 +271,11 @@
 				continue
 			}
 			e.raw = r.raw
-			return e, nil
+			return e, e.checkWhole()
 		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-			e.id, e.hasID = n, err == nil
+		if err := e.addLine(text, lineStart == 0); err != nil {
+			r.raw = r.raw[:lineStart]
+			return event{}, err
 		}
 		lineStart = len(r.raw)
 	}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -43,6 +43,7 @@
 	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Replica-Stamp", "signed")
+		w.Header().Set("Content-Type", "text/event-stream")
 		for n := lastEvent(r) + 1; n <= events; n++ {
 			if !wait() {
 				return
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -67,6 +67,7 @@
 	whole := eventTexts(1, 4)
 	broken := f.serveUnframed(whole[:len(eventTexts(1, 2))+3], false)
 	f.serveUpstream(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, eventTexts(lastEvent(r)+1, 4))
 	})
 	for broken.Load() == 0 {
