peer: a string that is not UTF-8 no longer ends all exchanges of its gateway

What callers saw: none reported it here. A part of a prompt is named by the caller in a header, where any byte may stand. After an engine had crashed under one that is not UTF-8, the gateway lost all its peers for as long as the crash was in its row: it counted as dead to them, and knew of no other itself, so that it took the whole of each shared limit. In the same way no peer could adopt a topic with a record whose key is not UTF-8.

Cause: protobuf cannot encode such a string, and fails for the whole message.

The own row is now repaired before it is published, and a record with such a key is left out of what is sent of a topic. Each such string is counted, and logged once. The rows of peers need no repair, as decoding checks them.

--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -82,6 +82,7 @@
 	logger     log.Logger
 	registry   metrics.Registry
 	wake       chan struct{} // holds a value if an urgent round is due
+	strings    *stringGuard
 
 	mu       sync.Mutex
 	failures map[string]int // consecutive failed exchanges, by address
@@ -97,7 +98,7 @@
 	return &Exchanger{
 		cfg: cfg, table: table, topics: topics, clock: clock, makeRow: makeRow, logger: logger, registry: registry,
 		httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}},
-		wake:       make(chan struct{}, 1), failures: make(map[string]int), clients: make(map[string]ragwortv1connect.PeerServiceClient),
+		wake:       make(chan struct{}, 1), strings: newStringGuard(logger, registry), failures: make(map[string]int), clients: make(map[string]ragwortv1connect.PeerServiceClient),
 	}
 }
 
@@ -115,8 +116,7 @@
 	var lastUrgent time.Time
 	for round := 0; ; round++ {
 		now := time.Now()
-		row, urgent := x.makeRow(now)
-		x.table.Publish(now, row, urgent)
+		x.publish(now, false)
 		reader, grouped := x.table.Reader(now, x.cfg.DataCentre)
 		requestAge := topicRequestAge
 		if grouped {
@@ -144,6 +144,13 @@
 	}
 }
 
+// publish publishes the own row, at once if it or the caller says that it is urgent.
+func (x *Exchanger) publish(now time.Time, urgent bool) {
+	row, isUrgent := x.makeRow(now)
+	x.strings.repair(row)
+	x.table.Publish(now, row, urgent || isUrgent)
+}
+
 // Wake asks for a round before the next is due, if there was none of late.
 func (x *Exchanger) Wake() {
 	select {
@@ -154,8 +161,7 @@
 
 // exchangeUrgently publishes the own row and calls many peers.
 func (x *Exchanger) exchangeUrgently(ctx context.Context, now time.Time) {
-	row, _ := x.makeRow(now)
-	x.table.Publish(now, row, true)
+	x.publish(now, true)
 	for _, address := range x.selectAddresses(1, urgentFanout) {
 		go x.exchange(ctx, address, topicRequestAge)
 	}
@@ -289,8 +295,8 @@
 // and returns what the peer lacks.
 func (x *Exchanger) Exchange(_ context.Context, request *connect.Request[ragwortv1.ExchangeRequest]) (*connect.Response[ragwortv1.ExchangeResponse], error) {
 	response := &ragwortv1.ExchangeResponse{
-		Operators: topicResponse(x.topics.Operators, request.Msg.GetOperators()),
-		Upstreams: topicResponse(x.topics.Upstreams, request.Msg.GetUpstreams()),
+		Operators: x.topicResponse(x.topics.Operators, request.Msg.GetOperators()),
+		Upstreams: x.topicResponse(x.topics.Upstreams, request.Msg.GetUpstreams()),
 	}
 	if !request.Msg.GetTopicsOnly() {
 		x.merge(request.Msg.GetRows(), request.Msg.GetMarks())
@@ -319,8 +325,9 @@
 
 // topicResponse returns the records that a peer lacks if it asks for them, and the age of
 // the last successful read, at which the view was current. The age is at most one hour,
-// also if there was no read because the view comes from a copy.
-func topicResponse(f *feed.Follower, request *ragwortv1.TopicView) *ragwortv1.TopicView {
+// also if there was no read because the view comes from a copy. A record whose key cannot be
+// encoded is left out.
+func (x *Exchanger) topicResponse(f *feed.Follower, request *ragwortv1.TopicView) *ragwortv1.TopicView {
 	v := f.View()
 	if request.GetWanted() {
 		v = f.ViewFor(position(request), request.GetKnown())
@@ -330,6 +337,9 @@
 		AgeMs: uint32(min(time.Since(v.Contact), time.Hour).Milliseconds()),
 	}
 	for _, r := range v.Records {
+		if !x.strings.valid("key", r.Key) {
+			continue
+		}
 		view.Records = append(view.Records, &ragwortv1.TopicRecord{Offset: uint64(r.Offset), Key: r.Key, Value: r.Value, Dropped: r.Value == nil})
 	}
 	return view
