--- a/pool/pacer.go
+++ b/pool/pacer.go
@@ -16,6 +16,9 @@
 // at the moment at which a surge begins.
 const pacerSlotLength = 500 * time.Millisecond
 
+// maxPacerInterval bounds the time between two slots.
+const maxPacerInterval = 365 * 24 * time.Hour
+
 // pacer is a rate limiter that spaces requests evenly and allows no bursts. The first slot
 // begins at a random phase, so that the slots of many gateways are spread.
 type pacer struct {
@@ -30,7 +33,7 @@
 // slot returns when the present slot began or the next one begins, at a limit of rate requests
 // a second.
 func (p *pacer) slot(now time.Time, rate float64) time.Time {
-	interval := time.Duration(float64(time.Second) / rate)
+	interval := interval(rate)
 	at := p.nextAt
 	if at.IsZero() {
 		at = p.startedAt.Add(time.Duration(p.phase * float64(interval)))
@@ -43,5 +46,10 @@
 
 // take records that a request is sent, at a limit of rate requests a second.
 func (p *pacer) take(now time.Time, rate float64) {
-	p.nextAt = now.Add(time.Duration(float64(time.Second) / rate))
+	p.nextAt = now.Add(interval(rate))
+}
+
+// interval returns the time between two slots, which is above zero.
+func interval(rate float64) time.Duration {
+	return time.Duration(min(max(float64(time.Second)/rate, 1), float64(maxPacerInterval)))
 }
