gateway, quarantine: a saved or reported hold with an impossible time or count is left out

A hold on the store with null for its value was a hold of zero crashes since 1970, and one whose time is far ahead was never over: the requests with its part were refused for good, whatever gateway was started, and the operators' list of holds could not be written once the year had five digits. Such a record is now logged and left out, and a hold from more than two minutes ahead, the bound that crashes and clearances have, is not adopted from a peer either.

Failed before: TestOddHoldIsLeftOut (null held odd since 1970), TestHoldFromFarAheadIsNotAdopted.

--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-kit/log"
 
@@ -27,6 +28,8 @@
 	keepTimeout = 500 * time.Millisecond
 	// keepFailureDelay is the pause after a failed load or save.
 	keepFailureDelay = time.Second
+	// maxSavedCrashes is far more than the crashes that a part is held for.
+	maxSavedCrashes = 1 << 20
 )
 
 // savedHold is the JSON form of the value of a record that saves a hold; its key is the part.
@@ -51,8 +54,12 @@
 func parseHolds(records []feed.Record, logger log.Logger) (holds []quarantine.Hold) {
 	for _, r := range records {
 		var saved savedHold
-		if err := json.Unmarshal(r.Value, &saved); err != nil {
-			_ = logger.Log("event", "hold_unreadable", "part", r.Key, "err", err)
+		err := json.Unmarshal(r.Value, &saved)
+		if err == nil && (r.Key == "" || !utf8.ValidString(r.Key) || saved.SinceUnixMS <= 0 || saved.Crashes <= 0 || saved.Crashes > maxSavedCrashes) {
+			err = fmt.Errorf("part %.64q: since_unix_ms: %d, crashes: %d: expected a part in UTF-8 and numbers above zero", r.Key, saved.SinceUnixMS, saved.Crashes)
+		}
+		if err != nil {
+			_ = logger.Log("event", "hold_unreadable", "part", r.Key, "err", fmt.Sprintf("%.256v", err))
 			continue
 		}
 		holds = append(holds, quarantine.Hold{Part: id.PromptPart(r.Key), Since: time.UnixMilli(saved.SinceUnixMS), Crashes: saved.Crashes})
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -121,6 +122,27 @@
 	require.Equal(t, []quarantine.Hold{{Part: "bad", Since: time.UnixMilli(5), Crashes: 4}}, parseHolds(records, log.NewNopLogger()))
 }
 
+// TestOddHoldIsLeftOut guards against a part that is held for ever, or a list of holds that no
+// operator can see, because of a record that no gateway has saved.
+func TestOddHoldIsLeftOut(t *testing.T) {
+	store, era := &holdStore{}, feed.Era(1)
+	for _, odd := range []feed.Record{
+		{Key: "odd", Value: []byte("null")}, {Key: "odd", Value: []byte("{}")}, {Value: []byte(`{"since_unix_ms":5,"crashes":3}`)},
+		{Key: "odd-\xff", Value: []byte(`{"since_unix_ms":5,"crashes":3}`)},
+		{Key: "odd", Value: []byte(`{"since_unix_ms":5,"crashes":-3}`)}, {Key: "odd", Value: []byte(`{"since_unix_ms":5,"crashes":4294967296}`)},
+		{Key: "odd", Value: []byte(`{"since_unix_ms":-5,"crashes":3}`)}, {Key: "odd", Value: []byte(`{"since_unix_ms":1e400,"crashes":3}`)},
+		{Key: "odd", Value: []byte(strings.Repeat("[", 20_000))},
+	} {
+		require.Empty(t, parseHolds([]feed.Record{odd}, log.NewNopLogger()), "%q", odd.Value[:min(len(odd.Value), 64)])
+	}
+	good, err := holdRecords([]quarantine.Hold{{Part: "bad", Since: time.Now(), Crashes: 4}})
+	require.NoError(t, err)
+	for _, since := range []string{"9223372036854775807", "253402300800000", "1e18"} {
+		store.pages[0] = feed.Page{Records: append([]feed.Record{{Key: "odd", Value: []byte(`{"since_unix_ms":` + since + `,"crashes":3}`)}}, good...)}
+		require.Equal(t, []id.PromptPart{"bad"}, heldAfterStart(store, &era), since)
+	}
+}
+
 // FuzzParseHolds checks that no saved record stops a start.
 func FuzzParseHolds(f *testing.F) {
 	f.Add("part", []byte(`{"since_unix_ms":5,"crashes":3}`))
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -333,7 +333,7 @@
 	h.Part = shorten(h.Part)
 	_, known := r.holds[h.Part]
 	switch {
-	case known, now.Sub(h.Since) >= holdRetention, !h.Since.After(r.released[h.Part]), r.cleared[h.Part].After(h.Since):
+	case known, now.Sub(h.Since) >= holdRetention, h.Since.Sub(now) > evidenceRetention, !h.Since.After(r.released[h.Part]), r.cleared[h.Part].After(h.Since):
 		return nil
 	}
 	return r.hold(h, "peer")
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -244,3 +244,16 @@
 		require.LessOrEqual(t, len(report.Holds), 128)
 	})
 }
+
+// TestHoldFromFarAheadIsNotAdopted guards against a part that stays held for ever because of a
+// peer, or a saved hold, whose time is wrong.
+func TestHoldFromFarAheadIsNotAdopted(t *testing.T) {
+	for _, ahead := range []time.Duration{3 * time.Minute, 24 * time.Hour, 1<<63 - 1} {
+		r := newRegister()
+		require.Empty(t, r.Restore(r.now, []quarantine.Hold{{Part: "odd", Since: r.now.Add(ahead), Crashes: 3}}))
+		require.Empty(t, r.heldParts())
+	}
+	r := newRegister()
+	r.Restore(r.now, []quarantine.Hold{{Part: "bad", Since: r.now.Add(time.Second), Crashes: 3}})
+	require.Equal(t, []id.PromptPart{"bad"}, r.heldParts(), "clocks differ a little")
+}
