gateway: times of the settings are within bounds, and a gateway without usage windows does not divide by their length

Settings without a duty address need no window_s, but the first request of a workspace, and the first row for peers, whose goroutine nobody recovers, divided by it: the process ended. Times of 1e300 were converted with a result that depends on the processor, and one below a nanosecond was zero.

Failed before: TestGatewayWithoutUsageWindows (integer divide by zero), TestParseSettingsRejectsTimesOutOfRange (no error for 1e300).

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -78,16 +78,19 @@
 		c.Endpoint("seeds", seed)
 	}
 	b := s.Bounds
-	c.Require(s.MemoryMB >= 0, "memory_mb", fmt.Sprint(s.MemoryMB), "a number from zero")
-	c.Require(b.ConfigMS > 0, "bounds.config_ms", fmt.Sprint(b.ConfigMS), "milliseconds above zero")
+	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= maxMemoryMB, "memory_mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", maxMemoryMB))
+	c.Require(isTime(durationMS(b.ConfigMS)), "bounds.config_ms", fmt.Sprint(b.ConfigMS), "milliseconds, from one to those of a year")
 	c.Require(b.RetryRatio >= 0, "bounds.retry_ratio", fmt.Sprint(b.RetryRatio), "a number from zero")
 	c.Require(b.RetrySlack >= 0, "bounds.retry_slack", fmt.Sprint(b.RetrySlack), "a number from zero")
-	c.Require(b.RetryWindowS > 0, "bounds.retry_window_s", fmt.Sprint(b.RetryWindowS), "seconds above zero")
-	c.Require(b.GraceS > 0, "bounds.grace_s", fmt.Sprint(b.GraceS), "seconds above zero")
+	const seconds = "seconds, from a thousandth to those of a year"
+	c.Require(isTime(durationS(b.RetryWindowS)), "bounds.retry_window_s", fmt.Sprint(b.RetryWindowS), seconds)
+	c.Require(isTime(durationS(b.GraceS)), "bounds.grace_s", fmt.Sprint(b.GraceS), seconds)
 	if s.DutyAddress != "" {
-		c.Require(b.LeaseMS > 0, "bounds.lease_ms", fmt.Sprint(b.LeaseMS), "milliseconds above zero")
-		c.Require(b.WindowS > 0, "bounds.window_s", fmt.Sprint(b.WindowS), "seconds above zero")
-		c.Require(b.UsageLateS > 0, "bounds.usage_late_s", fmt.Sprint(b.UsageLateS), "seconds above zero")
+		c.Require(isTime(durationMS(b.LeaseMS)), "bounds.lease_ms", fmt.Sprint(b.LeaseMS), "milliseconds, from one to those of a year")
+		c.Require(isTime(durationS(b.UsageLateS)), "bounds.usage_late_s", fmt.Sprint(b.UsageLateS), seconds)
+	}
+	if s.DutyAddress != "" || b.WindowS != 0 {
+		c.Require(isTime(durationS(b.WindowS)), "bounds.window_s", fmt.Sprint(b.WindowS), seconds)
 	}
 	if err := c.Err(); err != nil {
 		return nil, err
@@ -95,8 +98,24 @@
 	return s, nil
 }
 
+const (
+	// maxMemoryMB is a petabyte.
+	maxMemoryMB = 1 << 30
+	// maxTime bounds the times of the settings.
+	maxTime = 365 * 24 * time.Hour
+)
+
+// isTime reports whether a time of the settings is within bounds.
+func isTime(d time.Duration) bool { return d >= time.Millisecond && d <= maxTime }
+
 // durationMS converts milliseconds.
-func durationMS(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+func durationMS(n float64) time.Duration { return duration(n * float64(time.Millisecond)) }
 
 // durationS converts seconds.
-func durationS(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+func durationS(n float64) time.Duration { return duration(n * float64(time.Second)) }
+
+// duration converts nanoseconds. Those beyond twice maxTime count as that, as the result of
+// converting a number out of range depends on the processor.
+func duration(n float64) time.Duration {
+	return time.Duration(min(max(n, -2*float64(maxTime)), 2*float64(maxTime)))
+}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -35,6 +36,22 @@
 	require.Error(t, err)
 }
 
+// TestParseSettingsRejectsTimesOutOfRange guards against a process whose times are others on another
+// processor, or zero, by which it would divide.
+func TestParseSettingsRejectsTimesOutOfRange(t *testing.T) {
+	for _, name := range []string{"config_ms", "retry_window_s", "grace_s", "lease_ms", "window_s", "usage_late_s"} {
+		for _, value := range []string{"1e300", "1e-12", "-1"} {
+			text := regexp.MustCompile(`"`+name+`":[0-9.]+`).ReplaceAllString(goodSettings, `"`+name+`":`+value)
+			_, err := gateway.ParseSettings([]byte(text))
+			require.ErrorContains(t, err, "--bounds."+name+":", value)
+		}
+	}
+	for _, value := range []string{"1e300", "-1"} {
+		_, err := gateway.ParseSettings([]byte(strings.Replace(goodSettings, `"memory_mb":284`, `"memory_mb":`+value, 1)))
+		require.ErrorContains(t, err, "--memory_mb:", value)
+	}
+}
+
 // TestTemplateHasEverySetting checks that the deployment's template names every setting.
 func TestTemplateHasEverySetting(t *testing.T) {
 	text, err := os.ReadFile("../deploy/entry.json.tmpl")
--- a/gateway/usage_counter.go
+++ b/gateway/usage_counter.go
@@ -28,14 +28,18 @@
 	return &usageCounter{windowLength: windowLength, fleetTime: fleetTime, windows: make(map[duty.Window]duty.Counts)}
 }
 
-// windowAt returns the usage window that contains t.
+// windowAt returns the usage window that contains t, or 0 if the length of windows is not set, as of a
+// gateway that does not report usage.
 func (u *usageCounter) windowAt(t time.Time) duty.Window {
+	if u.windowLength == 0 {
+		return 0
+	}
 	return duty.Window(t.UnixNano() / int64(u.windowLength))
 }
 
 // CountRequest implements UsageMeter.
 func (u *usageCounter) CountRequest(age time.Duration, w id.Workspace) {
-	if w == "" {
+	if w == "" || u.windowLength == 0 {
 		return // a request on a public route belongs to no workspace
 	}
 	window := u.windowAt(u.fleetTime().Add(-age))
--- a/gateway/usage_counter_test.go
+++ b/gateway/usage_counter_test.go
@@ -37,3 +37,11 @@
 	require.ElementsMatch(t, []int64{int64(newest) - 2, int64(newest)}, unreported(reported))
 	require.Empty(t, unreported(reported.With(newest).With(newest-2)))
 }
+
+// TestGatewayWithoutUsageWindows guards against a gateway without the usage duty, whose settings name
+// no length of windows: it must not divide by it.
+func TestGatewayWithoutUsageWindows(t *testing.T) {
+	u := newUsageCounter(0, time.Now)
+	require.NotPanics(t, func() { u.CountRequest(time.Second, "ws") })
+	require.Empty(t, u.unreportedWindows(duty.WindowSet{}))
+}
