--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -120,7 +120,7 @@
 	c := &catalog.Catalog{
 		Version: f.version, RequireKeys: true, Limits: catalog.Limits{BodyBytes: 65536},
 		Routes: []catalog.Route{
-			route("book", catalog.KindOnce, 1), route("look", catalog.KindSafe, 2), route("stream", catalog.KindStream, 1), route("resume", catalog.KindResumable, 2),
+			route("book", catalog.KindOnce, 1), route("reserve", catalog.KindOnce, 2), route("look", catalog.KindSafe, 2), route("stream", catalog.KindStream, 1), route("resume", catalog.KindResumable, 2),
 		},
 		Services:   map[id.Service]*catalog.Service{"desk": {Name: "desk"}},
 		Workspaces: make(map[string]*catalog.Workspace),
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -154,8 +154,7 @@
 // RefuseRequest answers a request that the replica self has not run: with 421 if it was meant
 // for another replica, else with 503.
 func RefuseRequest(w http.ResponseWriter, request ReplicaRequest, self id.Upstream) {
-	w.Header().Set("X-Request-Id", string(request.Request))
-	w.Header().Set("X-Not-Run", "1")
+	MarkNotRun(w.Header(), request.Request)
 	if request.ExpectedReplica != self {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -163,6 +162,15 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// MarkNotRun sets the headers of a response to a request that the replica has not run. Without an
+// ID, the response does not name the request.
+func MarkNotRun(h http.Header, requestID id.Request) {
+	if requestID != "" {
+		h.Set("X-Request-Id", string(requestID))
+	}
+	h.Set("X-Not-Run", "1")
+}
+
 // MarkLeaving sets the header that a replica adds to every response once it is leaving.
 func MarkLeaving(h http.Header) { h.Set("Server-Leaving", "1") }
 
--- a/standin/wire_test.go
+++ b/standin/wire_test.go
@@ -69,6 +69,16 @@
 	require.Equal(t, listing, got)
 }
 
+// TestPlatformParsesUnnamedRefusal guards against a refusal without an ID that package platform does
+// not take for one.
+func TestPlatformParsesUnnamedRefusal(t *testing.T) {
+	w := httptest.NewRecorder()
+	standin.MarkNotRun(w.Header(), "")
+	w.WriteHeader(http.StatusTooManyRequests)
+	require.Empty(t, standin.ResponseRequestID(w.Header()))
+	require.Equal(t, gateway.ResponseInfo{NotRun: true}, platform.HeaderCodec{}.ParseResponse(w.Result()))
+}
+
 // TestPlatformParsesHeaders guards against a stand-in client or replica whose headers differ
 // from those that package platform parses and sets.
 func TestPlatformParsesHeaders(t *testing.T) {
