soak: a fault of upstreams that repeat refusals

Under repeated_refusals, every other upstream for plain requests takes over connections and repeats refusals there (503, 421, 429, with the id of another request or none), and fails some requests that it ran with a signed 503 or 429. It is drawn after all other faults, whose schedules stay.

once and true_refusal judge what callers were told, under this fault too. repeats_answered and repeats_refused ask that nine in ten callers hear what became of their requests, since a gateway that turns everything into 502 would keep the rule and fail the callers.

--- a/soak/check.go
+++ b/soak/check.go
@@ -47,6 +47,8 @@
 	{"retry_budget", checkRetryBudget},
 	{"priority", checkPriority},
 	{"crashing", checkCrashing},
+	{"repeats_answered", checkRepeatsAnswered},
+	{"repeats_refused", checkRepeatsRefused},
 	{"recovery", checkRecovery},
 	{"own_ends", func(h *history) checkResult { return checkResult{h.endedProcesses, h.unexpectedEnds} }},
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
@@ -49,6 +50,12 @@
 	span
 }
 
+// treated is what an upstream that repeats refusals did with a request.
+type treated struct {
+	request   id.Request
+	treatment ragworttest.Treatment
+}
+
 // result is a request and its response as the caller saw them.
 type result struct {
 	request     id.Request
@@ -97,6 +104,7 @@
 	arrivals       []*arrival
 	results        []*result
 	waits          []askedWait
+	treated        []treated
 	crashes        []time.Duration // of upstreams under a request
 	changes        []change
 	disturbances   []disturbance
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -81,6 +81,10 @@
 		f.duration = total - f.start
 		faults = append(faults, f)
 	}
+	if f := (scheduledFault{name: "repeated_refusals", target: tb.rng.IntN(1 << 16), duration: total / 2}); total > maxFaultDuration {
+		f.start = time.Duration(tb.rng.Int64N(int64(total / 4)))
+		faults = append(faults, f)
+	}
 	return faults
 }
 
@@ -223,6 +227,10 @@
 }
 
 func (tb *testbed) injectUpstreamFault(f scheduledFault) {
+	if f.name == "repeated_refusals" {
+		tb.repeatRefusals(f)
+		return
+	}
 	all := tb.listedUpstreams()
 	u := all[f.target%len(all)]
 	u.markDisturbed()
@@ -287,6 +295,7 @@
 	tb.store.DeleteListing(u.name)
 	tb.sleep(servesAfterRemoval)
 	u.server.CloseClientConnections()
+	u.closeRepeaters()
 	if _, taken := tb.underFault.LoadOrStore(u.link, true); !taken {
 		u.link.Disable()
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"github.com/ragwortpass/ragwortpass/gateway"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/platform"
+	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
@@ -69,6 +70,7 @@
 	h.arrivalOf("crashing").began = 0
 	beside, _ := add("beside", catalog.KindResumable, "key-a", 16.2, 503, false, [2]int{0, 1})
 	beside.prompt = sharedPart
+	h.treated = []treated{{"once", ragworttest.AnsweredAfterRepeat}, {"refused", ragworttest.Refused}}
 	for _, second := range []int64{4, 5, 15, 16, 21, 22, 31, 50} { // one request began in each
 		h.reports = append(h.reports, usageReport{at: seconds(float64(second) + 2), ReceivedUsage: standin.ReceivedUsage{
 			Holder: "entry-0", FencingNumber: uint64(second), WindowID: 1000 + second, Counts: map[string]uint64{"ws-a": 1},
@@ -95,6 +97,16 @@
 	return nil
 }
 
+// addTreated adds requests at an upstream that repeats refusals.
+func (h *history) addTreated(n int, treatment ragworttest.Treatment, status int) {
+	for i := range n {
+		r := *h.resultOf("refused")
+		r.request, r.status = id.Request(fmt.Sprint("treated-", i)), status
+		h.results = append(h.results, &r)
+		h.treated = append(h.treated, treated{r.request, treatment})
+	}
+}
+
 // TestEachCheckerCanFail adds one violation at a time to a valid history: the checker of that
 // guarantee, and no other, must report it.
 func TestEachCheckerCanFail(t *testing.T) {
@@ -188,6 +200,12 @@
 				h.results = append(h.results, &other)
 			}
 		}},
+		{"no answers beside repeated refusals", "repeats_answered", func(h *history) {
+			h.addTreated(minTreated, ragworttest.AnsweredAfterRepeat, 502)
+		}},
+		{"refused requests fail beside repeated refusals", "repeats_refused", func(h *history) {
+			h.addTreated(minTreated, ragworttest.Refused, 502)
+		}},
 		{"not served after the faults", "recovery", func(h *history) { h.resultOf("after").status = 502 }},
 		{"a process that crashed", "own_ends", func(h *history) { h.unexpectedEnds = []string{"entry-0"} }},
 	} {
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -33,6 +34,7 @@
 	startUnixMS int64
 	coldUntil   time.Time
 	crashing    sync.WaitGroup // calls of crash
+	repeating   sync.WaitGroup // calls of serveRepeating
 
 	mu            sync.Mutex
 	unlisted      bool // its listing was removed
@@ -40,6 +42,8 @@
 	mode          string        // empty: healthy; or full, asking_wait, failing, cutting
 	leaving       bool          // says in every response that it is leaving
 	lastDisturbed time.Duration // last fault of it or of its link; zero: never
+	repeats       bool          // repeats refusals on some connections
+	repeaters     []net.Conn    // on which it has done so
 }
 
 // addUpstream starts and lists one more upstream, which may be cold at first.
@@ -66,6 +70,8 @@
 func (u *upstream) stop() {
 	u.server.CloseClientConnections()
 	u.server.Close()
+	u.closeRepeaters()
+	u.repeating.Wait()
 	u.crashing.Wait()
 }
 
@@ -88,6 +94,9 @@
 	if err != nil {
 		return // the sender disconnected before anything ran
 	}
+	if u.serveRepeating(rw, r, body) {
+		return
+	}
 	u.mu.Lock()
 	mode, leaving := u.mode, u.leaving
 	u.mu.Unlock()
