--- a/soak/repeat.go
+++ b/soak/repeat.go
@@ -19,7 +19,7 @@
 	takeOverShare = 0.25
 	// minTruthShare is the share of callers of a repeating upstream that must hear what became of
 	// their requests, as for minServedShare. minTreated is how many such requests are enough to tell.
-	minTruthShare, minTreated = 0.9, 20
+	minTruthShare, minTreated = 0.9, 10
 )
 
 // repeatRefusals makes every other upstream that runs requests once repeat refusals.
@@ -96,14 +96,25 @@
 	return true
 }
 
-// checkRepeatsAnswered checks that callers whose requests an upstream runs that repeats refusals get
-// their answers, and checkRepeatsRefused that callers of requests that it refuses are served by
-// another upstream or told so. That what they are told is true is checked by checkRefusals.
-func checkRepeatsAnswered(h *history) checkResult { return h.checkRepeats(false) }
+// checkRepeatsAnswered checks that callers get their answers before which an upstream repeats a
+// refusal. That what callers are told is true is checked by checkRefusals.
+func checkRepeatsAnswered(h *history) checkResult {
+	return h.checkTreated(func(got []ragworttest.Treatment) bool {
+		return slices.ContainsFunc(got, func(t ragworttest.Treatment) bool { return t != ragworttest.Refused && t != ragworttest.Answered })
+	})
+}
 
-func checkRepeatsRefused(h *history) checkResult { return h.checkRepeats(true) }
+// checkRepeatsRefused checks that callers of requests that such an upstream refuses are served by
+// another one or told so.
+func checkRepeatsRefused(h *history) checkResult {
+	return h.checkTreated(func(got []ragworttest.Treatment) bool {
+		return len(got) > 0 && !slices.ContainsFunc(got, func(t ragworttest.Treatment) bool { return t != ragworttest.Refused })
+	})
+}
 
-func (h *history) checkRepeats(refused bool) (v checkResult) {
+// checkTreated checks that callers hear what became of the requests that selected reports by how
+// upstreams that repeat refusals treated them.
+func (h *history) checkTreated(selected func([]ragworttest.Treatment) bool) (v checkResult) {
 	treatments := make(map[id.Request][]ragworttest.Treatment)
 	for _, t := range h.treated {
 		treatments[t.request] = append(treatments[t.request], t.treatment)
@@ -112,8 +123,7 @@
 	told := 0
 	for _, r := range h.results {
 		got := treatments[r.request]
-		isOther := func(t ragworttest.Treatment) bool { return t != ragworttest.Refused }
-		if len(got) == 0 || refused == slices.ContainsFunc(got, isOther) || r.abandoned || !h.undisturbed(r.node, span{r.sent, r.done}) {
+		if !selected(got) || r.abandoned || !h.undisturbed(r.node, span{r.sent, r.done}) {
 			continue
 		}
 		if slices.ContainsFunc(got, failsCaller) || slices.ContainsFunc(runs[r.request], func(a *arrival) bool { return a.interrupted }) {
