gateway: what a review of the attributed responses found

The context is looked at before anything is written, and its end seals the exchange. TestRequestPastItsDeadlineIsNotSent failed before. - A response written twice at once was neither counted nor logged: TestResponseWrittenTwiceIsCounted.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -69,7 +69,7 @@
 // request is refused; the returned request is never nil.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*request, *problem.Problem) {
 	req := &request{
-		info: g.deps.Codec.ParseRequest(r.Header), arrived: now, method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header,
+		info: g.deps.Codec.ParseRequest(r.Header), arrived: now, method: r.Method, uri: requestTarget(r), host: r.Host, header: r.Header,
 	}
 	if req.info.ID == "" {
 		return req, problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "the request has no id")
@@ -105,6 +105,14 @@
 	return req, nil
 }
 
+// requestTarget returns the target of a request without the scheme and host that a caller may name.
+func requestTarget(r *http.Request) string {
+	if r.URL.IsAbs() {
+		return r.URL.RequestURI()
+	}
+	return r.RequestURI
+}
+
 // noCatalogRetryAfter returns the Retry-After of a gateway that has no catalog and
 // whose reads of the topic have failed for the given time. It assumes that an outage lasts
 // as long again as it has lasted so far.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,7 +42,7 @@
 	f.attemptStarted, f.exchange, f.firstEvent, f.survived, f.response = time.Now(), nil, time.Time{}, false, nil
 	upstreamReq, err := f.newUpstreamRequest(ctx, assignment)
 	if err != nil {
-		return &notSent{err}
+		return &notSent{err: err}
 	}
 	observer := &attemptObserver{forwarding: f, assignment: assignment, cancel: cancel}
 	defer observer.stop()
@@ -61,7 +61,7 @@
 	var crossed *CrossedError
 	switch {
 	case errors.As(err, &unsent) && ctx.Err() == nil:
-		return &notSent{err}
+		return &notSent{err: err, unreachable: true}
 	case errors.As(err, &unsent):
 		return interruptedUnsent(ctx)
 	case ctx.Err() != nil:
@@ -144,9 +144,11 @@
 // interruptedUnsent returns the outcome of an attempt whose ctx is done and of which nothing was
 // sent.
 func interruptedUnsent(ctx context.Context) outcome {
-	cause := context.Cause(ctx)
-	if errors.Is(cause, errUpstreamGone) || errors.Is(cause, errPromptHeld) {
-		return &notSent{cause}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errUpstreamGone):
+		return &notSent{err: cause, unreachable: true}
+	case errors.Is(cause, errPromptHeld), errors.Is(cause, errOwnResponseMissing):
+		return &notSent{err: cause}
 	}
 	return &abandoned{reason: abandonReason(ctx), unsent: true}
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -45,7 +45,10 @@
 	// answered means that the caller has received the upstream's whole response.
 	answered struct{ status int }
 	// notSent means that no byte of the request was written to an upstream.
-	notSent struct{ err error }
+	notSent struct {
+		err         error
+		unreachable bool // the upstream could not be connected to, or its connection was broken
+	}
 	// misdirected means that another upstream has the address and did not run the request.
 	misdirected struct{}
 	// rejected means that the upstream did not run the request and never will.
@@ -130,7 +133,9 @@
 			return f.abandonProblem(result.reason)
 		case *notSent:
 			f.uncountedAttempts++
-			f.gateway.deps.Pool.MarkUnreachable(time.Now(), assignment.Upstream.ID)
+			if result.unreachable {
+				f.gateway.deps.Pool.MarkUnreachable(time.Now(), assignment.Upstream.ID)
+			}
 			failed = problem.New(problem.UpstreamFailed, f.runState(), http.StatusServiceUnavailable, "upstream %s: %v", assignment.Upstream.ID, result.err)
 		case *misdirected:
 			f.uncountedAttempts++
--- a/gateway/foreign_response_test.go
+++ b/gateway/foreign_response_test.go
@@ -336,3 +336,52 @@
 	require.Positive(t, served.Load())
 	require.Positive(t, refused.Load())
 }
+
+// TestRequestPastItsDeadlineIsNotSent has the time of requests run out before they are sent over a
+// kept connection.
+func TestRequestPastItsDeadlineIsNotSent(t *testing.T) {
+	f := newFixture(t)
+	runs := f.serveScript(func(_ int, id string) (string, bool) { return rawResponse(http.StatusOK, id, "own"), true })
+	for range 10 {
+		require.Equal(t, http.StatusOK, f.call(http.MethodPost, "/once/x", "steel").status)
+		before := runs.Load()
+		body, writer := io.Pipe()
+		req := f.request(t.Context(), http.MethodPost, "/once/x", "")
+		req.Body, req.ContentLength = body, 4
+		req.Header.Set("X-Deadline-Ms", "5")
+		time.AfterFunc(20*time.Millisecond, func() {
+			_, _ = writer.Write([]byte("bars"))
+			writer.Close()
+		})
+		require.Equal(t, http.StatusServiceUnavailable, f.do(req).status)
+		require.Equal(t, before, runs.Load())
+	}
+}
+
+// TestAbsoluteRequestTarget sends a request whose target names the scheme and the host.
+func TestAbsoluteRequestTarget(t *testing.T) {
+	f := newFixture(t)
+	f.serveUpstream(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.RequestURI) })
+	c, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST http://desk.example/once/x?a=b HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: target\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "/once/x?a=b", string(body))
+}
+
+// TestResponseWrittenTwiceIsCounted has an upstream write a refusal twice at once.
+func TestResponseWrittenTwiceIsCounted(t *testing.T) {
+	f := newFixture(t)
+	f.serveScript(func(_ int, id string) (string, bool) {
+		refusal := rawResponse(http.StatusServiceUnavailable, id, "")
+		return refusal + refusal, false
+	})
+	require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/once/x", "").status)
+	require.Eventually(t, func() bool { return len(f.logged("foreign_response", "idle")) == 1 }, time.Second, time.Millisecond)
+}
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
@@ -93,10 +94,17 @@
 	if err != nil {
 		return nil, &UnsentError{err}
 	}
+	if err := ctx.Err(); err != nil {
+		conn.Close()
+		return nil, &UnsentError{err}
+	}
 	req.Close = newConn
 	x := &exchange{client: c, conn: conn, kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
 	observer.connected(x)
-	x.stopCancel = context.AfterFunc(ctx, func() { conn.Close() })
+	x.stopCancel = context.AfterFunc(ctx, func() {
+		x.sealUnsent()
+		conn.Close()
+	})
 	go x.writeRequest()
 	resp, err := x.readResponse(func(crossed *CrossedError) { observer.foreignResponse(x, crossed) }) //nolint:bodyclose // the caller closes it
 	if err != nil {
@@ -172,7 +180,7 @@
 	defer c.mu.Unlock()
 	conns := c.kept[start]
 	for i, conn := range slices.Backward(conns) {
-		if !slices.Contains(conn.refused, want) {
+		if !slices.Contains(conn.refused, xxhash.Sum64String(string(want))) {
 			c.setKept(start, slices.Delete(conns, i, i+1))
 			return conn
 		}
@@ -191,7 +199,11 @@
 
 // keep keeps an idle connection until something arrives on it or the idle timeout has passed.
 func (c *UpstreamClient) keep(conn *upstreamConn) {
-	if conn.in.Buffered() > 0 || conn.SetReadDeadline(time.Now().Add(upstreamIdleTimeout)) != nil {
+	if conn.in.Buffered() > 0 {
+		c.closeIdle(conn, nil)
+		return
+	}
+	if conn.SetReadDeadline(time.Now().Add(upstreamIdleTimeout)) != nil {
 		conn.Close()
 		return
 	}
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -19,6 +19,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ragwortpass/ragwortpass/id"
 )
 
@@ -57,6 +59,11 @@
 	return fmt.Sprintf("response with status %d is for request %.64q, not %q", e.Status, string(e.Got), string(e.Want))
 }
 
+// StatusError reports a response with a status that HTTP does not have.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("response with status %03d", e.Status) }
+
 // UnsentError reports that no byte of a request was written to an upstream, and none will be.
 type UnsentError struct{ Err error }
 
@@ -78,15 +85,15 @@
 	start    upstreamStart
 	in       *bufio.Reader
 	out      *bufio.Writer
-	headLeft int64        // bytes that may still be read for a head; math.MaxInt64 outside of heads
-	idle     chan error   // receives why the read ended that waits while the connection is idle
-	refused  []id.Request // requests that were refused on the connection
+	headLeft int64      // bytes that may still be read for a head; math.MaxInt64 outside of heads
+	idle     chan error // receives why the read ended that waits while the connection is idle
+	refused  []uint64   // hashes of the ids of requests that were refused on the connection
 }
 
 // noteRefused records that the upstream has refused a request. If the caller sends it again,
 // with the same id, a repetition of the refusal could not be told from a response to it.
 func (x *exchange) noteRefused() {
-	x.conn.refused = append(x.conn.refused, x.want)
+	x.conn.refused = append(x.conn.refused, xxhash.Sum64String(string(x.want)))
 	x.single = x.single || len(x.conn.refused) >= maxRefusedPerConn
 }
 
@@ -224,6 +231,8 @@
 			return nil, err
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
+		case resp.StatusCode < http.StatusContinue:
+			return nil, &StatusError{resp.StatusCode}
 		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
--- a/gateway/upstream_conn_test.go
+++ b/gateway/upstream_conn_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/problem"
 )
 
 // idCodec reads only the ids of responses.
@@ -93,3 +94,80 @@
 	_, err := x.Write([]byte("steel"))
 	require.ErrorIs(t, err, net.ErrClosed)
 }
+
+// TestConnectionsAreKeptOnlyAfterWholeExchanges checks after which exchanges a connection is kept.
+func TestConnectionsAreKeptOnlyAfterWholeExchanges(t *testing.T) {
+	const own = "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 2\r\n\r\nok"
+	for _, tc := range []struct {
+		name, raw string
+		bodyBytes int
+		early     bool // the upstream responds without reading the request's body
+		newConn   bool
+		kept      int
+	}{
+		{"whole", own, 5, false, false, 1},
+		{"request not written yet", own, 32 << 20, true, false, 0},
+		{"connection close", "HTTP/1.1 200 x\r\nId: q\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 5, false, false, 0},
+		{"HTTP/1.0", "HTTP/1.0 200 x\r\nId: q\r\nContent-Length: 2\r\n\r\nok", 5, false, false, 0},
+		{"after a response to another request", "HTTP/1.1 503 x\r\nId: p\r\nContent-Length: 0\r\n\r\n" + own, 5, false, false, 0},
+		{"bytes after the response", own + "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 0\r\n\r\n", 5, false, false, 0},
+		{"a connection of its own", own, 5, false, true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			done := make(chan struct{})
+			defer close(done)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				if !tc.early {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+				_, _ = io.WriteString(c, tc.raw)
+				<-done
+			}()
+			client := NewUpstreamClient(idCodec{}, metrics.NewRegistry(), log.NewNopLogger())
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/x", strings.NewReader(strings.Repeat("s", tc.bodyBytes)))
+			require.NoError(t, err)
+			resp, err := client.do(req, "q", &pool.Listing{ID: "i-1", Address: l.Addr().String()}, tc.newConn, idCodec{})
+			require.NoError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			resp.Body.Close()
+			client.mu.Lock()
+			defer client.mu.Unlock()
+			kept := 0
+			for _, conns := range client.kept {
+				kept += len(conns)
+			}
+			require.Equal(t, tc.kept, kept)
+		})
+	}
+}
+
+// TestInterruptionBeforeSending checks what an attempt of which nothing was sent says of its upstream.
+func TestInterruptionBeforeSending(t *testing.T) {
+	for _, tc := range []struct {
+		cause error
+		want  outcome
+	}{
+		{errPromptHeld, &notSent{err: errPromptHeld}},
+		{errOwnResponseMissing, &notSent{err: errOwnResponseMissing}},
+		{errUpstreamGone, &notSent{err: errUpstreamGone, unreachable: true}},
+		{context.Canceled, &abandoned{reason: problem.CallerGone, unsent: true}},
+	} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(tc.cause)
+		require.Equal(t, tc.want, interruptedUnsent(ctx))
+		require.False(t, interruptedUnsent(ctx).mayHaveRun())
+	}
+}
