peer: history is told as an age, so that a wrong clock doesn't lengthen it

The store comes back without the last claims, then all gateways are killed. The first entry's clock is four seconds slow after that start. It tells from when on its rows hold all counts in fleet time, which before it has measured other clocks is its own. Peers keep the earliest history that they hear of, and so everyone takes windows of four seconds before the kill for its own. Nobody is left who could say that they were claimed, and the first holder reports them anew.

A history is now told as how long ago it begins, and kept by the own clock. An age is right whatever the clocks say, and the measured offset is applied when it is asked for. Field 6 isn't used again: a gateway of before tells no history that way and learns none, so that during a change of versions a window may go without a report but never has two.

--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -265,9 +265,7 @@
 	}
 	receivedAt := x.clock.Now()
 	x.merge(response.GetRows(), response.GetMarks())
-	if from := response.GetHistoryFromUnixMs(); from > 0 {
-		x.table.ExtendHistory(time.UnixMilli(from))
-	}
+	x.table.ExtendHistory(receivedAt.Add(-time.Duration(response.GetHistoryMs()) * time.Millisecond))
 	if node, ok := x.nodeAt(address); ok {
 		oneWay := receivedAt.Sub(sentAt) / 2
 		x.table.RecordClockOffset(time.Now(), node, time.UnixMilli(response.GetSenderUnixMs()).Sub(sentAt.Add(oneWay)))
@@ -294,7 +292,8 @@
 	}
 	if !request.Msg.GetTopicsOnly() {
 		x.merge(request.Msg.GetRows(), request.Msg.GetMarks())
-		response.SenderUnixMs, response.HistoryFromUnixMs = x.clock.Now().UnixMilli(), x.table.HistoryFrom(time.Now()).UnixMilli()
+		now := x.clock.Now()
+		response.SenderUnixMs, response.HistoryMs = now.UnixMilli(), uint64(now.Sub(x.table.HistoryStart()).Milliseconds())
 		response.Rows, response.Marks = x.table.MissingRows(request.Msg.GetMarks()), x.table.Marks()
 	}
 	return connect.NewResponse(response), nil
--- a/peer/table.go
+++ b/peer/table.go
@@ -69,8 +69,7 @@
 type Table struct {
 	mu           sync.Mutex
 	self         Member
-	started      time.Time // by the own clock
-	learntFrom   time.Time // rows of peers hold the counts of all requests from this time on, by fleet time; zero: none learnt
+	historyStart time.Time // the rows hold the counts of all requests from this time on, by the own clock
 	rows         map[Member]rowState
 	clockOffsets map[id.Node]clockOffset
 }
@@ -78,7 +77,7 @@
 // NewTable returns a table without rows, of a gateway that started at a time by its own
 // clock. Publish sets the own row.
 func NewTable(self Member, started time.Time) *Table {
-	return &Table{self: self, started: started, rows: make(map[Member]rowState), clockOffsets: make(map[id.Node]clockOffset)}
+	return &Table{self: self, historyStart: started, rows: make(map[Member]rowState), clockOffsets: make(map[id.Node]clockOffset)}
 }
 
 // Self returns the member that the table belongs to.
@@ -242,25 +241,27 @@
 }
 
 // ExtendHistory records that the table has every row of a peer whose rows hold the counts of
-// all requests from a time on.
+// all requests from a time on, by the own clock.
 func (t *Table) ExtendHistory(from time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.learntFrom.IsZero() || from.Before(t.learntFrom) {
-		t.learntFrom = from
+	if from.Before(t.historyStart) {
+		t.historyStart = from
 	}
 }
 
-// HistoryFrom returns the fleet time from which on the rows hold the counts of all requests,
-// except those that a gateway counted and could not pass on before it ended.
-func (t *Table) HistoryFrom(now time.Time) time.Time {
-	from := t.started.Add(t.MedianClockOffset(now))
+// HistoryStart returns the time by the own clock from which on the rows hold the counts of all
+// requests, except those that a gateway counted and could not pass on before it ended. Peers
+// are told how long ago that is, as clocks may be wrong before those of others are measured.
+func (t *Table) HistoryStart() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.learntFrom.IsZero() && t.learntFrom.Before(from) {
-		return t.learntFrom
-	}
-	return from
+	return t.historyStart
+}
+
+// HistoryFrom returns HistoryStart in fleet time.
+func (t *Table) HistoryFrom(now time.Time) time.Time {
+	return t.HistoryStart().Add(t.MedianClockOffset(now))
 }
 
 // RecordClockOffset records how far the clock of a peer is ahead of the own one.
