gateway: requests counted by a wrong clock are moved to their windows

Recent counts are kept with the time at which they began by the own clock, and are moved when the offset of the clock proves to be another one.

--- a/gateway/program.go
+++ b/gateway/program.go
@@ -142,8 +142,9 @@
 	if platform.UpstreamCopies != nil {
 		p.copiers = append(p.copiers, feed.NewCopier(listings, platform.UpstreamCopies, upstreamCopyInterval, p.isLeader))
 	}
-	fleetTime := func() time.Time { return bootClock.Now().Add(p.table.MedianClockOffset(time.Now())) }
-	p.usage = newUsageCounter(durationS(s.Bounds.WindowS), fleetTime)
+	clockOffset := func() time.Duration { return p.table.MedianClockOffset(time.Now()) }
+	fleetTime := func() time.Time { return bootClock.Now().Add(clockOffset()) }
+	p.usage = newUsageCounter(durationS(s.Bounds.WindowS), bootClock.Now, clockOffset)
 	p.quarantine = quarantine.New()
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
