duty: a window of a lost claim stays in doubt when its gateway is forgotten

A gateway claims and reports a window and ends before it tells its peers, and the store comes back without the claim. Others leave the window out since the row of that gateway is of the era before, but 20 s later the row is dropped and with it the doubt. Windows are reported up to twelve lengths back, a minute where they are 5 s long.

A window in doubt is now claimed only within 10 s after its end, half of the time for which rows are kept, so that a gateway that was last heard of 10 s before its claim is still known. What it costs: after a return from a copy that ends an outage of more than 10 s, windows of the outage that ended more than 10 s ago are not reported. A return without a new era reports them as before.

TestLostClaimOfForgottenGateway before: expected 0x3, actual 0xa0: reports of window differ

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -65,6 +65,7 @@
 	WindowLength time.Duration
 	ReportWithin time.Duration // from the end of a window to the deadline of its report
 	Lease        time.Duration // shortest time between two reports of a gateway if another gateway reports in between
+	Memory       time.Duration // how long a gateway that has ended is known, after it was last heard of
 }
 
 const (
@@ -244,12 +245,15 @@
 }
 
 // withoutDoubtful returns the due windows but those that may have been claimed, with counts
-// that this gateway does not know, in a claim that the store has lost.
+// that this gateway does not know, in a claim that the store has lost. View.Unclaimed does
+// not tell of gateways that ended long ago: windows that ended more than half of Memory ago are
+// left out, so that a gateway that was last heard of as long before its claim is still known.
 func (r *Reporter) withoutDoubtful(bootNow time.Time, v View, due []Window) []Window {
 	lastDoubtful := r.lastDoubtful(bootNow, v)
 	return slices.DeleteFunc(due, func(w Window) bool {
 		_, fixed := r.fixedCounts[w]
-		return !fixed && w <= lastDoubtful && !v.Unclaimed(w)
+		isForgotten := v.FleetTime.Sub(r.windowEnd(w)) > r.cfg.Memory/2
+		return !fixed && w <= lastDoubtful && (isForgotten || !v.Unclaimed(w))
 	})
 }
 
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -15,7 +15,7 @@
 	"github.com/ragwortpass/ragwortpass/id"
 )
 
-var cfg = duty.Config{WindowLength: 5 * time.Second, ReportWithin: 10 * time.Second, Lease: 3 * time.Second}
+var cfg = duty.Config{WindowLength: 5 * time.Second, ReportWithin: 10 * time.Second, Lease: 3 * time.Second, Memory: rowRetention}
 
 // windowStart is the start of the window in which the simulations begin.
 var windowStart = time.Unix(1_800_000_000, 0)
@@ -292,6 +292,28 @@
 	}
 }
 
+// TestLostClaimOfForgottenGateway guards against two reports of a window whose claim the store has
+// lost, long after the gateway that made it has ended without telling: its row is no longer kept.
+func TestLostClaimOfForgottenGateway(t *testing.T) {
+	s := newSimulation(2)
+	for _, n := range s.nodes {
+		s.runGateway(n, false)
+	}
+	s.now = windowStart.Add(cfg.WindowLength + time.Second)
+	s.gossip = false
+	s.runGateway("entry-0", false)
+	require.Len(t, s.sent, 1)
+	s.stopped["entry-0"] = true
+	s.gossip, s.reported = true, duty.WindowSet{}
+	s.rewind(1)
+	for s.now.Before(windowStart.Add(duty.BacklogWindows * cfg.WindowLength)) {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.runGateway("entry-1", false)
+	}
+	s.checkReports(t)
+	require.Greater(t, len(s.sent), 1, "the windows after that must be reported")
+}
+
 // TestClaimMadeForAnotherEra guards against two reports of a window when a gateway that was away
 // claims at the offset of a lost claim, without knowing that another gateway had taken over nor
 // that the store has come back: its claim must not fix the counts.
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -164,7 +164,7 @@
 	p.peers = peer.NewExchanger(peer.Config{Address: s.Listen.Peers, DataCentre: s.DataCentre, Seeds: s.Seeds, OnRows: onRows}, p.table,
 		peer.Topics{Operators: operators, Upstreams: listings}, bootClock, p.ownRow(fleetTime), logger, registry)
 	if platform.UsageSink != nil && slices.Contains(s.Duties, usageDuty) {
-		cfg := duty.Config{WindowLength: durationS(s.Bounds.WindowS), ReportWithin: durationS(s.Bounds.UsageLateS), Lease: durationMS(s.Bounds.LeaseMS)}
+		cfg := duty.Config{WindowLength: durationS(s.Bounds.WindowS), ReportWithin: durationS(s.Bounds.UsageLateS), Lease: durationMS(s.Bounds.LeaseMS), Memory: peer.RowRetention}
 		self := p.table.Self()
 		p.reportDriver = &reportDriver{
 			cfg: cfg, reporter: duty.New(cfg, self.Node, self.Incarnation), table: p.table, clock: bootClock,
--- a/peer/table.go
+++ b/peer/table.go
@@ -24,9 +24,9 @@
 	// livenessTimeout is how long a gateway counts as alive after its last heartbeat. It
 	// is six rounds, since heartbeats reach a gateway by way of other gateways.
 	livenessTimeout = 1500 * time.Millisecond
-	// rowRetention is how long the row of a gateway that has ended is kept. Its counts
+	// RowRetention is how long the row of a gateway that has ended is kept. Its counts
 	// must be included in the report of its last window.
-	rowRetention = 20 * time.Second
+	RowRetention = 20 * time.Second
 	// A gateway replaces its row at an interval that grows by one round for every
 	// gatewaysPerRound live gateways, so that the traffic grows with the size of the fleet
 	// and not with its square. In a small fleet, it does so each round. The interval, and
@@ -140,7 +140,7 @@
 }
 
 // Merge takes over newer rows and heartbeats from a peer and removes the rows of gateways
-// that ended longer than rowRetention ago. It returns the members that were not known.
+// that ended longer than RowRetention ago. It returns the members that were not known.
 func (t *Table) Merge(now time.Time, rows []*Row, marks []*Mark) (added []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -164,7 +164,7 @@
 			t.rows[member] = state
 		}
 	}
-	maps.DeleteFunc(t.rows, func(m Member, state rowState) bool { return m != t.self && now.Sub(state.lastHeartbeat) > rowRetention })
+	maps.DeleteFunc(t.rows, func(m Member, state rowState) bool { return m != t.self && now.Sub(state.lastHeartbeat) > RowRetention })
 	return added
 }
 
