--- a/peer/table.go
+++ b/peer/table.go
@@ -24,9 +24,9 @@
 	// livenessTimeout is how long a gateway counts as alive after its last heartbeat. It
 	// is six rounds, since heartbeats reach a gateway by way of other gateways.
 	livenessTimeout = 1500 * time.Millisecond
-	// rowRetention is how long the row of a gateway that has ended is kept. Its counts
+	// RowRetention is how long the row of a gateway that has ended is kept. Its counts
 	// must be included in the report of its last window.
-	rowRetention = 20 * time.Second
+	RowRetention = 20 * time.Second
 	// A gateway replaces its row at an interval that grows by one round for every
 	// gatewaysPerRound live gateways, so that the traffic grows with the size of the fleet
 	// and not with its square. In a small fleet, it does so each round. The interval, and
@@ -69,8 +69,7 @@
 type Table struct {
 	mu           sync.Mutex
 	self         Member
-	started      time.Time // by the own clock
-	learntFrom   time.Time // rows of peers hold the counts of all requests from this time on, by fleet time; zero: none learnt
+	historyStart time.Time // the rows hold the counts of all requests from this time on, by the own clock
 	rows         map[Member]rowState
 	clockOffsets map[id.Node]clockOffset
 }
@@ -78,7 +77,7 @@
 // NewTable returns a table without rows, of a gateway that started at a time by its own
 // clock. Publish sets the own row.
 func NewTable(self Member, started time.Time) *Table {
-	return &Table{self: self, started: started, rows: make(map[Member]rowState), clockOffsets: make(map[id.Node]clockOffset)}
+	return &Table{self: self, historyStart: started, rows: make(map[Member]rowState), clockOffsets: make(map[id.Node]clockOffset)}
 }
 
 // Self returns the member that the table belongs to.
@@ -141,7 +140,7 @@
 }
 
 // Merge takes over newer rows and heartbeats from a peer and removes the rows of gateways
-// that ended longer than rowRetention ago. It returns the members that were not known.
+// that ended longer than RowRetention ago. It returns the members that were not known.
 func (t *Table) Merge(now time.Time, rows []*Row, marks []*Mark) (added []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -165,7 +164,7 @@
 			t.rows[member] = state
 		}
 	}
-	maps.DeleteFunc(t.rows, func(m Member, state rowState) bool { return m != t.self && now.Sub(state.lastHeartbeat) > rowRetention })
+	maps.DeleteFunc(t.rows, func(m Member, state rowState) bool { return m != t.self && now.Sub(state.lastHeartbeat) > RowRetention })
 	return added
 }
 
@@ -242,25 +241,27 @@
 }
 
 // ExtendHistory records that the table has every row of a peer whose rows hold the counts of
-// all requests from a time on.
+// all requests from a time on, by the own clock.
 func (t *Table) ExtendHistory(from time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.learntFrom.IsZero() || from.Before(t.learntFrom) {
-		t.learntFrom = from
+	if from.Before(t.historyStart) {
+		t.historyStart = from
 	}
 }
 
-// HistoryFrom returns the fleet time from which on the rows hold the counts of all requests,
-// except those that a gateway counted and could not pass on before it ended.
-func (t *Table) HistoryFrom(now time.Time) time.Time {
-	from := t.started.Add(t.MedianClockOffset(now))
+// HistoryStart returns the time by the own clock from which on the rows hold the counts of all
+// requests, except those that a gateway counted and could not pass on before it ended. Peers
+// are told how long ago that is, as clocks may be wrong before those of others are measured.
+func (t *Table) HistoryStart() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.learntFrom.IsZero() && t.learntFrom.Before(from) {
-		return t.learntFrom
-	}
-	return from
+	return t.historyStart
+}
+
+// HistoryFrom returns HistoryStart in fleet time.
+func (t *Table) HistoryFrom(now time.Time) time.Time {
+	return t.HistoryStart().Add(t.MedianClockOffset(now))
 }
 
 // RecordClockOffset records how far the clock of a peer is ahead of the own one.
