--- a/gateway/upstream_conn_test.go
+++ b/gateway/upstream_conn_test.go
@@ -100,18 +100,20 @@
 	const own = "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 2\r\n\r\nok"
 	for _, tc := range []struct {
 		name, raw string
-		bodyBytes int
 		early     bool // the upstream responds without reading the request's body
 		newConn   bool
+		unread    bool // the body of the response is closed before it is read
 		kept      int
+		foreign   int64
 	}{
-		{"whole", own, 5, false, false, 1},
-		{"request not written yet", own, 32 << 20, true, false, 0},
-		{"connection close", "HTTP/1.1 200 x\r\nId: q\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 5, false, false, 0},
-		{"HTTP/1.0", "HTTP/1.0 200 x\r\nId: q\r\nContent-Length: 2\r\n\r\nok", 5, false, false, 0},
-		{"after a response to another request", "HTTP/1.1 503 x\r\nId: p\r\nContent-Length: 0\r\n\r\n" + own, 5, false, false, 0},
-		{"bytes after the response", own + "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 0\r\n\r\n", 5, false, false, 0},
-		{"a connection of its own", own, 5, false, true, 0},
+		{name: "whole", raw: own, kept: 1},
+		{name: "request not written yet", raw: own, early: true},
+		{name: "connection close", raw: "HTTP/1.1 200 x\r\nId: q\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"},
+		{name: "HTTP/1.0", raw: "HTTP/1.0 200 x\r\nId: q\r\nContent-Length: 2\r\n\r\nok"},
+		{name: "after a response to another request", raw: "HTTP/1.1 503 x\r\nId: p\r\nContent-Length: 0\r\n\r\n" + own, foreign: 1},
+		{name: "bytes after the response", raw: own + "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 0\r\n\r\n", foreign: 1},
+		{name: "a connection of its own", raw: own, newConn: true},
+		{name: "body not read", raw: "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000), unread: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -135,14 +137,22 @@
 				_, _ = io.WriteString(c, tc.raw)
 				<-done
 			}()
-			client := NewUpstreamClient(idCodec{}, metrics.NewRegistry(), log.NewNopLogger())
-			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/x", strings.NewReader(strings.Repeat("s", tc.bodyBytes)))
+			registry := metrics.NewRegistry()
+			client := NewUpstreamClient(idCodec{}, registry, log.NewNopLogger())
+			body := "steel"
+			if tc.early {
+				body = strings.Repeat("s", 32<<20)
+			}
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String()+"/x", strings.NewReader(body))
 			require.NoError(t, err)
 			resp, err := client.do(req, "q", &pool.Listing{ID: "i-1", Address: l.Addr().String()}, tc.newConn, idCodec{})
 			require.NoError(t, err)
-			_, err = io.ReadAll(resp.Body)
-			require.NoError(t, err)
+			if !tc.unread {
+				_, err = io.ReadAll(resp.Body)
+				require.NoError(t, err)
+			}
 			resp.Body.Close()
+			require.Equal(t, tc.foreign, metrics.GetOrRegisterCounter("foreign_responses", registry).Count())
 			client.mu.Lock()
 			defer client.mu.Unlock()
 			kept := 0
