gateway: a deadline beyond the year 2262 counts as later than the end of the process

A caller that waits for 1e300 ms on a route without a time limit was accepted by a process about to end, as the deadline's nanoseconds overflowed. Found by reading. TestFarDeadlineExceedsShutdown failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,7 +178,7 @@
 // exceedsShutdown reports whether a request's deadline lies after the end of the process.
 func (g *Gateway) exceedsShutdown(deadline time.Time) bool {
 	end := g.shutdownDeadline.Load()
-	return end != 0 && deadline.UnixNano() > end
+	return end != 0 && deadline.After(time.Unix(0, end))
 }
 
 // Idle reports whether no request is in flight and none has arrived or ended for at
