--- a/emulator/batch.go
+++ b/emulator/batch.go
@@ -68,6 +68,24 @@
 	Preemptions int
 }
 
+// add adds what another engine has done.
+func (s *BatchStats) add(o BatchStats) {
+	s.Busy += o.Busy
+	s.SlotTime += o.SlotTime
+	s.ReadTokens += o.ReadTokens
+	s.HitTokens += o.HitTokens
+	s.Preemptions += o.Preemptions
+}
+
+// subtract leaves what was done since o was taken.
+func (s *BatchStats) subtract(o BatchStats) {
+	s.Busy -= o.Busy
+	s.SlotTime -= o.SlotTime
+	s.ReadTokens -= o.ReadTokens
+	s.HitTokens -= o.HitTokens
+	s.Preemptions -= o.Preemptions
+}
+
 // Batch is a model engine. In each step, every request in the batch either reads a chunk of its
 // prompt or gets a token; the first token comes with the last chunk.
 type Batch struct {
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -1,9 +1,9 @@
 // Package emulator plays fleets of gateways and engines in simulated time, to measure the
 // decisions of other packages under many loads and faults that are drawn from a seed.
 //
-// Clock orders what happens; Fleet has gateways that decide with the packages of the product,
-// engines that answer requests, and callers. Gateways know of each other, and of engines, only
-// what has reached them.
+// Clock orders what happens. Fleet plays engines that crash under requests, and Play the load of a
+// Site, at engines that process requests in batches. Gateways decide with the packages of the
+// product, and know of each other, and of engines, only what has reached them.
 package emulator
 
 import (
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -25,7 +25,7 @@
 // run is an attempt of a request at an engine.
 type run struct {
 	request    *request
-	gateway    *gateway
+	gateway    *member
 	assignment *pool.Assignment
 	engine     *engine
 	ended      bool
@@ -161,7 +161,7 @@
 }
 
 // send makes the next attempt, if one is left and no part of the prompt is held.
-func (rq *request) send(g *gateway) {
+func (rq *request) send(g *member) {
 	const maxCrashes = 2
 	f := rq.fleet
 	now := f.clock.Now()
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -80,7 +80,7 @@
 	rand     *rand.Rand
 	started  time.Time
 	latest   *catalog.Latest
-	gateways []*gateway
+	gateways []*member
 	engines  map[id.Upstream]*engine
 	live     []*engine
 	nextID   int
@@ -203,7 +203,7 @@
 
 // applyChanges counts what a gateway has decided, and ends its attempts with a held part of which
 // no event has come.
-func (f *Fleet) applyChanges(g *gateway, changes []quarantine.Change) {
+func (f *Fleet) applyChanges(g *member, changes []quarantine.Change) {
 	for _, c := range changes {
 		if c.Held {
 			g.cancelPending(c.Hold.Part)
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -23,8 +23,8 @@
 	exchangeLatency = 15 * time.Millisecond
 )
 
-// gateway is a gateway with its partial views.
-type gateway struct {
+// member is a gateway with its partial views.
+type member struct {
 	fleet       *Fleet
 	name        id.Node
 	incarnation id.Incarnation
@@ -38,8 +38,8 @@
 }
 
 // newGateway returns a gateway that takes part in exchanges.
-func (f *Fleet) newGateway(n int) *gateway {
-	g := &gateway{fleet: f, name: id.Node(fmt.Sprintf("gateway-%03d", n)), pool: pool.New(f.latest)}
+func (f *Fleet) newGateway(n int) *member {
+	g := &member{fleet: f, name: id.Node(fmt.Sprintf("gateway-%03d", n)), pool: pool.New(f.latest)}
 	g.start()
 	f.clock.After(f.between(0, roundInterval), func() { f.clock.Every(roundInterval, g.exchange) })
 	f.clock.After(f.between(0, keepInterval), func() { f.clock.Every(keepInterval, g.keepHolds) })
@@ -47,7 +47,7 @@
 }
 
 // start begins a new incarnation, which knows nothing.
-func (g *gateway) start() {
+func (g *member) start() {
 	now := g.fleet.clock.Now()
 	g.incarnation++
 	g.table = peer.NewTable(peer.Member{Node: g.name, Incarnation: g.incarnation}, now)
@@ -57,7 +57,7 @@
 }
 
 // restart kills the gateway and starts it again. Its view of the engines is complete at once.
-func (g *gateway) restart() {
+func (g *member) restart() {
 	g.down = true
 	g.fleet.clock.After(gatewayRestart, func() {
 		g.start()
@@ -69,13 +69,13 @@
 }
 
 // leads reports whether the gateway is the first by name that it knows to be alive.
-func (g *gateway) leads() bool {
+func (g *member) leads() bool {
 	live := g.table.Live(g.fleet.clock.Now())
 	return len(live) == 0 || live[0].GetNode() == string(g.name)
 }
 
 // cancelPending ends the attempts with a part of which no event has come.
-func (g *gateway) cancelPending(part id.PromptPart) {
+func (g *member) cancelPending(part id.PromptPart) {
 	for _, r := range g.runs {
 		if !r.ended && !r.begun && slices.Contains(r.request.parts, part) {
 			r.complete()
@@ -85,7 +85,7 @@
 }
 
 // exchangeUrgently exchanges rows with many peers at once, unless it did so of late.
-func (g *gateway) exchangeUrgently() {
+func (g *member) exchangeUrgently() {
 	if now := g.fleet.clock.Now(); now.Sub(g.lastUrgent) >= urgentInterval {
 		g.lastUrgent = now
 		g.exchangeWithRandom(urgentFanout)
@@ -93,9 +93,9 @@
 }
 
 // exchange publishes the own row and exchanges rows with random peers.
-func (g *gateway) exchange() { g.exchangeWithRandom(fanout) }
+func (g *member) exchange() { g.exchangeWithRandom(fanout) }
 
-func (g *gateway) exchangeWithRandom(calls int) {
+func (g *member) exchangeWithRandom(calls int) {
 	f, now := g.fleet, g.fleet.clock.Now()
 	if g.down {
 		return
@@ -112,7 +112,7 @@
 	}
 }
 
-func (g *gateway) exchangeWith(other *gateway) {
+func (g *member) exchangeWith(other *member) {
 	if g.down || other.down {
 		return
 	}
@@ -122,7 +122,7 @@
 	g.merge(other.table.MissingRows(g.table.Marks()), other.table.Marks())
 }
 
-func (g *gateway) merge(rows []*peer.Row, marks []*peer.Mark) {
+func (g *member) merge(rows []*peer.Row, marks []*peer.Mark) {
 	now := g.fleet.clock.Now()
 	g.table.Merge(now, rows, marks)
 	for _, r := range rows {
@@ -131,7 +131,7 @@
 }
 
 // keepHolds saves the holds for the fleet.
-func (g *gateway) keepHolds() {
+func (g *member) keepHolds() {
 	if !g.down && g.leads() {
 		g.fleet.saved = g.register.Holds(g.fleet.clock.Now())
 	}
--- a/emulator/quarantine_test.go
+++ b/emulator/quarantine_test.go
@@ -31,6 +31,7 @@
 // TestCrashingPartIsHeldInTime checks the promise for requests with a part that crashes engines, over
 // sizes of the fleet, rates and places of the part.
 func TestCrashingPartIsHeldInTime(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		gateways, engines int
 		rate              float64
@@ -46,6 +47,7 @@
 		{103, 180, 10, emulator.Middle, 0},
 	} {
 		t.Run(fmt.Sprint(tc.gateways, "_", tc.rate, "_", tc.place), func(t *testing.T) {
+			t.Parallel()
 			var sum emulator.Result
 			n := seeds(tc.seeds)
 			if n == 0 {
@@ -76,6 +78,7 @@
 // TestOtherFaultsHoldNoPart checks that crashes with other causes, alone and together, hold no
 // sound part.
 func TestOtherFaultsHoldNoPart(t *testing.T) {
+	t.Parallel()
 	for name, faults := range map[string]emulator.Faults{
 		"crashes": {CrashesPerSecond: 0.5},
 		"herds":   {HerdInterval: 5 * time.Second, HerdShare: 0.35},
@@ -83,6 +86,7 @@
 		"all":     {CrashesPerSecond: 0.3, HerdInterval: 7 * time.Second, HerdShare: 0.25, CutsPerSecond: 2, LostExchanges: 0.3, KillAllAt: 12 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			n, held, refused, crashes := seeds(3), 0, 0, 0
 			for seed := range n {
 				cfg := fleetOf(10, 18, seed)
@@ -99,6 +103,7 @@
 // TestHoldsOutliveTheFleet checks that the gateways that start after all were killed know what
 // was held.
 func TestHoldsOutliveTheFleet(t *testing.T) {
+	t.Parallel()
 	for seed := range seeds(2) {
 		cfg := fleetOf(10, 18, seed)
 		cfg.Faults = emulator.Faults{KillAllAt: 10 * time.Second}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -4,7 +4,6 @@
 // affinity and load.
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -200,7 +199,7 @@
 // holds the lock.
 func (p *Pool) throttled(now time.Time, u *upstreamState) bool {
 	if until := p.evacuationEndedAt[u.DataCentre].Add(p.coldDuration(u.Service)); now.Before(until) && u.coldUntil.Before(until) {
-		u.becomeCold(now, until)
+		p.becomeCold(now, u, until)
 	}
 	rate := p.coldRequestRate(u.Service)
 	return now.Before(u.coldUntil) && rate > 0 && now.Before(u.coldPacer.slot(now, rate))
@@ -246,7 +245,7 @@
 		return eligible[0], "only"
 	}
 	if prefixHash == 0 {
-		return leastLoaded(randomPair(eligible)), "least_of_two"
+		return leastLoaded(p.randomPair(eligible)), "least_of_two"
 	}
 	eligible = p.engineGroup(now, eligible, rq)
 	if len(eligible) == 1 {
@@ -261,7 +260,7 @@
 			return u, affinityReasons[i]
 		}
 	}
-	return leastLoaded(randomPair(eligible)), "over_bound"
+	return leastLoaded(p.randomPair(eligible)), "over_bound"
 }
 
 // saturated reports whether the slots of an upstream are estimated to be taken. It is
@@ -322,10 +321,10 @@
 }
 
 // randomPair returns two different upstreams at random, so that gateways with equal
-// views do not all choose the same one.
-func randomPair(eligible []*upstreamState) []*upstreamState {
-	i := rand.IntN(len(eligible))
-	j := rand.IntN(len(eligible) - 1)
+// views do not all choose the same one. The caller holds the lock.
+func (p *Pool) randomPair(eligible []*upstreamState) []*upstreamState {
+	i := p.rand.IntN(len(eligible))
+	j := p.rand.IntN(len(eligible) - 1)
 	if j >= i {
 		j++
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -71,17 +71,32 @@
 	gatewayCount      int // live gateways, which share the capacity of the upstreams
 	splits            map[id.Service]*engineSplit
 	remarks           map[incarnation]*remark
+	rand              *rand.Rand
 }
 
+// globalSource is the source of random numbers of the whole process.
+type globalSource struct{}
+
+// Uint64 implements rand.Source.
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
+
 // New returns an empty pool that reads the settings of services from the latest catalog.
 func New(latest *catalog.Latest) *Pool {
 	return &Pool{
 		upstreams: make(map[id.Upstream]*upstreamState), byService: make(map[id.Service][]*upstreamState),
 		evacuated: make(map[id.DataCentre]bool), evacuationEndedAt: make(map[id.DataCentre]time.Time),
 		splits: make(map[id.Service]*engineSplit), remarks: make(map[incarnation]*remark), latest: latest, gatewayCount: 1,
+		rand: rand.New(globalSource{}),
 	}
 }
 
+// UseRandom makes the pool choose by the numbers of r, so that a simulation can be repeated.
+func (p *Pool) UseRandom(r *rand.Rand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rand = r
+}
+
 // SetGatewayCount sets how many gateways share the upstreams and their rate limits.
 func (p *Pool) SetGatewayCount(n int) {
 	p.mu.Lock()
@@ -110,7 +125,7 @@
 	}
 	u.Listing, u.removeAt, u.listedAt = l, time.Time{}, now
 	if l.ColdFor > 0 {
-		u.becomeCold(now, now.Add(l.ColdFor))
+		p.becomeCold(now, u, now.Add(l.ColdFor))
 	} else {
 		u.coldUntil = time.Time{}
 	}
@@ -118,10 +133,10 @@
 }
 
 // becomeCold sets until when an upstream is cold, and starts to limit its requests if it was
-// not cold before.
-func (u *upstreamState) becomeCold(now, until time.Time) {
+// not cold before. The caller holds the lock.
+func (p *Pool) becomeCold(now time.Time, u *upstreamState, until time.Time) {
 	if !now.Before(u.coldUntil) {
-		u.coldPacer.start(now, rand.Float64())
+		u.coldPacer.start(now, p.rand.Float64())
 	}
 	u.coldUntil = until
 }
