--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -20,6 +20,7 @@
 	Compare compareCommand `cmd:"" help:"Set two runs side by side."`
 	Matrix  matrixCommand  `cmd:"" help:"Run every experiment with both policies and print one table."`
 	Slope   slopeCommand   `cmd:"" help:"Measure what control costs as a fleet and its state grow."`
+	Emulate emulateCommand `cmd:"" help:"Play a site in simulated time with many seeds."`
 	Wait    waitCommand    `cmd:"" help:"Wait until processes are ready."`
 	Ports   portsCommand   `cmd:"" help:"Print free loopback addresses."`
 }
@@ -39,6 +40,9 @@
 	for _, a := range s.Wait.Addresses {
 		c.Endpoint("addresses", a)
 	}
+	c.Require(s.Emulate.Seeds > 0, "seeds", fmt.Sprint(s.Emulate.Seeds), "at least 1")
+	c.Require(s.Emulate.Parallel > 0, "parallel", fmt.Sprint(s.Emulate.Parallel), "at least 1")
+	c.Require(s.Emulate.Factor > 0, "factor", fmt.Sprint(s.Emulate.Factor), "more than 0")
 	return c.Err()
 }
 
