emulator: the times of steps and the lengths of prompts that the users' deployments have

The users' sheets state a budget for each step, times that grow with the context and with the pairs of tokens, two shared parts, and flat use of them. Hand-worked cases for each of the new times and for the order in which prompts are read.

--- a/emulator/batch.go
+++ b/emulator/batch.go
@@ -18,15 +18,29 @@
 	Queue              int       // most requests that wait for a slot
 	KVCacheTokens      id.Tokens // memory for running requests and cached parts
 	StepTime           Duration  // of a step with an empty batch
-	DecodeTokens       id.Tokens // by how much each request in the batch lengthens a step, in prompt tokens
+	SlotTime           Duration  // by which each request in the batch lengthens a step
+	ContextTime        Duration  // by which each 1000 tokens that the batch has in memory lengthen a step
 	PrefillTokensPerMS float64
-	ChunkTokens        id.Tokens // most prompt tokens of one request that a step reads
+	PairTime           Duration  // to relate a million pairs of a token that is read and one before it
+	ChunkTokens        id.Tokens // most prompt tokens that a step reads
 	EventTokens        id.Tokens // in an event of a stream
+	AnswerDelay        Duration  // of the events of a stream, beside the steps
 }
 
-// prefillTime returns how long the engine takes to read prompt tokens.
-func (c *BatchConfig) prefillTime(tokens id.Tokens) time.Duration {
-	return time.Duration(float64(tokens) / c.PrefillTokensPerMS * float64(time.Millisecond))
+// scaled returns the configuration of an engine with another speed.
+func (c BatchConfig) scaled(speed float64) BatchConfig {
+	for _, d := range []*Duration{&c.StepTime, &c.SlotTime, &c.ContextTime, &c.PairTime} {
+		d.Duration = time.Duration(float64(d.Duration) / speed)
+	}
+	c.PrefillTokensPerMS *= speed
+	return c
+}
+
+// stepShare returns by how much a request lengthens the present step.
+func (c *BatchConfig) stepShare(w *Work) time.Duration {
+	chunk, context := float64(w.chunk), float64(w.read+w.made)
+	return c.SlotTime.Duration + time.Duration(chunk/c.PrefillTokensPerMS*float64(time.Millisecond)+
+		chunk*(float64(w.read)+chunk/2)/1e6*float64(c.PairTime.Duration)+context/1e3*float64(c.ContextTime.Duration))
 }
 
 // Work is a request at a Batch.
@@ -86,8 +100,8 @@
 	s.Preemptions -= o.Preemptions
 }
 
-// Batch is a model engine. In each step, every request in the batch either reads a chunk of its
-// prompt or gets a token; the first token comes with the last chunk.
+// Batch is a model engine. In each step, every request whose prompt is read gets a token, and of the
+// other prompts a chunk is read, in order of admission; the first token comes with the last chunk.
 type Batch struct {
 	cfg     BatchConfig
 	waiting []*Work // the next one first
@@ -206,9 +220,11 @@
 	}
 	duration := b.cfg.StepTime.Duration
 	share := b.cfg.StepTime.Duration / time.Duration(len(b.running))
+	unread := b.cfg.ChunkTokens
 	for _, w := range b.running {
-		w.inStep, w.chunk = true, min(w.target-w.read, b.cfg.ChunkTokens)
-		own := b.cfg.prefillTime(b.cfg.DecodeTokens + w.chunk)
+		w.inStep, w.chunk = true, min(w.target-w.read, unread)
+		unread -= w.chunk
+		own := b.cfg.stepShare(w)
 		w.Cost += share + own
 		duration += own
 	}
--- a/emulator/batch_test.go
+++ b/emulator/batch_test.go
@@ -95,14 +95,33 @@
 	require.Equal(t, 15*time.Millisecond+4*5*time.Millisecond, b.Cost)
 }
 
-// TestBatchEachRequestLengthensSteps: 10 tokens a request, which take 1 ms.
-func TestBatchEachRequestLengthensSteps(t *testing.T) {
-	cfg := smallBatch()
-	cfg.DecodeTokens = 10
-	r := newEngineRun(t, cfg)
-	r.submit(r.work("a", 5, 2, "a", 10))
+// TestBatchReadsOnePromptAfterTheOther: of a in the first two steps, of b in the next two.
+func TestBatchReadsOnePromptAfterTheOther(t *testing.T) {
+	r := newEngineRun(t, smallBatch())
+	r.submit(r.work("a", 5, 2, "a", 100))
+	r.submit(r.work("b", 5, 1, "b", 100))
 	r.run(untilIdle)
-	require.Equal(t, []string{"a@23."}, r.log)
+	require.Equal(t, []string{"a@45.", "b@60."}, r.log)
+}
+
+// TestBatchStepTimes: steps of 11 ms for one request; or with 100 ms for 1000 tokens in memory, of which the
+// second step finds 50; or with 8 s for a million pairs, of which the chunks have 1250 and 3750.
+func TestBatchStepTimes(t *testing.T) {
+	for _, tc := range []struct {
+		change func(*emulator.BatchConfig)
+		ends   string
+	}{
+		{func(c *emulator.BatchConfig) { c.SlotTime.Duration = time.Millisecond }, "a@32."},
+		{func(c *emulator.BatchConfig) { c.ContextTime.Duration = 100 * time.Millisecond }, "a@35."},
+		{func(c *emulator.BatchConfig) { c.PairTime.Duration = 8 * time.Second }, "a@70."},
+	} {
+		cfg := smallBatch()
+		tc.change(&cfg)
+		r := newEngineRun(t, cfg)
+		r.submit(r.work("a", 5, 1, "a", 100))
+		r.run(untilIdle)
+		require.Equal(t, []string{tc.ends}, r.log)
+	}
 }
 
 // TestBatchDoesNotReadCachedPrefix: the shared part is found, the own one is read.
--- a/emulator/call.go
+++ b/emulator/call.go
@@ -3,10 +3,8 @@
 // This file defines the callers of a Site in play.
 
 import (
-	"strconv"
 	"time"
 
-	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 )
 
@@ -32,22 +30,13 @@
 	dispatch  *dispatch // nil: it waits to return
 }
 
-// newCall returns a call of a kind, whose prompt begins with a shared part.
-func (d *day) newCall(kind int, prefix uint64) *call {
+// newCall returns a call of a kind.
+func (d *day) newCall(kind int, prompt pool.Prompt) *call {
 	k, now := &d.site.Kinds[kind], d.clock.Now()
-	c := &call{
-		day: d, kind: kind, counted: d.counted(), impatient: d.rand.Float64() < k.Impatient, sent: now,
+	return &call{
+		day: d, kind: kind, prompt: prompt, counted: d.counted(), impatient: d.rand.Float64() < k.Impatient, sent: now,
 		deadline: now.Add(k.Deadline.Duration), gateway: d.callers[d.rand.IntN(len(d.callers))], retries: k.Retries,
 	}
-	own := pool.PromptPart{ID: id.PromptPart("own-" + strconv.Itoa(d.nextID())), Tokens: d.length(k.OwnTokens, k.Spread)}
-	c.prompt = pool.Prompt{Model: model, Length: own.Tokens, Output: d.length(k.OutputTokens, k.Spread)}
-	if k.SharedTokens > 0 {
-		shared := pool.PromptPart{ID: id.PromptPart(k.Name + "-" + strconv.FormatUint(prefix, 10)), Tokens: k.SharedTokens}
-		c.prompt.Parts = append(c.prompt.Parts, shared)
-		c.prompt.Length += shared.Tokens
-	}
-	c.prompt.Parts = append(c.prompt.Parts, own)
-	return c
 }
 
 // details returns the properties of the kind of the call.
--- a/emulator/day.go
+++ b/emulator/day.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,9 +17,6 @@
 // model is the only model of a site, and siteWorkspace the only workspace.
 const model id.Model = "model"
 
-// prefixSkew is the exponent of the Zipf distribution of shared parts.
-const prefixSkew = 1.1
-
 // day is a site in play.
 type day struct {
 	site     *Site
@@ -125,13 +121,13 @@
 // scheduleArrivals has callers send requests of a kind at random times.
 func (d *day) scheduleArrivals(kind int) {
 	k := &d.site.Kinds[kind]
-	prefixes := rand.NewZipf(d.rand, prefixSkew, 1, uint64(k.Prefixes-1))
+	prompts := d.newPrompts(k)
 	var next func()
 	next = func() {
 		gap := d.rand.ExpFloat64() / d.site.rate(k, d.elapsed())
 		d.clock.After(time.Duration(gap*float64(time.Second)), func() {
 			if d.elapsed() < d.site.Warmup.Duration+d.site.Length.Duration {
-				d.newCall(kind, prefixes.Uint64()).send()
+				d.newCall(kind, prompts.draw()).send()
 				next()
 			}
 		})
@@ -139,11 +135,6 @@
 	next()
 }
 
-// length returns a random length with a mean.
-func (d *day) length(mean id.Tokens, spread float64) id.Tokens {
-	return max(1, id.Tokens(math.Round(float64(mean)*math.Exp(spread*d.rand.NormFloat64()-spread*spread/2))))
-}
-
 // listingLag returns how long a gateway takes to know of a change of an engine.
 func (d *day) listingLag() time.Duration {
 	low, high := d.site.MinListingLag.Duration, d.site.MaxListingLag.Duration
@@ -175,9 +166,7 @@
 
 // startEngine starts an engine.
 func (d *day) startEngine(speed float64) *batchEngine {
-	cfg := d.site.Engine
-	cfg.StepTime.Duration = time.Duration(float64(cfg.StepTime.Duration) / speed)
-	cfg.PrefillTokensPerMS *= speed
+	cfg := d.site.Engine.scaled(speed)
 	e := &batchEngine{
 		day: d, speed: speed, batch: NewBatch(cfg), attempts: make(map[*Work]*attempt),
 		listing: pool.Listing{
@@ -227,7 +216,7 @@
 		if event.Last {
 			delete(e.attempts, event.Work)
 		}
-		e.day.clock.After(e.day.site.Latency.Duration, func() { a.relayEvent(event.Last) })
+		e.day.clock.After(e.day.site.Engine.AnswerDelay.Duration+e.day.site.Latency.Duration, func() { a.relayEvent(event.Last) })
 	}
 	e.schedule()
 }
--- a/emulator/day_test.go
+++ b/emulator/day_test.go
@@ -34,7 +34,7 @@
 		Latency: seconds(0.001), CallerLatency: seconds(0.002), MinListingLag: seconds(0.5), MaxListingLag: seconds(1), RestartTime: seconds(2),
 		RetryRatio: 0.2, RetrySlack: 10, RetryWindow: seconds(10), Length: seconds(60),
 		Kinds: []emulator.Kind{{
-			Name: "k", PerSecond: 0.5, Prefixes: 1, OwnTokens: 100, OutputTokens: 4, Objective: seconds(0.1), GapObjective: seconds(0.1),
+			Name: "k", PerSecond: 0.5, Own: emulator.Length{Mean: 100}, Output: emulator.Length{Mean: 4}, Objective: seconds(0.1), GapObjective: seconds(0.1),
 			Deadline: seconds(2), Patience: seconds(2), Worth: 1, Attempts: 2, Retries: 1,
 		}},
 	}
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -35,17 +36,29 @@
 	Crashes       []Crash `json:",omitempty"`
 }
 
+// Length describes the random length of something: log-normal up to a bound.
+type Length struct {
+	Mean   id.Tokens
+	Spread float64   // standard deviation of the logarithm
+	Max    id.Tokens // zero: no bound
+}
+
+// SharedPart describes a part of a prompt that requests have in common.
+type SharedPart struct {
+	Variants int     // of the part
+	Skew     float64 // the n-th variant is used in proportion to n to the power of -Skew
+	Tokens   Length
+}
+
 // Kind describes the requests of one kind.
 type Kind struct {
 	Name         string
 	PerSecond    float64
-	Prefixes     int       // shared parts that prompts begin with, some of them used far more often than others
-	SharedTokens id.Tokens // of a shared part
-	OwnTokens    id.Tokens // mean length of the rest of a prompt
-	OutputTokens id.Tokens // mean length of an answer
-	Spread       float64   // standard deviation of the logarithm of the lengths
-	Objective    Duration  // until the first event of an answer in time
-	GapObjective Duration  // most between two events of an answer in time
+	Shared       []SharedPart // that prompts begin with; a variant of the last one always follows the same ones of the others
+	Own          Length       // of the rest of a prompt
+	Output       Length       // of an answer
+	Objective    Duration     // until the first event of an answer in time
+	GapObjective Duration     // most between two events of an answer in time
 	Deadline     Duration
 	Patience     Duration // after which a caller leaves that gets nothing
 	Priority     int
@@ -103,7 +116,7 @@
 		positive = append(positive, struct {
 			field string
 			ok    bool
-		}{name, k.PerSecond > 0 && k.Prefixes > 0 && k.OwnTokens > 0 && k.OutputTokens > 0 && k.Deadline.Duration > 0 && k.Patience.Duration > 0 && k.Attempts > 0})
+		}{name, k.PerSecond > 0 && k.Own.Mean > 0 && k.Output.Mean > 0 && !slices.ContainsFunc(k.Shared, func(p SharedPart) bool { return p.Variants <= 0 || p.Tokens.Mean <= 0 }) && k.Deadline.Duration > 0 && k.Patience.Duration > 0 && k.Attempts > 0})
 	}
 	for _, p := range positive {
 		if !p.ok {
