--- a/emulator/day_test.go
+++ b/emulator/day_test.go
@@ -1,7 +1,9 @@
 package emulator_test
 
 import (
+	"bytes"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -143,3 +145,17 @@
 	_, err = emulator.ReadSite(strings.NewReader(`{"Latency": "soon"}`))
 	require.Error(t, err)
 }
+
+// TestComparedSitesAreReadable: those that docs/BENCH.md holds against played days.
+func TestComparedSitesAreReadable(t *testing.T) {
+	t.Parallel()
+	names, err := filepath.Glob("../bench/testdata/*.site.json")
+	require.NoError(t, err)
+	require.Len(t, names, 4)
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		require.NoError(t, err)
+		_, err = emulator.ReadSite(bytes.NewReader(text))
+		require.NoError(t, err, name)
+	}
+}
