--- a/emulator/batch.go
+++ b/emulator/batch.go
@@ -18,8 +18,8 @@
 	Queue              int       // most requests that wait for a slot
 	KVCacheTokens      id.Tokens // memory for running requests and cached parts
 	StepTime           Duration  // of a step with an empty batch
-	SlotTime           Duration  // by which each request in the batch lengthens the time for tokens
-	ContextTime        Duration  // by which each 1000 tokens that the batch has in memory lengthen it
+	SlotTime           Duration  // by which each request in the batch lengthens a step
+	ContextTime        Duration  // by which each 1000 tokens that the batch has in memory lengthen a step
 	PrefillTokensPerMS float64
 	PairTime           Duration  // to relate a million pairs of a token that is read and one before it
 	ChunkTokens        id.Tokens // most prompt tokens that a step reads
@@ -36,15 +36,11 @@
 	return c
 }
 
-// tokenTime returns by how much a request lengthens the time in which a step makes its tokens.
-func (c *BatchConfig) tokenTime(w *Work) time.Duration {
-	return c.SlotTime.Duration + time.Duration(float64(w.read+w.made)/1e3*float64(c.ContextTime.Duration))
-}
-
-// readTime returns how long the present step takes to read the chunk of a request.
-func (c *BatchConfig) readTime(w *Work) time.Duration {
-	chunk := float64(w.chunk)
-	return time.Duration(chunk/c.PrefillTokensPerMS*float64(time.Millisecond) + chunk*(float64(w.read)+chunk/2)/1e6*float64(c.PairTime.Duration))
+// stepShare returns by how much a request lengthens the present step.
+func (c *BatchConfig) stepShare(w *Work) time.Duration {
+	chunk, context := float64(w.chunk), float64(w.read+w.made)
+	return c.SlotTime.Duration + time.Duration(chunk/c.PrefillTokensPerMS*float64(time.Millisecond)+
+		chunk*(float64(w.read)+chunk/2)/1e6*float64(c.PairTime.Duration)+context/1e3*float64(c.ContextTime.Duration))
 }
 
 // Work is a request at a Batch.
@@ -54,8 +50,8 @@
 	Output  id.Tokens         // that the answer has
 	Urgency int               // 0 is the most urgent
 
-	// Cost is the time that the engine has spent on the request so far: of each step, in proportion
-	// to the work of the step that is for it.
+	// Cost is the time that the engine has spent on the request so far. Of the time of a step
+	// that no request causes alone, each in the batch has an equal share.
 	Cost        time.Duration
 	Preemptions int // how often it has lost its place in the batch
 
@@ -105,8 +101,8 @@
 }
 
 // Batch is a model engine. In each step, every request whose prompt is read gets a token, and of the
-// other prompts a chunk is read, in order of admission. The step takes the longer of the two times. The
-// first token comes with the last chunk, and is an event of its own.
+// other prompts a chunk is read, in order of admission. The first token comes with the last chunk, and
+// is an event of its own.
 type Batch struct {
 	cfg     BatchConfig
 	waiting []*Work // the next one first
@@ -223,18 +219,14 @@
 	if len(b.running) == 0 {
 		return
 	}
-	step := b.cfg.StepTime.Duration
-	tokens, reading, unread := step, time.Duration(0), b.cfg.ChunkTokens
+	duration := b.cfg.StepTime.Duration
+	share, unread := duration/time.Duration(len(b.running)), b.cfg.ChunkTokens
 	for _, w := range b.running {
 		w.inStep, w.chunk = true, min(w.target-w.read, unread)
 		unread -= w.chunk
-		tokens += b.cfg.tokenTime(w)
-		reading += b.cfg.readTime(w)
-	}
-	duration := max(tokens, reading)
-	for _, w := range b.running {
-		work := step/time.Duration(len(b.running)) + b.cfg.tokenTime(w) + b.cfg.readTime(w)
-		w.Cost += time.Duration(float64(duration) * float64(work) / float64(tokens+reading))
+		own := b.cfg.stepShare(w)
+		w.Cost += share + own
+		duration += own
 	}
 	b.stepEnd = now.Add(duration)
 	b.stats.Busy += duration
