--- a/duty/era_test.go
+++ b/duty/era_test.go
@@ -185,3 +185,26 @@
 	require.Greater(t, first.Term(), last.Term())
 	require.Equal(t, id.Term(1), (&duty.Claim{}).Term())
 }
+
+// TestClaimAppendedInAnotherEraIsNotActedOn has the store come back between the read of the claims and
+// the append of an own one, which is then the claim of a topic that was not read.
+func TestClaimAppendedInAnotherEraIsNotActedOn(t *testing.T) {
+	s := newSimulation(1)
+	s.now = windowStart.Add(cfg.WindowLength + time.Second)
+	r := s.reporters["entry-0"]
+	appended := false
+	for range 3 {
+		switch a := r.Step(s.now, s.view("entry-0")).(type) {
+		case *duty.ReadClaims:
+			r.ClaimsRead(s.now, s.now, nil, s.end())
+		case *duty.AppendClaim:
+			claim := *a.Claim
+			claim.Position = feed.Position{Era: s.end().Era + 1, Offset: s.end().Offset}
+			r.ClaimAppended(s.now, &claim)
+			appended = true
+		case *duty.SendReport:
+			t.Fatal("the claim of another era was acted on")
+		}
+	}
+	require.True(t, appended)
+}
