--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -90,12 +90,11 @@
 // belongs to another request. After any other error the request may have been received.
 func (c *UpstreamClient) do(req *http.Request, want id.Request, u *pool.Listing, newConn bool, observer exchangeObserver) (*ownResponse, error) {
 	ctx := req.Context()
-	conn, kept, err := c.connection(ctx, want, u, newConn)
-	if err != nil {
+	if err := ctx.Err(); err != nil {
 		return nil, &UnsentError{err}
 	}
-	if err := ctx.Err(); err != nil {
-		conn.Close()
+	conn, kept, err := c.connection(ctx, want, u, newConn)
+	if err != nil {
 		return nil, &UnsentError{err}
 	}
 	req.Close = newConn
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -90,13 +90,6 @@
 	refused  []uint64   // hashes of the ids of requests that were refused on the connection
 }
 
-// noteRefused records that the upstream has refused a request. If the caller sends it again,
-// with the same id, a repetition of the refusal could not be told from a response to it.
-func (x *exchange) noteRefused() {
-	x.conn.refused = append(x.conn.refused, xxhash.Sum64String(string(x.want)))
-	x.single = x.single || len(x.conn.refused) >= maxRefusedPerConn
-}
-
 // headReader reads from a connection within the limit for heads.
 type headReader struct{ conn *upstreamConn }
 
@@ -220,6 +213,13 @@
 	}
 }
 
+// noteRefused records that the upstream has refused a request. If the caller sends it again,
+// with the same id, a repetition of the refusal could not be told from a response to it.
+func (x *exchange) noteRefused() {
+	x.conn.refused = append(x.conn.refused, xxhash.Sum64String(string(x.want)))
+	x.single = x.single || len(x.conn.refused) >= maxRefusedPerConn
+}
+
 // readHead reads the head of the next response that is not informational.
 func (x *exchange) readHead() (*http.Response, error) {
 	for range maxInformational + 1 {
