--- a/emulator/batch.go
+++ b/emulator/batch.go
@@ -14,17 +14,17 @@
 
 // BatchConfig describes a model engine.
 type BatchConfig struct {
-	Slots              int       // most requests in the batch
-	Queue              int       // most requests that wait for a slot
-	KVCacheTokens      id.Tokens // memory for running requests and cached parts
-	StepTime           Duration  // of a step with an empty batch
-	SlotTime           Duration  // by which each request in the batch lengthens a step
-	ContextTime        Duration  // by which each 1000 tokens that the batch has in memory lengthen a step
-	PrefillTokensPerMS float64
-	PairTime           Duration  // to relate a million pairs of a token that is read and one before it
-	ChunkTokens        id.Tokens // most prompt tokens that a step reads
-	EventTokens        id.Tokens // in an event of a stream but the first, which has one
-	AnswerDelay        Duration  // of the events of a stream, beside the steps
+	Slots              int       `json:"slots"`           // most requests in the batch
+	Queue              int       `json:"queue"`           // most requests that wait for a slot
+	KVCacheTokens      id.Tokens `json:"kv_cache_tokens"` // memory for running requests and cached parts
+	StepTime           Duration  `json:"step_time"`       // of a step with an empty batch
+	SlotTime           Duration  `json:"slot_time"`       // by which each request in the batch lengthens a step
+	ContextTime        Duration  `json:"context_time"`    // by which each 1000 tokens that the batch has in memory lengthen a step
+	PrefillTokensPerMS float64   `json:"prefill_tokens_per_ms"`
+	PairTime           Duration  `json:"pair_time"`    // to relate a million pairs of a token that is read and one before it
+	ChunkTokens        id.Tokens `json:"chunk_tokens"` // most prompt tokens that a step reads
+	EventTokens        id.Tokens `json:"event_tokens"` // in an event of a stream but the first, which has one
+	AnswerDelay        Duration  `json:"answer_delay"` // of the events of a stream, beside the steps
 }
 
 // scaled returns the configuration of an engine with another speed.
--- a/emulator/day_test.go
+++ b/emulator/day_test.go
@@ -136,13 +136,13 @@
 
 func TestFaultySitesAreRefused(t *testing.T) {
 	t.Parallel()
-	_, err := emulator.ReadSite(strings.NewReader(`{"Gatways": 4}`))
-	require.ErrorContains(t, err, "Gatways")
-	_, err = emulator.ReadSite(strings.NewReader(`{"Gateways": 4}`))
+	_, err := emulator.ReadSite(strings.NewReader(`{"gatways": 4}`))
+	require.ErrorContains(t, err, "gatways")
+	_, err = emulator.ReadSite(strings.NewReader(`{"gateways": 4}`))
 	var faulty *emulator.SiteError
 	require.ErrorAs(t, err, &faulty)
-	require.Equal(t, "Callers", faulty.Field)
-	_, err = emulator.ReadSite(strings.NewReader(`{"Latency": "soon"}`))
+	require.Equal(t, "callers", faulty.Field)
+	_, err = emulator.ReadSite(strings.NewReader(`{"latency": "soon"}`))
 	require.Error(t, err)
 }
 
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -15,71 +15,72 @@
 // Site describes a fleet, its load and what happens to it. All times of surges and crashes count
 // from the beginning of the load, the warm-up included.
 type Site struct {
-	Name          string
-	Gateways      int
-	Callers       int // each uses one gateway; more callers for each gateway make its share more even
-	Engines       int
-	Engine        BatchConfig
-	SlowestEngine float64  // speed of the slowest engine; the fastest has 1, and the others are spread evenly
-	Latency       Duration // one way, between gateways and engines
-	CallerLatency Duration // one way, between callers and gateways
-	MinListingLag Duration // between a change of an engine and when a gateway knows of it
-	MaxListingLag Duration
-	RestartTime   Duration // of an engine that has crashed
-	RetryRatio    float64  // of the retry budget
-	RetrySlack    float64
-	RetryWindow   Duration
-	Warmup        Duration // whose requests are not counted
-	Length        Duration // of the load that is counted
-	Kinds         []Kind
-	Surges        []Surge `json:",omitempty"`
-	Crashes       []Crash `json:",omitempty"`
+	Name          string      `json:"name"`
+	Gateways      int         `json:"gateways"`
+	Callers       int         `json:"callers"` // each uses one gateway; more callers for each gateway make its share more even
+	Engines       int         `json:"engines"`
+	Engine        BatchConfig `json:"engine"`
+	SlowestEngine float64     `json:"slowest_engine"`  // speed of the slowest engine; the fastest has 1, and the others are spread evenly
+	Latency       Duration    `json:"latency"`         // one way, between gateways and engines
+	CallerLatency Duration    `json:"caller_latency"`  // one way, between callers and gateways
+	MinListingLag Duration    `json:"min_listing_lag"` // between a change of an engine and when a gateway knows of it
+	MaxListingLag Duration    `json:"max_listing_lag"`
+	RestartTime   Duration    `json:"restart_time"` // of an engine that has crashed
+	RetryRatio    float64     `json:"retry_ratio"`  // of the retry budget
+	RetrySlack    float64     `json:"retry_slack"`
+	RetryWindow   Duration    `json:"retry_window"`
+	Warmup        Duration    `json:"warmup"` // whose requests are not counted
+	Length        Duration    `json:"length"` // of the load that is counted
+	Kinds         []Kind      `json:"kinds"`
+	Surges        []Surge     `json:"surges,omitempty"`
+	Crashes       []Crash     `json:"crashes,omitempty"`
 }
 
 // Length describes the random length of something: log-normal up to a bound.
 type Length struct {
-	Mean   id.Tokens
-	Spread float64   // standard deviation of the logarithm
-	Max    id.Tokens // zero: no bound
+	Mean   id.Tokens `json:"mean"`
+	Spread float64   `json:"spread"` // standard deviation of the logarithm
+	Max    id.Tokens `json:"max"`    // zero: no bound
 }
 
 // SharedPart describes a part of a prompt that requests have in common.
 type SharedPart struct {
-	Variants int     // of the part
-	Skew     float64 // the n-th variant is used in proportion to n to the power of -Skew
-	Tokens   Length
+	Variants int     `json:"variants"` // of the part
+	Skew     float64 `json:"skew"`     // the n-th variant is used in proportion to n to the power of -Skew
+	Tokens   Length  `json:"tokens"`
 }
 
 // Kind describes the requests of one kind.
 type Kind struct {
-	Name         string
-	PerSecond    float64
-	Shared       []SharedPart // that prompts begin with; a variant of the last one always follows the same ones of the others
-	Own          Length       // of the rest of a prompt
-	Output       Length       // of an answer
-	Objective    Duration     // until the first event of an answer in time
-	GapObjective Duration     // most between two events of an answer in time
-	Deadline     Duration
-	Patience     Duration // after which a caller leaves that gets nothing
-	Priority     int
-	Worth        float64 // of an answer in time
-	LateWorth    float64
-	Attempts     int     // upstreams for one request of a caller
-	Retries      int     // requests that a caller sends after the first one was refused
-	Impatient    float64 // share of the callers that do not wait as they are told
+	Name         string       `json:"name"`
+	PerSecond    float64      `json:"per_second"`
+	Shared       []SharedPart `json:"shared"`        // that prompts begin with; a variant of the last one always follows the same ones of the others
+	Own          Length       `json:"own"`           // of the rest of a prompt
+	Output       Length       `json:"output"`        // of an answer
+	Objective    Duration     `json:"objective"`     // until the first event of an answer in time
+	GapObjective Duration     `json:"gap_objective"` // most between two events of an answer in time
+	Deadline     Duration     `json:"deadline"`
+	Patience     Duration     `json:"patience"` // after which a caller leaves that gets nothing
+	Priority     int          `json:"priority"`
+	Worth        float64      `json:"worth"` // of an answer in time
+	LateWorth    float64      `json:"late_worth"`
+	Attempts     int          `json:"attempts"`  // upstreams for one request of a caller
+	Retries      int          `json:"retries"`   // requests that a caller sends after the first one was refused
+	Impatient    float64      `json:"impatient"` // share of the callers that do not wait as they are told
 }
 
 // Surge multiplies the load for a time.
 type Surge struct {
-	At, For Duration
-	Factor  float64
-	Kind    string // empty: all kinds
+	At     Duration `json:"at"`
+	For    Duration `json:"for"`
+	Factor float64  `json:"factor"`
+	Kind   string   `json:"kind"` // empty: all kinds
 }
 
 // Crash ends engines, which start again.
 type Crash struct {
-	At    Duration
-	Count int
+	At    Duration `json:"at"`
+	Count int      `json:"count"`
 }
 
 // SiteError reports a site that cannot be played.
@@ -104,15 +105,15 @@
 		field string
 		ok    bool
 	}{
-		{"Gateways", s.Gateways > 0}, {"Callers", s.Callers > 0}, {"Engines", s.Engines > 0}, {"Length", s.Length.Duration > 0},
-		{"Engine.Slots", s.Engine.Slots > 0}, {"Engine.KVCacheTokens", s.Engine.KVCacheTokens > 0},
-		{"Engine.StepTime", s.Engine.StepTime.Duration > 0}, {"Engine.PrefillTokensPerMS", s.Engine.PrefillTokensPerMS > 0},
-		{"Engine.ChunkTokens", s.Engine.ChunkTokens > 0}, {"Engine.EventTokens", s.Engine.EventTokens > 0},
-		{"SlowestEngine", s.SlowestEngine > 0 && s.SlowestEngine <= 1}, {"MaxListingLag", s.MaxListingLag.Duration > s.MinListingLag.Duration},
-		{"Kinds", len(s.Kinds) > 0}, {"RetryWindow", s.RetryWindow.Duration > 0},
+		{"gateways", s.Gateways > 0}, {"callers", s.Callers > 0}, {"engines", s.Engines > 0}, {"length", s.Length.Duration > 0},
+		{"engine.slots", s.Engine.Slots > 0}, {"engine.kv_cache_tokens", s.Engine.KVCacheTokens > 0},
+		{"engine.step_time", s.Engine.StepTime.Duration > 0}, {"engine.prefill_tokens_per_ms", s.Engine.PrefillTokensPerMS > 0},
+		{"engine.chunk_tokens", s.Engine.ChunkTokens > 0}, {"engine.event_tokens", s.Engine.EventTokens > 0},
+		{"slowest_engine", s.SlowestEngine > 0 && s.SlowestEngine <= 1}, {"max_listing_lag", s.MaxListingLag.Duration > s.MinListingLag.Duration},
+		{"kinds", len(s.Kinds) > 0}, {"retry_window", s.RetryWindow.Duration > 0},
 	}
 	for i := range s.Kinds {
-		k, name := &s.Kinds[i], fmt.Sprint("Kinds ", s.Kinds[i].Name)
+		k, name := &s.Kinds[i], fmt.Sprint("kinds ", s.Kinds[i].Name)
 		positive = append(positive, struct {
 			field string
 			ok    bool
