--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -44,9 +44,9 @@
 )
 
 var (
-	errHeadTooLarge    = fmt.Errorf("the head of the response exceeds %d bytes", maxResponseHeaderBytes)
-	errTooManyInterims = fmt.Errorf("more than %d informational responses", maxInformational)
-	errUpgrade         = errors.New("the upstream switches protocols")
+	errHeadTooLarge         = fmt.Errorf("the head of the response exceeds %d bytes", maxResponseHeaderBytes)
+	errTooManyInformational = fmt.Errorf("more than %d informational responses", maxInformational)
+	errUpgrade              = errors.New("the upstream switches protocols")
 )
 
 // CrossedError reports a response that does not belong to the request that was sent.
@@ -56,7 +56,7 @@
 }
 
 func (e *CrossedError) Error() string {
-	return fmt.Sprintf("response with status %d is for request %.64q, not %q", e.Status, string(e.Got), string(e.Want))
+	return fmt.Sprintf("response with status %d is for request %.64q, not %.64q", e.Status, string(e.Got), string(e.Want))
 }
 
 // StatusError reports a response with a status that HTTP does not have.
@@ -237,7 +237,7 @@
 			return resp, nil
 		}
 	}
-	return nil, errTooManyInterims
+	return nil, errTooManyInformational
 }
 
 // skipBody reads the body of a response that belongs to another request. It returns false if
