gateway, platform: the log says which responses name a limit

The response in the lines answered, attempt_failed and attempt_abandoned has limit= now. What is done with it is unchanged: nothing.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -20,7 +20,14 @@
 	if r == nil {
 		return "none"
 	}
-	return fmt.Sprintf("%d not_run=%t signed=%t", r.StatusCode, r.NotRun, r.Signed)
+	said := fmt.Sprintf("%d not_run=%t signed=%t", r.StatusCode, r.NotRun, r.Signed)
+	switch {
+	case r.Limited:
+		said += fmt.Sprintf(" limit=%v", r.Limit)
+	case r.InvalidLimit != "":
+		said += " invalid_limit=" + r.InvalidLimit
+	}
+	return said
 }
 
 // A request that has got the response to another one waits for its own for ownResponseObjectives
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,11 @@
 	// not given. If the response has an unusable value, InvalidWait is its text.
 	Wait        time.Duration
 	InvalidWait string
+	// Limited means that the upstream takes at most Limit requests from all gateways together,
+	// for as long as it says so. If the response has an unusable value, InvalidLimit is its text in quotes.
+	Limited      bool
+	Limit        id.PerSecond
+	InvalidLimit string
 }
 
 // HeaderCodec translates the headers of requests and responses.
--- a/id/id.go
+++ b/id/id.go
@@ -1,7 +1,7 @@
 // Package id defines the types of identifiers and units that all other packages share.
 //
 // Each kind of identifier has its own string type, so that the compiler rejects, for
-// example, a workspace in place of a class. Units have their own integer types for the
+// example, a workspace in place of a class. Units have their own numeric types for the
 // same reason.
 package id
 
@@ -50,6 +50,8 @@
 type (
 	// Tokens counts language-model tokens.
 	Tokens int64
+	// PerSecond is a rate of requests.
+	PerSecond float64
 	// Offset is a position in a stream of the platform's log; the first record has offset 1.
 	Offset uint64
 	// Term is the fencing number of a lease. Each new holder has a higher one.
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -180,6 +180,12 @@
 	h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 }
 
+// NameLimit sets the header by which a replica names how many requests a second it takes from
+// all callers together.
+func NameLimit(h http.Header, limit id.PerSecond) {
+	h.Set("Server-Limit", strconv.FormatFloat(float64(limit), 'f', -1, 64))
+}
+
 // SetRequestHeaders sets the headers of a client's request. The timeout is the time that the
 // client grants for the response.
 func SetRequestHeaders(h http.Header, requestID id.Request, key string, timeout time.Duration) {
