--- /dev/null
+++ b/gateway/named_limit_test.go
@@ -0,0 +1,90 @@
+package gateway_test
+
+// This file tests that requests keep to the limits that upstreams name.
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/ragworttest"
+	"github.com/ragwortpass/ragwortpass/standin"
+)
+
+// The bound of the users' rule: from limitContact after an upstream first named its limit, it may
+// get in any limitSpan limitExcess times what that allows, and limitSlack requests.
+const (
+	limitContact = 3 * time.Second
+	limitSpan    = 4 * time.Second
+	limitExcess  = 1.5
+	limitSlack   = 5
+)
+
+// mostAllowed returns the most requests that an upstream with a limit may get in limitSpan.
+func mostAllowed(limit id.PerSecond) int {
+	return int(limitExcess*float64(limit)*limitSpan.Seconds()) + limitSlack
+}
+
+// callEvery calls a route at an interval for some time and returns how many calls had each status.
+func (f *fixture) callEvery(interval, length time.Duration, path string) map[int]int {
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	statuses := make(map[int]int)
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for end := time.Now().Add(length); time.Now().Before(end); <-tick.C {
+		calls.Go(func() {
+			got := f.call(http.MethodPost, path, "")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[got.status]++
+		})
+	}
+	calls.Wait()
+	return statuses
+}
+
+// TestUpstreamGetsMoreThanItsLimit guards against a limit that is not read from some response, or
+// not kept by some kind of request.
+func TestUpstreamGetsMoreThanItsLimit(t *testing.T) {
+	answer := func(w http.ResponseWriter) { _, _ = io.WriteString(w, "done") }
+	for name, tc := range map[string]struct {
+		limit   id.PerSecond
+		path    string
+		respond func(w http.ResponseWriter)
+	}{
+		"answer":     {1, "/safe/x", answer},
+		"once":       {1, "/once/x", answer},
+		"none":       {0, "/safe/x", answer},
+		"a fraction": {0.2, "/safe/x", answer},
+		"several":    {5, "/safe/x", answer},
+		"failure":    {1, "/safe/x", func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }},
+		"refusal": {1, "/once2/x", func(w http.ResponseWriter) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}},
+		"stream": {1, "/stream/x", func(w http.ResponseWriter) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\nevent: end\ndata: b\n\n")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			var arrivals ragworttest.Arrivals
+			f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				arrivals.Add(time.Now())
+				standin.NameLimit(w.Header(), tc.limit)
+				tc.respond(w)
+			})
+			began := time.Now()
+			f.callEvery(50*time.Millisecond, limitContact+limitSpan+time.Second, tc.path)
+			require.LessOrEqual(t, arrivals.Most(began.Add(limitContact), limitSpan), mostAllowed(tc.limit))
+		})
+	}
+}
