quota: steps of the system clock do not move slots

The common time was kept as a distance from the system clock, which a step changes until the next round 250 ms later: a gateway would have used the slots of another time. It is kept as two times now, of which the own one has a monotonic part.

TestSumKeepsBound and the tests of package pool pass as before.

--- a/gateway/program.go
+++ b/gateway/program.go
@@ -238,7 +238,7 @@
 	return func(now time.Time) (row *peer.Row, urgent bool) {
 		live := len(p.table.Live(now))
 		p.pool.SetGatewayCount(live)
-		p.pool.SetFleet(quota.NewFleet(p.settings.Node, p.table.Members(now), fleetTime().Sub(now)))
+		p.pool.SetFleet(quota.NewFleet(p.settings.Node, p.table.Members(now), now, fleetTime()))
 		p.retryBudgets.SetGatewayCount(live)
 		row = &peer.Row{
 			Address: p.settings.Listen.Peers, DataCentre: string(p.settings.DataCentre), Leaving: p.gateway.ShuttingDown(),
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -128,7 +128,7 @@
 		return LimitChange{}
 	}
 	return p.noteLimit(now, LimitReport{
-		Upstream: l.ID, StartUnixMS: l.StartUnixMS, Limited: limited, Limit: limit, SentAt: p.fleet.Now(sentAt), HeardAt: p.fleet.Now(now),
+		Upstream: l.ID, StartUnixMS: l.StartUnixMS, Limited: limited, Limit: limit, SentAt: p.fleet.Common(sentAt), HeardAt: p.fleet.Common(now),
 	}, true)
 }
 
@@ -141,7 +141,7 @@
 		if !r.Valid() {
 			continue
 		}
-		if latest := p.fleet.Now(now); r.HeardAt.After(latest) { // the clocks differ
+		if latest := p.fleet.Common(now); r.HeardAt.After(latest) { // the clocks differ
 			r.HeardAt = latest
 			if r.SentAt.After(latest) {
 				r.SentAt = latest
--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -246,7 +246,7 @@
 func TestHugeLimitIsNone(t *testing.T) {
 	for _, limit := range []id.PerSecond{1e6, 1e18, 1e300} {
 		p, l := newPool(1), listing(0)
-		p.SetFleet(quota.NewFleet("a", []id.Node{"a"}, 0))
+		p.SetFleet(quota.NewFleet("a", []id.Node{"a"}, now, now))
 		p.HearLimit(after(10), &l, true, limit, now)
 		require.Equal(t, 2000, takes(p, "i-0", 20), fmt.Sprint(limit))
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -29,13 +29,14 @@
 type Fleet struct {
 	others []uint64 // hashes of the other gateways, in ascending order
 	self   uint64
-	ahead  time.Duration // of the common time over the own clock
+	at     time.Time // by the own clock
+	common time.Time // the common time then
 }
 
-// NewFleet returns the fleet of the members, to which self belongs whether it is listed or not. The
-// common time is ahead of the own clock by some time.
-func NewFleet(self id.Node, members []id.Node, ahead time.Duration) Fleet {
-	f := Fleet{self: hashNode(self), ahead: ahead}
+// NewFleet returns the fleet of the members, to which self belongs whether it is listed or not. Now is
+// the time by the own clock, and common the common time.
+func NewFleet(self id.Node, members []id.Node, now, common time.Time) Fleet {
+	f := Fleet{self: hashNode(self), at: now, common: common}
 	for _, m := range members {
 		if m != self {
 			f.others = append(f.others, hashNode(m))
@@ -62,8 +63,22 @@
 	return len(f.others) == 0 || &f.others[0] == &g.others[0] || slices.Equal(f.others, g.others)
 }
 
-// Now returns the common time.
-func (f *Fleet) Now(now time.Time) time.Time { return now.Add(f.ahead) }
+// Common returns the common time at a time by the own clock. It does not depend on steps of that
+// clock, as times are compared by its monotonic part.
+func (f *Fleet) Common(t time.Time) time.Time {
+	if f.at.IsZero() {
+		return t
+	}
+	return f.common.Add(t.Sub(f.at))
+}
+
+// local returns the time by the own clock at a common time.
+func (f *Fleet) local(common time.Time) time.Time {
+	if f.at.IsZero() {
+		return common
+	}
+	return f.at.Add(common.Sub(f.common))
+}
 
 // owns reports whether a slot of a rate belongs to this gateway: of all gateways, it has the highest
 // hash with the slot. If a gateway joins or leaves, no other slots than its own change their owner.
--- a/quota/sharing_test.go
+++ b/quota/sharing_test.go
@@ -39,8 +39,8 @@
 	slots quota.Slots
 }
 
-func (p *bySlots) join(_ time.Time, self id.Node, members []id.Node) {
-	p.fleet = quota.NewFleet(self, members, p.ahead)
+func (p *bySlots) join(now time.Time, self id.Node, members []id.Node) {
+	p.fleet = quota.NewFleet(self, members, now, now.Add(p.ahead))
 }
 
 func (p *bySlots) take(now time.Time, passing bool) bool {
--- a/quota/slots.go
+++ b/quota/slots.go
@@ -69,9 +69,9 @@
 func (s *Slots) Next(now time.Time, rate Rate, fleet Fleet) time.Time {
 	s.advance(now, rate, fleet)
 	if len(s.spare) > 0 {
-		return s.spare[0].Add(-fleet.ahead)
+		return fleet.local(s.spare[0])
 	}
-	return s.start.Add(-fleet.ahead)
+	return fleet.local(s.start)
 }
 
 // Take uses the slot that Next returns for one request. It returns the slot, which GiveBack takes.
@@ -104,9 +104,9 @@
 		s.start = time.Time{}
 	}
 	s.rate, s.fleet = rate, fleet
-	earliest := now.Add(fleet.ahead - rate.Usable) // start of the first slot that is still usable
+	earliest := fleet.Common(now).Add(-rate.Usable) // start of the first slot that is still usable
 	s.spare = slices.DeleteFunc(s.spare, func(start time.Time) bool { return start.Before(earliest) })
-	if !s.start.IsZero() && !s.start.Before(earliest) && (s.left > 0 || fleet.Now(now).Before(s.start)) {
+	if !s.start.IsZero() && !s.start.Before(earliest) && (s.left > 0 || fleet.Common(now).Before(s.start)) {
 		return
 	}
 	if from := s.usedTo.Add(1); !s.usedTo.IsZero() && from.After(earliest) {
