pool, quota: cold upstreams are paced by slots of the fleet's rate

Cause: the rate of cold upstreams and the limits that upstreams name are the same thing, a bound on the sum over all gateways, kept by two mechanisms. The pacer gave each gateway an even rate at a random phase, so that the sum in a second is a matter of chance, and slots that pass unused are lost.

Change: the slots of package quota for both. A gateway that was idle uses one of its slots of a cold upstream, not all that are usable (Rate.Burst); pacer.go goes. Slots are for one request each.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -66,8 +66,7 @@
 	Limited bool
 	Part    id.PerSecond
 
-	limit *limitState // nil: none
-	slot  quota.Slot  // of the limit
+	taken []takenSlot
 
 	pool         *Pool
 	state        *upstreamState
@@ -138,15 +137,7 @@
 	}
 	u, reason := p.selectUpstream(now, eligible, rq)
 	a := &Assignment{Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u, promptTokens: rq.Prompt.Length}
-	if now.Before(u.coldUntil) {
-		if rate := p.coldRequestRate(u.Service); rate > 0 {
-			u.coldPacer.take(now, rate)
-		}
-	}
-	if l := u.namedLimit(); l != nil {
-		a.Limited, a.limit, a.Part = true, l, id.PerSecond(p.fleet.Part(float64(l.rate().PerSecond)))
-		a.slot = l.slots.Take(now, l.rate(), p.fleet)
-	}
+	p.takeSlots(now, a)
 	if p.maySilentlyHaveGone(now, u, rq) {
 		a.NewConnection = true
 		u.startTrial(now)
@@ -232,27 +223,44 @@
 }
 
 // nextSlot returns when an upstream that is cold or has named a limit accepts the next request of
-// this gateway, and how many a second. Paced is false if it needs no slot. After the end of an
-// evacuation, nextSlot marks the upstreams of the data centre as cold for the cold duration of their
-// service, since they may have been restarted meanwhile. The caller holds the lock.
-func (p *Pool) nextSlot(now time.Time, u *upstreamState) (at time.Time, rate float64, paced bool) {
-	if until := p.evacuationEndedAt[u.DataCentre].Add(p.coldDuration(u.Service)); now.Before(until) && u.coldUntil.Before(until) {
-		p.becomeCold(now, u, until)
-	}
-	if coldRate := p.coldRequestRate(u.Service); coldRate > 0 && now.Before(u.coldUntil) {
-		at, rate, paced = u.coldPacer.slot(now, coldRate), coldRate, true
-	}
-	if l := u.namedLimit(); l != nil {
-		part := p.fleet.Part(float64(l.rate().PerSecond))
-		if next := l.slots.Next(now, l.rate(), p.fleet); next.After(at) {
+// this gateway, and how many a second. Paced is false if it needs no slot. The caller holds the lock.
+func (p *Pool) nextSlot(now time.Time, u *upstreamState) (at time.Time, perSecond float64, paced bool) {
+	add := func(slots *quota.Slots, rate quota.Rate) {
+		if next := slots.Next(now, rate, p.fleet); next.After(at) {
 			at = next
 		}
-		if !paced || part < rate {
-			rate = part
+		if part := p.fleet.Part(float64(rate.PerSecond)); !paced || part < perSecond {
+			perSecond = part
 		}
 		paced = true
 	}
-	return at, rate, paced
+	if rate, cold := p.coldRate(now, u); cold {
+		add(&u.coldSlots, rate)
+	}
+	if l := u.namedLimit(); l != nil {
+		add(&l.slots, l.rate())
+	}
+	return at, perSecond, paced
+}
+
+// takenSlot is a slot that a request uses.
+type takenSlot struct {
+	of   *quota.Slots
+	slot quota.Slot
+}
+
+// takeSlots uses the slots that an assigned request needs. The caller holds the lock.
+func (p *Pool) takeSlots(now time.Time, a *Assignment) {
+	take := func(slots *quota.Slots, rate quota.Rate) {
+		a.taken = append(a.taken, takenSlot{slots, slots.Take(now, rate, p.fleet)})
+	}
+	if rate, cold := p.coldRate(now, a.state); cold {
+		take(&a.state.coldSlots, rate)
+	}
+	if l := a.state.namedLimit(); l != nil {
+		a.Limited, a.Part = true, id.PerSecond(p.fleet.Part(float64(l.rate().PerSecond)))
+		take(&l.slots, l.rate())
+	}
 }
 
 // waitInLine returns that a request waits, unless it may be assigned now or no upstream will accept it.
@@ -290,23 +298,6 @@
 	return nil
 }
 
-// coldDuration returns how long an upstream of the service is cold after its start.
-func (p *Pool) coldDuration(s id.Service) time.Duration {
-	if config := p.serviceConfig(s); config != nil {
-		return config.Cold.Duration
-	}
-	return 0
-}
-
-// coldRequestRate returns how many requests a second this gateway may send to one cold
-// upstream of the service; zero means no limit. The caller holds the lock.
-func (p *Pool) coldRequestRate(s id.Service) float64 {
-	if config := p.serviceConfig(s); config != nil {
-		return config.Cold.RequestsPerSecond * coldRateShare / float64(p.gatewayCount)
-	}
-	return 0
-}
-
 // load returns the work that this gateway has running on the upstream, in prompt tokens.
 func (u *upstreamState) load() float64 {
 	return float64(u.prefillTokens) + runningLoadTokens*float64(u.running)
@@ -462,11 +453,12 @@
 	a.state.running--
 }
 
-// Unsent records that nothing of the request was sent: it has used no slot of a limit.
+// Unsent records that nothing of the request was sent: it has used no slot.
 func (a *Assignment) Unsent() {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	if a.limit != nil {
-		a.limit.slots.GiveBack(a.slot)
+	for _, t := range a.taken {
+		t.of.GiveBack(t.slot)
 	}
+	a.taken = nil
 }
--- a/pool/pacer_test.go
+++ b/pool/cold_test.go
@@ -9,6 +9,7 @@
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/quota"
 )
 
 // TestExtremeColdRates guards against a gateway that panics, or sends without a limit, because the
@@ -21,7 +22,7 @@
 		latest := new(catalog.Latest)
 		latest.Update(&catalog.Catalog{Version: 1, Services: map[id.Service]*catalog.Service{modelService: {Name: modelService, Cold: catalog.ColdLimit{Duration: time.Hour, RequestsPerSecond: tc.rate}}}})
 		p := pool.New(latest)
-		p.SetGatewayCount(1000)
+		p.SetFleet(quota.NewFleet("gateway-0", nodes(1000), now, now))
 		l := listing(1)
 		l.ColdFor = time.Hour
 		p.Put(now, l)
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -224,5 +224,5 @@
 // rate returns the rate of which the gateways share the slots.
 func (l *limitState) rate() quota.Rate {
 	r := l.holds()
-	return quota.Rate{Key: xxhash.Sum64String(string(r.Upstream)) ^ uint64(r.StartUnixMS), PerSecond: sharedLimit(r.Limit), Usable: limitSlotUsable}
+	return quota.Rate{Key: xxhash.Sum64String(string(r.Upstream)) ^ uint64(r.StartUnixMS), PerSecond: sharedLimit(r.Limit), Usable: limitSlotUsable, Burst: true}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,8 +3,8 @@
 //
 // A Pool records which upstreams exist, which accept new requests, which are cold, and
 // what this gateway has running on each of them. choose.go defines how an upstream is
-// chosen, split.go the separation of long prompts from short ones, and pacer.go the rate
-// limit of cold upstreams, remark.go what upstreams say of themselves in responses, limit.go the
+// chosen, split.go the separation of long prompts from short ones, cold.go the rate limit of cold
+// upstreams, remark.go what upstreams say of themselves in responses, limit.go the
 // limits that they name, line.go who waits for these, and contact.go which of them may have gone
 // without a word.
 package pool
@@ -46,7 +46,7 @@
 	Listing
 	hashOrder        uint64 // sort key among the upstreams of a service, the same at every gateway
 	coldUntil        time.Time
-	coldPacer        pacer
+	coldSlots        quota.Slots
 	listedAt         time.Time     // when its listing was last received
 	removeAt         time.Time     // when it is to be removed from the pool; zero: never
 	unreachableUntil time.Time     // until then it is used only if there is no other
@@ -101,14 +101,14 @@
 	p.rand = r
 }
 
-// SetGatewayCount sets how many gateways share the upstreams and their rate limits.
+// SetGatewayCount sets how many gateways share the capacity of the upstreams.
 func (p *Pool) SetGatewayCount(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.gatewayCount = max(1, n)
 }
 
-// SetFleet sets which gateways share the limits that upstreams name, and their common time.
+// SetFleet sets which gateways share the rate limits of upstreams, and their common time.
 func (p *Pool) SetFleet(f quota.Fleet) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -135,23 +135,13 @@
 		isNew = true
 	}
 	u.Listing, u.removeAt, u.listedAt = l, time.Time{}, now
+	u.coldUntil = time.Time{}
 	if l.ColdFor > 0 {
-		p.becomeCold(now, u, now.Add(l.ColdFor))
-	} else {
-		u.coldUntil = time.Time{}
+		u.coldUntil = now.Add(l.ColdFor)
 	}
 	return isNew
 }
 
-// becomeCold sets until when an upstream is cold, and starts to limit its requests if it was
-// not cold before. The caller holds the lock.
-func (p *Pool) becomeCold(now time.Time, u *upstreamState, until time.Time) {
-	if !now.Before(u.coldUntil) {
-		u.coldPacer.start(now, p.rand.Float64())
-	}
-	u.coldUntil = until
-}
-
 // Remove removes an upstream whose listing is gone. A listing that disappears shortly
 // after an outage of the store may merely have expired during the outage, so that its
 // upstream stays in use for recoveryGrace after the outage.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -11,6 +11,7 @@
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/quota"
 )
 
 var now = time.Unix(1_800_000_000, 0)
@@ -35,6 +36,14 @@
 	return pool.Listing{ID: id.Upstream(fmt.Sprint("i-", i)), Service: modelService, Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: id.DataCentre(fmt.Sprint("th-", i%3)), StartUnixMS: 1}
 }
 
+// nodes returns the nodes of n gateways.
+func nodes(n int) (out []id.Node) {
+	for i := range n {
+		out = append(out, id.Node(fmt.Sprint("gateway-", i)))
+	}
+	return out
+}
+
 func newPool(n int) *pool.Pool {
 	p := pool.New(latestCatalog())
 	for i := range n {
@@ -166,12 +175,13 @@
 			t.Run(fmt.Sprint(gateways, " gateways, surge after ", surge), func(t *testing.T) {
 				var sent []time.Time
 				var pools []*pool.Pool
-				for range gateways {
+				nodes := nodes(gateways)
+				for _, node := range nodes {
 					p := pool.New(latestCatalog())
 					l := listing(1)
 					l.ColdFor = 3 * time.Second
-					p.Put(now, l) // before the gateway knows how many there are
-					p.SetGatewayCount(gateways)
+					p.Put(now, l) // before the gateway knows who there is
+					p.SetFleet(quota.NewFleet(node, nodes, now, now))
 					pools = append(pools, p)
 				}
 				for at := now.Add(surge); at.Before(now.Add(3 * time.Second)); at = at.Add(5 * time.Millisecond) {
--- a/quota/sharing_test.go
+++ b/quota/sharing_test.go
@@ -220,7 +220,7 @@
 				allowed := excess*limit*span.Seconds() + slack
 				kinds := map[string]func(int, *rand.Rand, time.Duration) policy{
 					"slots": func(_ int, _ *rand.Rand, ahead time.Duration) policy {
-						return &bySlots{rate: quota.Rate{Key: 99, PerSecond: id.PerSecond(share * limit), Usable: usable}, ahead: ahead}
+						return &bySlots{rate: quota.Rate{Key: 99, PerSecond: id.PerSecond(share * limit), Usable: usable, Burst: true}, ahead: ahead}
 					},
 					"even": func(_ int, r *rand.Rand, _ time.Duration) policy {
 						return &byEvenRate{rate: share * limit, usable: usable, random: r}
