pool: a high limit draws no load to its upstream

Cause: a slot that was about to pass unused took the next request whatever ran there, so that an upstream with a limit above its share got up to the limit: 1,843 of 2,000 requests where ten share them (TestHighLimitDrawsNoLoad, fails before). Such a slot is used only while the upstream has less load than the others on average.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -304,8 +304,8 @@
 }
 
 // selectUpstream chooses one of the eligible upstreams and returns the reason for the
-// log. A slot of a limited upstream that is about to pass takes the next request but long
-// prompts. A request with a shared prefix goes to an upstream of its engine group that the
+// log. A slot of a limited upstream that is about to pass unused takes the next request, unless
+// the upstream is as busy as others or the prompt is long. A request with a shared prefix goes to an upstream of its engine group that the
 // prefix hashes to, unless all of these are too busy. Otherwise, the request goes to the
 // less loaded of two random upstreams. The caller holds the lock.
 func (p *Pool) selectUpstream(now time.Time, eligible []*upstreamState, rq *Request) (*upstreamState, string) {
@@ -323,31 +323,36 @@
 	if len(eligible) == 1 {
 		return eligible[0], "only"
 	}
-	meanLoad := 0.0
-	for _, u := range eligible {
-		meanLoad += u.load() / float64(len(eligible))
-	}
+	mean := meanLoad(eligible)
 	for i, u := range rendezvousCandidates(eligible, prefixHash) {
-		if u.load() <= affinityLoadFactor*meanLoad+affinitySlackTokens && !p.saturated(u) {
+		if u.load() <= affinityLoadFactor*mean+affinitySlackTokens && !p.saturated(u) {
 			return u, affinityReasons[i]
 		}
 	}
 	return leastLoaded(p.randomPair(eligible)), "over_bound"
 }
 
-// passingSlot returns a limited upstream with a slot that is about to pass unused, or nil. Without
-// it, gateways that few requests reach would leave most of a limit unused and hear of its end late. The
-// caller holds the lock.
+// passingSlot returns a limited upstream with a slot that is about to pass unused and less load than
+// the others have on average, or nil. Without it, gateways that few requests reach would leave most of a
+// limit unused and hear of its end late. The caller holds the lock.
 func (p *Pool) passingSlot(now time.Time, eligible []*upstreamState, rq *Request) *upstreamState {
 	for _, u := range eligible {
 		l := u.namedLimit()
-		if l != nil && now.Sub(l.slots.Next(now, l.rate(), p.fleet)) >= limitSlotUsable/2 && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)) {
+		if l != nil && now.Sub(l.slots.Next(now, l.rate(), p.fleet)) >= limitSlotUsable/2 && u.load() < meanLoad(eligible) && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)) {
 			return u
 		}
 	}
 	return nil
 }
 
+// meanLoad returns the mean load of upstreams.
+func meanLoad(upstreams []*upstreamState) (mean float64) {
+	for _, u := range upstreams {
+		mean += u.load() / float64(len(upstreams))
+	}
+	return mean
+}
+
 // saturated reports whether the slots of an upstream are estimated to be taken. It is
 // false if the utilisation cannot be estimated. The caller holds the lock.
 func (p *Pool) saturated(u *upstreamState) bool {
--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -251,3 +251,21 @@
 		require.Equal(t, 2000, takes(p, "i-0", 20), fmt.Sprint(limit))
 	}
 }
+
+// TestHighLimitDrawsNoLoad guards against an upstream in need that gets more requests than others, since
+// its limit allows more than its share.
+func TestHighLimitDrawsNoLoad(t *testing.T) {
+	p, l := newPool(10), listing(0)
+	p.HearLimit(after(10), &l, true, 100, now)
+	var running []*pool.Assignment
+	count := map[id.Upstream]int{}
+	for ms := 20; ms < 20_000; ms += 10 { // 100 requests a second, which run for half a second
+		a := choose(t, p, after(ms), pool.Request{})
+		count[a.Upstream.ID]++
+		if running = append(running, a); len(running) > 50 {
+			running[0].End()
+			running = running[1:]
+		}
+	}
+	require.InDelta(t, 200, count["i-0"], 60)
+}
