gateway, emulator: the slack of retries is divided by package quota

A peer that falls silent without a word keeps its part for 6 s (peer.Table.Members), where its part went to the others after 1.5 s: a gateway that is cut off for less, or frozen, no longer takes the whole slack for its own.

--- a/emulator/day.go
+++ b/emulator/day.go
@@ -12,6 +12,7 @@
 	"github.com/ragwortpass/ragwortpass/gateway"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/quota"
 )
 
 // model is the only model of a site, and siteWorkspace the only workspace.
@@ -245,9 +246,18 @@
 	})
 }
 
-// retryBudget returns the retry budget of a gateway.
-func (d *day) retryBudget() *gateway.RetryBudgets {
+// retryBudget returns the retry budget of a gateway of a fleet.
+func (d *day) retryBudget(fleet quota.Fleet) *gateway.RetryBudgets {
 	b := gateway.NewRetryBudgets(gateway.RetryBudgetConfig{Ratio: d.site.RetryRatio, Slack: d.site.RetrySlack, Window: d.site.RetryWindow.Duration})
-	b.SetGatewayCount(d.site.Gateways)
+	b.SetFleet(fleet)
 	return b
 }
+
+// fleet returns a gateway's view of all gateways, which is complete.
+func (d *day) fleet(n int) quota.Fleet {
+	nodes := make([]id.Node, d.site.Gateways)
+	for i := range nodes {
+		nodes[i] = gatewayNode(i)
+	}
+	return quota.NewFleet(gatewayNode(n), nodes, d.start, d.start)
+}
--- a/emulator/gateway.go
+++ b/emulator/gateway.go
@@ -37,9 +37,12 @@
 	runs        []*run // attempts, ended ones included until the next hold
 }
 
+// gatewayNode returns the node of a gateway.
+func gatewayNode(n int) id.Node { return id.Node(fmt.Sprintf("gateway-%03d", n)) }
+
 // newGateway returns a gateway that takes part in exchanges.
 func (f *Fleet) newGateway(n int) *member {
-	g := &member{fleet: f, name: id.Node(fmt.Sprintf("gateway-%03d", n)), pool: pool.New(f.latest)}
+	g := &member{fleet: f, name: gatewayNode(n), pool: pool.New(f.latest)}
 	g.start()
 	f.clock.After(f.between(0, roundInterval), func() { f.clock.Every(roundInterval, g.exchange) })
 	f.clock.After(f.between(0, keepInterval), func() { f.clock.Every(keepInterval, g.keepHolds) })
--- a/emulator/relay.go
+++ b/emulator/relay.go
@@ -28,8 +28,10 @@
 
 // newRelay returns a gateway that knows of no engines.
 func (d *day) newRelay(n int) *relay {
-	r := &relay{day: d, pool: pool.New(d.latest), budgets: d.retryBudget()}
-	r.pool.SetGatewayCount(d.site.Gateways)
+	fleet := d.fleet(n)
+	r := &relay{day: d, pool: pool.New(d.latest), budgets: d.retryBudget(fleet)}
+	r.pool.SetGatewayCount(fleet.Len())
+	r.pool.SetFleet(fleet)
 	r.pool.UseRandom(rand.New(rand.NewPCG(d.rand.Uint64(), uint64(n))))
 	return r
 }
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -236,10 +236,10 @@
 		limits  time.Time
 	}
 	return func(now time.Time) (row *peer.Row, urgent bool) {
-		live := len(p.table.Live(now))
-		p.pool.SetGatewayCount(live)
-		p.pool.SetFleet(quota.NewFleet(p.settings.Node, p.table.Members(now), now, fleetTime()))
-		p.retryBudgets.SetGatewayCount(live)
+		fleet := quota.NewFleet(p.settings.Node, p.table.Members(now), now, fleetTime())
+		p.pool.SetGatewayCount(len(p.table.Live(now)))
+		p.pool.SetFleet(fleet)
+		p.retryBudgets.SetFleet(fleet)
 		row = &peer.Row{
 			Address: p.settings.Listen.Peers, DataCentre: string(p.settings.DataCentre), Leaving: p.gateway.ShuttingDown(),
 			CountedToUnixMs: fleetTime().UnixMilli(),
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/quota"
 )
 
 // RetryBudgetConfig is the retry limit of the whole fleet.
@@ -35,22 +36,22 @@
 // RetryBudgets holds this gateway's retry budget for each service. It is safe for
 // concurrent use.
 type RetryBudgets struct {
-	mu           sync.Mutex
-	cfg          RetryBudgetConfig
-	gatewayCount int // live gateways, which share the slack
-	byService    map[id.Service]*serviceBudget
+	mu        sync.Mutex
+	cfg       RetryBudgetConfig
+	fleet     quota.Fleet // shares the slack
+	byService map[id.Service]*serviceBudget
 }
 
 // NewRetryBudgets returns budgets without any requests or retries.
 func NewRetryBudgets(cfg RetryBudgetConfig) *RetryBudgets {
-	return &RetryBudgets{cfg: cfg, gatewayCount: 1, byService: make(map[id.Service]*serviceBudget)}
+	return &RetryBudgets{cfg: cfg, byService: make(map[id.Service]*serviceBudget)}
 }
 
-// SetGatewayCount sets how many gateways share the slack.
-func (b *RetryBudgets) SetGatewayCount(n int) {
+// SetFleet sets which gateways share the slack.
+func (b *RetryBudgets) SetFleet(f quota.Fleet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.gatewayCount = max(1, n)
+	b.fleet = f
 }
 
 // Configure changes the retry limit of the fleet.
@@ -78,7 +79,7 @@
 		requests += slot.requests
 		retries += slot.retries
 	}
-	allowed := usableFraction * (b.cfg.Ratio*float64(requests) + b.cfg.Slack/float64(b.gatewayCount))
+	allowed := usableFraction * (b.cfg.Ratio*float64(requests) + b.fleet.Part(b.cfg.Slack))
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/gateway/retry_budget_test.go
+++ b/gateway/retry_budget_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/ragwortpass/ragwortpass/gateway"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/quota"
 )
 
 // TestFleetKeepsRetryBudget fails every request of a fleet. In any window, the retries
@@ -17,12 +20,16 @@
 	rapid.Check(t, func(t *rapid.T) {
 		gatewayCount := rapid.IntRange(1, 8).Draw(t, "gateways")
 		var fleet []*gateway.RetryBudgets
-		for range gatewayCount {
+		var nodes []id.Node
+		for i := range gatewayCount {
+			nodes = append(nodes, id.Node(fmt.Sprint("gateway-", i)))
+		}
+		start := time.Unix(1_800_000_000, 0)
+		for _, node := range nodes {
 			b := gateway.NewRetryBudgets(cfg)
-			b.SetGatewayCount(gatewayCount)
+			b.SetFleet(quota.NewFleet(node, nodes, start, start))
 			fleet = append(fleet, b)
 		}
-		start := time.Unix(1_800_000_000, 0)
 		var sent, retried []time.Time
 		for at := start; at.Before(start.Add(30 * time.Second)); at = at.Add(50 * time.Millisecond) {
 			for n := rapid.IntRange(0, 12).Draw(t, "requests"); n > 0; n-- {
--- a/peer/table_test.go
+++ b/peer/table_test.go
@@ -161,3 +161,49 @@
 	_, grouped := fleet(large...).Reader(now.Add(2*time.Second), "th-a")
 	require.False(t, grouped, "gateways that are not heard of do not count")
 }
+
+// TestSilentPeersKeepTheirParts guards against a gateway that takes the parts of its peers for its own when
+// it is cut off from them, or goes on after it was frozen.
+func TestSilentPeersKeepTheirParts(t *testing.T) {
+	both, alone := []id.Node{"a", "b"}, []id.Node{"a"}
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	publish := func(t *peer.Table, from, to int) {
+		for ms := from; ms <= to; ms += 250 {
+			t.Publish(at(ms), &peer.Row{}, false)
+		}
+	}
+	t.Run("cut off", func(t *testing.T) {
+		a, b := newTable("a", 1), newTable("b", 1)
+		pull(now, a, b)
+		publish(a, 250, 5750)
+		require.Equal(t, both, a.Members(at(5750)))
+		publish(a, 6000, 6500)
+		require.Equal(t, alone, a.Members(at(6500)))
+		b.Publish(at(6600), &peer.Row{}, true)
+		pull(at(6600), a, b)
+		require.Equal(t, both, a.Members(at(6600)))
+	})
+	t.Run("frozen", func(t *testing.T) {
+		a, b := newTable("a", 1), newTable("b", 1)
+		pull(now, a, b)
+		publish(a, 250, 1000)
+		publish(a, 61_000, 62_000)
+		require.Equal(t, both, a.Members(at(62_000)))
+		publish(a, 62_250, 67_500)
+		require.Equal(t, alone, a.Members(at(67_500)))
+	})
+	t.Run("leaving", func(t *testing.T) {
+		a, b := newTable("a", 1), newTable("b", 1)
+		b.Publish(now, &peer.Row{Leaving: true}, true)
+		pull(now, a, b)
+		require.Equal(t, both, a.Members(at(1000)))
+		publish(a, 250, 1750)
+		require.Equal(t, alone, a.Members(at(1750)))
+	})
+	t.Run("restarted", func(t *testing.T) {
+		a, b := newTable("a", 1), newTable("b", 1)
+		pull(now, a, b)
+		pull(now, a, newTable("b", 2))
+		require.Equal(t, both, a.Members(now))
+	})
+}
