gateway: a request is not passed on once its process may end before it

Report of other operators: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end (LOST). It can happen here in two forms, shown by tests that failed before.

Cause: whether a request may outlast the process was asked once its head was there. What a request waits for after that was not asked again: its body (late by any time), a slot of limited or cold upstreams, its next attempt. And a body that stops midway held its request without end.

Change: the question is asked again before each send, by dispatch, whatever came between; a request that is not sent is told so (leaving, 503, not run).

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -4,8 +4,6 @@
 // size, route, key, deadline and body.
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -32,8 +30,6 @@
 	defaultTimeout = time.Minute
 	// leastUrgent is the largest, least urgent value that upstreams accept.
 	leastUrgent = 9
-	// defaultMaxBodyBytes limits a request body if the catalog sets no limit.
-	defaultMaxBodyBytes = 8 << 20
 )
 
 // request is a caller's request with the catalog that applies to it and what the catalog
@@ -86,23 +82,9 @@
 		return req, p
 	}
 	if g.exceedsShutdown(req.deadline) {
-		return req, problem.New(problem.Leaving, problem.NotRun, http.StatusServiceUnavailable,
-			"the process ends before the time set by the %s", req.deadlineSource).WithRetryAfter(shutdownRetryAfter)
-	}
-	limit := req.catalog.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return req, problem.New(problem.BodyTooLarge, problem.NotRun, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
-	case err != nil:
-		return req, problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "read the body: %v", err)
-	}
-	req.body = body
-	return req, nil
+		return req, g.leavingProblem(req)
+	}
+	return req, g.readBody(w, r, req)
 }
 
 // requestTarget returns the target of a request without the scheme and host that a caller may name.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -124,6 +124,13 @@
 		if p != nil {
 			return p
 		}
+		if !f.headSent && f.gateway.exceedsShutdown(f.req.deadline) { // the request may have waited since it was accepted
+			assignment.Unsent()
+			assignment.End()
+			p := f.gateway.leavingProblem(f.req)
+			p.Run = f.runState()
+			return p
+		}
 		f.logAssignment(assignment)
 		result := f.send(ctx, assignment)
 		assignment.End()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,7 @@
 	crashes          *crashDetector
 	pending          *pendingAttempts
 	buffers          *responseBuffers
+	bodies           *bodyReads
 	shutdownStarted  atomic.Int64 // Unix nanoseconds; zero: not shutting down
 	shutdownDeadline atomic.Int64 // when the process ends, in Unix nanoseconds; zero: not known
 	inFlight         atomic.Int64 // requests that are being served
@@ -130,7 +131,7 @@
 
 // New returns a gateway.
 func New(deps Deps) *Gateway {
-	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), pending: newPendingAttempts(), buffers: newResponseBuffers(deps.MemoryMB)}
+	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), pending: newPendingAttempts(), buffers: newResponseBuffers(deps.MemoryMB), bodies: newBodyReads()}
 }
 
 // Handler returns the handler for callers' requests.
@@ -176,9 +177,14 @@
 // each as the last one on its connection.
 func (g *Gateway) BeginShutdown(now time.Time) { g.shutdownStarted.Store(now.UnixNano()) }
 
-// SetShutdownDeadline sets when the process ends. From now on the gateway refuses new
-// requests whose deadline is later; running ones continue.
-func (g *Gateway) SetShutdownDeadline(end time.Time) { g.shutdownDeadline.Store(end.UnixNano()) }
+// SetShutdownDeadline sets when the process ends. From now on the gateway sends no requests to
+// upstreams whose deadline is later, new ones or those that wait; running ones continue.
+func (g *Gateway) SetShutdownDeadline(end time.Time) {
+	g.shutdownDeadline.Store(end.UnixNano())
+	if err := g.bodies.setEnd(end.Add(-bodyShutdownMargin)); err != nil {
+		_ = g.deps.Logger.Log("event", "body_deadline_not_set", "err", err)
+	}
+}
 
 // exceedsShutdown reports whether a request's deadline lies after the end of the process.
 func (g *Gateway) exceedsShutdown(deadline time.Time) bool {
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -43,6 +43,7 @@
 	RouteClosed      Reason = "route_closed" // the route is not open to the workspace
 	BadRequest       Reason = "bad_request"
 	BodyTooLarge     Reason = "body_too_large"
+	BodyLate         Reason = "body_late" // the body was not complete by the deadline
 	HeaderTooLarge   Reason = "header_too_large"
 	ModelUnknown     Reason = "model_unknown"
 	WorkspaceLimit   Reason = "workspace_limit"
