ragworttest: late bodies at each tenth of a relay's grace

Real process, connections open before SIGTERM, requests that may run once, bodies that are complete 0 to 1 s after the head.

--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -36,6 +36,7 @@
 	storeAddress string
 	seeds        []string
 	nodes        []*relayNode
+	runTime      atomic.Int64 // of a request at an upstream, in nanoseconds
 
 	mu          sync.Mutex
 	runs        map[id.Request]int // runs of all requests
@@ -98,6 +99,7 @@
 			f.bookingRuns[rq]++
 		}
 		f.mu.Unlock()
+		time.Sleep(time.Duration(f.runTime.Load()))
 		standin.SignResponse(w.Header(), rq)
 		_, _ = io.WriteString(w, "answer to "+string(rq))
 	}))
@@ -117,10 +119,12 @@
 			MaxAttempts: attempts, Services: []catalog.WeightedService{{Service: "desk", Weight: 1}},
 		}
 	}
+	long := route("long", catalog.KindOnce, 1)
+	long.Timeout = 5 * time.Second
 	c := &catalog.Catalog{
 		Version: f.version, RequireKeys: true, Limits: catalog.Limits{BodyBytes: 65536},
 		Routes: []catalog.Route{
-			route("book", catalog.KindOnce, 1), route("reserve", catalog.KindOnce, 2), route("look", catalog.KindSafe, 2), route("stream", catalog.KindStream, 1), route("resume", catalog.KindResumable, 2),
+			route("book", catalog.KindOnce, 1), route("reserve", catalog.KindOnce, 2), route("look", catalog.KindSafe, 2), route("stream", catalog.KindStream, 1), route("resume", catalog.KindResumable, 2), long,
 		},
 		Services:   map[id.Service]*catalog.Service{"desk": {Name: "desk"}},
 		Workspaces: make(map[string]*catalog.Workspace),
