entry: a body that stops midway does not hold its request

TestEndlessBodyHoldsRequest did not compile before, as readBody had no time; the reading had no bound.

--- a/entry/completions.go
+++ b/entry/completions.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -25,7 +26,7 @@
 
 // completions serves chat and text completions.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
-	rq, p := e.readCompletion(time.Now(), r)
+	rq, p := e.readCompletion(time.Now(), w, r)
 	if p == nil {
 		p = e.limit(time.Now(), rq)
 	}
@@ -40,12 +41,12 @@
 }
 
 // readCompletion checks the body and returns the classified request.
-func (e *Entry) readCompletion(now time.Time, r *http.Request) (*request, *problem.Problem) {
+func (e *Entry) readCompletion(now time.Time, w http.ResponseWriter, r *http.Request) (*request, *problem.Problem) {
 	rq, p := e.classify(now, r, e.deps.State.Rules().ModelRoute())
 	if p != nil {
 		return nil, p
 	}
-	body, p := readBody(r)
+	body, p := readBody(w, r, rq)
 	if p != nil {
 		return nil, p
 	}
@@ -82,10 +83,30 @@
 	return problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "%s", detail)
 }
 
-func readBody(r *http.Request) ([]byte, *problem.Problem) {
-	body, err := io.ReadAll(r.Body)
+// maxBodyTime limits the time in which a caller sends its body, if the request has no deadline.
+const maxBodyTime = time.Minute
+
+// readBody reads the body of a request within the request's time.
+func readBody(w http.ResponseWriter, r *http.Request, rq *request) ([]byte, *problem.Problem) {
+	until := rq.deadline
+	if until.IsZero() {
+		until = rq.arrived.Add(maxBodyTime)
+	}
+	controller := http.NewResponseController(w)
+	err := controller.SetReadDeadline(until)
+	var body []byte
+	if err == nil {
+		if body, err = io.ReadAll(r.Body); err == nil {
+			err = controller.SetReadDeadline(time.Time{})
+		}
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, problem.New(problem.BodyLate, problem.NotRun, http.StatusRequestTimeout, "body: not complete within %v", until.Sub(rq.arrived))
 	case errors.As(err, &tooLarge):
 		return nil, problem.New(problem.BodyTooLarge, problem.NotRun, http.StatusRequestEntityTooLarge, "body: more than %d bytes", tooLarge.Limit)
 	case err != nil:
--- a/entry/service.go
+++ b/entry/service.go
@@ -11,7 +11,7 @@
 
 // service serves /services/{route}/{path...}.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
-	rq, p := e.readService(time.Now(), r)
+	rq, p := e.readService(time.Now(), w, r)
 	key := r.Header.Get(IdempotencyHeader)
 	if p == nil && !e.isKnownCall(rq, key) {
 		p = e.limit(time.Now(), rq)
@@ -31,7 +31,7 @@
 }
 
 // readService returns the classified request with its path and body.
-func (e *Entry) readService(now time.Time, r *http.Request) (*request, *problem.Problem) {
+func (e *Entry) readService(now time.Time, w http.ResponseWriter, r *http.Request) (*request, *problem.Problem) {
 	path := "/" + r.PathValue("path")
 	route := e.deps.State.Rules().ServiceRoute(r.PathValue("route"), r.Method, path)
 	rq, p := e.classify(now, r, route)
@@ -43,6 +43,6 @@
 	if r.URL.RawQuery != "" {
 		rq.uri += "?" + r.URL.RawQuery
 	}
-	rq.body, p = readBody(r)
+	rq.body, p = readBody(w, r, rq)
 	return rq, p
 }
