sidecar: an engine's sidecar keeps to the rate that the engine names

The header Ragwort-Rate-Limit names it; the sidecar sees every request to its engine and keeps the limit alone, with the type that the gateways share (quota.Named moves there from package pool). While no slot is near, the reported load says that the engine is full, so that entries choose another.

--- a/gateway/limit.go
+++ b/gateway/limit.go
@@ -10,6 +10,7 @@
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/peer"
 	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/quota"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -22,8 +23,8 @@
 		return
 	}
 	change := f.gateway.deps.Pool.HearLimit(now, u, info.Limited, info.Limit, f.attemptStarted)
-	if change.Changed {
-		f.gateway.logLimit(&change, "own", f.req.info.ID)
+	if change != nil {
+		f.gateway.logLimit(change, "own", f.req.info.ID)
 		f.gateway.deps.TellPeers()
 	}
 }
@@ -41,12 +42,15 @@
 	var reports []pool.LimitReport
 	for _, l := range r.GetLimits() {
 		reports = append(reports, pool.LimitReport{
-			Upstream: id.Upstream(l.GetUpstream()), StartUnixMS: l.GetStartUnixMs(), Limited: l.GetLimited(), Limit: id.PerSecond(l.GetRequestsPerSecond()),
-			SentAt: time.UnixMilli(l.GetSentUnixMs()), HeardAt: time.UnixMilli(l.GetHeardUnixMs()),
+			Upstream: id.Upstream(l.GetUpstream()), StartUnixMS: l.GetStartUnixMs(),
+			Statement: quota.Statement{
+				Limited: l.GetLimited(), Limit: id.PerSecond(l.GetRequestsPerSecond()),
+				SentAt: time.UnixMilli(l.GetSentUnixMs()), HeardAt: time.UnixMilli(l.GetHeardUnixMs()),
+			},
 		})
 	}
 	for _, change := range g.deps.Pool.MergeLimits(now, reports) {
-		g.logLimit(&change, r.GetNode(), "")
+		g.logLimit(change, r.GetNode(), "")
 	}
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -201,7 +201,8 @@
 			slot, rate, paced := p.nextSlot(now, u)
 			if paced {
 				found.rate += rate
-				found.limited = found.limited || u.namedLimit() != nil
+				_, _, limited := u.limitRate()
+				found.limited = found.limited || limited
 			}
 			switch {
 			case paced && now.Before(slot):
@@ -237,8 +238,8 @@
 	if rate, cold := p.coldRate(now, u); cold {
 		add(&u.coldSlots, rate)
 	}
-	if l := u.namedLimit(); l != nil {
-		add(&l.slots, l.rate())
+	if rate, slots, limited := u.limitRate(); limited {
+		add(slots, rate)
 	}
 	return at, perSecond, paced
 }
@@ -257,9 +258,9 @@
 	if rate, cold := p.coldRate(now, a.state); cold {
 		take(&a.state.coldSlots, rate)
 	}
-	if l := a.state.namedLimit(); l != nil {
-		a.Limited, a.Part = true, id.PerSecond(p.fleet.Part(float64(l.rate().PerSecond)))
-		take(&l.slots, l.rate())
+	if rate, slots, limited := a.state.limitRate(); limited {
+		a.Limited, a.Part = true, id.PerSecond(p.fleet.Part(float64(rate.PerSecond)))
+		take(slots, rate)
 	}
 }
 
@@ -337,8 +338,8 @@
 // limit unused and hear of its end late. The caller holds the lock.
 func (p *Pool) passingSlot(now time.Time, eligible []*upstreamState, rq *Request) *upstreamState {
 	for _, u := range eligible {
-		l := u.namedLimit()
-		if l != nil && now.Sub(l.slots.Next(now, l.rate(), p.fleet)) >= limitSlotUsable/2 && u.load() < meanLoad(eligible) && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)) {
+		rate, slots, limited := u.limitRate()
+		if limited && quota.Passing(now, slots.Next(now, rate, p.fleet)) && u.load() < meanLoad(eligible) && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)) {
 			return u
 		}
 	}
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -81,6 +81,7 @@
 	if s.lifecycle.Apply(upstream.Answered) && wasGone {
 		s.incarnation.Store(uint64(now.UnixNano()))
 		s.limiter.Reset(now)
+		s.rate.forget()
 		s.count("upstream_restarted")
 		_ = s.deps.Logger.Log("event", "upstream_restarted", "upstream", s.cfg.Upstream)
 	}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -75,8 +75,13 @@
 	r = r.WithContext(ctx)
 	x := s.beginExchange(time.Now(), e, req)
 	defer x.end()
+	sentAt := time.Now()
 	rs, err := s.sendUpstream(r, e)
 	if err != nil {
+		var notSent *notSentError
+		if errors.As(err, &notSent) {
+			s.slots.unsent(req)
+		}
 		x.sample.Failed = r.Context().Err() == nil
 		s.refuse(w, e, s.sendProblem(err))
 		return
@@ -88,6 +93,7 @@
 		s.refuse(w, e, problem.New(problem.AnswerCrossed, problem.RunUnknown, http.StatusBadGateway, "upstream %s: a response with status %d is for request %q", s.cfg.Upstream, rs.StatusCode, rid))
 		return
 	}
+	s.hearLimit(time.Now(), sentAt, e.Request, rs.Header)
 	if s.cfg.Service == "" && rs.StatusCode == http.StatusServiceUnavailable {
 		x.sample.Failed = true
 		s.markLost(rs.Status)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -54,6 +54,7 @@
 	cfg            Config
 	deps           Deps
 	limiter        *upstream.Limiter
+	rate           *rateLimit
 	slots          *slotQueue
 	lifecycle      *upstream.Lifecycle
 	requestTracker *key.RequestTracker
@@ -73,7 +74,8 @@
 	s.incarnation.Store(uint64(cfg.Incarnation))
 	s.cancelWithdrawn()
 	s.limiter = upstream.NewLimiter(s.limiterBounds())
-	s.slots = newSlotQueue(s.limiter, cfg.Upstream)
+	s.rate = new(rateLimit)
+	s.slots = newSlotQueue(s.limiter, s.rate, cfg.Upstream)
 	s.orders = &orderService{s: s}
 	return s
 }
@@ -127,6 +129,9 @@
 // load returns the load that the sidecar reports for its upstream.
 func (s *Sidecar) load() wire.Load {
 	limit, running := s.limiter.Limit()
+	if now := time.Now(); s.rate.next(now).After(now) {
+		limit = running // entries must not send a request before the next slot of the rate limit
+	}
 	return wire.Load{
 		Incarnation:  id.Incarnation(s.incarnation.Load()),
 		State:        string(s.state()),
--- a/sidecar/slot_queue.go
+++ b/sidecar/slot_queue.go
@@ -1,7 +1,7 @@
 package sidecar
 
 // This file defines slotQueue, which assigns the limiter's slots to requests, highest tier
-// first. It is short and waits are brief, because requests queue at the entries.
+// first, as far as the rate limit of the upstream allows. It is short and waits are brief, because requests queue at the entries.
 
 import (
 	"cmp"
@@ -14,6 +14,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/quota"
 	"github.com/ragwortpass/ragwortpass/tier"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
@@ -35,6 +36,8 @@
 	outcome chan *problem.Problem // nil: granted
 
 	// Only for holders of a slot.
+	rateSlot  quota.Slot // of the rate limit, if rateUsed
+	rateUsed  bool
 	started   time.Time               // when the slot was granted
 	cancel    context.CancelCauseFunc // cancels the request's context; nil until makePreemptible
 	resumable bool                    // a stream that another upstream can resume
@@ -50,15 +53,17 @@
 // slotQueue holds the requests that wait for or hold a slot of one upstream.
 type slotQueue struct {
 	limiter  *upstream.Limiter
+	rate     *rateLimit
 	upstream id.Upstream
 
 	mu      sync.Mutex
 	waiting []*slotRequest // in the order of compareSlotRequests
 	holders map[*slotRequest]struct{}
+	wake    *time.Timer // grants at the next slot of the rate limit; nil: not started
 }
 
-func newSlotQueue(l *upstream.Limiter, u id.Upstream) *slotQueue {
-	return &slotQueue{limiter: l, upstream: u, holders: make(map[*slotRequest]struct{})}
+func newSlotQueue(l *upstream.Limiter, r *rateLimit, u id.Upstream) *slotQueue {
+	return &slotQueue{limiter: l, rate: r, upstream: u, holders: make(map[*slotRequest]struct{})}
 }
 
 // enqueue grants a free slot, queues the request or refuses it. The outcome is sent on the
@@ -92,15 +97,38 @@
 
 // grantLocked grants free slots to the first waiters. The caller must hold the lock.
 func (s *slotQueue) grantLocked(now time.Time) {
-	for len(s.waiting) > 0 && s.limiter.Acquire() {
+	for len(s.waiting) > 0 {
+		if next := s.rate.next(now); next.After(now) {
+			s.wakeAt(now, next)
+			return
+		}
+		if !s.limiter.Acquire() {
+			return
+		}
 		req := s.waiting[0]
 		s.waiting = slices.Delete(s.waiting, 0, 1)
+		req.rateSlot, req.rateUsed = s.rate.take(now)
 		req.started = now
 		s.holders[req] = struct{}{}
 		req.outcome <- nil
 	}
 }
 
+// wakeAt grants free slots at a time. The caller must hold the lock.
+func (s *slotQueue) wakeAt(now, at time.Time) {
+	if s.wake != nil {
+		s.wake.Stop()
+	}
+	s.wake = time.AfterFunc(at.Sub(now), func() { s.grant(time.Now()) })
+}
+
+// unsent gives back the slot of the rate limit of a request of which nothing was sent.
+func (s *slotQueue) unsent(req *slotRequest) {
+	if req.rateUsed {
+		s.rate.giveBack(req.rateSlot)
+	}
+}
+
 // grant grants free slots to the first waiters.
 func (s *slotQueue) grant(now time.Time) {
 	s.mu.Lock()
@@ -174,6 +202,7 @@
 	}
 	now := time.Now()
 	s.limiter.Release(upstream.AnswerSample{Started: now, Ended: now})
+	s.slots.unsent(req)
 	s.slots.release(now, req)
 	return s.slots.busyProblem()
 }
--- a/wire/header.go
+++ b/wire/header.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,9 +33,22 @@
 	HeaderResumable    = HeaderPrefix + "Resumable" // set: another upstream can generate the rest of the response
 	HeaderLoad         = HeaderPrefix + "Load"
 	HeaderUpstream     = HeaderPrefix + "Upstream"
-	HeaderRefused      = HeaderPrefix + "Refused" // set: the sidecar refused the request; the body is its problem document
+	HeaderRateLimit    = HeaderPrefix + "Rate-Limit" // from an upstream to its sidecar: requests a second that it takes
+	HeaderRefused      = HeaderPrefix + "Refused"    // set: the sidecar refused the request; the body is its problem document
 )
 
+// ParseRateLimit parses a number of requests a second, from zero.
+func ParseRateLimit(text string) (id.PerSecond, error) {
+	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil {
+		return 0, err
+	}
+	if !(n >= 0) || math.IsInf(n, 1) { // NaN is not from zero
+		return 0, fmt.Errorf("rate %v: expected a finite number from zero", n)
+	}
+	return id.PerSecond(n), nil
+}
+
 // EventPreempted is the type of the last event of a stream that a sidecar preempted in
 // favour of a higher tier. The entry has the rest of the response generated elsewhere.
 const EventPreempted = "ragwort_preempted"
