--- a/soak/check.go
+++ b/soak/check.go
@@ -38,6 +38,7 @@
 	{"drain", checkDrain},
 	{"leaving", checkLeaving},
 	{"asked_wait", checkAskedWait},
+	{"named_limit", checkNamedLimit},
 	{"evacuation", checkEvacuation},
 	{"configuration_in_force", checkConfigInForce},
 	{"configuration_never_back", checkConfigNeverBack},
--- a/soak/history.go
+++ b/soak/history.go
@@ -104,6 +104,8 @@
 	arrivals       []*arrival
 	results        []*result
 	waits          []askedWait
+	limits         []namedLimit
+	visits         []visit // in the order of arrival
 	treated        []treated
 	crashes        []time.Duration // of upstreams under a request
 	changes        []change
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -85,6 +85,11 @@
 		f.start = time.Duration(tb.rng.Int64N(int64(total / 4)))
 		faults = append(faults, f)
 	}
+	if f := (scheduledFault{name: "named_limit", target: tb.rng.IntN(1 << 16), variant: tb.rng.IntN(1 << 16)}); total > 4*tb.bounds.contact {
+		f.start = time.Duration(tb.rng.Int64N(int64(total / 8)))
+		f.duration = total - f.start
+		faults = append(faults, f)
+	}
 	return faults
 }
 
@@ -141,6 +146,8 @@
 		tb.evacuate(f)
 	case "crashing_prompts":
 		tb.sendCrashingPrompts(f)
+	case "named_limit":
+		tb.nameLimits(f)
 	default:
 		tb.injectStoreFault(f, record)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,8 @@
 	_, a = add("leaver", catalog.KindSafe, "key-a", 16, 200, true, [2]int{0, 1})
 	a.upstream, a.leaving = "i-3", true
 	h.waits = []askedWait{{"drained", "i-2", span{seconds(21), seconds(22.5)}}}
+	h.limits = []namedLimit{{"i-3", 1, span{seconds(15), seconds(29)}}}
+	h.visits = []visit{{seconds(16), "leaver", "i-3"}, {seconds(20), "leaver", "i-3"}}
 	add("once", catalog.KindOnce, "key-a", 4.5, 200, true, [2]int{0, 0})
 	add("other", catalog.KindSafe, "key-w", 5, 200, true, [2]int{1, 1})
 	add("withdrawn", catalog.KindSafe, "key-w", 13, 401, false, [2]int{1, 1})
@@ -140,6 +142,11 @@
 			h.arrivalOf("after").upstream = "i-1"
 			h.arrivalOf("after").at = h.resultOf("after").sent
 		}},
+		{"more than the limit", "named_limit", func(h *history) {
+			for range 11 {
+				h.visits = append(h.visits, visit{20500 * time.Millisecond, "leaver", "i-3"})
+			}
+		}},
 		{"sent to a leaving upstream", "leaving", func(h *history) {
 			h.arrivalOf("planned").upstream = "i-3"
 		}},
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -39,8 +39,10 @@
 	mu            sync.Mutex
 	unlisted      bool // its listing was removed
 	draining      bool
-	mode          string        // empty: healthy; or full, asking_wait, failing, cutting
-	leaving       bool          // says in every response that it is leaving
+	mode          string // empty: healthy; or full, asking_wait, failing, cutting
+	leaving       bool   // says in every response that it is leaving
+	limited       bool   // names limit in every response
+	limit         id.PerSecond
 	lastDisturbed time.Duration // last fault of it or of its link; zero: never
 	repeats       bool          // repeats refusals on some connections
 	repeaters     []net.Conn    // on which it has done so
@@ -98,9 +100,15 @@
 		return
 	}
 	u.mu.Lock()
-	mode, leaving := u.mode, u.leaving
+	mode, leaving, limited, limit := u.mode, u.leaving, u.limited, u.limit
 	u.mu.Unlock()
 	replicaRequest := standin.ParseReplicaRequest(r.Header)
+	if limited && replicaRequest.ExpectedReplica == u.name {
+		standin.NameLimit(rw.Header(), limit)
+		u.testbed.add(func() {
+			u.testbed.visits = append(u.testbed.visits, visit{u.testbed.now(), replicaRequest.Request, u.name})
+		})
+	}
 	if leaving {
 		standin.MarkLeaving(rw.Header())
 	}
