pool: callers refused by cold upstreams are not told to return in ten seconds

Callers that are refused one after the other were told times one slot apart, up to 10 s, also where the upstreams are cold and will take all requests in 3 s. The times are spread for named limits only, whose end is not known.

--- a/pool/line.go
+++ b/pool/line.go
@@ -59,11 +59,11 @@
 }
 
 // Refuse ends the wait of a request that cannot wait for its turn, and returns when its caller is to
-// return. Callers that are refused one after the other are told different times, as far as
-// maxReturnSpread allows.
+// return. Callers that are refused one after the other because of limits are told different times, as
+// far as maxReturnSpread allows. Upstreams are cold for a few seconds only, after which none need wait.
 func (p *Pool) Refuse(now time.Time, rq *Request, t *Throttled) time.Time {
 	p.Leave(rq)
-	if t.Interval == 0 {
+	if !t.Limited {
 		return t.Until
 	}
 	p.mu.Lock()
