--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -124,13 +124,6 @@
 		if p != nil {
 			return p
 		}
-		if !f.headSent && f.gateway.exceedsShutdown(f.req.deadline) { // the request may have waited since it was accepted
-			assignment.Unsent()
-			assignment.End()
-			p := f.gateway.leavingProblem(f.req)
-			p.Run = f.runState()
-			return p
-		}
 		f.logAssignment(assignment)
 		result := f.send(ctx, assignment)
 		assignment.End()
@@ -241,6 +234,13 @@
 		now := time.Now()
 		switch choice := f.gateway.deps.Pool.Choose(now, query).(type) {
 		case *pool.Assignment:
+			if !f.headSent && f.gateway.exceedsShutdown(f.req.deadline) { // the request may have waited since it was accepted
+				choice.Unsent()
+				choice.End()
+				p := f.gateway.leavingProblem(f.req)
+				p.Run = f.runState()
+				return nil, p
+			}
 			f.waited = now.Sub(began)
 			return choice, nil
 		case *pool.NoUpstream:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -146,8 +146,6 @@
 		tb.evacuate(f)
 	case "crashing_prompts":
 		tb.sendCrashingPrompts(f)
-	case "named_limit":
-		tb.nameLimits(f)
 	default:
 		tb.injectStoreFault(f, record)
 	}
@@ -234,9 +232,13 @@
 }
 
 func (tb *testbed) injectUpstreamFault(f scheduledFault) {
-	if f.name == "repeated_refusals" {
+	switch f.name {
+	case "repeated_refusals":
 		tb.repeatRefusals(f)
 		return
+	case "named_limit":
+		tb.nameLimits(f)
+		return
 	}
 	all := tb.listedUpstreams()
 	u := all[f.target%len(all)]
