--- a/gateway/named_limit_test.go
+++ b/gateway/named_limit_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
@@ -145,3 +146,36 @@
 	g.call(http.MethodPost, "/safe/x", "")
 	require.Zero(t, g.pool.LimitedUpstreams())
 }
+
+// TestLimitedSlotsGoToUrgentRequests guards against less urgent requests that take the slots while urgent ones
+// are refused, where every upstream of a service is limited.
+func TestLimitedSlotsGoToUrgentRequests(t *testing.T) {
+	currentCatalog := new(catalog.Latest)
+	c := testCatalog()
+	for i := range c.Routes {
+		if c.Routes[i].Name == "safe1" {
+			c.Routes[i].Priority = 3
+		}
+	}
+	c.Index()
+	currentCatalog.Update(c)
+	f := newFixtureWith(t, currentCatalog)
+	var arrivals ragworttest.Arrivals
+	for range 2 {
+		f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) {
+			arrivals.Add(time.Now())
+			standin.NameLimit(w.Header(), 2)
+		})
+	}
+	var urgent, other map[int]int
+	var calls sync.WaitGroup
+	began := time.Now()
+	calls.Go(func() { urgent = f.callEvery(400*time.Millisecond, 8*time.Second, "/safe/x") }) // less than the slots
+	calls.Go(func() { other = f.callEvery(50*time.Millisecond, 8*time.Second, "/safe1/x") })
+	calls.Wait()
+	require.GreaterOrEqual(t, urgent[http.StatusOK], 16, "urgent: %v, others: %v", urgent, other)
+	require.GreaterOrEqual(t, other[http.StatusOK], 4, "what is left goes to the others")
+	require.GreaterOrEqual(t, other[http.StatusServiceUnavailable], 100)
+	require.LessOrEqual(t, arrivals.Most(began.Add(limitContact), limitSpan), 2*mostAllowed(2))
+	require.NotEmpty(t, f.logged("event refused", "upstream_limited"))
+}
