--- a/standin/completion.go
+++ b/standin/completion.go
@@ -123,6 +123,9 @@
 	}
 	gen.id = "chatcmpl-" + requestID
 	w.Header().Set(wire.HeaderRequestID, requestID)
+	if g.faults.RateLimit != "" {
+		w.Header().Set(wire.HeaderRateLimit, g.faults.RateLimit)
+	}
 	return gen
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -45,6 +45,7 @@
 	EmptyNext         int     `json:"empty_next"` // number of coming answers without tokens
 	WrongIDNext       int     `json:"cross_next"` // number of coming answers with the ID of another request
 	FirstTokenDelayMS int     `json:"late_ms"`    // additional delay of the first token
+	RateLimit         string  `json:"rate_limit"` // requests a second that every answer names as the engine's limit; empty: none
 }
 
 // Engine is a stand-in for a model engine. It is safe for concurrent use.
