--- a/pool/choose.go
+++ b/pool/choose.go
@@ -223,74 +223,6 @@
 	return found
 }
 
-// nextSlot returns when an upstream that is cold or has named a limit accepts the next request of
-// this gateway, and how many a second. Paced is false if it needs no slot. The caller holds the lock.
-func (p *Pool) nextSlot(now time.Time, u *upstreamState) (at time.Time, perSecond float64, paced bool) {
-	add := func(slots *quota.Slots, rate quota.Rate) {
-		if next := slots.Next(now, rate, p.fleet); next.After(at) {
-			at = next
-		}
-		if part := p.fleet.Part(float64(rate.PerSecond)); !paced || part < perSecond {
-			perSecond = part
-		}
-		paced = true
-	}
-	if rate, cold := p.coldRate(now, u); cold {
-		add(&u.coldSlots, rate)
-	}
-	if rate, slots, limited := u.limitRate(); limited {
-		add(slots, rate)
-	}
-	return at, perSecond, paced
-}
-
-// takenSlot is a slot that a request uses.
-type takenSlot struct {
-	of   *quota.Slots
-	slot quota.Slot
-}
-
-// takeSlots uses the slots that an assigned request needs. The caller holds the lock.
-func (p *Pool) takeSlots(now time.Time, a *Assignment) {
-	take := func(slots *quota.Slots, rate quota.Rate) {
-		a.taken = append(a.taken, takenSlot{slots, slots.Take(now, rate, p.fleet)})
-	}
-	if rate, cold := p.coldRate(now, a.state); cold {
-		take(&a.state.coldSlots, rate)
-	}
-	if rate, slots, limited := a.state.limitRate(); limited {
-		a.Limited, a.Part = true, id.PerSecond(p.fleet.Part(float64(rate.PerSecond)))
-		take(slots, rate)
-	}
-}
-
-// waitInLine returns that a request waits, unless it may be assigned now or no upstream will accept it.
-// The caller holds the lock.
-func (p *Pool) waitInLine(now time.Time, rq *Request, found *choices) *Throttled {
-	l := p.lines[rq.Service]
-	if len(found.upstreams) > found.paced || len(found.upstreams) == 0 && found.retryAt.IsZero() {
-		if l != nil {
-			l.leave(rq)
-		}
-		return nil
-	}
-	if found.rate == 0 {
-		return &Throttled{Until: found.retryAt}
-	}
-	l = p.line(rq)
-	behind := l.ahead(rq) - len(found.upstreams)
-	if behind < 0 {
-		l.leave(rq)
-		return nil
-	}
-	interval := time.Duration(min(float64(time.Second)/found.rate, float64(maxSlotInterval)))
-	until := found.retryAt
-	if until.IsZero() {
-		until = now.Add(interval)
-	}
-	return &Throttled{Until: until.Add(interval * time.Duration(behind)), Interval: interval, Limited: found.limited}
-}
-
 // serviceConfig returns the configuration of a service, or nil if it is not known.
 func (p *Pool) serviceConfig(s id.Service) *catalog.Service {
 	if c := p.latest.Load(); c != nil {
@@ -333,19 +265,6 @@
 	return leastLoaded(p.randomPair(eligible)), "over_bound"
 }
 
-// passingSlot returns a limited upstream with a slot that is about to pass unused and less load than
-// the others have on average, or nil. Without it, gateways that few requests reach would leave most of a
-// limit unused and hear of its end late. The caller holds the lock.
-func (p *Pool) passingSlot(now time.Time, eligible []*upstreamState, rq *Request) *upstreamState {
-	for _, u := range eligible {
-		rate, slots, limited := u.limitRate()
-		if limited && quota.Passing(now, slots.Next(now, rate, p.fleet)) && u.load() < meanLoad(eligible) && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)) {
-			return u
-		}
-	}
-	return nil
-}
-
 // meanLoad returns the mean load of upstreams.
 func meanLoad(upstreams []*upstreamState) (mean float64) {
 	for _, u := range upstreams {
@@ -387,7 +306,7 @@
 	}
 	best := make([]scored, 0, affinityCandidates+1)
 	for _, u := range eligible {
-		score := fmix64(xxhash.Sum64String(string(u.ID)) ^ prefixHash)
+		score := quota.Mix(xxhash.Sum64String(string(u.ID)) ^ prefixHash)
 		at := slices.IndexFunc(best, func(b scored) bool { return score > b.score })
 		if at < 0 {
 			at = len(best)
@@ -402,15 +321,6 @@
 	return out
 }
 
-// fmix64 is the finaliser of MurmurHash3, which spreads the bits of a hash.
-func fmix64(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // randomPair returns two different upstreams at random, so that gateways with equal
 // views do not all choose the same one. The caller holds the lock.
 func (p *Pool) randomPair(eligible []*upstreamState) []*upstreamState {
@@ -458,13 +368,3 @@
 	a.finishPrefill()
 	a.state.running--
 }
-
-// Unsent records that nothing of the request was sent: it has used no slot.
-func (a *Assignment) Unsent() {
-	a.pool.mu.Lock()
-	defer a.pool.mu.Unlock()
-	for _, t := range a.taken {
-		t.of.GiveBack(t.slot)
-	}
-	a.taken = nil
-}
--- a/pool/line.go
+++ b/pool/line.go
@@ -97,3 +97,30 @@
 	}
 	return l
 }
+
+// waitInLine returns that a request waits, unless it may be assigned now or no upstream will accept it.
+// The caller holds the lock.
+func (p *Pool) waitInLine(now time.Time, rq *Request, found *choices) *Throttled {
+	l := p.lines[rq.Service]
+	if len(found.upstreams) > found.paced || len(found.upstreams) == 0 && found.retryAt.IsZero() {
+		if l != nil {
+			l.leave(rq)
+		}
+		return nil
+	}
+	if found.rate == 0 {
+		return &Throttled{Until: found.retryAt}
+	}
+	l = p.line(rq)
+	behind := l.ahead(rq) - len(found.upstreams)
+	if behind < 0 {
+		l.leave(rq)
+		return nil
+	}
+	interval := time.Duration(min(float64(time.Second)/found.rate, float64(maxSlotInterval)))
+	until := found.retryAt
+	if until.IsZero() {
+		until = now.Add(interval)
+	}
+	return &Throttled{Until: until.Add(interval * time.Duration(behind)), Interval: interval, Limited: found.limited}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,8 +5,8 @@
 // what this gateway has running on each of them. choose.go defines how an upstream is
 // chosen, split.go the separation of long prompts from short ones, cold.go the rate limit of cold
 // upstreams, remark.go what upstreams say of themselves in responses, limit.go the
-// limits that they name, line.go who waits for these, and contact.go which of them may have gone
-// without a word.
+// limits that they name, slot.go and line.go how requests use the slots of both and wait for them,
+// and contact.go which upstreams may have gone without a word.
 package pool
 
 import (
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -83,18 +83,18 @@
 // owns reports whether a slot of a rate belongs to this gateway: of all gateways, it has the highest
 // hash with the slot. If a gateway joins or leaves, no other slots than its own change their owner.
 func (f *Fleet) owns(rate uint64, slot int64) bool {
-	seed := mix(rate + uint64(slot))
-	own := mix(f.self ^ seed)
+	seed := Mix(rate + uint64(slot))
+	own := Mix(f.self ^ seed)
 	for _, other := range f.others {
-		if mix(other^seed) > own {
+		if Mix(other^seed) > own {
 			return false
 		}
 	}
 	return true
 }
 
-// mix is the finaliser of MurmurHash3, which spreads the bits of a hash.
-func mix(x uint64) uint64 {
+// Mix is the finaliser of MurmurHash3, which spreads the bits of a hash.
+func Mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
