gateway: only requests that waited for a slot are logged and counted as such

Every request had a waited field of some microseconds, and raised the counter waited_for_slot. Found on re-reading; the test of two urgencies fails without it.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -216,9 +216,9 @@
 	return time.Since(last).Round(time.Millisecond).String()
 }
 
-// MaxSlotWait returns how long a request may wait for a slot of limited upstreams: until its latency
+// maxSlotWait returns how long a request may wait for a slot of limited upstreams: until its latency
 // objective is missed, as its caller does better elsewhere then, but not for long if its deadline is near.
-func MaxSlotWait(objective, left time.Duration) time.Duration {
+func maxSlotWait(objective, left time.Duration) time.Duration {
 	return max(minSlotWait, min(objective, time.Duration(maxSlotWaitFraction*float64(left))))
 }
 
@@ -229,7 +229,8 @@
 		Service: f.req.service, Prompt: f.req.info.Prompt, Avoid: f.avoid, RunsOnce: !f.req.route.Kind.Retryable(), Urgency: f.req.urgency, ArrivedAt: f.req.arrived,
 	}
 	defer f.gateway.deps.Pool.Leave(query)
-	began := time.Now()
+	began, waits := time.Now(), false
+	f.waited = 0
 	for {
 		now := time.Now()
 		switch choice := f.gateway.deps.Pool.Choose(now, query).(type) {
@@ -241,7 +242,9 @@
 				p.Run = f.runState()
 				return nil, p
 			}
-			f.waited = now.Sub(began)
+			if waits {
+				f.waited = now.Sub(began)
+			}
 			return choice, nil
 		case *pool.NoUpstream:
 			retryAfter := busyRetryAfter
@@ -253,12 +256,13 @@
 		case *pool.Throttled:
 			latestStart := began.Add(minSlotWait)
 			if choice.Limited {
-				latestStart = began.Add(MaxSlotWait(f.req.route.LatencyObjective, f.req.deadline.Sub(began)))
+				latestStart = began.Add(maxSlotWait(f.req.route.LatencyObjective, f.req.deadline.Sub(began)))
 			}
 			if choice.Until.After(latestStart) {
 				return nil, f.throttledProblem(now, query, choice)
 			}
 			f.gateway.deps.Pool.Wait(query)
+			waits = true
 			wake := choice.Until
 			if check := now.Add(slotCheckInterval); check.Before(wake) {
 				wake = check
--- a/gateway/named_limit_test.go
+++ b/gateway/named_limit_test.go
@@ -178,4 +178,6 @@
 	require.GreaterOrEqual(t, other[http.StatusServiceUnavailable], 100)
 	require.LessOrEqual(t, arrivals.Most(began.Add(limitContact), limitSpan), 2*mostAllowed(2))
 	require.NotEmpty(t, f.logged("event refused", "upstream_limited"))
+	require.NotEmpty(t, f.logged("event sent", "waited"))
+	require.Less(t, len(f.logged("event sent", "waited")), len(f.logged("event sent")), "the first had no limit to wait for")
 }
