pool: requests that no engine would begin in time are refused, least urgent first

Cause: above what engines bear, every request was sent at once.

Change: Pool.Choose estimates the prompt tokens ahead of a request at its urgency, and from the waits of late how long they take. If that is over half of the latency objective at each engine of the group, it is refused as upstream_overloaded, with a time to return that is spread by the speed of the engines. Short prompts may use the other group first. A request whose preferred engine would miss the objective gets the one with the least backlog. While over 1 in 20 of the more urgent requests are refused, less urgent ones are too. Assignment.End takes the time. One place decides, without I/O; the emulator runs it.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -116,14 +116,14 @@
 	if !r.ended {
 		r.ended = true
 		r.engine.runs = slices.DeleteFunc(r.engine.runs, func(o *run) bool { return o == r })
-		r.assignment.End()
+		r.assignment.End(r.engine.fleet.clock.Now())
 	}
 }
 
 // cut is called when the gateway notices that the response has ended early.
 func (r *run) cut() {
 	f := r.engine.fleet
-	r.assignment.End()
+	r.assignment.End(f.clock.Now())
 	if r.engine.down && !r.survived {
 		r.request.crashes++
 		now := f.clock.Now()
@@ -185,7 +185,7 @@
 	}
 	e := f.engines[assignment.Upstream.ID]
 	if e.down {
-		assignment.End()
+		assignment.End(now)
 		g.pool.MarkUnreachable(now, e.listing.ID)
 		rq.avoid = append(rq.avoid, e.listing.ID)
 		if rq.unreachable++; rq.unreachable < maxUnreachable {
--- /dev/null
+++ b/emulator/overload_test.go
@@ -0,0 +1,46 @@
+package emulator_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/emulator"
+)
+
+// playLoad plays a site of five gateways and nine engines with a multiple of its load.
+func playLoad(t *testing.T, factor float64) *emulator.DayResult {
+	f, err := os.Open("../bench/testdata/quiet.site.json")
+	require.NoError(t, err)
+	defer func() { _ = f.Close() }()
+	s, err := emulator.ReadSite(f)
+	require.NoError(t, err)
+	for i := range s.Kinds {
+		s.Kinds[i].PerSecond *= factor
+	}
+	s.Warmup, s.Length = seconds(8), seconds(12)
+	return emulator.Play(s, 1)
+}
+
+// TestGoodputFallsAboveCapacity guards against engines that work for answers that nobody gets, the more of
+// them the more is asked, and against urgent requests that get nothing.
+func TestGoodputFallsAboveCapacity(t *testing.T) {
+	t.Parallel()
+	goodput := func(r *emulator.DayResult, factor float64) float64 { return r.Worth() * factor }
+	atCapacity := goodput(playLoad(t, 1.5), 1.5)
+	for _, factor := range []float64{2, 3, 8} {
+		t.Run(fmt.Sprint(factor), func(t *testing.T) {
+			t.Parallel()
+			r := playLoad(t, factor)
+			require.Greater(t, goodput(r, factor), 0.95*atCapacity)
+			require.Less(t, r.Wasted(), 0.1)
+			for _, k := range r.Kinds {
+				if k.Name == "question" { // the most urgent
+					require.Less(t, k.Share(emulator.Refused)+k.Share(emulator.Failed), 1.0/12)
+				}
+			}
+		})
+	}
+}
--- a/emulator/relay.go
+++ b/emulator/relay.go
@@ -77,7 +77,7 @@
 	now := d.clock.Now()
 	query := x.waiting
 	if query == nil {
-		query = &pool.Request{Service: service, Prompt: x.call.prompt, Avoid: x.avoid, RunsOnce: true, Urgency: d.urgency[x.call.kind], ArrivedAt: x.call.latest}
+		query = &pool.Request{Service: service, Prompt: x.call.prompt, Avoid: x.avoid, RunsOnce: true, Urgency: d.urgency[x.call.kind], ArrivedAt: x.call.latest, MaxWait: x.maxWait(now)}
 	}
 	switch choice := x.relay.pool.Choose(now, query).(type) {
 	case *pool.Assignment:
@@ -90,6 +90,9 @@
 		}
 		x.waiting = nil
 		x.refuse(wait)
+	case *pool.Overloaded:
+		x.waiting = nil
+		x.refuse(choice.RetryAt.Sub(now))
 	case *pool.Throttled:
 		if choice.Until.After(x.latestStart) {
 			x.refuse(x.relay.pool.Refuse(now, query, choice).Sub(now))
@@ -101,6 +104,11 @@
 	}
 }
 
+// maxWait returns how long the request may wait for an engine to read other prompts.
+func (x *dispatch) maxWait(now time.Time) time.Duration {
+	return gateway.MaxEngineWait(x.call.details().Objective.Duration, x.call.latest.Add(x.call.details().Deadline.Duration).Sub(now))
+}
+
 // send sends the request to an engine.
 func (x *dispatch) send(assignment *pool.Assignment) {
 	d, c := x.relay.day, x.call
@@ -139,7 +147,7 @@
 		return false
 	}
 	a.ended = true
-	a.assignment.End()
+	a.assignment.End(a.dispatch.relay.day.clock.Now())
 	return true
 }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// maxEngineWaitFraction is the part of its latency objective for which a request may wait for an
+	// engine to read other prompts. The rest is for its own prompt, and for what is not foreseen.
+	maxEngineWaitFraction = 0.5
 	// busyRetryAfter is the Retry-After if all upstreams were full or unreachable. In
 	// about this time some requests of an engine's batch finish.
 	busyRetryAfter = 300 * time.Millisecond
@@ -126,7 +129,7 @@
 		}
 		f.logAssignment(assignment)
 		result := f.send(ctx, assignment)
-		assignment.End()
+		assignment.End(time.Now())
 		f.mayHaveRun = f.mayHaveRun || result.mayHaveRun()
 		var failed *problem.Problem
 		switch result := result.(type) {
@@ -180,6 +183,9 @@
 	if assignment.Limited {
 		fields = append(fields, "part", assignment.Part)
 	}
+	if assignment.Expected > 0 {
+		fields = append(fields, "expected", assignment.Expected.Round(time.Millisecond))
+	}
 	if f.waited > 0 {
 		f.gateway.incrementCounter("waited_for_slot")
 		fields = append(fields, "waited", f.waited.Round(time.Millisecond))
@@ -226,7 +232,7 @@
 // limits of the upstreams, or a wait that they have asked for, require it.
 func (f *forwarding) chooseUpstream(ctx context.Context) (*pool.Assignment, *problem.Problem) {
 	query := &pool.Request{
-		Service: f.req.service, Prompt: f.req.info.Prompt, Avoid: f.avoid, RunsOnce: !f.req.route.Kind.Retryable(), Urgency: f.req.urgency, ArrivedAt: f.req.arrived,
+		Service: f.req.service, Prompt: f.req.info.Prompt, Avoid: f.avoid, RunsOnce: !f.req.route.Kind.Retryable(), Urgency: f.req.urgency, ArrivedAt: f.req.arrived, MaxWait: f.maxEngineWait(time.Now()),
 	}
 	defer f.gateway.deps.Pool.Leave(query)
 	began, waits := time.Now(), false
@@ -237,7 +243,7 @@
 		case *pool.Assignment:
 			if !f.headSent && f.gateway.exceedsShutdown(f.req.deadline) { // the request may have waited since it was accepted
 				choice.Unsent()
-				choice.End()
+				choice.End(now)
 				p := f.gateway.leavingProblem(f.req)
 				p.Run = f.runState()
 				return nil, p
@@ -253,6 +259,8 @@
 			}
 			return nil, problem.New(problem.NoUpstream, f.runState(), http.StatusServiceUnavailable,
 				"none of %d upstreams of %s takes requests", choice.Known, f.req.service).WithRetryAfter(retryAfter)
+		case *pool.Overloaded:
+			return nil, f.overloadProblem(now, choice)
 		case *pool.Throttled:
 			latestStart := began.Add(minSlotWait)
 			if choice.Limited {
@@ -274,6 +282,31 @@
 	}
 }
 
+// maxEngineWait returns how long the next attempt may wait for an engine to read other prompts, so that
+// the answer can still be in time, or zero if the caller has a part of the answer.
+func (f *forwarding) maxEngineWait(now time.Time) time.Duration {
+	if f.headSent || f.req.route.LatencyObjective == 0 {
+		return 0
+	}
+	return MaxEngineWait(f.req.route.LatencyObjective, f.req.deadline.Sub(now))
+}
+
+// MaxEngineWait returns how long a request with a latency objective may wait for an engine to read other
+// prompts, if some time is left until its deadline.
+func MaxEngineWait(objective, left time.Duration) time.Duration {
+	return time.Duration(maxEngineWaitFraction * float64(min(objective, left)))
+}
+
+// overloadProblem returns the problem of a request that no engine is expected to begin in time.
+func (f *forwarding) overloadProblem(now time.Time, choice *pool.Overloaded) *problem.Problem {
+	why := "the upstreams"
+	if choice.ForMoreUrgent {
+		why = "more urgent requests are refused, and the upstreams"
+	}
+	return problem.New(problem.UpstreamOverloaded, f.runState(), http.StatusServiceUnavailable,
+		"%s of %s would begin the answer after %v", why, f.req.service, choice.Wait.Round(time.Millisecond)).WithRetryAfter(choice.RetryAt.Sub(now))
+}
+
 // throttledProblem returns the problem of a request that cannot wait for a slot of the upstreams.
 func (f *forwarding) throttledProblem(now time.Time, query *pool.Request, choice *pool.Throttled) *problem.Problem {
 	retryAfter := f.gateway.deps.Pool.Refuse(now, query, choice).Sub(now)
--- a/gateway/sinks_test.go
+++ b/gateway/sinks_test.go
@@ -87,7 +87,7 @@
 			sink := newListingSink(textDecoder{}, p, log.NewNopLogger(), metrics.NewRegistry())
 			used := func(now time.Time) (out []id.Upstream) {
 				if a, ok := p.Choose(now, &pool.Request{Service: "desk"}).(*pool.Assignment); ok {
-					a.End()
+					a.End(time.Now())
 					out = append(out, a.Upstream.ID)
 				}
 				return out
--- /dev/null
+++ b/pool/backlog.go
@@ -0,0 +1,240 @@
+package pool
+
+// This file defines admission: how long requests are expected to wait for engines that have prompts to read,
+// and which requests are refused because the wait would be too long, or because more urgent ones are
+// refused. It answers a load that is above what the engines of a service bear
+// (docs/design/overload.md).
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+const (
+	// urgencyLevels is how many urgencies there are; the first is the most urgent.
+	urgencyLevels = 10
+	// backlogPriorTokens is the backlog of one gateway at an engine above which its own requests tell
+	// more of the engine's backlog than those of all gateways tell of the average.
+	backlogPriorTokens = 20_000
+	// readPriorTokens is the recorded work that weighs as much as the speed that is assumed of an
+	// engine.
+	readPriorTokens = 1_000_000
+	// readTimeConstant and admissionTimeConstant are the time constants of the exponential decay of
+	// recorded waits, and of the counts of requests that were admitted and refused.
+	readTimeConstant      = 5 * time.Second
+	admissionTimeConstant = time.Second
+	// maxUrgentRefused is the refused share of requests from which less urgent ones are
+	// refused in their place, and minUrgentRefused the fewest refused requests that count.
+	maxUrgentRefused = 0.05
+	minUrgentRefused = 0.5
+	// moveWaitFactor is how many times the longest wait for which it is admitted a request
+	// may wait at the engine that it prefers. Elsewhere its prompt would have to be read anew.
+	moveWaitFactor = 2
+	// minReturnWait is the shortest time until a refused caller is to return.
+	minReturnWait = 100 * time.Millisecond
+)
+
+// Overloaded means that no upstream is expected to begin with the request in time.
+type Overloaded struct {
+	Wait time.Duration // that is expected
+	// ForMoreUrgent means that more urgent requests are refused, although the wait would be short
+	// enough.
+	ForMoreUrgent bool
+	RetryAt       time.Time // when the caller is to return
+}
+
+func (*Overloaded) decision() {}
+
+// backlog is how many tokens of prompts an upstream has not read yet, by urgency level.
+type backlog [urgencyLevels]id.Tokens
+
+// urgencyLevel returns the level of an urgency.
+func urgencyLevel(urgency int) int { return min(max(urgency, 0), urgencyLevels-1) }
+
+// before returns the tokens that are read before a new request of a level: those of requests that are as
+// urgent or more.
+func (b *backlog) before(level int) (tokens id.Tokens) {
+	for _, n := range b[:level+1] {
+		tokens += n
+	}
+	return tokens
+}
+
+// decayingSum is a sum whose values lose weight exponentially with time.
+type decayingSum struct {
+	sum float64
+	at  time.Time // up to which it has decayed
+}
+
+// value returns the sum at a time.
+func (d *decayingSum) value(now time.Time, constant time.Duration) float64 {
+	if elapsed := now.Sub(d.at); elapsed > 0 {
+		return d.sum * math.Exp(-elapsed.Seconds()/constant.Seconds())
+	}
+	return d.sum
+}
+
+// add adds a value.
+func (d *decayingSum) add(now time.Time, constant time.Duration, value float64) {
+	d.sum, d.at = d.value(now, constant)+value, now
+}
+
+// admission is what is known of the recent requests of a service with one urgency level.
+type admission struct {
+	waited, tokens decayingSum // for the answer to begin, in seconds, and the tokens before it
+	asked, refused decayingSum // requests; those asked include the refused ones
+	lastReturn     time.Time   // when the last caller that was refused was told to return
+}
+
+// wait returns how long a request is expected to wait for some tokens to be read.
+func (a *admission) wait(now time.Time, tokens float64) time.Duration {
+	waited := a.waited.value(now, readTimeConstant) + readPriorTokens/prefillTokensPerSecond
+	perToken := waited / (a.tokens.value(now, readTimeConstant) + readPriorTokens)
+	return time.Duration(perToken * tokens * float64(time.Second))
+}
+
+// count records that a request was admitted or refused.
+func (a *admission) count(now time.Time, refused bool) {
+	a.asked.add(now, admissionTimeConstant, 1)
+	if refused {
+		a.refused.add(now, admissionTimeConstant, 1)
+	}
+}
+
+// refusals returns how many requests were refused of late, and their share.
+func (a *admission) refusals(now time.Time) (refused, share float64) {
+	refused = a.refused.value(now, admissionTimeConstant)
+	if refused == 0 {
+		return 0, 0
+	}
+	return refused, refused / a.asked.value(now, admissionTimeConstant)
+}
+
+// admissionsOf returns the state of a service, by urgency level. The caller holds the lock.
+func (p *Pool) admissionsOf(s id.Service) *[urgencyLevels]admission {
+	a := p.admissions[s]
+	if a == nil {
+		a = new([urgencyLevels]admission)
+		p.admissions[s] = a
+	}
+	return a
+}
+
+// yields reports whether a request of a level is refused because more urgent ones are.
+func yields(now time.Time, levels *[urgencyLevels]admission, level int) bool {
+	for l := range level {
+		refused, share := levels[l].refusals(now)
+		if share > maxUrgentRefused && refused > minUrgentRefused {
+			return true
+		}
+	}
+	return false
+}
+
+// fleetBacklog estimates how many tokens an upstream reads for all gateways before a new request of a
+// level. Where each gateway has many requests at each engine, the own ones tell how many the others have
+// there; where it has few, only the average over the engines is known. The caller holds the lock.
+func (p *Pool) fleetBacklog(u *upstreamState, among []*upstreamState, level int) float64 {
+	mean := 0.0
+	for _, other := range among {
+		mean += float64(other.backlog.before(level)) / float64(len(among))
+	}
+	own := float64(u.backlog.before(level))
+	return float64(p.gatewayCount) * mean * (backlogPriorTokens + own) / (backlogPriorTokens + mean)
+}
+
+// candidate is an upstream that may get a request, and the tokens that it reads before that.
+type candidate struct {
+	upstream *upstreamState
+	ahead    float64
+}
+
+// leastBacklog returns the upstream with the fewest tokens before a request of a level. The caller holds
+// the lock.
+func (p *Pool) leastBacklog(among []*upstreamState, level int) candidate {
+	u := slices.MinFunc(among, func(a, b *upstreamState) int {
+		return int(a.backlog.before(level) - b.backlog.before(level))
+	})
+	return candidate{u, p.fleetBacklog(u, among, level)}
+}
+
+// preferred returns the better of an upstream and those that the prompt's prefix prefers. The caller holds
+// the lock.
+func (p *Pool) preferred(chosen candidate, among []*upstreamState, rq *Request, level int) candidate {
+	hash := sharedPrefixHash(&rq.Prompt)
+	if hash == 0 {
+		return chosen
+	}
+	for _, u := range rendezvousCandidates(among, hash) {
+		if ahead := p.fleetBacklog(u, among, level); ahead < chosen.ahead {
+			chosen = candidate{u, ahead}
+		}
+	}
+	return chosen
+}
+
+// admit returns the upstream for a request for which one was chosen among those of its group, and the tokens
+// that it reads before the answer begins, or that the request is refused. Eligible are the upstreams of all
+// groups. The caller holds the lock.
+func (p *Pool) admit(now time.Time, chosen *upstreamState, group, eligible []*upstreamState, rq *Request) (candidate, *Overloaded) {
+	level := urgencyLevel(rq.Urgency)
+	levels := p.admissionsOf(rq.Service)
+	own := &levels[level]
+	best := candidate{chosen, p.fleetBacklog(chosen, group, level)}
+	engines := len(group)
+	if rq.MaxWait > 0 && own.wait(now, best.ahead) > rq.MaxWait {
+		best = p.preferred(best, group, rq, level)
+		least := p.leastBacklog(group, level)
+		groupFull := own.wait(now, least.ahead) > rq.MaxWait
+		if groupFull && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)) {
+			least, engines = p.leastBacklog(eligible, level), len(eligible)
+		}
+		if own.wait(now, least.ahead) > rq.MaxWait {
+			return candidate{}, p.refuse(now, own, &Overloaded{Wait: own.wait(now, least.ahead)}, rq, engines)
+		}
+		if groupFull || own.wait(now, best.ahead) > moveWaitFactor*rq.MaxWait {
+			best = least
+		}
+	}
+	if rq.MaxWait > 0 && yields(now, levels, level) {
+		return candidate{}, p.refuse(now, own, &Overloaded{Wait: own.wait(now, best.ahead), ForMoreUrgent: true}, rq, engines)
+	}
+	own.count(now, false)
+	best.ahead += float64(rq.Prompt.Length)
+	return best, nil
+}
+
+// refuse counts a refusal and sets when the caller is to return: when the wait is expected to be short
+// enough, and later than those that were refused before by the time that the engines need for the request.
+// The caller holds the lock.
+func (p *Pool) refuse(now time.Time, a *admission, o *Overloaded, rq *Request, engines int) *Overloaded {
+	a.count(now, true)
+	o.RetryAt = now.Add(max(o.Wait-rq.MaxWait, minReturnWait))
+	interval := time.Duration(float64(a.wait(now, float64(rq.Prompt.Length))) * float64(p.gatewayCount) / float64(engines))
+	if next := a.lastReturn.Add(interval); next.After(o.RetryAt) {
+		o.RetryAt = next
+	}
+	if latest := now.Add(maxReturnSpread); o.RetryAt.After(latest) {
+		o.RetryAt = latest.Add(-time.Duration(p.rand.Float64() * float64(maxReturnSpread/2)))
+		return o
+	}
+	a.lastReturn = o.RetryAt
+	return o
+}
+
+// recordWait records how long the request has waited until its prompt was read, or until it was given
+// up, which tells only that the wait would have been longer. The caller holds the lock.
+func (a *Assignment) recordWait(now time.Time, read bool) {
+	if a.ahead == 0 {
+		return
+	}
+	own := &a.pool.admissionsOf(a.Upstream.Service)[a.level]
+	waited := now.Sub(a.sentAt)
+	if read || waited > own.wait(now, a.ahead) {
+		own.waited.add(now, readTimeConstant, waited.Seconds())
+		own.tokens.add(now, readTimeConstant, a.ahead)
+	}
+}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -47,9 +47,12 @@
 	// RunsOnce means that the request is lost if the upstream is no longer there: nobody can
 	// know that it has not run.
 	RunsOnce bool
+	// MaxWait is how long the request may be expected to wait for an engine to read its prompt; zero: without
+	// limit.
+	MaxWait time.Duration
 }
 
-// Decision is the result of Pool.Choose: *Assignment, *Throttled or *NoUpstream.
+// Decision is the result of Pool.Choose: *Assignment, *Throttled, *Overloaded or *NoUpstream.
 type Decision interface{ decision() }
 
 // Assignment is a request that counts towards the load of the chosen upstream until End
@@ -65,6 +68,9 @@
 	// Limited means that the upstream has named a limit, of which Part is this gateway's part.
 	Limited bool
 	Part    id.PerSecond
+	// Expected is how long the upstream is expected to take until it has read the prompt; zero: there is
+	// none.
+	Expected time.Duration
 
 	taken []takenSlot
 
@@ -72,6 +78,9 @@
 	state        *upstreamState
 	promptTokens id.Tokens
 	prefillDone  bool
+	level        int       // of its urgency
+	sentAt       time.Time // to the upstream
+	ahead        float64   // tokens that the upstream was expected to read before the answer; zero: not known
 }
 
 // Throttled means that every remaining upstream is cold and has reached its rate limit, has named a
@@ -135,18 +144,33 @@
 	if len(eligible) == 0 {
 		return &NoUpstream{Known: len(p.byService[rq.Service]), RetryAt: p.earliestWait(now, rq.Service)}
 	}
-	u, reason := p.selectUpstream(now, eligible, rq)
-	a := &Assignment{Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u, promptTokens: rq.Prompt.Length}
+	u, group, reason := p.selectUpstream(now, eligible, rq)
+	ahead := 0.0
+	if rq.Prompt.Length > 0 {
+		admitted, refused := p.admit(now, u, group, eligible, rq)
+		if refused != nil {
+			return refused
+		}
+		if admitted.upstream != u {
+			u, reason = admitted.upstream, "least_wait"
+		}
+		ahead = admitted.ahead
+	}
+	a := &Assignment{level: urgencyLevel(rq.Urgency), sentAt: now, ahead: ahead, Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u, promptTokens: rq.Prompt.Length}
 	p.takeSlots(now, a)
 	if p.maySilentlyHaveGone(now, u, rq) {
 		a.NewConnection = true
 		u.startTrial(now)
 	}
+	if ahead > 0 {
+		a.Expected = p.admissionsOf(rq.Service)[a.level].wait(now, ahead)
+	}
 	if u.running == 0 {
 		u.busySince = now
 	}
 	u.running++
 	u.prefillTokens += a.promptTokens
+	u.backlog[a.level] += a.promptTokens
 	return a
 }
 
@@ -236,33 +260,33 @@
 	return float64(u.prefillTokens) + runningLoadTokens*float64(u.running)
 }
 
-// selectUpstream chooses one of the eligible upstreams and returns the reason for the
-// log. A slot of a limited upstream that is about to pass unused takes the next request, unless
+// selectUpstream chooses one of the eligible upstreams and returns the group that the request belongs to, and the
+// reason for the log. A slot of a limited upstream that is about to pass unused takes the next request, unless
 // the upstream is as busy as others or the prompt is long. A request with a shared prefix goes to an upstream of its engine group that the
 // prefix hashes to, unless all of these are too busy. Otherwise, the request goes to the
 // less loaded of two random upstreams. The caller holds the lock.
-func (p *Pool) selectUpstream(now time.Time, eligible []*upstreamState, rq *Request) (*upstreamState, string) {
+func (p *Pool) selectUpstream(now time.Time, eligible []*upstreamState, rq *Request) (u *upstreamState, group []*upstreamState, reason string) {
 	prefixHash := sharedPrefixHash(&rq.Prompt)
 	if len(eligible) == 1 {
-		return eligible[0], "only"
+		return eligible[0], eligible, "only"
 	}
 	if u := p.passingSlot(now, eligible, rq); u != nil {
-		return u, "slot"
+		return u, eligible, "slot"
 	}
 	if prefixHash == 0 {
-		return leastLoaded(p.randomPair(eligible)), "least_of_two"
+		return leastLoaded(p.randomPair(eligible)), eligible, "least_of_two"
 	}
 	eligible = p.engineGroup(now, eligible, rq)
 	if len(eligible) == 1 {
-		return eligible[0], "only"
+		return eligible[0], eligible, "only"
 	}
 	mean := meanLoad(eligible)
 	for i, u := range rendezvousCandidates(eligible, prefixHash) {
 		if u.load() <= affinityLoadFactor*mean+affinitySlackTokens && !p.saturated(u) {
-			return u, affinityReasons[i]
+			return u, eligible, affinityReasons[i]
 		}
 	}
-	return leastLoaded(p.randomPair(eligible)), "over_bound"
+	return leastLoaded(p.randomPair(eligible)), eligible, "over_bound"
 }
 
 // meanLoad returns the mean load of upstreams.
@@ -349,22 +373,24 @@
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
 	a.state.heard(now)
-	a.finishPrefill()
+	a.finishPrefill(now, true)
 }
 
 // finishPrefill subtracts the prompt from the load of the upstream once. The caller
 // holds the lock.
-func (a *Assignment) finishPrefill() {
+func (a *Assignment) finishPrefill(now time.Time, read bool) {
 	if !a.prefillDone {
 		a.prefillDone = true
+		a.recordWait(now, read)
 		a.state.prefillTokens -= a.promptTokens
+		a.state.backlog[a.level] -= a.promptTokens
 	}
 }
 
 // End records that the request no longer runs on the upstream.
-func (a *Assignment) End() {
+func (a *Assignment) End(now time.Time) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	a.finishPrefill()
+	a.finishPrefill(now, false)
 	a.state.running--
 }
--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -31,7 +31,7 @@
 			switch d := p.Choose(now.Add(time.Duration(i+1)*10*time.Second), &pool.Request{Service: modelService}).(type) {
 			case *pool.Assignment:
 				taken++
-				d.End()
+				d.End(now)
 			case *pool.Throttled:
 				require.True(t, d.Until.After(now), tc.rate)
 			}
--- a/pool/contact_test.go
+++ b/pool/contact_test.go
@@ -42,7 +42,7 @@
 					switch s := streams[i]; {
 					case gone(at, s.assignment.Upstream.ID):
 					case !at.Before(s.end):
-						s.assignment.End()
+						s.assignment.End(now)
 						streams[i] = streams[len(streams)-1]
 						streams = streams[:len(streams)-1]
 						i--
@@ -58,7 +58,7 @@
 				u := a.Upstream.ID
 				switch {
 				case gone(at, u) && a.NewConnection:
-					a.End()
+					a.End(now)
 					p.MarkUnreachable(at, u)
 					continue
 				case gone(at, u) && at.Sub(silentFrom) > permittedGap:
@@ -101,7 +101,7 @@
 	p := newPool(1)
 	a := choose(t, p, now, pool.Request{RunsOnce: true})
 	a.Heard(now)
-	a.End()
+	a.End(now)
 	for _, tc := range []struct {
 		idle          time.Duration
 		once          bool
@@ -113,7 +113,7 @@
 	} {
 		a := choose(t, p, now.Add(tc.idle), pool.Request{RunsOnce: tc.once})
 		require.Equal(t, tc.newConnection, a.NewConnection)
-		a.End()
+		a.End(now)
 	}
 }
 
@@ -161,7 +161,7 @@
 		{"unreachable after a short silence", func(t *testing.T, p *pool.Pool, _ *pool.Assignment) {
 			second := choose(t, p, now.Add(permittedGap*3/4), pool.Request{RunsOnce: true})
 			require.True(t, second.NewConnection)
-			second.End()
+			second.End(now)
 			p.MarkUnreachable(now.Add(permittedGap*3/4), "i-0")
 		}, false},
 	} {
--- a/pool/limit_test.go
+++ b/pool/limit_test.go
@@ -25,7 +25,7 @@
 			if a.Upstream.ID == u {
 				n++
 			}
-			a.End()
+			a.End(now)
 		}
 	}
 	return n
@@ -175,7 +175,7 @@
 			switch d := p.Choose(after(ms), rq).(type) {
 			case *pool.Assignment:
 				order = append(order, i)
-				d.End()
+				d.End(now)
 				waiting[i] = &pool.Request{Service: "none"}
 			case *pool.Throttled:
 				require.True(t, d.Limited)
@@ -222,10 +222,10 @@
 		}
 		require.IsType(t, &pool.Throttled{}, p.Choose(after(ms), &pool.Request{Service: modelService}))
 		a.Unsent()
-		a.End()
+		a.End(now)
 		again, ok := p.Choose(after(ms+150), &pool.Request{Service: modelService}).(*pool.Assignment)
 		require.True(t, ok)
-		again.End()
+		again.End(now)
 		require.IsType(t, &pool.Throttled{}, p.Choose(after(ms+160), &pool.Request{Service: modelService}))
 		return
 	}
@@ -263,7 +263,7 @@
 		a := choose(t, p, after(ms), pool.Request{})
 		count[a.Upstream.ID]++
 		if running = append(running, a); len(running) > 50 {
-			running[0].End()
+			running[0].End(now)
 			running = running[1:]
 		}
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -59,6 +59,7 @@
 	remark           *remark       // nil: it has said nothing
 	running          int           // requests of this gateway that it runs
 	prefillTokens    id.Tokens     // prompt tokens of these requests that it has not processed yet
+	backlog          backlog       // the same by urgency level
 }
 
 // Pool holds the upstreams that a gateway knows. It is safe for concurrent use.
@@ -74,6 +75,7 @@
 	fleet             quota.Fleet
 	lines             map[id.Service]*line
 	splits            map[id.Service]*engineSplit
+	admissions        map[id.Service]*[urgencyLevels]admission
 	remarks           map[incarnation]*remark
 	rand              *rand.Rand
 }
@@ -89,7 +91,7 @@
 	return &Pool{
 		upstreams: make(map[id.Upstream]*upstreamState), byService: make(map[id.Service][]*upstreamState),
 		evacuated: make(map[id.DataCentre]bool), evacuationEndedAt: make(map[id.DataCentre]time.Time),
-		splits: make(map[id.Service]*engineSplit), remarks: make(map[incarnation]*remark), lines: make(map[id.Service]*line), latest: latest, gatewayCount: 1,
+		splits: make(map[id.Service]*engineSplit), admissions: make(map[id.Service]*[urgencyLevels]admission), remarks: make(map[incarnation]*remark), lines: make(map[id.Service]*line), latest: latest, gatewayCount: 1,
 		rand: rand.New(globalSource{}),
 	}
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -72,7 +72,7 @@
 	p := newPool(9)
 	upstreams := map[string]map[id.Upstream]bool{}
 	for range 2000 { // until the split has settled
-		choose(t, p, now, pool.Request{Prompt: prompt("x", 3000, 1000)}).End()
+		choose(t, p, now, pool.Request{Prompt: prompt("x", 3000, 1000)}).End(now)
 	}
 	for round := range 20 {
 		for document := range 50 {
@@ -82,7 +82,7 @@
 				upstreams[name] = map[id.Upstream]bool{}
 			}
 			upstreams[name][assignment.Upstream.ID] = true
-			assignment.End()
+			assignment.End(now)
 		}
 	}
 	for name, used := range upstreams {
@@ -120,7 +120,7 @@
 					size = 20_000
 				}
 				assignment := choose(t, p, now, pool.Request{Prompt: prompt(fmt.Sprint("thing-", i%40), 100, size)})
-				assignment.End()
+				assignment.End(now)
 				if i < warmup {
 					continue
 				}
@@ -151,7 +151,7 @@
 		for i := range 200 {
 			assignment := choose(t, p, at, pool.Request{Prompt: prompt(fmt.Sprint("thing-", i), 100, 600)})
 			seen[assignment.Upstream.ID] = true
-			assignment.End()
+			assignment.End(now)
 		}
 		return len(seen)
 	}
@@ -159,7 +159,7 @@
 	at := now
 	for range 60 * 200 {
 		at = at.Add(5 * time.Millisecond)
-		choose(t, p, at, pool.Request{Prompt: prompt("x", 100, 3000)}).End()
+		choose(t, p, at, pool.Request{Prompt: prompt("x", 100, 3000)}).End(now)
 	}
 	require.Greater(t, countUsed(at), before)
 }
@@ -188,7 +188,7 @@
 					for _, p := range pools {
 						if assignment, ok := p.Choose(at, &pool.Request{Service: modelService, Prompt: prompt("x", 100, 100)}).(*pool.Assignment); ok {
 							sent = append(sent, at)
-							assignment.End()
+							assignment.End(now)
 						}
 					}
 				}
@@ -204,7 +204,7 @@
 				}
 				later := now.Add(3001 * time.Millisecond)
 				for range 100 {
-					choose(t, pools[0], later, pool.Request{Prompt: prompt("x", 100, 100)}).End()
+					choose(t, pools[0], later, pool.Request{Prompt: prompt("x", 100, 100)}).End(now)
 				}
 			})
 		}
@@ -217,7 +217,7 @@
 	isThrottled := func(p *pool.Pool) bool {
 		request := &pool.Request{Service: modelService, Prompt: prompt("x", 100, 100)}
 		if assignment, ok := p.Choose(now, request).(*pool.Assignment); ok {
-			assignment.End()
+			assignment.End(now)
 		}
 		_, throttled := p.Choose(now, request).(*pool.Throttled)
 		return throttled
@@ -252,7 +252,7 @@
 		for range 100 {
 			assignment := choose(t, p, at, pool.Request{})
 			seen[assignment.Upstream.ID] = true
-			assignment.End()
+			assignment.End(now)
 		}
 		return seen
 	}
@@ -268,11 +268,11 @@
 	for range 50 {
 		assignment := choose(t, p, now, pool.Request{})
 		require.Equal(t, id.Upstream("i-1"), assignment.Upstream.ID)
-		assignment.End()
+		assignment.End(now)
 	}
 	assignment := choose(t, p, now, pool.Request{Avoid: []id.Upstream{"i-1"}})
 	require.Equal(t, id.Upstream("i-0"), assignment.Upstream.ID)
-	assignment.End()
+	assignment.End(now)
 }
 
 // TestReusedAddressExcludesUpstream checks that an upstream whose address was taken over
@@ -285,7 +285,7 @@
 	l := listing(0)
 	l.StartUnixMS = 2
 	require.True(t, p.Put(now, l))
-	choose(t, p, now, pool.Request{}).End()
+	choose(t, p, now, pool.Request{}).End(now)
 }
 
 func BenchmarkChoose(b *testing.B) {
@@ -295,7 +295,7 @@
 		requests[i] = pool.Request{Service: modelService, Prompt: prompt(fmt.Sprint("thing-", i), 3000, 3000)}
 	}
 	for i := 0; b.Loop(); i++ {
-		p.Choose(now, &requests[i%len(requests)]).(*pool.Assignment).End()
+		p.Choose(now, &requests[i%len(requests)]).(*pool.Assignment).End(now)
 	}
 }
 
@@ -354,11 +354,11 @@
 	p := newSlotPool(engines, slots, gateways)
 	first := choose(t, p, now, pool.Request{Prompt: prompt("long", 6000, 6000)})
 	forLong := map[id.Upstream]bool{first.Upstream.ID: true}
-	first.End()
+	first.End(now)
 	for i := range 200 {
 		assignment := choose(t, p, now, pool.Request{Prompt: prompt(fmt.Sprint("long-", i), 6000, 6000)})
 		forLong[assignment.Upstream.ID] = true
-		assignment.End()
+		assignment.End(now)
 	}
 	borrowed, own := 0, 0
 	for i := range engines * slots / gateways {
@@ -381,6 +381,6 @@
 	for i := range 20 {
 		assignment := choose(t, p, now, pool.Request{Prompt: prompt(fmt.Sprint("late-", i), 6000, 6000)})
 		require.True(t, forLong[assignment.Upstream.ID], "a long prompt ran on an engine for short streams")
-		assignment.End()
+		assignment.End(now)
 	}
 }
--- a/pool/remark_test.go
+++ b/pool/remark_test.go
@@ -20,7 +20,7 @@
 	out := map[string]int{}
 	for range choices {
 		a := choose(t, p, at, pool.Request{})
-		a.End()
+		a.End(now)
 		out[string(a.Upstream.ID)]++
 	}
 	return out
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -55,25 +55,27 @@
 	NoUpstream       Reason = "no_upstream"
 	UpstreamBusy     Reason = "upstream_busy"
 	UpstreamLimited  Reason = "upstream_limited" // the upstreams have named limits that are used up
-	UpstreamDraining Reason = "upstream_draining"
-	UpstreamFailed   Reason = "upstream_failed"
-	UpstreamCut      Reason = "upstream_cut"     // the connection broke before the answer was complete
-	Preempted        Reason = "preempted"        // stopped for a request of a higher tier
-	UpstreamEmpty    Reason = "upstream_empty"   // the answer has no content
-	AnswerCrossed    Reason = "answer_crossed"   // the upstream sent the answer to another request
-	AnswerTruncated  Reason = "answer_truncated" // the answer is incomplete or too large
-	NotReady         Reason = "not_ready"
-	Leaving          Reason = "leaving"                 // the process is shutting down
-	StaleConfig      Reason = "stale_config"            // the configuration of the process may be out of date
-	LogUnavailable   Reason = "log_unavailable"         // a record could not be appended to the log
-	BookingPending   Reason = "booking_pending"         // another request runs the same call
-	BookingUnknown   Reason = "booking_unknown"         // the outcome of an earlier request for this call is unknown
-	BookingConflict  Reason = "booking_conflict"        // the idempotency key was used for another call
-	BookingNotKept   Reason = "booking_answer_not_kept" // the call was run, but its answer was too long to store
-	PromptHeld       Reason = "prompt_held"             // engines have crashed under a part of the prompt
-	RetryBudget      Reason = "retry_budget_spent"      // the class has no retries left
-	CallerGone       Reason = "caller_gone"             // the caller closed the connection
-	Internal         Reason = "internal"
+	// UpstreamOverloaded means that no upstream is expected to begin with the request in time.
+	UpstreamOverloaded Reason = "upstream_overloaded"
+	UpstreamDraining   Reason = "upstream_draining"
+	UpstreamFailed     Reason = "upstream_failed"
+	UpstreamCut        Reason = "upstream_cut"     // the connection broke before the answer was complete
+	Preempted          Reason = "preempted"        // stopped for a request of a higher tier
+	UpstreamEmpty      Reason = "upstream_empty"   // the answer has no content
+	AnswerCrossed      Reason = "answer_crossed"   // the upstream sent the answer to another request
+	AnswerTruncated    Reason = "answer_truncated" // the answer is incomplete or too large
+	NotReady           Reason = "not_ready"
+	Leaving            Reason = "leaving"                 // the process is shutting down
+	StaleConfig        Reason = "stale_config"            // the configuration of the process may be out of date
+	LogUnavailable     Reason = "log_unavailable"         // a record could not be appended to the log
+	BookingPending     Reason = "booking_pending"         // another request runs the same call
+	BookingUnknown     Reason = "booking_unknown"         // the outcome of an earlier request for this call is unknown
+	BookingConflict    Reason = "booking_conflict"        // the idempotency key was used for another call
+	BookingNotKept     Reason = "booking_answer_not_kept" // the call was run, but its answer was too long to store
+	PromptHeld         Reason = "prompt_held"             // engines have crashed under a part of the prompt
+	RetryBudget        Reason = "retry_budget_spent"      // the class has no retries left
+	CallerGone         Reason = "caller_gone"             // the caller closed the connection
+	Internal           Reason = "internal"
 )
 
 // PromisesNotRun reports whether a response with a status promises that the request has not
