gateway, peer: one gateway reads the platform's topics for a large fleet

Change: the first gateway of the fleet reads for all. The first of each data centre asks it in each round for what is new, and the others ask that one (peer.Table.Source). A view that is older than 1.1 s is replaced by an own read at the first of a data centre, and one older than 1.6 s at the others, so that the loss of the reader is mended by six calls and not by all gateways.

TestReader has the sources.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -90,11 +90,11 @@
 type Config struct {
 	Name      string               // of the topic, for logs and metrics
 	ReadWait  func() time.Duration // how long a read waits for new records; nil: not at all
-	ReadPause time.Duration        // pause between two reads
+	ReadPause func() time.Duration // pause between two reads; nil: none
 	// MaxPeerViewAge is the age up to which views of peers replace own reads. While its
 	// view is more recent, a follower reads only if IsLeader returns true. If MaxPeerViewAge
-	// is zero, every follower reads for itself and IsLeader is not called.
-	MaxPeerViewAge time.Duration
+	// is nil, every follower reads for itself and IsLeader is not called.
+	MaxPeerViewAge func() time.Duration
 	IsLeader       func() bool
 }
 
@@ -277,7 +277,10 @@
 			continue
 		}
 		err := f.readOnce(ctx)
-		wait := f.cfg.ReadPause
+		wait := time.Duration(0)
+		if f.cfg.ReadPause != nil {
+			wait = f.cfg.ReadPause()
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -296,11 +299,11 @@
 
 // peerViewSuffices reports whether the view is recent enough to do without an own read.
 func (f *Follower) peerViewSuffices(now time.Time) bool {
-	if f.cfg.MaxPeerViewAge == 0 || f.cfg.IsLeader() {
+	if f.cfg.MaxPeerViewAge == nil || f.cfg.IsLeader() {
 		return false
 	}
 	contact, loaded := f.Contact()
-	return loaded && now.Sub(contact) < f.cfg.MaxPeerViewAge
+	return loaded && now.Sub(contact) < f.cfg.MaxPeerViewAge()
 }
 
 // readOnce reads the new records, or all if none are loaded yet or some of the new ones
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -243,7 +243,7 @@
 	topic := &scriptedTopic{results: []readResult{{page: page(1, record(0, "a", "1"))}}, done: make(chan struct{})}
 	sink := &mapSink{values: map[string]string{}}
 	var isLeader atomic.Bool
-	f := feed.New(feed.Config{Name: "test", MaxPeerViewAge: time.Hour, IsLeader: isLeader.Load}, topic, sink, log.NewNopLogger(), metrics.NewRegistry())
+	f := feed.New(feed.Config{Name: "test", MaxPeerViewAge: func() time.Duration { return time.Hour }, IsLeader: isLeader.Load}, topic, sink, log.NewNopLogger(), metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go f.Run(ctx)
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -51,17 +51,22 @@
 	// operatorReadWait is how long a read of the operators' topic waits for a record. It
 	// also limits how long a connection that no longer delivers anything goes unnoticed.
 	operatorReadWait = 2 * time.Second
-	// groupReadWait is the same for a gateway that reads for a group, whose views must not be
-	// older than maxPeerViewAge.
-	groupReadWait = 500 * time.Millisecond
+	// groupReadWait is the same for a gateway that reads for others. A view is up to two waits old before the next
+	// read ends, and two rounds of peers later those of all must not be older than maxPeerViewAge.
+	groupReadWait = 350 * time.Millisecond
 	// upstreamReadInterval is the time between two reads of the upstreams' topic. Every
 	// upstream writes there about once a second, so that a read that waits for the next
 	// record would mean one call for each record.
 	upstreamReadInterval = 700 * time.Millisecond
+	// groupUpstreamReadInterval is the same in a fleet whose views pass two gateways.
+	groupUpstreamReadInterval = 500 * time.Millisecond
 	// maxPeerViewAge limits the age of a peer's view of a topic that replaces an own read. A
 	// configuration must be in force from two seconds after it was published, and a draining
 	// upstream must get no new requests from two seconds after it has announced the drain.
 	maxPeerViewAge = 1100 * time.Millisecond
+	// maxGroupViewAge is the same for a gateway that takes over the views of the reader of its group. That
+	// one has then had the time to read for itself.
+	maxGroupViewAge = 1600 * time.Millisecond
 	// operatorCopyInterval is the least time between two copies of the operators' topic,
 	// which seldom changes.
 	operatorCopyInterval = time.Second
@@ -130,9 +135,9 @@
 	}
 	currentCatalog := new(catalog.Latest)
 	upstreamPool := pool.New(currentCatalog)
-	operators := feed.New(feed.Config{Name: "operators", ReadWait: p.operatorReadWait, MaxPeerViewAge: maxPeerViewAge, IsLeader: p.readsOperators}, platform.OperatorTopic,
+	operators := feed.New(feed.Config{Name: "operators", ReadWait: p.operatorReadWait, MaxPeerViewAge: p.maxViewAge, IsLeader: p.readsOperators}, platform.OperatorTopic,
 		newOperatorSink(platform.Decoder, currentCatalog, upstreamPool, logger, registry), logger, registry)
-	listings := feed.New(feed.Config{Name: "upstreams", ReadPause: upstreamReadInterval, MaxPeerViewAge: maxPeerViewAge, IsLeader: p.readsUpstreams}, platform.UpstreamTopic,
+	listings := feed.New(feed.Config{Name: "upstreams", ReadPause: p.upstreamReadPause, MaxPeerViewAge: p.maxViewAge, IsLeader: p.isLeader}, platform.UpstreamTopic,
 		newListingSink(platform.Decoder, upstreamPool, logger, registry), logger, registry)
 	p.pool = upstreamPool
 	p.retryBudgets = NewRetryBudgets(RetryBudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
@@ -189,32 +194,37 @@
 	return operatorReadWait
 }
 
-// readsOperators reports whether this gateway reads the operators' topic. In a small fleet,
-// every gateway does, so that a configuration is in force at once.
-func (p *Program) readsOperators() bool {
-	reader, grouped := p.table.Reader(time.Now(), p.settings.DataCentre)
-	return !grouped || reader == nil || reader.GetNode() == string(p.settings.Node)
+// upstreamReadPause returns the time between two reads of the upstreams' topic.
+func (p *Program) upstreamReadPause() time.Duration {
+	if _, grouped := p.table.Reader(time.Now(), p.settings.DataCentre); grouped {
+		return groupUpstreamReadInterval
+	}
+	return upstreamReadInterval
 }
 
-// readsUpstreams reports whether this gateway reads the upstreams' topic for its peers: the
-// reader of its group does, or in a small fleet the leader.
-func (p *Program) readsUpstreams() bool {
-	if _, grouped := p.table.Reader(time.Now(), p.settings.DataCentre); !grouped {
-		return p.isLeader()
+// maxViewAge returns the age of a peer's view of a topic from which on this gateway reads for itself: the
+// readers of groups do so before the others.
+func (p *Program) maxViewAge() time.Duration {
+	reader, grouped := p.table.Reader(time.Now(), p.settings.DataCentre)
+	if grouped && reader != nil && reader.GetNode() != string(p.settings.Node) {
+		return maxGroupViewAge
 	}
-	return p.readsOperators()
+	return maxPeerViewAge
 }
 
-// isLeader reports whether this gateway saves the copies of both topics. The leader is the
+// readsOperators reports whether this gateway reads the operators' topic for its peers: the leader
+// does. In a small fleet, every gateway does, so that a configuration is in force at once.
+func (p *Program) readsOperators() bool {
+	_, grouped := p.table.Reader(time.Now(), p.settings.DataCentre)
+	return !grouped || p.isLeader()
+}
+
+// isLeader reports whether this gateway reads the upstreams' topic for the fleet and saves the copies of both topics. The leader is the
 // first by name among the live gateways that are not shutting down. If all are shutting down,
 // every gateway is a leader.
 func (p *Program) isLeader() bool {
-	for _, r := range p.table.Live(time.Now()) {
-		if !r.GetLeaving() {
-			return r.GetNode() == string(p.settings.Node)
-		}
-	}
-	return true
+	leader := p.table.Leader(time.Now())
+	return leader == nil || leader.GetNode() == string(p.settings.Node)
 }
 
 // usageDuty is the name of the duty of reporting usage, as in Settings.Duties.
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -50,11 +50,11 @@
 	// are asked for their view of it. A peer that reads the topic itself then has a view
 	// that is fresher by about as much.
 	topicRequestAge = 400 * time.Millisecond
-	// readerRequestAge is the age of a view from which on the reader of the group is asked in
+	// sourceRequestAge is the age of a view from which on the source of views is asked in
 	// each round, and groupRequestAge that from which on other peers are asked in addition.
-	// Records thus do not travel between data centres while the reader answers.
-	readerRequestAge = 200 * time.Millisecond
-	groupRequestAge  = 800 * time.Millisecond
+	// Records thus travel once to each data centre while the sources answer.
+	sourceRequestAge = 200 * time.Millisecond
+	groupRequestAge  = 1200 * time.Millisecond
 	// maxMessageBytes bounds a message. A configuration has at most some 100 KB.
 	maxMessageBytes = 16 << 20
 )
@@ -117,15 +117,14 @@
 	for round := 0; ; round++ {
 		now := time.Now()
 		x.publish(now, false)
-		reader, grouped := x.table.Reader(now, x.cfg.DataCentre)
 		requestAge := topicRequestAge
-		if grouped {
+		if _, grouped := x.table.Reader(now, x.cfg.DataCentre); grouped {
 			requestAge = groupRequestAge
 		}
 		for _, address := range x.selectAddresses(round, fanout) {
 			go x.exchange(ctx, address, requestAge)
 		}
-		if address := reader.GetAddress(); address != "" && address != x.cfg.Address {
+		if address := x.table.Source(now, x.cfg.DataCentre).GetAddress(); address != "" {
 			go x.pullTopics(ctx, address)
 		}
 		for waiting := true; waiting; {
@@ -244,11 +243,11 @@
 	x.adoptView("upstreams", x.topics.Upstreams, response.GetUpstreams())
 }
 
-// pullTopics asks the reader of the group for its views of the topics, if the own ones are not
+// pullTopics asks the gateway at an address for its views of the topics, if the own ones are not
 // fresh. If that fails, which call logs, the views grow old until this gateway reads for itself.
 func (x *Exchanger) pullTopics(ctx context.Context, address string) {
 	request := &ragwortv1.ExchangeRequest{
-		TopicsOnly: true, Operators: topicRequest(x.topics.Operators, readerRequestAge), Upstreams: topicRequest(x.topics.Upstreams, readerRequestAge),
+		TopicsOnly: true, Operators: topicRequest(x.topics.Operators, sourceRequestAge), Upstreams: topicRequest(x.topics.Upstreams, sourceRequestAge),
 	}
 	if !request.GetOperators().GetWanted() && !request.GetUpstreams().GetWanted() {
 		return
--- a/peer/table.go
+++ b/peer/table.go
@@ -250,8 +250,8 @@
 	minGroup = 3
 )
 
-// Reader returns the row of the gateway that reads the platform's topics for this one and the
-// others of its group: the first by name that is not shutting down. Grouped is false if the
+// Reader returns the row of the gateway from which this one and the others of its group take over
+// views of the platform's topics: the first by name that is not shutting down. Grouped is false if the
 // fleet is too small for groups. The row is nil if every gateway of the group is shutting down.
 func (t *Table) Reader(now time.Time, dataCentre id.DataCentre) (reader *Row, grouped bool) {
 	live := t.Live(now)
@@ -276,6 +276,31 @@
 	return nil, true
 }
 
+// Leader returns the row of the gateway that acts for the fleet: the first by name that is alive and not
+// shutting down. It is nil if there is none.
+func (t *Table) Leader(now time.Time) *Row {
+	for _, r := range t.Live(now) {
+		if !r.GetLeaving() {
+			return r
+		}
+	}
+	return nil
+}
+
+// Source returns the row of the gateway whose views of the platform's topics this one takes over: that of the
+// reader of its group, or for the reader itself that of the leader. The row is nil in a fleet that is
+// too small for groups, for the leader, and if no other gateway can be asked.
+func (t *Table) Source(now time.Time, dataCentre id.DataCentre) *Row {
+	source, grouped := t.Reader(now, dataCentre)
+	if source != nil && memberOf(source) == t.self {
+		source = t.Leader(now)
+	}
+	if !grouped || source == nil || memberOf(source) == t.self {
+		return nil
+	}
+	return source
+}
+
 // isAlive reports whether the last heartbeat of a member is recent.
 func (t *Table) isAlive(now time.Time, m Member) bool {
 	t.mu.Lock()
--- a/peer/table_test.go
+++ b/peer/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -158,6 +159,23 @@
 			require.Equal(t, tc.grouped, grouped)
 		})
 	}
+	for name, tc := range map[string]struct {
+		gateways   []gateway
+		dataCentre id.DataCentre
+		source     string
+	}{
+		"small fleet":                      {large[:6], "th-a", ""},
+		"another of the group":             {large, "th-a", "a2"},
+		"the reader is this gateway":       {append(slices.Clone(large), gateway{"zz1", "th-z", false}, gateway{"zz2", "th-z", false}), "th-z", "a2"},
+		"all of a data centre are leaving": {large, "th-d", ""},
+	} {
+		t.Run("source: "+name, func(t *testing.T) {
+			require.Equal(t, tc.source, fleet(tc.gateways...).Source(now, tc.dataCentre).GetNode())
+		})
+	}
+	alone := fleet()
+	require.Equal(t, "z", alone.Leader(now).GetNode())
+	require.Nil(t, alone.Source(now, "th-z"))
 	_, grouped := fleet(large...).Reader(now.Add(2*time.Second), "th-a")
 	require.False(t, grouped, "gateways that are not heard of do not count")
 }
