pool: less urgent requests are refused for a second after the last urgent one, not for eight

Change: counts of the present half second and the one before it. Only refusals for a long wait count, not those for more urgent requests, whose cause less urgent ones see as well.

--- a/pool/backlog.go
+++ b/pool/backlog.go
@@ -22,14 +22,15 @@
 	// readPriorTokens is the recorded work that weighs as much as the speed that is assumed of an
 	// engine.
 	readPriorTokens = 1_000_000
-	// readTimeConstant and admissionTimeConstant are the time constants of the exponential decay of
-	// recorded waits, and of the counts of requests that were admitted and refused.
-	readTimeConstant      = 5 * time.Second
-	admissionTimeConstant = time.Second
+	// readTimeConstant is the time constant of the exponential decay of recorded waits.
+	readTimeConstant = 5 * time.Second
+	// admissionSpan is half of the longest time for which requests that were admitted or refused
+	// count.
+	admissionSpan = 500 * time.Millisecond
 	// maxUrgentRefused is the refused share of requests from which less urgent ones are
 	// refused in their place, and minUrgentRefused the fewest refused requests that count.
 	maxUrgentRefused = 0.05
-	minUrgentRefused = 0.5
+	minUrgentRefused = 1
 	// moveWaitFactor is how many times the longest wait for which it is admitted a request
 	// may wait at the engine that it prefers. Elsewhere its prompt would have to be read anew.
 	moveWaitFactor = 2
@@ -82,10 +83,39 @@
 	d.sum, d.at = d.value(now, constant)+value, now
 }
 
+// recentCount counts what happened in the present span of time and in the one before.
+type recentCount struct {
+	present, previous int
+	began             time.Time // when the present span began
+}
+
+// value returns the count at a time.
+func (c *recentCount) value(now time.Time) int {
+	switch elapsed := now.Sub(c.began); {
+	case elapsed < admissionSpan:
+		return c.present + c.previous
+	case elapsed < 2*admissionSpan:
+		return c.present
+	}
+	return 0
+}
+
+// add adds one.
+func (c *recentCount) add(now time.Time) {
+	if elapsed := now.Sub(c.began); elapsed >= admissionSpan {
+		if elapsed >= 2*admissionSpan {
+			c.present = 0
+		}
+		c.previous, c.present, c.began = c.present, 0, now
+	}
+	c.present++
+}
+
 // admission is what is known of the recent requests of a service with one urgency level.
 type admission struct {
 	waited, tokens decayingSum // for the answer to begin, in seconds, and the tokens before it
-	asked, refused decayingSum // requests; those asked include the refused ones
+	admitted       recentCount
+	refused        recentCount // because the wait would have been too long
 	lastReturn     time.Time   // when the last caller that was refused was told to return
 }
 
@@ -96,23 +126,6 @@
 	return time.Duration(perToken * tokens * float64(time.Second))
 }
 
-// count records that a request was admitted or refused.
-func (a *admission) count(now time.Time, refused bool) {
-	a.asked.add(now, admissionTimeConstant, 1)
-	if refused {
-		a.refused.add(now, admissionTimeConstant, 1)
-	}
-}
-
-// refusals returns how many requests were refused of late, and their share.
-func (a *admission) refusals(now time.Time) (refused, share float64) {
-	refused = a.refused.value(now, admissionTimeConstant)
-	if refused == 0 {
-		return 0, 0
-	}
-	return refused, refused / a.asked.value(now, admissionTimeConstant)
-}
-
 // admissionsOf returns the state of a service, by urgency level. The caller holds the lock.
 func (p *Pool) admissionsOf(s id.Service) *[urgencyLevels]admission {
 	a := p.admissions[s]
@@ -126,8 +139,8 @@
 // yields reports whether a request of a level is refused because more urgent ones are.
 func yields(now time.Time, levels *[urgencyLevels]admission, level int) bool {
 	for l := range level {
-		refused, share := levels[l].refusals(now)
-		if share > maxUrgentRefused && refused > minUrgentRefused {
+		refused, admitted := levels[l].refused.value(now), levels[l].admitted.value(now)
+		if refused >= minUrgentRefused && float64(refused) > maxUrgentRefused*float64(refused+admitted) {
 			return true
 		}
 	}
@@ -202,16 +215,18 @@
 	if rq.MaxWait > 0 && yields(now, levels, level) {
 		return candidate{}, p.refuse(now, own, &Overloaded{Wait: own.wait(now, best.ahead), ForMoreUrgent: true}, rq, engines)
 	}
-	own.count(now, false)
+	own.admitted.add(now)
 	best.ahead += float64(rq.Prompt.Length)
 	return best, nil
 }
 
-// refuse counts a refusal and sets when the caller is to return: when the wait is expected to be short
+// refuse counts a refusal for a long wait and sets when the caller is to return: when the wait is expected to be short
 // enough, and later than those that were refused before by the time that the engines need for the request.
 // The caller holds the lock.
 func (p *Pool) refuse(now time.Time, a *admission, o *Overloaded, rq *Request, engines int) *Overloaded {
-	a.count(now, true)
+	if !o.ForMoreUrgent {
+		a.refused.add(now)
+	}
 	o.RetryAt = now.Add(max(o.Wait-rq.MaxWait, minReturnWait))
 	interval := time.Duration(float64(a.wait(now, float64(rq.Prompt.Length))) * float64(p.gatewayCount) / float64(engines))
 	if next := a.lastReturn.Add(interval); next.After(o.RetryAt) {
