--- a/gateway/program.go
+++ b/gateway/program.go
@@ -219,9 +219,9 @@
 	return !grouped || p.isLeader()
 }
 
-// isLeader reports whether this gateway reads the upstreams' topic for the fleet and saves the copies of both topics. The leader is the
-// first by name among the live gateways that are not shutting down. If all are shutting down,
-// every gateway is a leader.
+// isLeader reports whether this gateway reads the upstreams' topic for the fleet and saves the
+// copies of both topics. The leader is the first by name among the live gateways that are not
+// shutting down. If all are shutting down, every gateway is a leader.
 func (p *Program) isLeader() bool {
 	leader := p.table.Leader(time.Now())
 	return leader == nil || leader.GetNode() == string(p.settings.Node)
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -260,11 +260,12 @@
 	return float64(u.prefillTokens) + runningLoadTokens*float64(u.running)
 }
 
-// selectUpstream chooses one of the eligible upstreams and returns the group that the request belongs to, and the
-// reason for the log. A slot of a limited upstream that is about to pass unused takes the next request, unless
-// the upstream is as busy as others or the prompt is long. A request with a shared prefix goes to an upstream of its engine group that the
-// prefix hashes to, unless all of these are too busy. Otherwise, the request goes to the
-// less loaded of two random upstreams. The caller holds the lock.
+// selectUpstream chooses one of the eligible upstreams and returns the group that the request
+// belongs to, and the reason for the log. A slot of a limited upstream that is about to pass unused
+// takes the next request, unless the upstream is as busy as others or the prompt is long. A request
+// with a shared prefix goes to an upstream of its engine group that the prefix hashes to, unless all
+// of these are too busy. Otherwise, the request goes to the less loaded of two random upstreams. The
+// caller holds the lock.
 func (p *Pool) selectUpstream(now time.Time, eligible []*upstreamState, rq *Request) (u *upstreamState, group []*upstreamState, reason string) {
 	prefixHash := sharedPrefixHash(&rq.Prompt)
 	if len(eligible) == 1 {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,7 +3,8 @@
 //
 // A Pool records which upstreams exist, which accept new requests, which are cold, and
 // what this gateway has running on each of them. choose.go defines how an upstream is
-// chosen, split.go the separation of long prompts from short ones, cold.go the rate limit of cold
+// chosen, admission.go which requests are refused because engines are too far behind, split.go the
+// separation of long prompts from short ones, cold.go the rate limit of cold
 // upstreams, remark.go what upstreams say of themselves in responses, limit.go the
 // limits that they name, slot.go and line.go how requests use the slots of both and wait for them,
 // and contact.go which upstreams may have gone without a word.
