--- a/bench/balancer.go
+++ b/bench/balancer.go
@@ -103,15 +103,15 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// errNoEntry is returned if there is no ready entry, or none that can be connected
-// to.
-var errNoEntry = eris.New("no ready entry accepted the connection")
+// errNoEntry is returned if there is no ready entry.
+var errNoEntry = eris.New("no entry is ready")
 
 // Do tries the ready entries until it can connect to one, each with a request that
 // build returns for its base URL. It returns the response and that base URL.
 func (b *Balancer) Do(ctx context.Context, build func(base string) (*http.Request, error)) (*http.Response, string, error) {
 	list := *b.entries.Load()
 	start := b.next.Add(1)
+	failure := errNoEntry
 	for i := range list {
 		t := list[(start+uint64(i))%uint64(len(list))]
 		if !t.ready {
@@ -125,8 +125,9 @@
 		if err == nil || !failedToConnect(err) {
 			return resp, t.base, err
 		}
+		failure = eris.Wrap(err, "no ready entry accepted the connection")
 	}
-	return nil, "", errNoEntry
+	return nil, "", failure
 }
 
 // failedToConnect reports whether connecting failed, so that no byte of the request
