--- a/pool/admission.go
+++ b/pool/admission.go
@@ -27,10 +27,9 @@
 	// admissionSpan is half of the longest time for which requests that were admitted or refused
 	// count.
 	admissionSpan = 500 * time.Millisecond
-	// maxUrgentRefused is the refused share of requests from which less urgent ones are
-	// refused in their place, and minUrgentRefused the fewest refused requests that count.
+	// maxUrgentRefused is the share of requests that may be refused before less urgent ones are refused
+	// in their place.
 	maxUrgentRefused = 0.05
-	minUrgentRefused = 1
 	// moveWaitFactor is how many times the longest wait for which it is admitted a request
 	// may wait at the engine that it prefers. Elsewhere its prompt would have to be read anew.
 	moveWaitFactor = 2
@@ -116,7 +115,7 @@
 	waited, tokens decayingSum // for the answer to begin, in seconds, and the tokens before it
 	admitted       recentCount
 	refused        recentCount // because the wait would have been too long
-	lastReturn     time.Time   // when the last caller that was refused was told to return
+	returns        returnTimes
 }
 
 // wait returns how long a request is expected to wait for some tokens to be read.
@@ -140,7 +139,7 @@
 func yields(now time.Time, levels *[urgencyLevels]admission, level int) bool {
 	for l := range level {
 		refused, admitted := levels[l].refused.value(now), levels[l].admitted.value(now)
-		if refused >= minUrgentRefused && float64(refused) > maxUrgentRefused*float64(refused+admitted) {
+		if float64(refused) > maxUrgentRefused*float64(refused+admitted) {
 			return true
 		}
 	}
@@ -220,23 +219,16 @@
 	return best, nil
 }
 
-// refuse counts a refusal for a long wait and sets when the caller is to return: when the wait is expected to be short
-// enough, and later than those that were refused before by the time that the engines need for the request.
-// The caller holds the lock.
+// refuse counts a refusal for a long wait and sets when the caller is to return: when the wait is
+// expected to be short enough, and later than those that were refused before by the time that the
+// engines need for the request. The caller holds the lock.
 func (p *Pool) refuse(now time.Time, a *admission, o *Overloaded, rq *Request, engines int) *Overloaded {
 	if !o.ForMoreUrgent {
 		a.refused.add(now)
 	}
-	o.RetryAt = now.Add(max(o.Wait-rq.MaxWait, minReturnWait))
+	earliest := now.Add(max(o.Wait-rq.MaxWait, minReturnWait))
 	interval := time.Duration(float64(a.wait(now, float64(rq.Prompt.Length))) * float64(p.gatewayCount) / float64(engines))
-	if next := a.lastReturn.Add(interval); next.After(o.RetryAt) {
-		o.RetryAt = next
-	}
-	if latest := now.Add(maxReturnSpread); o.RetryAt.After(latest) {
-		o.RetryAt = latest.Add(-time.Duration(p.rand.Float64() * float64(maxReturnSpread/2)))
-		return o
-	}
-	a.lastReturn = o.RetryAt
+	o.RetryAt = a.returns.next(now, earliest, interval, maxReturnSpread/2, p.rand)
 	return o
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -156,7 +156,10 @@
 		}
 		ahead = admitted.ahead
 	}
-	a := &Assignment{level: urgencyLevel(rq.Urgency), sentAt: now, ahead: ahead, Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u, promptTokens: rq.Prompt.Length}
+	a := &Assignment{
+		Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u,
+		promptTokens: rq.Prompt.Length, level: urgencyLevel(rq.Urgency), sentAt: now, ahead: ahead,
+	}
 	p.takeSlots(now, a)
 	if p.maySilentlyHaveGone(now, u, rq) {
 		a.NewConnection = true
@@ -169,7 +172,6 @@
 		u.busySince = now
 	}
 	u.running++
-	u.prefillTokens += a.promptTokens
 	u.backlog[a.level] += a.promptTokens
 	return a
 }
@@ -257,7 +259,7 @@
 
 // load returns the work that this gateway has running on the upstream, in prompt tokens.
 func (u *upstreamState) load() float64 {
-	return float64(u.prefillTokens) + runningLoadTokens*float64(u.running)
+	return float64(u.backlog.before(urgencyLevels-1)) + runningLoadTokens*float64(u.running)
 }
 
 // selectUpstream chooses one of the eligible upstreams and returns the group that the request
@@ -383,7 +385,6 @@
 	if !a.prefillDone {
 		a.prefillDone = true
 		a.recordWait(now, read)
-		a.state.prefillTokens -= a.promptTokens
 		a.state.backlog[a.level] -= a.promptTokens
 	}
 }
--- a/pool/line.go
+++ b/pool/line.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -20,8 +21,26 @@
 // line holds the requests that wait, the most urgent first, and of equal urgency the first to
 // arrive.
 type line struct {
-	waiting    []*Request
-	lastReturn time.Time // when the last caller that was refused was told to return
+	waiting []*Request
+	returns returnTimes
+}
+
+// returnTimes spreads the times at which refused callers are to return.
+type returnTimes struct{ last time.Time }
+
+// next returns when the next caller is to return: at a time at the earliest, and an interval after
+// the caller before it. Beyond maxReturnSpread, it is a random time in the last part of that, which
+// is as long as spread.
+func (r *returnTimes) next(now, earliest time.Time, interval, spread time.Duration, random *rand.Rand) time.Time {
+	returnAt := earliest
+	if next := r.last.Add(interval); next.After(returnAt) {
+		returnAt = next
+	}
+	if latest := now.Add(maxReturnSpread); returnAt.After(latest) {
+		return latest.Add(-time.Duration(random.Float64() * float64(spread)))
+	}
+	r.last = returnAt
+	return returnAt
 }
 
 // compareRequests orders requests in a line.
@@ -68,15 +87,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, returnAt := p.line(rq), t.Until
-	if next := l.lastReturn.Add(t.Interval); next.After(returnAt) {
-		returnAt = next
-	}
-	if latest := now.Add(maxReturnSpread); returnAt.After(latest) {
-		return latest.Add(-time.Duration(p.rand.Float64() * float64(maxReturnSpread-min(t.Interval, maxReturnSpread))))
-	}
-	l.lastReturn = returnAt
-	return returnAt
+	return p.line(rq).returns.next(now, t.Until, t.Interval, maxReturnSpread-min(t.Interval, maxReturnSpread), p.rand)
 }
 
 // Leave ends the wait of a request that is given up.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -59,8 +59,7 @@
 	addressReused    bool          // its address belongs to another upstream now
 	remark           *remark       // nil: it has said nothing
 	running          int           // requests of this gateway that it runs
-	prefillTokens    id.Tokens     // prompt tokens of these requests that it has not processed yet
-	backlog          backlog       // the same by urgency level
+	backlog          backlog       // prompt tokens of these requests that it has not processed yet
 }
 
 // Pool holds the upstreams that a gateway knows. It is safe for concurrent use.
