--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -127,12 +127,32 @@
 	return relays, nil
 }
 
+// started are the processes that were started.
+var started struct {
+	mu  sync.Mutex
+	all []*os.Process
+}
+
+// EndAll kills every process that was started, and starts no more. It is for a script that cannot go on.
+func EndAll() {
+	started.mu.Lock() // stays locked
+	for _, p := range started.all {
+		_ = p.Kill() // fails if the process has ended
+	}
+}
+
 // Start starts the process by the command of the deploy file.
 func (r *Relay) Start() error {
 	r.cmd = exec.Command(r.program, "relay")
 	r.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RAGWORTPASS_CONFIG=" + r.settings}
 	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
-	if err := r.cmd.Start(); err != nil {
+	started.mu.Lock()
+	err := r.cmd.Start()
+	if err == nil {
+		started.all = append(started.all, r.cmd.Process)
+	}
+	started.mu.Unlock()
+	if err != nil {
 		return err
 	}
 	done := make(chan struct{})
