--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -214,11 +214,17 @@
 	}
 }
 
+// takesSignals reports whether the process runs and was not killed. One that was killed may not be
+// seen to have ended yet. The caller holds the lock.
+func (n *node) takesSignals() bool {
+	return n.process != nil && !n.process.Exited() && n.endSignal != syscall.SIGKILL
+}
+
 // sendEndSignal sends a signal that ends the process.
 func (n *node) sendEndSignal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.process != nil && !n.process.Exited() {
+	if n.takesSignals() {
 		n.endSignal = s
 		n.process.Signal(n.testbed.t, s)
 	}
@@ -228,7 +234,7 @@
 func (n *node) sendSignal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.process != nil && !n.process.Exited() {
+	if n.takesSignals() {
 		n.process.Signal(n.testbed.t, s)
 	}
 }
