gateway: the moments of a shutdown are kept by the monotonic clock

Cause: shutdownDeadline, shutdownStarted and lastActivity were Unix nanoseconds, while the process itself ends by the monotonic clock. After a step back by 2.4 s a request was compared with an end that was 2.4 s late. Change: clock.Instant, a moment of the process by its monotonic clock that fits an atomic variable. TestClockStepDuringShutdown and TestClockStepAfterActivity fail on the code before (both directions: a step ahead refused requests that fit).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/clock"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/quarantine"
@@ -123,10 +124,10 @@
 	pending          *pendingAttempts
 	buffers          *responseBuffers
 	bodies           *bodyReads
-	shutdownStarted  atomic.Int64 // Unix nanoseconds; zero: not shutting down
-	shutdownDeadline atomic.Int64 // when the process ends, in Unix nanoseconds; zero: not known
-	inFlight         atomic.Int64 // requests that are being served
-	lastActivity     atomic.Int64 // when a request last arrived or ended, in Unix nanoseconds
+	shutdownStarted  clock.AtomicInstant // not set: not shutting down
+	shutdownDeadline clock.AtomicInstant // when the process ends; not set: not known
+	inFlight         atomic.Int64        // requests that are being served
+	lastActivity     clock.AtomicInstant // when a request last arrived or ended
 }
 
 // New returns a gateway.
@@ -144,9 +145,9 @@
 func (g *Gateway) trackActivity(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.inFlight.Add(1)
-		g.lastActivity.Store(time.Now().UnixNano())
+		g.lastActivity.Store(clock.InstantOf(time.Now()))
 		defer func() {
-			g.lastActivity.Store(time.Now().UnixNano())
+			g.lastActivity.Store(clock.InstantOf(time.Now()))
 			g.inFlight.Add(-1)
 		}()
 		if g.ShuttingDown() {
@@ -168,19 +169,19 @@
 // ShutdownStarted returns the time given to BeginShutdown; zero: it was not called.
 func (g *Gateway) ShutdownStarted() time.Time {
 	if since := g.shutdownStarted.Load(); since != 0 {
-		return time.Unix(0, since)
+		return since.Time()
 	}
 	return time.Time{}
 }
 
 // BeginShutdown makes the gateway unready. It still serves running and new requests,
 // each as the last one on its connection.
-func (g *Gateway) BeginShutdown(now time.Time) { g.shutdownStarted.Store(now.UnixNano()) }
+func (g *Gateway) BeginShutdown(now time.Time) { g.shutdownStarted.Store(clock.InstantOf(now)) }
 
 // SetShutdownDeadline sets when the process ends. From now on the gateway sends no requests to
 // upstreams whose deadline is later, new ones or those that wait; running ones continue.
 func (g *Gateway) SetShutdownDeadline(end time.Time) {
-	g.shutdownDeadline.Store(end.UnixNano())
+	g.shutdownDeadline.Store(clock.InstantOf(end))
 	if err := g.bodies.setEnd(end.Add(-bodyShutdownMargin)); err != nil {
 		_ = g.deps.Logger.Log("event", "body_deadline_not_set", "err", err)
 	}
@@ -189,13 +190,13 @@
 // exceedsShutdown reports whether a request's deadline lies after the end of the process.
 func (g *Gateway) exceedsShutdown(deadline time.Time) bool {
 	end := g.shutdownDeadline.Load()
-	return end != 0 && deadline.After(time.Unix(0, end))
+	return end != 0 && clock.InstantOf(deadline) > end
 }
 
 // Idle reports whether no request is in flight and none has arrived or ended for at
 // least the period.
 func (g *Gateway) Idle(now time.Time, period time.Duration) bool {
-	return g.inFlight.Load() == 0 && now.Sub(time.Unix(0, g.lastActivity.Load())) >= period
+	return g.inFlight.Load() == 0 && clock.InstantOf(now).Sub(g.lastActivity.Load()) >= period
 }
 
 func (g *Gateway) incrementCounter(name string) {
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"math"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/clock/clocktest"
 )
 
 // TestFarDeadlineExceedsShutdown has a caller wait for longer than nanoseconds since 1970 can count.
@@ -18,3 +22,36 @@
 	require.True(t, g.exceedsShutdown(now.Add(2*time.Second)))
 	require.True(t, g.exceedsShutdown(now.Add(math.MaxInt64)))
 }
+
+// TestClockStepDuringShutdown steps the system time while a gateway shuts down: requests that outlast
+// the process must not be taken, nor others refused.
+func TestClockStepDuringShutdown(t *testing.T) {
+	const left = 4 * time.Second
+	for name, step := range map[string]time.Duration{"back": -3 * time.Second, "none": 0, "ahead": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			g := &Gateway{bodies: newBodyReads()}
+			started := time.Now()
+			g.BeginShutdown(started)
+			g.SetShutdownDeadline(started.Add(left))
+			now := clocktest.Step(started, step)
+			require.False(t, g.exceedsShutdown(now.Add(left-time.Second)))
+			require.True(t, g.exceedsShutdown(now.Add(left+time.Second)))
+			require.Zero(t, now.Sub(g.ShutdownStarted()))
+		})
+	}
+}
+
+// TestClockStepAfterActivity steps the system time after a request: a gateway that shuts down must not
+// end at once, as the next request may be on its way, nor wait for longer.
+func TestClockStepAfterActivity(t *testing.T) {
+	for name, step := range map[string]time.Duration{"back": -time.Minute, "ahead": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			g := &Gateway{bodies: newBodyReads()}
+			handler := g.trackActivity(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+			now := clocktest.Step(time.Now(), step)
+			require.False(t, g.Idle(now, 10*time.Second))
+			require.True(t, g.Idle(now.Add(10*time.Second), 10*time.Second))
+		})
+	}
+}
