gateway: a suspended VM does not put off the end of its shutdown

After a suspension by 2 s it took requests that outlasted it by as much. The grace period is now measured by clock.Clock, and the end that requests are compared with is brought forward when the VM has been suspended. TestSuspensionDuringShutdown; on the code before it ended after the whole period (Program had no such clock, so that the test does not compile there; the period was context.WithDeadline). The shutdown has a file of its own.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,10 +178,18 @@
 // each as the last one on its connection.
 func (g *Gateway) BeginShutdown(now time.Time) { g.shutdownStarted.Store(clock.InstantOf(now)) }
 
-// SetShutdownDeadline sets when the process ends. From now on the gateway sends no requests to
-// upstreams whose deadline is later, new ones or those that wait; running ones continue.
+// minDeadlineChange is the least time by which a shutdown deadline is brought forward.
+const minDeadlineChange = 10 * time.Millisecond
+
+// SetShutdownDeadline sets when the process ends, or brings that forward. From now on the gateway
+// sends no requests to upstreams whose deadline is later, new ones or those that wait; running ones
+// continue.
 func (g *Gateway) SetShutdownDeadline(end time.Time) {
-	g.shutdownDeadline.Store(clock.InstantOf(end))
+	instant := clock.InstantOf(end)
+	if known := g.shutdownDeadline.Load(); known != 0 && known.Sub(instant) < minDeadlineChange {
+		return
+	}
+	g.shutdownDeadline.Store(instant)
 	if err := g.bodies.setEnd(end.Add(-bodyShutdownMargin)); err != nil {
 		_ = g.deps.Logger.Log("event", "body_deadline_not_set", "err", err)
 	}
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -85,22 +85,6 @@
 	// defaultIdleTimeout limits how long an idle connection of a caller is kept open if
 	// the catalog sets no shorter time.
 	defaultIdleTimeout = 2 * time.Minute
-	// shutdownAcceptPeriod is how long a process that is shutting down accepts every new
-	// request. The load balancer checks readiness once a second and removes a process after
-	// two failed checks; requests accepted later may not finish in time.
-	shutdownAcceptPeriod = 2800 * time.Millisecond
-	// shutdownReadyPeriod is how long a process that is shutting down stays ready if all
-	// others are shutting down as well. A load balancer that checks once a second and needs
-	// two failed checks must have removed it within four seconds.
-	shutdownReadyPeriod = 1800 * time.Millisecond
-	// shutdownIdlePeriod is how long no request must have arrived before a process that is
-	// shutting down ends. It exceeds the time for which a busy VM leaves a request unread.
-	shutdownIdlePeriod = 500 * time.Millisecond
-	// shutdownPollInterval is the time between two checks of whether the process may end.
-	shutdownPollInterval = 50 * time.Millisecond
-	// shutdownMargin is the time between the planned end of the process and the platform's
-	// SIGKILL.
-	shutdownMargin = 400 * time.Millisecond
 )
 
 // Program runs a gateway as a process.
@@ -118,6 +102,7 @@
 	copiers      []*feed.Copier
 	quarantine   *quarantine.Register
 	holdKeeper   *holdKeeper // nil: holds are not kept
+	bootNow      func() time.Time
 	registry     metrics.Registry
 	logger       log.Logger
 
@@ -130,7 +115,7 @@
 func NewProgram(s *Settings, readSettings func() (*Settings, error), bootClock *clock.Clock, platform Platform, logger log.Logger) *Program {
 	registry := metrics.NewRegistry()
 	p := &Program{
-		settings: s, readSettings: readSettings, registry: registry, logger: logger,
+		settings: s, readSettings: readSettings, bootNow: bootClock.Now, registry: registry, logger: logger,
 		table: peer.NewTable(peer.Member{Node: s.Node, Incarnation: id.Incarnation(bootClock.Now().UnixNano())}, bootClock.Now()),
 	}
 	currentCatalog := new(catalog.Latest)
@@ -364,35 +349,6 @@
 	}
 }
 
-// shutDown ends the service within the grace period that the platform gives. It serves
-// all requests until the load balancer has noticed, then refuses those that may outlast
-// the process, and returns when running requests have finished and no new ones arrive.
-//
-// Callers use open connections until these are closed. Every response during the
-// shutdown is therefore the last one on its connection: closing a connection while a
-// request is on its way would lose the request.
-func (p *Program) shutDown(sig os.Signal) error {
-	started := time.Now()
-	p.gateway.BeginShutdown(started)
-	_ = p.logger.Log("event", "leaving", "signal", sig, "running", p.gateway.InFlight())
-	deadline := started.Add(durationS(p.settings.Bounds.GraceS) - shutdownMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	sleepUntil(ctx, started.Add(shutdownAcceptPeriod))
-	p.gateway.SetShutdownDeadline(deadline)
-	for !p.gateway.Idle(time.Now(), shutdownIdlePeriod) && sleepUntil(ctx, time.Now().Add(shutdownPollInterval)) {
-	}
-	err := p.callers.Close()
-	for {
-		p.callers.CloseIdle(time.Now(), shutdownIdlePeriod)
-		if p.callers.Len() == 0 || !sleepUntil(ctx, time.Now().Add(shutdownPollInterval)) {
-			break // some requests may have outlasted the grace period; the log line counts them
-		}
-	}
-	_ = p.logger.Log("event", "left", "after", time.Since(started), "running", p.gateway.InFlight(), "connections", p.callers.Len(), "err", err)
-	return err
-}
-
 // reload rereads the settings file and applies the retry limit, the only setting that a
 // running process can change. Invalid settings change nothing.
 func (p *Program) reload() {
@@ -406,18 +362,6 @@
 	_ = p.logger.Log("event", "reloaded", "listen_changed", s.Listen != p.settings.Listen)
 }
 
-// staysReady reports whether a process that is shutting down stays ready for now. This
-// is for rolling restarts that go on to the next process before the previous one has
-// ended: with no gateway ready, a load balancer sends callers to all of them, those
-// included that are about to end.
-func (p *Program) staysReady(now time.Time) bool {
-	started := p.gateway.ShutdownStarted()
-	if started.IsZero() || now.Sub(started) >= shutdownReadyPeriod || p.gateway.deps.Catalog.Load() == nil {
-		return false
-	}
-	return !slices.ContainsFunc(p.table.Live(now), func(r *peer.Row) bool { return !r.GetLeaving() })
-}
-
 // ready answers the load balancer's readiness check.
 func (p *Program) ready(w http.ResponseWriter, _ *http.Request) {
 	if !p.gateway.Ready() && !p.staysReady(time.Now()) {
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
+	"github.com/ragwortpass/ragwortpass/catalog"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/clock/clocktest"
@@ -55,3 +62,27 @@
 		})
 	}
 }
+
+// TestSuspensionDuringShutdown suspends the VM of a process that shuts down: the process must end before the
+// platform kills it, and take no requests that outlast it.
+func TestSuspensionDuringShutdown(t *testing.T) {
+	const (
+		grace      = 5 * time.Second
+		suspension = time.Minute
+	)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g := &Gateway{bodies: newBodyReads(), deps: Deps{Catalog: new(catalog.Latest)}}
+	g.inFlight.Add(1) // a request that outlasts the process
+	var suspended atomic.Int64
+	began := time.Now()
+	p := &Program{
+		settings: &Settings{Bounds: Bounds{GraceS: grace.Seconds()}}, gateway: g, logger: log.NewNopLogger(),
+		callers: g.TrackCallers(&http.Server{}, listener),
+		bootNow: func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) },
+	}
+	time.AfterFunc(shutdownAcceptPeriod+200*time.Millisecond, func() { suspended.Store(int64(suspension)) })
+	require.NoError(t, p.shutDown(syscall.SIGTERM))
+	require.Less(t, time.Since(began), grace-shutdownMargin)
+	require.True(t, g.exceedsShutdown(time.Now().Add(time.Millisecond)))
+}
