--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -42,16 +42,11 @@
 // left returns the time until the end of the process, which is not negative.
 func (g *gracePeriod) left() time.Duration { return max(0, g.length-g.elapsed()) }
 
-// poll waits until done reports true, and reports false if the grace period ends first.
-func (g *gracePeriod) poll(done func() bool) bool {
-	for !done() {
-		left := g.left()
-		if left == 0 {
-			return false
-		}
-		time.Sleep(min(left, shutdownPollInterval))
+// poll waits until done reports true or the grace period has ended.
+func (g *gracePeriod) poll(done func() bool) {
+	for !done() && g.left() > 0 {
+		time.Sleep(min(g.left(), shutdownPollInterval))
 	}
-	return true
 }
 
 // shutDown ends the service within the grace period that the platform gives. It serves
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -147,7 +147,7 @@
 		if conn == nil {
 			return nil
 		}
-		_ = conn.SetReadDeadline(time.Unix(1, 0)) // ends the read; fails only if the connection is closed
+		_ = conn.SetReadDeadline(time.Now()) // ends the read; fails only if the connection is closed
 		err := <-conn.idle
 		if errors.Is(err, os.ErrDeadlineExceeded) && conn.SetReadDeadline(time.Time{}) == nil {
 			return conn
