gateway: an upstream that sends without end leaves memory for the responses of others

Cause: all responses shared one bound, and whoever asked next was turned away. Events and heads were outside of that bound. Change: the responses of one upstream may have as much memory as is free, so that n greedy upstreams leave one part in n+1 (dynamic thresholds, as in switches with shared buffers). Events beyond 4 KB and heads beyond 4 KB count, heads eightfold, as short header lines take about that much. A single upstream may now hold half of the memory for responses, where it could hold all.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -215,7 +215,7 @@
 	if success && f.req.route.Kind.Streams() {
 		return f.relayStream(ctx, assignment, resp.Response)
 	}
-	return f.relayBuffered(ctx, resp.Response)
+	return f.relayBuffered(ctx, assignment, resp.Response)
 }
 
 // noteRemarks passes on to the pool what an upstream says of itself in a response. One from
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,7 +112,6 @@
 	Quarantine    *quarantine.Register
 	FleetTime     func() time.Time // the time that the evidence of Quarantine has
 	TellPeers     func()           // asks for an exchange with peers soon
-	MemoryMB      float64          // memory of the process; zero: not limited
 	Metrics       metrics.Registry
 	Logger        log.Logger
 }
@@ -122,7 +121,6 @@
 	deps             Deps
 	crashes          *crashDetector
 	pending          *pendingAttempts
-	buffers          *responseBuffers
 	bodies           *bodyReads
 	shutdownStarted  clock.AtomicInstant // not set: not shutting down
 	shutdownDeadline clock.AtomicInstant // when the process ends; not set: not known
@@ -132,7 +130,7 @@
 
 // New returns a gateway.
 func New(deps Deps) *Gateway {
-	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), pending: newPendingAttempts(), buffers: newResponseBuffers(deps.MemoryMB), bodies: newBodyReads()}
+	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), pending: newPendingAttempts(), bodies: newBodyReads()}
 }
 
 // Handler returns the handler for callers' requests.
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -139,7 +139,7 @@
 	p.quarantine = quarantine.New()
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
-		CatalogStatus: operatorStatus{operators, operatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, registry, logger), Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, MemoryMB: s.MemoryMB, Metrics: registry, Logger: logger,
+		CatalogStatus: operatorStatus{operators, operatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, s.MemoryMB, registry, logger), Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
 	})
 	if platform.Holds != nil {
 		p.holdKeeper = &holdKeeper{
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -65,13 +65,13 @@
 
 // relayBuffered relays a response once it is complete, so that the request can be
 // retried if the response is cut off.
-func (f *forwarding) relayBuffered(ctx context.Context, resp *http.Response) outcome {
-	body, err := f.gateway.buffers.read(resp.Body)
+func (f *forwarding) relayBuffered(ctx context.Context, assignment *pool.Assignment, resp *http.Response) outcome {
+	body, err := f.gateway.deps.Client.memory.read(assignment.Upstream.ID, resp.Body)
 	defer body.release()
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return interrupted(ctx)
-	case errors.Is(err, errResponseTooLarge), errors.Is(err, errBuffersFull):
+	case errors.Is(err, errResponseTooLarge), errors.Is(err, errMemoryTaken):
 		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.length, err)}
 	case err != nil:
 		return &responseLost{problem.UpstreamCut, err}
@@ -97,7 +97,9 @@
 		}
 	}
 	stream := &continuation{streamProgress: &f.streamProgress, isRest: f.headSent}
-	events := newEventReader(resp.Body)
+	memory := f.gateway.deps.Client.memory.share(assignment.Upstream.ID)
+	defer memory.release()
+	events := newEventReader(resp.Body, memory)
 	flusher := http.NewResponseController(f.w)
 	for {
 		event, err := events.next()
@@ -146,7 +148,7 @@
 		return &answered{resp.StatusCode}
 	case errors.Is(err, errNotAnEvent):
 		return &responseLost{problem.UpstreamFailed, err}
-	case errors.Is(err, errEventTooLarge):
+	case errors.Is(err, errEventTooLarge), errors.Is(err, errMemoryTaken):
 		return &responseLost{problem.AnswerTruncated, err}
 	case ctx.Err() != nil:
 		return interrupted(ctx)
@@ -230,12 +232,33 @@
 
 // eventReader splits a stream into server-sent events.
 type eventReader struct {
-	lines *bufio.Reader
-	raw   []byte // the event being read
+	lines  *bufio.Reader
+	raw    []byte // the event being read
+	memory *memoryShare
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes)}
+// newEventReader returns a reader of events that takes the memory for those larger than
+// eventBufferBytes from a share.
+func newEventReader(r io.Reader, memory *memoryShare) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes), memory: memory}
+}
+
+// addRaw adds a part of a line to the event being read. The error is errEventTooLarge or
+// errMemoryTaken.
+func (r *eventReader) addRaw(part []byte) error {
+	size := len(r.raw) + len(part)
+	if size > maxEventBytes {
+		return errEventTooLarge
+	}
+	if size > cap(r.raw) && size > eventBufferBytes {
+		size = (size + bufferChunkBytes - 1) / bufferChunkBytes * bufferChunkBytes
+		if err := r.memory.growTo(int64(size)); err != nil {
+			return err
+		}
+		r.raw = append(make([]byte, 0, size), r.raw...)
+	}
+	r.raw = append(r.raw, part...)
+	return nil
 }
 
 // begun reports whether a part of an event was read after the last complete one.
@@ -253,10 +276,9 @@
 	lineStart := 0 // offset in raw of the line being read
 	for {
 		line, err := r.lines.ReadSlice('\n')
-		if len(r.raw)+len(line) > maxEventBytes {
-			return event{}, errEventTooLarge
+		if err := r.addRaw(line); err != nil {
+			return event{}, err
 		}
-		r.raw = append(r.raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -51,6 +51,7 @@
 type UpstreamClient struct {
 	dialer   *net.Dialer
 	codec    HeaderCodec
+	memory   *responseMemory
 	registry metrics.Registry
 	logger   log.Logger
 
@@ -58,14 +59,15 @@
 	kept map[upstreamStart][]*upstreamConn // idle connections, the one used last at the end
 }
 
-// NewUpstreamClient returns a client without connections.
-func NewUpstreamClient(codec HeaderCodec, registry metrics.Registry, logger log.Logger) *UpstreamClient {
+// NewUpstreamClient returns a client without connections, for a process with the given memory in
+// megabytes; zero: not limited.
+func NewUpstreamClient(codec HeaderCodec, memoryMB float64, registry metrics.Registry, logger log.Logger) *UpstreamClient {
 	return &UpstreamClient{
 		dialer: &net.Dialer{
 			Timeout:         connectTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 		},
-		codec: codec, registry: registry, logger: logger,
+		codec: codec, memory: newResponseMemory(memoryMB), registry: registry, logger: logger,
 		kept: make(map[upstreamStart][]*upstreamConn),
 	}
 }
@@ -98,7 +100,7 @@
 		return nil, &UnsentError{err}
 	}
 	req.Close = newConn
-	x := &exchange{client: c, conn: conn, kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
+	x := &exchange{client: c, conn: conn, headMemory: c.memory.share(u.ID), kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
 	observer.connected(x)
 	x.stopCancel = context.AfterFunc(ctx, func() {
 		x.sealUnsent()
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -27,6 +27,11 @@
 const (
 	// maxResponseHeaderBytes limits the status line and headers of an upstream's response.
 	maxResponseHeaderBytes = 64 << 10
+	// freeHeadBytes is the size up to which a head takes no memory from that for responses, and
+	// headMemoryFactor the memory that larger ones take: header lines of a few bytes take several times
+	// their size.
+	freeHeadBytes    = 4 << 10
+	headMemoryFactor = 8
 	// maxInformational limits the informational responses (1xx) before a response.
 	maxInformational = 5
 	// maxForeignResponses limits the responses to other requests that an exchange skips.
@@ -85,9 +90,10 @@
 	start    upstreamStart
 	in       *bufio.Reader
 	out      *bufio.Writer
-	headLeft int64      // bytes that may still be read for a head; math.MaxInt64 outside of heads
-	idle     chan error // receives why the read ended that waits while the connection is idle
-	refused  []uint64   // hashes of the ids of requests that were refused on the connection
+	headLeft int64                   // bytes that may still be read for a head; math.MaxInt64 outside of heads
+	headRead func(bytes int64) error // reserves the memory for so much of a head; nil outside of heads
+	idle     chan error              // receives why the read ended that waits while the connection is idle
+	refused  []uint64                // hashes of the ids of requests that were refused on the connection
 }
 
 // headReader reads from a connection within the limit for heads.
@@ -100,8 +106,11 @@
 		return 0, errHeadTooLarge
 	}
 	n, err := c.Read(b[:min(int64(len(b)), c.headLeft)])
-	if c.headLeft != math.MaxInt64 {
+	if c.headRead != nil {
 		c.headLeft -= int64(n)
+		if err := c.headRead(maxResponseHeaderBytes - c.headLeft); err != nil {
+			return 0, err
+		}
 	}
 	return n, err
 }
@@ -114,12 +123,13 @@
 
 // exchange is one request on one connection.
 type exchange struct {
-	client *UpstreamClient
-	conn   *upstreamConn
-	kept   bool // the connection was opened for an earlier request
-	single bool // the connection is closed afterwards
-	req    *http.Request
-	want   id.Request
+	client     *UpstreamClient
+	conn       *upstreamConn
+	headMemory *memoryShare
+	kept       bool // the connection was opened for an earlier request
+	single     bool // the connection is closed afterwards
+	req        *http.Request
+	want       id.Request
 
 	wrote      chan error  // receives the result of writing the request
 	stopCancel func() bool // ends the watch over the request's context; false: it has closed the connection
@@ -223,9 +233,9 @@
 // readHead reads the head of the next response that is not informational.
 func (x *exchange) readHead() (*http.Response, error) {
 	for range maxInformational + 1 {
-		x.conn.headLeft = maxResponseHeaderBytes
+		x.conn.headLeft, x.conn.headRead = maxResponseHeaderBytes, x.reserveHead
 		resp, err := http.ReadResponse(x.conn.in, x.req)
-		x.conn.headLeft = math.MaxInt64
+		x.conn.headLeft, x.conn.headRead = math.MaxInt64, nil
 		switch {
 		case err != nil:
 			return nil, err
@@ -240,6 +250,14 @@
 	return nil, errTooManyInformational
 }
 
+// reserveHead reserves the memory for a head of which so many bytes were read.
+func (x *exchange) reserveHead(bytes int64) error {
+	if bytes <= freeHeadBytes {
+		return nil
+	}
+	return x.headMemory.growTo(bytes * headMemoryFactor)
+}
+
 // skipBody reads the body of a response that belongs to another request. It returns false if
 // the next response on the connection cannot be found.
 func skipBody(resp *http.Response) bool {
@@ -254,6 +272,7 @@
 // its end and nothing speaks against it.
 func (x *exchange) end(whole bool) {
 	x.ended.Do(func() {
+		x.headMemory.release()
 		if !x.stopCancel() || !whole || x.single {
 			x.conn.Close()
 			return
