entry, response, process: what is kept of endless answers is bounded

TestEndlessAnswers and TestEndlessText, on the code before, with an engine that sends 256 MB: the entry kept all events without content (268 MB), all finishes without content, all text for a resumption, and 64 MB of each answer that is not streamed, with no bound on all of them. Change: package response, moved from the gateway, counts them by upstream; an answer of which more text than 4 MB was kept cannot be resumed. The setting memory-mb tells the entry its memory. Clients accept heads of 64 KB, where Go's default is 10 MB (upstreams, store, peers). TestErrorRepeatsLittle: a line of 32 KB that is no response became a problem document of 328 KB for the caller, and a log line of that size. Both now have 256 bytes of it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/retry"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
@@ -58,6 +59,7 @@
 	Platform      hosting.Platform
 	PeerClient    *http.Client // for requests to sidecars and other entries
 	ControlClient *http.Client // for heartbeats to sidecars and other entries
+	Responses     *response.Memory
 	Traces        *trace.Log
 	Metrics       metrics.Registry
 	Logger        log.Logger
--- a/entry/events.go
+++ b/entry/events.go
@@ -3,6 +3,7 @@
 // This file defines relayEvents, which relays a streamed answer.
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
@@ -19,6 +21,12 @@
 const (
 	doneEvent      = "[DONE]"
 	errorEventType = "error"
+	// maxErrorBytes bounds what is told of an upstream's error.
+	maxErrorBytes = 256
+	// withheldEventBytes is what an event that is withheld takes besides its data.
+	withheldEventBytes = 32
+	// maxResumableBytes limits the text that is kept to resume an answer.
+	maxResumableBytes = 4 << 20
 )
 
 // attemptStream is the part of an answer that one attempt contributes.
@@ -29,16 +37,19 @@
 
 	rs            *http.Response
 	outputBefore  id.Tokens // output delivered by earlier attempts
-	buffered      []string  // events withheld until the next content
-	finishReasons int       // number received in this attempt
-	usageEvent    string    // data of the engine's usage event
+	memory        *response.Share
+	buffered      []string // events withheld until the next content
+	bufferedBytes int
+	finishReasons int    // number received in this attempt
+	usageEvent    string // data of the engine's usage event
 }
 
 // relayEvents relays a stream of events. The stream is complete if it has a finish
 // reason and the done event. Nothing is sent before the first content, so that an
 // empty answer can be retried unnoticed.
 func (e *Entry) relayEvents(a *answer, u *upstream.View, rs *http.Response) attemptResult {
-	s := &attemptStream{e: e, a: a, u: u, rs: rs, outputBefore: a.output}
+	s := &attemptStream{e: e, a: a, u: u, rs: rs, memory: e.deps.Responses.Share(u.ID), outputBefore: a.output}
+	defer s.memory.Release()
 	body := &eventReader{from: rs.Body, a: a, stallTimeout: e.cfg.StallTimeout}
 	defer body.stop()
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
@@ -69,7 +80,7 @@
 		return s.broken(problem.UpstreamFailed, "an event is not JSON")
 	}
 	if e := gjson.Get(ev.Data, "error"); e.Type != gjson.Null {
-		return s.broken(problem.UpstreamFailed, "error event: "+e.Get("message").String())
+		return s.broken(problem.UpstreamFailed, fmt.Sprintf("error event: %.*s", maxErrorBytes, e.Get("message").String()))
 	}
 	if answerID := gjson.Get(ev.Data, "id"); !belongsToRequest(answerID.Str, s.a.rq.id) {
 		s.e.count("answer_crossed")
@@ -84,39 +95,48 @@
 		s.finishReasons++
 	}
 	if s.outputBefore+s.a.output == 0 && !c.hasContent && !c.opaque {
-		s.buffered = append(s.buffered, ev.Data)
-		return nil
+		return s.withhold(ev.Data)
 	}
 	if s.a.started && !c.hasContent && !c.opaque && !c.hasFinishReason {
 		return nil // opening event of a resumed attempt
 	}
-	s.forward(c, ev.Data)
+	return s.forward(c, ev.Data)
+}
+
+// withhold keeps an event until the next content. It returns a result if there is no memory for it.
+func (s *attemptStream) withhold(data string) attemptResult {
+	s.bufferedBytes += len(data) + withheldEventBytes
+	if err := s.memory.GrowTo(int64(s.bufferedBytes)); err != nil {
+		return s.broken(problem.AnswerTruncated, err.Error())
+	}
+	s.buffered = append(s.buffered, data)
 	return nil
 }
 
 // forward writes an event to the caller. A finish reason without content is withheld
-// until the end of the attempt, which shows whether the attempt was empty.
-func (s *attemptStream) forward(c chunk, data string) {
+// until the end of the attempt, which shows whether the attempt was empty. It returns a result if the
+// attempt has ended.
+func (s *attemptStream) forward(c chunk, data string) attemptResult {
 	a := s.a
 	if c.hasFinishReason && !c.hasContent && !c.opaque && a.output == s.outputBefore {
-		s.buffered = append(s.buffered, data)
-		return
+		return s.withhold(data)
 	}
 	a.start(s.rs)
 	for _, withheld := range s.buffered {
 		a.event(withheld)
 	}
-	s.buffered = nil
+	s.buffered, s.bufferedBytes = nil, 0
 	a.event(data)
 	a.finished = s.finishReasons >= a.rq.choices
 	if c.hasContent {
 		a.output++
 		a.lastContent = data
-		if a.rq.resumable {
+		if a.resumable() {
 			a.text.WriteString(c.text)
 		}
 	}
-	a.opaque = a.opaque || c.opaque
+	a.opaque = a.opaque || c.opaque || a.text.Len() > maxResumableBytes
+	return nil
 }
 
 // finish ends an attempt after its done event.
--- a/entry/events_test.go
+++ b/entry/events_test.go
@@ -16,11 +16,15 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/rule"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
 
+// testMemoryMB is the memory of the process of newTestAnswer.
+const testMemoryMB = 64
+
 const testBody = `{"model":"m","max_tokens":8,"messages":[{"role":"user","content":"x"}]}`
 
 // contentChunk and the following functions return the data of events as engines send it.
@@ -59,7 +63,7 @@
 func newTestAnswer() (*Entry, *answer, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
 	rq := &request{id: "rq_1", stream: true, includeUsage: true, chat: true, choices: 1, resumable: true, route: &rule.Route{}, promptTokens: 3, body: []byte(testBody)}
-	return &Entry{deps: Deps{Metrics: metrics.NewRegistry()}}, &answer{w: w, rq: rq}, w
+	return &Entry{deps: Deps{Responses: response.NewMemory(testMemoryMB), Metrics: metrics.NewRegistry()}}, &answer{w: w, rq: rq}, w
 }
 
 // relayAttempt relays body as the response to one attempt.
--- a/entry/program.go
+++ b/entry/program.go
@@ -17,6 +17,7 @@
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/process"
+	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/usage"
@@ -31,6 +32,7 @@
 	Platform   string        `help:"URL of the platform." required:""`
 	Seeds      []string      `help:"Addresses of other entries and sidecars, besides the platform's VM list."`
 	MaxBody    int64         `help:"Most bytes of a request body." default:"8388608"`
+	MemoryMB   float64       `help:"Memory of the process in megabytes, of which a part holds answers that are not complete; zero: not known." name:"memory-mb" default:"0"`
 	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
 	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
 
@@ -64,6 +66,7 @@
 		c.Endpoint("seeds", seed)
 	}
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
+	c.Require(s.MemoryMB >= 0, "memory-mb", fmt.Sprint(s.MemoryMB), "a number from zero")
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
 	c.Require(s.CheckpointDelay >= 0, "checkpoint-delay", s.CheckpointDelay.String(), "a duration from zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
@@ -104,7 +107,7 @@
 		State: control.State, Follower: control.Follower, Writer: control.Writer, Bookings: bookings,
 		Usage: usageStream, UsageLog: platform.Stream(hosting.StreamUsage),
 		PeerFetcher: logbook.NewPeerFetcher(control.State, peers, logger, registry), Platform: platform, PeerClient: peers, ControlClient: process.NewHeartbeatClient(),
-		Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: registry, Logger: logger,
+		Responses: response.NewMemory(s.MemoryMB), Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: registry, Logger: logger,
 	}
 	e := New(Config{
 		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
@@ -30,11 +32,11 @@
 		return e.sidecarRefusal(a.rq, u, rs)
 	}
 	if statusFailed(a.rq, rs.StatusCode) {
-		return failedAttempt(problem.UpstreamFailed, u, rs.Status)
+		return failedAttempt(problem.UpstreamFailed, u, fmt.Sprintf("%.*s", maxErrorBytes, rs.Status))
 	}
 	if rid := rs.Header.Get(wire.HeaderRequestID); rid != string(a.rq.id) {
 		e.count("answer_crossed")
-		return failedAttempt(problem.AnswerCrossed, u, "answer carries request id "+rid)
+		return failedAttempt(problem.AnswerCrossed, u, fmt.Sprintf("answer carries request id %.64q", rid))
 	}
 	if a.rq.stream && strings.HasPrefix(rs.Header.Get("Content-Type"), eventStream) {
 		return e.relayEvents(a, u, rs)
@@ -84,13 +86,15 @@
 // relayUnstreamed relays an answer that is not streamed. It reads the whole answer before
 // it sends anything, so that an interrupted one can be retried.
 func (e *Entry) relayUnstreamed(a *answer, u *upstream.View, rs *http.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(rs.Body, maxUnstreamedBytes+1))
-	if err != nil {
+	whole, err := e.deps.Responses.ReadBody(u.ID, rs.Body, maxUnstreamedBytes)
+	defer whole.Release()
+	switch {
+	case errors.Is(err, response.ErrTooLarge), errors.Is(err, response.ErrMemoryTaken):
+		return failedAttempt(problem.AnswerTruncated, u, fmt.Sprintf("after %d bytes of the answer: %v", whole.Len(), err))
+	case err != nil:
 		return failedAttempt(problem.UpstreamCut, u, err.Error())
 	}
-	if len(body) > maxUnstreamedBytes {
-		return failedAttempt(problem.AnswerTruncated, u, fmt.Sprintf("answer is larger than %d bytes", maxUnstreamedBytes))
-	}
+	body := whole.Bytes()
 	var got tokenUsage
 	if a.rq.service == "" && rs.StatusCode == http.StatusOK {
 		var failure *attemptFailed
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -32,6 +32,9 @@
 	// maxLoggedParts and maxLoggedPartBytes bound what the log names of a prompt, which callers
 	// choose.
 	maxLoggedParts, maxLoggedPartBytes = 8, 16
+	// maxErrorBytes bounds what callers and the log are told of an upstream's error, which may repeat
+	// what the upstream has sent.
+	maxErrorBytes = 256
 	// minSlotWait is how long any request may wait for upstreams that are cold, have named a limit or
 	// have asked for a wait, and maxSlotWaitFraction the part of its time for which one may wait for
 	// limited upstreams whose route has a longer latency objective.
@@ -150,7 +153,7 @@
 			if result.unreachable {
 				f.gateway.deps.Pool.MarkUnreachable(time.Now(), assignment.Upstream.ID)
 			}
-			failed = problem.New(problem.UpstreamFailed, f.runState(), http.StatusServiceUnavailable, "upstream %s: %v", assignment.Upstream.ID, result.err)
+			failed = problem.New(problem.UpstreamFailed, f.runState(), http.StatusServiceUnavailable, "upstream %s: %.*v", assignment.Upstream.ID, maxErrorBytes, result.err)
 		case *misdirected:
 			f.uncountedAttempts++
 			f.reachedUpstream = true
@@ -165,7 +168,7 @@
 			if result.reason == problem.UpstreamCut && !f.survived && f.mindsCrashes() {
 				f.noteCut(ctx, assignment)
 			}
-			failed = problem.New(result.reason, problem.RunUnknown, http.StatusBadGateway, "upstream %s: %v", assignment.Upstream.ID, result.err)
+			failed = problem.New(result.reason, problem.RunUnknown, http.StatusBadGateway, "upstream %s: %.*v", assignment.Upstream.ID, maxErrorBytes, result.err)
 			if result.reason == problem.PromptHeld {
 				return failed
 			}
--- a/gateway/event_size_test.go
+++ b/gateway/event_size_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/response"
 )
 
 // repeatedText reads as a text that repeats for 16 times the size of the largest event.
@@ -31,12 +33,12 @@
 func TestEventWithoutEnd(t *testing.T) {
 	for _, text := range []string{"x", "data: x\n", ": x\n", "data: " + strings.Repeat("x", 2*eventBufferBytes) + "\n"} {
 		endless := &repeatedText{text: text}
-		_, err := newEventReader(endless, newResponseMemory(0).share("i-1")).next()
+		_, err := newEventReader(endless, response.NewMemory(0).Share("i-1")).next()
 		require.Error(t, err)
 		require.LessOrEqual(t, endless.read, maxEventBytes+eventBufferBytes)
 	}
 	largest := "data: " + strings.Repeat("x", maxEventBytes-8) + "\n"
-	e, err := newEventReader(strings.NewReader(largest+"\n"), newResponseMemory(0).share("i-1")).next()
+	e, err := newEventReader(strings.NewReader(largest+"\n"), response.NewMemory(0).Share("i-1")).next()
 	require.NoError(t, err)
 	require.Len(t, e.raw, maxEventBytes)
 }
--- a/gateway/foreign_response_test.go
+++ b/gateway/foreign_response_test.go
@@ -385,3 +385,20 @@
 	require.Equal(t, http.StatusServiceUnavailable, f.call(http.MethodPost, "/once/x", "").status)
 	require.Eventually(t, func() bool { return len(f.logged("foreign_response", "idle")) == 1 }, time.Second, time.Millisecond)
 }
+
+// TestErrorRepeatsLittle has an upstream send a long line that is no response: neither the caller nor the log
+// gets all of it.
+func TestErrorRepeatsLittle(t *testing.T) {
+	f := newFixture(t)
+	f.serveConns(func(c net.Conn, in *bufio.Reader) {
+		if _, ok := readRequest(in); ok {
+			_, _ = io.WriteString(c, strings.Repeat("\x00", 32<<10)+"\r\n\r\n")
+		}
+	})
+	got := f.call(http.MethodPost, "/once/x", "")
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Less(t, len(got.body), 1<<10)
+	for _, line := range f.logged() {
+		require.Less(t, len(line), 2<<10)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,7 +54,7 @@
 	Signed      bool // carries an upstream's signature
 	Leaving     bool // the upstream is leaving and must get no new requests
 	// Wait is how long the upstream, which refuses the request, wants no further ones; zero:
-	// not given. If the response has an unusable value, InvalidWait is its text.
+	// not given. If the response has an unusable value, InvalidWait is its text, shortened.
 	Wait        time.Duration
 	InvalidWait string
 	// Limited means that the upstream takes at most Limit requests from all gateways together,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/response"
 )
 
 const (
@@ -66,13 +67,13 @@
 // relayBuffered relays a response once it is complete, so that the request can be
 // retried if the response is cut off.
 func (f *forwarding) relayBuffered(ctx context.Context, assignment *pool.Assignment, resp *http.Response) outcome {
-	body, err := f.gateway.deps.Client.memory.read(assignment.Upstream.ID, resp.Body)
-	defer body.release()
+	body, err := f.gateway.deps.Client.memory.ReadBody(assignment.Upstream.ID, resp.Body, maxBufferedResponse)
+	defer body.Release()
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return interrupted(ctx)
-	case errors.Is(err, errResponseTooLarge), errors.Is(err, errMemoryTaken):
-		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.length, err)}
+	case errors.Is(err, response.ErrTooLarge), errors.Is(err, response.ErrMemoryTaken):
+		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.Len(), err)}
 	case err != nil:
 		return &responseLost{problem.UpstreamCut, err}
 	}
@@ -80,7 +81,7 @@
 		f.noteSurvived()
 	}
 	f.copyResponseHeaders(resp)
-	f.w.Header().Set("Content-Length", strconv.Itoa(body.length))
+	f.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	f.w.WriteHeader(resp.StatusCode)
 	if _, err := body.WriteTo(f.w); err != nil {
 		return callerWriteFailed(ctx)
@@ -97,8 +98,8 @@
 		}
 	}
 	stream := &continuation{streamProgress: &f.streamProgress, isRest: f.headSent}
-	memory := f.gateway.deps.Client.memory.share(assignment.Upstream.ID)
-	defer memory.release()
+	memory := f.gateway.deps.Client.memory.Share(assignment.Upstream.ID)
+	defer memory.Release()
 	events := newEventReader(resp.Body, memory)
 	flusher := http.NewResponseController(f.w)
 	for {
@@ -148,7 +149,7 @@
 		return &answered{resp.StatusCode}
 	case errors.Is(err, errNotAnEvent):
 		return &responseLost{problem.UpstreamFailed, err}
-	case errors.Is(err, errEventTooLarge), errors.Is(err, errMemoryTaken):
+	case errors.Is(err, errEventTooLarge), errors.Is(err, response.ErrMemoryTaken):
 		return &responseLost{problem.AnswerTruncated, err}
 	case ctx.Err() != nil:
 		return interrupted(ctx)
@@ -234,25 +235,25 @@
 type eventReader struct {
 	lines  *bufio.Reader
 	raw    []byte // the event being read
-	memory *memoryShare
+	memory *response.Share
 }
 
 // newEventReader returns a reader of events that takes the memory for those larger than
 // eventBufferBytes from a share.
-func newEventReader(r io.Reader, memory *memoryShare) *eventReader {
+func newEventReader(r io.Reader, memory *response.Share) *eventReader {
 	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes), memory: memory}
 }
 
 // addRaw adds a part of a line to the event being read. The error is errEventTooLarge or
-// errMemoryTaken.
+// response.ErrMemoryTaken.
 func (r *eventReader) addRaw(part []byte) error {
 	size := len(r.raw) + len(part)
 	if size > maxEventBytes {
 		return errEventTooLarge
 	}
 	if size > cap(r.raw) && size > eventBufferBytes {
-		size = (size + bufferChunkBytes - 1) / bufferChunkBytes * bufferChunkBytes
-		if err := r.memory.growTo(int64(size)); err != nil {
+		size = (size + response.ChunkBytes - 1) / response.ChunkBytes * response.ChunkBytes
+		if err := r.memory.GrowTo(int64(size)); err != nil {
 			return err
 		}
 		r.raw = append(make([]byte, 0, size), r.raw...)
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -19,6 +19,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/response"
 )
 
 const (
@@ -51,7 +52,7 @@
 type UpstreamClient struct {
 	dialer   *net.Dialer
 	codec    HeaderCodec
-	memory   *responseMemory
+	memory   *response.Memory
 	registry metrics.Registry
 	logger   log.Logger
 
@@ -67,7 +68,7 @@
 			Timeout:         connectTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 		},
-		codec: codec, memory: newResponseMemory(memoryMB), registry: registry, logger: logger,
+		codec: codec, memory: response.NewMemory(memoryMB), registry: registry, logger: logger,
 		kept: make(map[upstreamStart][]*upstreamConn),
 	}
 }
@@ -100,7 +101,7 @@
 		return nil, &UnsentError{err}
 	}
 	req.Close = newConn
-	x := &exchange{client: c, conn: conn, headMemory: c.memory.share(u.ID), kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
+	x := &exchange{client: c, conn: conn, headMemory: c.memory.Share(u.ID), kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
 	observer.connected(x)
 	x.stopCancel = context.AfterFunc(ctx, func() {
 		x.sealUnsent()
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/response"
 )
 
 const (
@@ -125,7 +126,7 @@
 type exchange struct {
 	client     *UpstreamClient
 	conn       *upstreamConn
-	headMemory *memoryShare
+	headMemory *response.Share
 	kept       bool // the connection was opened for an earlier request
 	single     bool // the connection is closed afterwards
 	req        *http.Request
@@ -255,7 +256,7 @@
 	if bytes <= freeHeadBytes {
 		return nil
 	}
-	return x.headMemory.growTo(bytes * headMemoryFactor)
+	return x.headMemory.GrowTo(bytes * headMemoryFactor)
 }
 
 // skipBody reads the body of a response that belongs to another request. It returns false if
@@ -272,7 +273,7 @@
 // its end and nothing speaks against it.
 func (x *exchange) end(whole bool) {
 	x.ended.Do(func() {
-		x.headMemory.release()
+		x.headMemory.Release()
 		if !x.stopCancel() || !whole || x.single {
 			x.conn.Close()
 			return
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -57,6 +57,8 @@
 	groupRequestAge  = 1200 * time.Millisecond
 	// maxMessageBytes bounds a message. A configuration has at most some 100 KB.
 	maxMessageBytes = 16 << 20
+	// maxHeaderBytes limits the status line and headers of a peer's response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Topics are the followers of the topics whose content peers share.
@@ -97,7 +99,7 @@
 	dialer := &net.Dialer{Timeout: exchangeTimeout}
 	return &Exchanger{
 		cfg: cfg, table: table, topics: topics, clock: clock, makeRow: makeRow, logger: logger, registry: registry,
-		httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}},
+		httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}},
 		wake:       make(chan struct{}, 1), strings: newStringGuard(logger, registry), failures: make(map[string]int), clients: make(map[string]ragwortv1connect.PeerServiceClient),
 	}
 }
--- a/process/server.go
+++ b/process/server.go
@@ -220,6 +220,7 @@
 // newClient returns a client that does not follow redirects but returns them. Following
 // one would send the request a second time, and to an address that no rule allows.
 func newClient(t *http.Transport) *http.Client {
+	t.MaxResponseHeaderBytes = maxHeaderBytes
 	return &http.Client{
 		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
