quarantine: a part that many requests have takes five crashes to be held

Cause: after all processes were killed, no gateway knows which parts engines have survived, and three crashes hold a part that none is known to have. A part that all prompts share is in each crash. Change: each gateway counts the parts of its requests. A part that a quarter of them have takes the weight of five crashes, as one that engines have survived; the users allow five. TestCommonPartIsNotHeldAtOnce fails on the code before.

--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -191,7 +191,9 @@
 	if bad && f.firstBad.IsZero() {
 		f.firstBad = f.clock.Now()
 	}
-	rq.send(f.gateways[f.rand.IntN(len(f.gateways))])
+	g := f.gateways[f.rand.IntN(len(f.gateways))]
+	g.register.CountRequest(rq.parts)
+	rq.send(g)
 }
 
 func firstPart(n int) id.PromptPart { return id.PromptPart(fmt.Sprint("first-", n)) }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -113,6 +113,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	f := &forwarding{gateway: g, req: req, w: w, streamProgress: streamProgress{lastEventID: req.info.LastEventID, resuming: req.info.Resumes}, parts: partIDs(&req.info.Prompt)}
+	g.deps.Quarantine.CountRequest(f.parts)
 	g.deps.RetryBudgets.CountRequest(req.arrived, req.service)
 	if p := f.runAttempts(ctx); p != nil {
 		f.finish(p)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -105,6 +105,7 @@
 	crashes    map[Start]*crash
 	cleared    map[id.PromptPart]time.Time    // last clearance of parts under suspicion
 	sound      [2]map[id.PromptPart]time.Time // when engines last survived parts, in two generations
+	requests   frequency
 	holds      map[id.PromptPart]Hold
 	released   map[id.PromptPart]time.Time // holds that are over; older ones of peers do not count
 	own        Report                      // what this gateway has found by itself
@@ -116,7 +117,8 @@
 	return &Register{
 		crashes: make(map[Start]*crash), cleared: make(map[id.PromptPart]time.Time),
 		sound: [2]map[id.PromptPart]time.Time{make(map[id.PromptPart]time.Time), make(map[id.PromptPart]time.Time)},
-		holds: make(map[id.PromptPart]Hold), released: make(map[id.PromptPart]time.Time),
+		requests: frequency{byPart: make(map[id.PromptPart]int)},
+		holds:    make(map[id.PromptPart]Hold), released: make(map[id.PromptPart]time.Time),
 	}
 }
 
@@ -128,6 +130,16 @@
 	return id.PromptPart("long-" + strconv.FormatUint(xxhash.Sum64String(string(part)), 16))
 }
 
+// CountRequest counts a request with the given shared parts.
+func (r *Register) CountRequest(parts []id.PromptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests.count(parts)
+}
+
 // Held returns the first of a request's shared parts that is held.
 func (r *Register) Held(now time.Time, parts []id.PromptPart) (Hold, bool) {
 	r.mu.Lock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -257,3 +257,36 @@
 	r.Restore(r.now, []quarantine.Hold{{Part: "bad", Since: r.now.Add(time.Second), Crashes: 3}})
 	require.Equal(t, []id.PromptPart{"bad"}, r.heldParts(), "clocks differ a little")
 }
+
+// TestCommonPartIsNotHeldAtOnce has three engines crash after a start of the whole fleet, before any of them has
+// answered: the part that all prompts share is in each crash, but so it is at every other engine.
+func TestCommonPartIsNotHeldAtOnce(t *testing.T) {
+	r := newRegister()
+	for i := range 9 {
+		r.CountRequest([]id.PromptPart{"shared", id.PromptPart(fmt.Sprint("document-", i))})
+	}
+	for i := range 3 {
+		r.crash(step, []id.PromptPart{"shared", id.PromptPart(fmt.Sprint("document-", i))})
+	}
+	require.Empty(t, r.heldParts())
+	r.crash(step, []id.PromptPart{"shared", "document-4"})
+	r.crash(step, []id.PromptPart{"shared", "document-5"})
+	require.Equal(t, []id.PromptPart{"shared"}, r.heldParts(), "no engine has survived it")
+}
+
+// TestPartOfFewRequestsIsHeldAfterThreeCrashes has requests with a crashing part among many others.
+func TestPartOfFewRequestsIsHeldAfterThreeCrashes(t *testing.T) {
+	r := newRegister()
+	for i := range 2000 {
+		parts := []id.PromptPart{"shared", id.PromptPart(fmt.Sprint("document-", i%10))}
+		if i%10 == 0 {
+			parts = append(parts, "bad")
+		}
+		r.CountRequest(parts)
+	}
+	for range 3 {
+		r.crash(step, []id.PromptPart{"shared", "bad"})
+		r.sound(10*time.Millisecond, "shared")
+	}
+	require.Equal(t, []id.PromptPart{"bad"}, r.heldParts())
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -19,7 +19,8 @@
 	silentWeight, begunWeight weight = 2, 1
 	// weightToHold holds a part that no engine is known to have survived.
 	weightToHold = 3 * silentWeight
-	// weightToHoldSound holds a part that engines survived before the first of the crashes.
+	// weightToHoldSound holds a part that engines survived before the first of the crashes, or that many
+	// requests have: it is at nearly every engine that crashes from something else.
 	weightToHoldSound = 5 * silentWeight
 	// crashSpacing is the shortest time between two crashes that count as separate. Engines that
 	// end together have a common cause, such as a rack without power.
@@ -91,7 +92,7 @@
 			s := byPart[part]
 			if s == nil {
 				s = &suspect{part: part, needed: weightToHold}
-				if !r.lastSound(part).IsZero() {
+				if !r.lastSound(part).IsZero() || r.requests.isCommon(part) {
 					s.needed = weightToHoldSound
 				}
 				byPart[part] = s
