pool: while the topics cannot be read, upstreams get no more than cold ones bear

Cause: the store was down from 28.6 to 48.8 s. Two evacuations of that time, after which replicas are cold, and what the replicas say of themselves were not known to any gateway until 49.2 s, while few replicas were left and got 40 to 48 requests a second. Change: when a topic was not read for 4 s, neither by the gateway nor by its peers, any upstream may be cold, and the gateways share the rate that its service bears when cold, by slots. TestOutdatedViewsLimitRates: without the limit five gateways send more than 41 in a second.

--- a/gateway/program.go
+++ b/gateway/program.go
@@ -67,6 +67,9 @@
 	// maxGroupViewAge is the same for a gateway that takes over the views of the reader of its group. That
 	// one has then had the time to read for itself.
 	maxGroupViewAge = 1600 * time.Millisecond
+	// maxViewsAge is the age of a view from which on an upstream may have become cold without this
+	// gateway knowing. It exceeds what a read of the operators' topic waits.
+	maxViewsAge = operatorReadWait + 2*time.Second
 	// operatorCopyInterval is the least time between two copies of the operators' topic,
 	// which seldom changes.
 	operatorCopyInterval = time.Second
@@ -204,6 +207,15 @@
 	return !grouped || p.isLeader()
 }
 
+// viewsOutdated reports whether a topic was not read for longer than maxViewsAge, by this gateway or by a
+// peer whose view it has taken over.
+func (p *Program) viewsOutdated(now time.Time) bool {
+	return slices.ContainsFunc(p.followers, func(f *feed.Follower) bool {
+		contact, known := f.Contact()
+		return known && now.Sub(contact) > maxViewsAge
+	})
+}
+
 // isLeader reports whether this gateway reads the upstreams' topic for the fleet and saves the
 // copies of both topics. The leader is the first by name among the live gateways that are not
 // shutting down. If all are shutting down, every gateway is a leader.
@@ -234,6 +246,7 @@
 		fleet := quota.NewFleet(p.settings.Node, p.table.Members(now), now, fleetTime())
 		p.pool.SetGatewayCount(len(p.table.Live(now)))
 		p.pool.SetFleet(fleet)
+		p.pool.SetViewsOutdated(p.viewsOutdated(now))
 		p.retryBudgets.SetFleet(fleet)
 		row = &peer.Row{
 			Address: p.settings.Listen.Peers, DataCentre: string(p.settings.DataCentre), Leaving: p.gateway.ShuttingDown(),
--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -43,3 +43,48 @@
 		}
 	}
 }
+
+// TestOutdatedViewsLimitRates has gateways lose the platform's topics while their upstreams get many requests: an
+// upstream that becomes cold unnoticed must not get more than a cold one bears.
+func TestOutdatedViewsLimitRates(t *testing.T) {
+	const (
+		gateways  = 5
+		perSecond = 24.0
+		bearable  = 41 // 1.5 times as many and 5, as the users bound it for one second
+	)
+	latest := new(catalog.Latest)
+	latest.Update(&catalog.Catalog{Version: 1, Services: map[id.Service]*catalog.Service{modelService: {Name: modelService, Cold: catalog.ColdLimit{Duration: 3 * time.Second, RequestsPerSecond: perSecond}}}})
+	var pools []*pool.Pool
+	for i := range gateways {
+		p := pool.New(latest)
+		p.SetFleet(quota.NewFleet(nodes(gateways)[i], nodes(gateways), now, now))
+		p.Put(now, listing(1))
+		pools = append(pools, p)
+	}
+	send := func(from, length time.Duration) (most int) {
+		var sent []time.Duration
+		for at := from; at < from+length; at += time.Millisecond {
+			p := pools[int(at/time.Millisecond)%gateways]
+			if a, ok := p.Choose(now.Add(at), &pool.Request{Service: modelService}).(*pool.Assignment); ok {
+				a.End(now.Add(at))
+				sent = append(sent, at)
+			}
+			for len(sent) > 0 && sent[0] <= at-time.Second {
+				sent = sent[1:]
+			}
+			most = max(most, len(sent))
+		}
+		return most
+	}
+	require.Greater(t, send(0, 2*time.Second), bearable, "without a limit")
+	for _, p := range pools {
+		p.SetViewsOutdated(true)
+	}
+	limited := send(2*time.Second, 5*time.Second)
+	require.LessOrEqual(t, limited, bearable)
+	require.Greater(t, limited, 20, "what a cold upstream bears is used")
+	for _, p := range pools {
+		p.SetViewsOutdated(false)
+	}
+	require.Greater(t, send(7*time.Second, 2*time.Second), bearable, "without a limit")
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -69,6 +69,7 @@
 	byService         map[id.Service][]*upstreamState // in hash order
 	evacuated         map[id.DataCentre]bool
 	evacuationEndedAt map[id.DataCentre]time.Time
+	viewsOutdated     bool      // the topics were not read lately
 	storeRecoveredAt  time.Time // end of the last outage of the store
 	latest            *catalog.Latest
 	gatewayCount      int // live gateways, which share the capacity of the upstreams
@@ -110,6 +111,14 @@
 	p.gatewayCount = max(1, n)
 }
 
+// SetViewsOutdated sets whether the platform's topics, from which the pool knows the upstreams and the
+// evacuations, were not read lately.
+func (p *Pool) SetViewsOutdated(outdated bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.viewsOutdated = outdated
+}
+
 // SetFleet sets which gateways share the rate limits of upstreams, and their common time.
 func (p *Pool) SetFleet(f quota.Fleet) {
 	p.mu.Lock()
