pool: less urgent requests leave the last slots of a service to more urgent ones

Change: gateways tell their peers how many requests they have running per service. Slots that are left are kept for more urgent requests, by their share of the arrivals, and a full group of engines sends short prompts to the other one until that is nearly full, too.

--- a/gateway/program.go
+++ b/gateway/program.go
@@ -31,6 +31,7 @@
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/quarantine"
 	"github.com/ragwortpass/ragwortpass/quota"
+	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
 // Platform holds the interfaces to the platform that a Program runs on.
@@ -77,6 +78,8 @@
 	// which changes all the time. An older copy is good enough for a start, as an address
 	// that now belongs to another upstream is detected.
 	upstreamCopyInterval = 5 * time.Second
+	// maxPeerLoad bounds what a peer can say of its load.
+	maxPeerLoad = 1 << 20
 	// memoryLimitFraction is the part of the process's memory that is set as the soft
 	// limit of the garbage collector.
 	memoryLimitFraction = 0.7
@@ -207,6 +210,30 @@
 	return !grouped || p.isLeader()
 }
 
+// peerLoads returns how many requests of other gateways run at the upstreams of each service.
+func (p *Program) peerLoads(now time.Time) map[id.Service]int {
+	loads := make(map[id.Service]int)
+	for _, r := range p.table.Live(now) {
+		if r.GetNode() == string(p.settings.Node) {
+			continue
+		}
+		for _, l := range r.GetLoads() {
+			loads[id.Service(l.GetService())] += int(min(l.GetRunning(), maxPeerLoad))
+		}
+	}
+	return loads
+}
+
+// encodeLoads returns the wire form of the own loads, without services that have none.
+func encodeLoads(loads map[id.Service]int) (rows []*ragwortv1.ServiceLoad) {
+	for service, running := range loads {
+		if running > 0 {
+			rows = append(rows, &ragwortv1.ServiceLoad{Service: string(service), Running: uint32(running)})
+		}
+	}
+	return rows
+}
+
 // viewsOutdated reports whether a topic was not read for longer than maxViewsAge, by this gateway or by a
 // peer whose view it has taken over.
 func (p *Program) viewsOutdated(now time.Time) bool {
@@ -247,10 +274,11 @@
 		p.pool.SetGatewayCount(len(p.table.Live(now)))
 		p.pool.SetFleet(fleet)
 		p.pool.SetViewsOutdated(p.viewsOutdated(now))
+		p.pool.SetPeerLoads(p.peerLoads(now))
 		p.retryBudgets.SetFleet(fleet)
 		row = &peer.Row{
 			Address: p.settings.Listen.Peers, DataCentre: string(p.settings.DataCentre), Leaving: p.gateway.ShuttingDown(),
-			CountedToUnixMs: fleetTime().UnixMilli(),
+			CountedToUnixMs: fleetTime().UnixMilli(), Loads: encodeLoads(p.pool.ServiceLoads()),
 		}
 		if p.reportDriver != nil {
 			reported := *p.reportDriver.reported.Load()
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -113,6 +113,7 @@
 // admission is what is known of the recent requests of a service with one urgency level.
 type admission struct {
 	waited, tokens decayingSum // for the answer to begin, in seconds, and the tokens before it
+	arrived        recentCount
 	admitted       recentCount
 	refused        recentCount // because the wait would have been too long
 	returns        returnTimes
@@ -195,6 +196,7 @@
 	level := urgencyLevel(rq.Urgency)
 	levels := p.admissionsOf(rq.Service)
 	own := &levels[level]
+	own.arrived.add(now)
 	best := candidate{chosen, p.fleetBacklog(chosen, group, level)}
 	engines := len(group)
 	if rq.MaxWait > 0 && own.wait(now, best.ahead) > rq.MaxWait {
@@ -211,7 +213,7 @@
 			best = least
 		}
 	}
-	if rq.MaxWait > 0 && yields(now, levels, level) {
+	if rq.MaxWait > 0 && (yields(now, levels, level) || p.leavesSlots(now, rq.Service, level)) {
 		return candidate{}, p.refuse(now, own, &Overloaded{Wait: own.wait(now, best.ahead), ForMoreUrgent: true}, rq, engines)
 	}
 	own.admitted.add(now)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,8 +3,9 @@
 //
 // A Pool records which upstreams exist, which accept new requests, which are cold, and
 // what this gateway has running on each of them. choose.go defines how an upstream is
-// chosen, admission.go which requests are refused because engines are too far behind, split.go the
-// separation of long prompts from short ones, cold.go the rate limit of cold
+// chosen, admission.go which requests are refused because engines are too far behind, utilisation.go
+// which of them leave the last slots to others, split.go the separation of long prompts from short
+// ones, cold.go the rate limit of cold
 // upstreams, remark.go what upstreams say of themselves in responses, limit.go the
 // limits that they name, slot.go and line.go how requests use the slots of both and wait for them,
 // and contact.go which upstreams may have gone without a word.
@@ -72,7 +73,8 @@
 	viewsOutdated     bool      // the topics were not read lately
 	storeRecoveredAt  time.Time // end of the last outage of the store
 	latest            *catalog.Latest
-	gatewayCount      int // live gateways, which share the capacity of the upstreams
+	gatewayCount      int                // live gateways, which share the capacity of the upstreams
+	peerLoads         map[id.Service]int // requests of other gateways that run; nil: not known
 	fleet             quota.Fleet
 	lines             map[id.Service]*line
 	splits            map[id.Service]*engineSplit
--- a/pool/split.go
+++ b/pool/split.go
@@ -57,6 +57,10 @@
 	// Long prompts are never sent to the other group: another long prompt next to its
 	// streams costs more than it gains.
 	borrowMinUtilisation, borrowMaxRatio = 0.8, 0.5
+	// fullUtilisation is the slot utilisation from which further requests wait for a slot, behind all that
+	// are more urgent. A group that is full sends requests to the other one until that is nearly full,
+	// too: a stream next to long prompts may be late, one that gets no slot is lost.
+	fullUtilisation, nearlyFullUtilisation = 0.9, 0.95
 	// minSplitEngines is the smallest number of engines that is divided into groups.
 	minSplitEngines = 3
 )
@@ -187,26 +191,11 @@
 func (p *Pool) shouldBorrow(own, other []*upstreamState) bool {
 	ownUtilisation, ownKnown := p.slotUtilisation(own)
 	otherUtilisation, otherKnown := p.slotUtilisation(other)
-	return ownKnown && otherKnown && ownUtilisation > borrowMinUtilisation && otherUtilisation < ownUtilisation*borrowMaxRatio
-}
-
-// slotUtilisation estimates the fraction of their slots that engines use, including
-// queued requests. It assumes that every gateway sends as much as this one. Known is
-// false without engines, and when one of them has too few slots for each gateway for an
-// estimate (see minSlotsPerGateway). The caller holds the lock.
-func (p *Pool) slotUtilisation(engines []*upstreamState) (fraction float64, known bool) {
-	running, slots := 0, 0
-	for _, u := range engines {
-		if u.Slots < minSlotsPerGateway*p.gatewayCount {
-			return 0, false
-		}
-		running += u.running
-		slots += u.Slots
-	}
-	if slots == 0 {
-		return 0, false
+	if !ownKnown || !otherKnown {
+		return false
 	}
-	return float64(running*p.gatewayCount) / float64(slots), true
+	return ownUtilisation > borrowMinUtilisation && otherUtilisation < ownUtilisation*borrowMaxRatio ||
+		ownUtilisation >= fullUtilisation && otherUtilisation < nearlyFullUtilisation
 }
 
 // acceptsWork reports whether an upstream may get new requests at all. The caller holds
