pool: slots are left only where many requests are more urgent

Change: none are left unless a quarter of the arrivals is more urgent, as the wait behind fewer is short; the reserve follows the fourth power of the share, so that the last in the order give way first.

--- a/pool/utilisation.go
+++ b/pool/utilisation.go
@@ -4,15 +4,22 @@
 // the last ones to more urgent requests.
 
 import (
+	"math"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
 )
 
 // slotReserve is the part of the slots of a service that a request leaves free if all recent requests are
-// more urgent; it leaves less if fewer are. Engines give slots by urgency: a less urgent request that has
+// more urgent; it leaves less if fewer are, by a power of their share. Engines give slots by urgency: a less urgent request that has
 // one keeps it, and one that has none waits behind all that are more urgent.
-const slotReserve = 0.35
+const slotReserve = 0.5
+
+const slotReservePower = 4
+
+// minMoreUrgent is the share of the recent requests that more urgent ones must have for slots to be left to
+// them. The wait behind fewer is short.
+const minMoreUrgent = 0.25
 
 // ServiceLoads returns how many requests of this gateway run at the upstreams of each service.
 func (p *Pool) ServiceLoads() map[id.Service]int {
@@ -104,5 +111,5 @@
 		}
 	}
 	share := float64(moreUrgent) / float64(total)
-	return moreUrgent > 0 && utilisation >= 1-slotReserve*share*share*share
+	return share > minMoreUrgent && utilisation >= 1-slotReserve*math.Pow(share, slotReservePower)
 }
