--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -116,7 +116,7 @@
 func New() *Register {
 	return &Register{
 		crashes: make(map[Start]*crash), cleared: make(map[id.PromptPart]time.Time),
-		sound: [2]map[id.PromptPart]time.Time{make(map[id.PromptPart]time.Time), make(map[id.PromptPart]time.Time)},
+		sound:    [2]map[id.PromptPart]time.Time{make(map[id.PromptPart]time.Time), make(map[id.PromptPart]time.Time)},
 		requests: frequency{byPart: make(map[id.PromptPart]int)},
 		holds:    make(map[id.PromptPart]Hold), released: make(map[id.PromptPart]time.Time),
 	}
