response, pool, docs: what is claimed is what holds

The share that greedy upstreams leave was described for upstreams that grow alike only. A refusal said that more urgent requests are refused where they only need the slots that are left. Error lengths are in characters, not bytes. memory-mb has an upper bound, as memory_mb does. No decision changes.

--- a/entry/events.go
+++ b/entry/events.go
@@ -21,8 +21,8 @@
 const (
 	doneEvent      = "[DONE]"
 	errorEventType = "error"
-	// maxErrorBytes bounds what is told of an upstream's error.
-	maxErrorBytes = 256
+	// maxErrorRunes bounds what is told of an upstream's error.
+	maxErrorRunes = 256
 	// withheldEventBytes is what an event that is withheld takes besides its data.
 	withheldEventBytes = 32
 	// maxResumableBytes limits the text that is kept to resume an answer.
@@ -80,7 +80,7 @@
 		return s.broken(problem.UpstreamFailed, "an event is not JSON")
 	}
 	if e := gjson.Get(ev.Data, "error"); e.Type != gjson.Null {
-		return s.broken(problem.UpstreamFailed, fmt.Sprintf("error event: %.*s", maxErrorBytes, e.Get("message").String()))
+		return s.broken(problem.UpstreamFailed, fmt.Sprintf("error event: %.*s", maxErrorRunes, e.Get("message").String()))
 	}
 	if answerID := gjson.Get(ev.Data, "id"); !belongsToRequest(answerID.Str, s.a.rq.id) {
 		s.e.count("answer_crossed")
--- a/entry/program.go
+++ b/entry/program.go
@@ -66,7 +66,7 @@
 		c.Endpoint("seeds", seed)
 	}
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
-	c.Require(s.MemoryMB >= 0, "memory-mb", fmt.Sprint(s.MemoryMB), "a number from zero")
+	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= response.MaxMemoryMB, "memory-mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", response.MaxMemoryMB))
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
 	c.Require(s.CheckpointDelay >= 0, "checkpoint-delay", s.CheckpointDelay.String(), "a duration from zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -32,7 +32,7 @@
 		return e.sidecarRefusal(a.rq, u, rs)
 	}
 	if statusFailed(a.rq, rs.StatusCode) {
-		return failedAttempt(problem.UpstreamFailed, u, fmt.Sprintf("%.*s", maxErrorBytes, rs.Status))
+		return failedAttempt(problem.UpstreamFailed, u, fmt.Sprintf("%.*s", maxErrorRunes, rs.Status))
 	}
 	if rid := rs.Header.Get(wire.HeaderRequestID); rid != string(a.rq.id) {
 		e.count("answer_crossed")
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -32,9 +32,9 @@
 	// maxLoggedParts and maxLoggedPartBytes bound what the log names of a prompt, which callers
 	// choose.
 	maxLoggedParts, maxLoggedPartBytes = 8, 16
-	// maxErrorBytes bounds what callers and the log are told of an upstream's error, which may repeat
+	// maxErrorRunes bounds what callers and the log are told of an upstream's error, which may repeat
 	// what the upstream has sent.
-	maxErrorBytes = 256
+	maxErrorRunes = 256
 	// minSlotWait is how long any request may wait for upstreams that are cold, have named a limit or
 	// have asked for a wait, and maxSlotWaitFraction the part of its time for which one may wait for
 	// limited upstreams whose route has a longer latency objective.
@@ -154,7 +154,7 @@
 			if result.unreachable {
 				f.gateway.deps.Pool.MarkUnreachable(time.Now(), assignment.Upstream.ID)
 			}
-			failed = problem.New(problem.UpstreamFailed, f.runState(), http.StatusServiceUnavailable, "upstream %s: %.*v", assignment.Upstream.ID, maxErrorBytes, result.err)
+			failed = problem.New(problem.UpstreamFailed, f.runState(), http.StatusServiceUnavailable, "upstream %s: %.*v", assignment.Upstream.ID, maxErrorRunes, result.err)
 		case *misdirected:
 			f.uncountedAttempts++
 			f.reachedUpstream = true
@@ -169,7 +169,7 @@
 			if result.reason == problem.UpstreamCut && !f.survived && f.mindsCrashes() {
 				f.noteCut(ctx, assignment)
 			}
-			failed = problem.New(result.reason, problem.RunUnknown, http.StatusBadGateway, "upstream %s: %.*v", assignment.Upstream.ID, maxErrorBytes, result.err)
+			failed = problem.New(result.reason, problem.RunUnknown, http.StatusBadGateway, "upstream %s: %.*v", assignment.Upstream.ID, maxErrorRunes, result.err)
 			if result.reason == problem.PromptHeld {
 				return failed
 			}
@@ -305,7 +305,7 @@
 func (f *forwarding) overloadProblem(now time.Time, choice *pool.Overloaded) *problem.Problem {
 	why := "the upstreams"
 	if choice.ForMoreUrgent {
-		why = "more urgent requests are refused, and the upstreams"
+		why = "more urgent requests go first, and the upstreams"
 	}
 	return problem.New(problem.UpstreamOverloaded, f.runState(), http.StatusServiceUnavailable,
 		"%s of %s would begin the answer after %v", why, f.req.service, choice.Wait.Round(time.Millisecond)).WithRetryAfter(choice.RetryAt.Sub(now))
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/setting"
 )
 
@@ -78,7 +79,7 @@
 		c.Endpoint("seeds", seed)
 	}
 	b := s.Bounds
-	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= maxMemoryMB, "memory_mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", maxMemoryMB))
+	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= response.MaxMemoryMB, "memory_mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", response.MaxMemoryMB))
 	c.Require(isTime(durationMS(b.ConfigMS)), "bounds.config_ms", fmt.Sprint(b.ConfigMS), "milliseconds, from one to those of a year")
 	c.Require(b.RetryRatio >= 0, "bounds.retry_ratio", fmt.Sprint(b.RetryRatio), "a number from zero")
 	c.Require(b.RetrySlack >= 0, "bounds.retry_slack", fmt.Sprint(b.RetrySlack), "a number from zero")
@@ -99,8 +100,6 @@
 }
 
 const (
-	// maxMemoryMB is a petabyte.
-	maxMemoryMB = 1 << 30
 	// maxTime bounds the times of the settings.
 	maxTime = 365 * 24 * time.Hour
 )
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -2,7 +2,7 @@
 
 // This file defines admission: how long requests are expected to wait for engines that have prompts to read,
 // and which requests are refused because the wait would be too long, or because more urgent ones are
-// refused. It answers a load that is above what the engines of a service bear
+// refused or need the slots that are left. It answers a load that is above what the engines of a service bear
 // (docs/design/overload.md).
 
 import (
@@ -40,8 +40,8 @@
 // Overloaded means that no upstream is expected to begin with the request in time.
 type Overloaded struct {
 	Wait time.Duration // that is expected
-	// ForMoreUrgent means that more urgent requests are refused, although the wait would be short
-	// enough.
+	// ForMoreUrgent means that more urgent requests are refused or need the slots that are left,
+	// although the wait would be short enough.
 	ForMoreUrgent bool
 	RetryAt       time.Time // when the caller is to return
 }
--- a/response/memory.go
+++ b/response/memory.go
@@ -21,6 +21,8 @@
 	defaultMemory = 256 << 20
 	// memoryFraction is the part of the process's memory for responses.
 	memoryFraction = 0.15
+	// MaxMemoryMB is the largest memory of a process, a petabyte.
+	MaxMemoryMB = 1 << 30
 )
 
 // ErrMemoryTaken means that the responses of an upstream have all the memory that they may have.
@@ -30,8 +32,9 @@
 var ErrTooLarge = errors.New("the response is too large")
 
 // Memory counts the memory of all responses. The responses of one upstream may together have
-// as much as is free: n upstreams that ask for more than there is leave one part in n+1 to the
-// others. It is safe for concurrent use.
+// as much as is free. n upstreams that ask for more than there is leave one part in n+1 to the others
+// if they grow alike, and one in 2^n if they take what they can get one after the other and keep
+// it. It is safe for concurrent use.
 type Memory struct {
 	limit int64 // bytes
 
