pool: callers that lack a slot return when their urgency releases one

Cause: Retry-After of a refusal for slots grew by the time that engines take to read the prompt, a few ms, so that the callers of plans came back within half a second and were refused for good. Change: it grows by the time in which the requests of the urgency release a slot, up to the 10 s as before.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -230,13 +230,17 @@
 
 // refuse counts a refusal for a long wait and sets when the caller is to return: when the wait is
 // expected to be short enough, and later than those that were refused before by the time that the
-// engines need for the request. The caller holds the lock.
+// engines need for the request or, if it lacks a slot, until one of its urgency is released. The caller holds
+// the lock.
 func (p *Pool) refuse(now time.Time, a *admission, o *Overloaded, rq *Request, engines int) *Overloaded {
 	if o.Shed == nil {
 		a.refused.add(now)
 	}
 	earliest := now.Add(max(o.Wait-rq.MaxWait, minReturnWait))
 	interval := time.Duration(float64(a.wait(now, float64(rq.Prompt.Length))) * float64(p.gatewayCount) / float64(engines))
+	if o.Shed != nil && o.Shed.ForSlots {
+		interval = max(interval, o.Shed.releaseInterval(urgencyLevel(rq.Urgency))*time.Duration(p.gatewayCount))
+	}
 	o.RetryAt = a.returns.next(now, earliest, interval, maxReturnSpread/2, p.rand)
 	return o
 }
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -141,3 +141,9 @@
 	}
 	return &Shed{ForSlots: forSlots, Share: share, Load: load, Slots: slots}
 }
+
+// releaseInterval returns the time between two releases of a slot by requests of a level, at all gateways.
+func (s *Shed) releaseInterval(level int) time.Duration {
+	l := &s.Load.Levels[level]
+	return time.Duration(l.hold(0) / float64(max(1, l.Running)) * float64(time.Second))
+}
--- a/pool/shed_test.go
+++ b/pool/shed_test.go
@@ -206,3 +206,23 @@
 	require.Zero(t, begun(4))
 	require.Equal(t, 100, begun(2), "more urgent than those that are refused")
 }
+
+// TestShedCallersReturnBeforeSlotsAreReleased guards against callers that return at once, all of them, and are refused
+// again.
+func TestShedCallersReturnBeforeSlotsAreReleased(t *testing.T) {
+	p := newSlotPool(9, 128, 5)
+	load := pool.Load{Running: 1100}
+	load.Levels[3] = pool.LevelLoad{Running: 900, Arrived: 300, SlotSeconds: 4500, Started: 1500, Ended: 1500}
+	load.Levels[5] = pool.LevelLoad{Running: 200, Arrived: 60, SlotSeconds: 8000, Started: 1000, Ended: 1000}
+	p.SetPeerLoads(map[id.Service]pool.Load{modelService: load})
+	var last time.Time
+	for i := range 10 {
+		refused, ok := ask(p, now, 5, shortTokens).(*pool.Overloaded)
+		require.True(t, ok)
+		require.True(t, refused.Shed.ForSlots)
+		if i > 0 {
+			require.InDelta(t, 5*8.0/200, refused.RetryAt.Sub(last).Seconds(), 0.02, "a slot of the level is released each 40 ms, for one of five gateways")
+		}
+		last = refused.RetryAt
+	}
+}
