pool: refusals at one gateway stop nobody while engines have slots

Cause: a gateway that had been frozen for four seconds got all that had come meanwhile at once and refused a third of it for the wait, 9 of 31 counter queries a second of the fleet. By the loads in the log, 97 to 123 of 1,152 slots were in use; all gateways refused what is less urgent for a second all the same. Change: levels yield only while half of the slots are in use. Engines read prompts by urgency, so that less urgent requests delay others only where slots are short. TestRefusalsOfOneGatewayStopLessUrgentOnes failed before at its new case.

--- a/pool/shed.go
+++ b/pool/shed.go
@@ -18,6 +18,9 @@
 	// maxUrgentRefused is the share of requests that may be refused for their wait before less urgent ones
 	// are refused in their place, and twice that the share from which on all of these are.
 	maxUrgentRefused = 0.05
+	// minYieldUtilisation is the part of the slots that must be in use for that. Engines read the prompts of
+	// more urgent requests first, so that these wait for less urgent ones only where slots are short.
+	minYieldUtilisation = 0.5
 	// shedHorizon is the time in which a level that holds more slots than its quota, or less, is to
 	// reach it. The loads of peers are older than a round of exchanges.
 	shedHorizon = 500 * time.Millisecond
@@ -92,7 +95,10 @@
 // yieldShare returns the share of the requests of a level that need not be refused because more urgent ones
 // are refused for their wait. The more of these are, the more slots less urgent ones give up, the least
 // urgent first.
-func yieldShare(load *Load, level int) float64 {
+func yieldShare(load *Load, slots, level int) float64 {
+	if float64(load.Running) < minYieldUtilisation*float64(slots) {
+		return 1
+	}
 	excess := 0.0
 	for l := range level {
 		urgent := &load.Levels[l]
@@ -124,7 +130,7 @@
 func (p *Pool) shed(now time.Time, s id.Service, level int) *Shed {
 	load := p.fleetLoad(now, s)
 	slots := p.slots(s)
-	share, forSlots := yieldShare(&load, level), false
+	share, forSlots := yieldShare(&load, slots, level), false
 	if p.peerLoads != nil && slots > 0 {
 		if found := slotShare(&load, slots, level); found < share {
 			share, forSlots = found, true
--- a/pool/shed_test.go
+++ b/pool/shed_test.go
@@ -177,8 +177,8 @@
 // a few more urgent ones were, at a gateway that has few.
 func TestRefusalsOfOneGatewayStopLessUrgentOnes(t *testing.T) {
 	p := newSlotPool(9, 128, 5)
-	tell := func(refused float64) {
-		load := pool.Load{Running: 100}
+	tell := func(running int, refused float64) {
+		load := pool.Load{Running: running}
 		load.Levels[3] = pool.LevelLoad{Running: 40, Arrived: 60, Refused: refused, SlotSeconds: 200, Started: 100, Ended: 100}
 		load.Levels[4] = pool.LevelLoad{Running: 20, Arrived: 60, SlotSeconds: 100, Started: 300, Ended: 300}
 		load.Levels[5] = pool.LevelLoad{Running: 40, Arrived: 60, SlotSeconds: 200, Started: 100, Ended: 100}
@@ -196,12 +196,14 @@
 		}
 		return n
 	}
-	tell(1)
+	tell(700, 1)
 	require.Equal(t, 100, begun(5), "one refusal is not a trend")
-	tell(4)
+	tell(700, 4)
 	require.Equal(t, 100, begun(4), "the least urgent ones go first")
 	require.InDelta(t, 100, begun(5), 50)
-	tell(20)
+	tell(100, 20)
+	require.Equal(t, 100, begun(5), "one gateway got many requests at once, and slots are free")
+	tell(700, 20)
 	require.Zero(t, begun(5))
 	require.Zero(t, begun(4))
 	require.Equal(t, 100, begun(2), "more urgent than those that are refused")
