--- a/ragworttest/endless_test.go
+++ b/ragworttest/endless_test.go
@@ -142,6 +142,11 @@
 				}
 			}
 			t.Logf("by status %v", byStatus)
+			for line := range strings.Lines(relay.process.Log.String()) {
+				if strings.Contains(line, "event=refused") && strings.Contains(line, "status=503") {
+					t.Log(line)
+				}
+			}
 			require.Len(t, neighbours, 1, "callers of another service: %v", neighbours)
 			require.NotZero(t, neighbours[http.StatusOK])
 			require.False(t, relay.process.Exited())
