quarantine: revert the spacing of crashes of a common part

A crashing part that an entry has seen in a quarter of its few requests counts as common and is held seconds later.

--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -25,18 +25,14 @@
 	// crashSpacing is the shortest time between two crashes that count as separate. Engines that
 	// end together have a common cause, such as a rack without power.
 	crashSpacing = 100 * time.Millisecond
-	// commonCrashSpacing is the same for parts that many requests have. Between two such crashes, the engines
-	// that go on have time to begin an answer to one of these and to show that they survive it.
-	commonCrashSpacing = 2 * ProofOfLife
 )
 
 // suspect is a part with the crashes that it may have caused.
 type suspect struct {
-	part    id.PromptPart
-	needed  weight        // of separate crashes that hold it
-	spacing time.Duration // between separate crashes, at least
-	starts  []Start
-	weight  weight // of the separate ones among starts
+	part   id.PromptPart
+	needed weight // of separate crashes that hold it
+	starts []Start
+	weight weight // of the separate ones among starts
 }
 
 // judge updates the holds to the evidence. The caller holds the lock.
@@ -95,12 +91,8 @@
 			}
 			s := byPart[part]
 			if s == nil {
-				s = &suspect{part: part, needed: weightToHold, spacing: crashSpacing}
-				common := r.requests.isCommon(part)
-				if common {
-					s.spacing = commonCrashSpacing
-				}
-				if common || !r.lastSound(part).IsZero() {
+				s = &suspect{part: part, needed: weightToHold}
+				if !r.lastSound(part).IsZero() || r.requests.isCommon(part) {
 					s.needed = weightToHoldSound
 				}
 				byPart[part] = s
@@ -116,7 +108,7 @@
 }
 
 // separateWeight adds the weights of the crashes of a suspect that are not explained and not closer
-// together than its spacing.
+// together than crashSpacing.
 func (r *Register) separateWeight(s *suspect, explained map[Start]bool) (sum weight) {
 	var last time.Time
 	var counted weight // of the crash at last
@@ -125,7 +117,7 @@
 		w := c.parts[s.part]
 		switch {
 		case explained[start]:
-		case sum == 0 || c.at.Sub(last) >= s.spacing:
+		case sum == 0 || c.at.Sub(last) >= crashSpacing:
 			sum, last, counted = sum+w, c.at, w
 		case w > counted:
 			sum, counted = sum+w-counted, w
