process, gateway: every end leaves a line with its cause

The users saw processes that ended by themselves, and nothing told how: an end by a server printed an error without its server on standard error, a panic of a task a trace there, bad settings a message without the file. The last line of entry, sidecar and standin is now exit, with the cause (signal, settings, server, panic), the exit code, the age and the peak memory; a panic has its task, value and stack, and the exit code 70, as Go's own, 2, is that of bad settings. The start line has the process id, the time since exec by the kernel's count, and the memory limit. Gauges have the memory, descriptors, goroutines and age, from /proc/self where it can be read.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -17,7 +17,7 @@
 }
 
 // New returns a clock that starts at the current system time.
-func New() *Clock { return &Clock{startTime: time.Now().Round(0), startBootTime: bootTime()} }
+func New() *Clock { return &Clock{startTime: time.Now().Round(0), startBootTime: BootTime()} }
 
 // NewWithOffset returns a clock that differs from the system time by a fixed offset, to
 // test the effects of clock errors.
@@ -28,10 +28,10 @@
 }
 
 // Now returns the clock's current time.
-func (c *Clock) Now() time.Time { return c.startTime.Add(bootTime() - c.startBootTime) }
+func (c *Clock) Now() time.Time { return c.startTime.Add(BootTime() - c.startBootTime) }
 
-// bootTime reads CLOCK_BOOTTIME.
-func bootTime() time.Duration {
+// BootTime returns the time since the VM was booted, including the time for which it was suspended.
+func BootTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic("clock: cannot read CLOCK_BOOTTIME: " + err.Error()) // supported since Linux 2.6.39
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -5,11 +5,10 @@
 // requests to sidecars. The relay command runs a gateway, which forwards the requests of a
 // platform directly to its upstreams.
 //
-// Exit codes: 0 success, 1 failure, 2 invalid settings or arguments.
+// Exit codes: 0 a planned stop, 1 a server has failed, 2 invalid settings or arguments, 70 a panic.
 package main
 
 import (
-	"fmt"
 	"os"
 	"time"
 
@@ -37,19 +36,16 @@
 func main() {
 	s := settings{isRelay: len(os.Args) > 1 && os.Args[1] == "relay"}
 	setting.Parse(&s, "ragwort-entry", "Serves callers and routes their requests to upstreams.")
-	run := s.serve
 	if s.isRelay {
-		run = s.Relay.run
-	}
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(setting.ExitCode(err))
+		os.Exit(s.Relay.run())
 	}
+	os.Exit(s.serve())
 }
 
-// serve runs an entry until SIGTERM or SIGINT.
-func (s *settings) serve() error {
+// serve runs an entry until SIGTERM or SIGINT and returns the exit code.
+func (s *settings) serve() int {
 	ctx, stop := process.SignalContext()
 	defer stop()
-	return entry.NewProgram(time.Now(), &s.Serve, process.NewLogger("entry", s.Serve.Node)).Run(ctx)
+	logger := process.NewLogger("entry", s.Serve.Node)
+	return process.Main(logger, func() error { return entry.NewProgram(time.Now(), &s.Serve, logger).Run(ctx) })
 }
--- a/cmd/entry/relay.go
+++ b/cmd/entry/relay.go
@@ -19,15 +19,23 @@
 	ClockError time.Duration `help:"How far the clock is off, for drills." hidden:""`
 }
 
-// run runs a gateway until SIGTERM or SIGINT.
-func (c *relayCommand) run() error {
-	readSettings := func() (*gateway.Settings, error) { return gateway.ReadSettings(c.Settings) }
+// run runs a gateway until SIGTERM or SIGINT and returns the exit code.
+func (c *relayCommand) run() int {
+	logWriter := process.NewAsyncLogWriter(os.Stdout)
+	defer logWriter.Close()
+	readSettings := func() (*gateway.Settings, error) {
+		s, err := gateway.ReadSettings(c.Settings)
+		if err != nil {
+			return nil, &process.SettingsError{Path: c.Settings, Err: err}
+		}
+		return s, nil
+	}
 	s, err := readSettings()
 	if err != nil {
-		return err
+		return process.Main(process.NewAsyncLogger(logWriter, "entry", ""), func() error { return err })
 	}
-	logWriter := process.NewAsyncLogWriter(os.Stdout)
-	defer logWriter.Close()
 	logger := process.NewAsyncLogger(logWriter, "entry", string(s.Node))
-	return gateway.NewProgram(s, readSettings, clock.NewWithOffset(c.ClockError), platform.New(s, logger), logger).Run(context.Background())
+	return process.Main(logger, func() error {
+		return gateway.NewProgram(s, readSettings, clock.NewWithOffset(c.ClockError), platform.New(s, logger), logger).Run(context.Background())
+	})
 }
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -1,8 +1,9 @@
 // Ragwort-sidecar runs beside one upstream and queues, limits and forwards its requests.
+//
+// Exit codes: 0 a planned stop, 1 a server has failed, 2 invalid settings or arguments, 70 a panic.
 package main
 
 import (
-	"fmt"
 	"os"
 	"time"
 
@@ -14,11 +15,13 @@
 func main() {
 	var s sidecar.Settings
 	setting.Parse(&s, "ragwort-sidecar", "Guards one upstream.")
+	os.Exit(run(&s))
+}
+
+// run runs a sidecar until SIGTERM or SIGINT and returns the exit code.
+func run(s *sidecar.Settings) int {
 	ctx, stop := process.SignalContext()
 	defer stop()
-	p := sidecar.NewProgram(time.Now(), &s, process.NewLogger("sidecar", s.Node))
-	if err := p.Run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(setting.ExitFailure)
-	}
+	logger := process.NewLogger("sidecar", s.Node)
+	return process.Main(logger, func() error { return sidecar.NewProgram(time.Now(), s, logger).Run(ctx) })
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
 	"os"
 	"time"
@@ -47,10 +46,7 @@
 func main() {
 	var s settings
 	ctx := setting.Parse(&s, "ragwort-standin", "Stands in for the systems around the router.")
-	if err := serve(s.Listen, ctx.Command(), s.handler(ctx.Command())); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(setting.ExitFailure)
-	}
+	os.Exit(serve(s.Listen, ctx.Command(), s.handler(ctx.Command())))
 }
 
 func (s *settings) handler(command string) http.Handler {
@@ -78,11 +74,15 @@
 	return engine
 }
 
-func serve(address, name string, h http.Handler) error {
+// serve serves until SIGTERM or SIGINT and returns the exit code.
+func serve(address, name string, h http.Handler) int {
 	ctx, stop := process.SignalContext()
 	defer stop()
-	return process.Serve(ctx, process.Server{
-		Address: address, Handler: h, Ready: func() error { return nil },
-		Metrics: metrics.NewRegistry(), Logger: process.NewLogger("standin", name), DrainTimeout: time.Second,
+	logger := process.NewLogger("standin", name)
+	return process.Main(logger, func() error {
+		return process.Serve(ctx, process.Server{
+			Address: address, Handler: h, Ready: func() error { return nil },
+			Metrics: metrics.NewRegistry(), Logger: logger, DrainTimeout: time.Second,
+		})
 	})
 }
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -119,6 +119,7 @@
 // for which the VM was suspended.
 func NewProgram(s *Settings, readSettings func() (*Settings, error), bootClock *clock.Clock, platform Platform, logger log.Logger) *Program {
 	registry := metrics.NewRegistry()
+	process.RegisterVitals(registry)
 	p := &Program{
 		settings: s, readSettings: readSettings, bootNow: bootClock.Now, registry: registry, logger: logger,
 		table: peer.NewTable(peer.Member{Node: s.Node, Incarnation: id.Incarnation(bootClock.Now().UnixNano())}, bootClock.Now()),
@@ -289,35 +290,36 @@
 	signal.Notify(reloadRequested, syscall.SIGHUP)
 	defer signal.Stop(reloadRequested)
 	var tasks sync.WaitGroup
-	p.startTasks(ctx, &tasks)
+	failed := make(chan error, 4)
+	p.startTasks(ctx, &tasks, failed)
 	callers := &http.Server{
 		Handler: p.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	failed := make(chan error, 4)
-	serve := func(server *http.Server, address string) error {
+	serve := func(name string, server *http.Server, address string) error {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return eris.Wrapf(err, "listen on %s", address)
+			return &process.ServerError{Server: name, Address: address, Err: eris.Wrap(err, "listen")}
 		}
 		if server == callers {
 			p.callers = p.gateway.TrackCallers(server, l)
 			l = p.callers
 		}
-		tasks.Go(func() { failed <- server.Serve(l) })
+		tasks.Go(func() { failed <- &process.ServerError{Server: name, Address: address, Err: server.Serve(l)} })
 		return nil
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: readHeaderTimeout}
 	metricsServer := &http.Server{Handler: p.operatorPages(), ReadHeaderTimeout: readHeaderTimeout}
-	err := errors.Join(serve(callers, s.Listen.Callers), serve(ready, s.Listen.Ready))
+	err := errors.Join(serve("callers", callers, s.Listen.Callers), serve("ready", ready, s.Listen.Ready))
 	peers := &http.Server{Handler: p.peers.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	if s.Listen.Peers != "" {
-		err = errors.Join(err, serve(peers, s.Listen.Peers))
-		tasks.Go(func() { p.peers.Run(ctx) })
+		err = errors.Join(err, serve("peers", peers, s.Listen.Peers))
+		goTask(&tasks, failed, "peers", func() { p.peers.Run(ctx) })
 	}
 	if s.Metrics != "" {
-		err = errors.Join(err, serve(metricsServer, s.Metrics))
+		err = errors.Join(err, serve("metrics", metricsServer, s.Metrics))
 	}
-	_ = p.logger.Log("event", "start", "version", process.Version(), "callers", s.Listen.Callers, "err", err)
+	process.LogStart(p.logger, "callers", s.Listen.Callers, "ready", s.Listen.Ready, "peers", s.Listen.Peers, "metrics", s.Metrics,
+		"data_centre", s.DataCentre, "memory_mb", s.MemoryMB, "err", err)
 	for running := err == nil; running; {
 		select {
 		case <-reloadRequested:
@@ -349,22 +351,31 @@
 }
 
 // startTasks starts everything that runs beside the servers.
-func (p *Program) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
-	for _, f := range p.followers {
-		tasks.Go(func() { f.Run(ctx) })
+func (p *Program) startTasks(ctx context.Context, tasks *sync.WaitGroup, failed chan<- error) {
+	for i, f := range p.followers {
+		goTask(tasks, failed, fmt.Sprint("follower_", i), func() { f.Run(ctx) })
 	}
-	for _, c := range p.copiers {
-		tasks.Go(func() { c.Run(ctx) })
+	for i, c := range p.copiers {
+		goTask(tasks, failed, fmt.Sprint("copier_", i), func() { c.Run(ctx) })
 	}
-	tasks.Go(func() { p.gateway.TryUpstreams(ctx) })
+	goTask(tasks, failed, "trials", func() { p.gateway.TryUpstreams(ctx) })
 	if p.holdKeeper != nil {
-		tasks.Go(func() { p.holdKeeper.run(ctx) })
+		goTask(tasks, failed, "holds", func() { p.holdKeeper.run(ctx) })
 	}
 	if p.reportDriver != nil {
-		tasks.Go(func() { p.reportDriver.run(ctx) })
+		goTask(tasks, failed, "usage", func() { p.reportDriver.run(ctx) })
 	}
 }
 
+// goTask runs a task in the background. A panic of it ends the program.
+func goTask(tasks *sync.WaitGroup, failed chan<- error, name string, run func()) {
+	tasks.Go(func() {
+		if err := process.CatchPanic(name, run); err != nil {
+			failed <- err
+		}
+	})
+}
+
 // reload rereads the settings file and applies the retry limit, the only setting that a
 // running process can change. Invalid settings change nothing.
 func (p *Program) reload() {
--- a/process/server.go
+++ b/process/server.go
@@ -81,7 +81,7 @@
 	if l == nil {
 		var err error
 		if l, err = net.Listen("tcp", s.Address); err != nil {
-			return eris.Wrapf(err, "listen on %s", s.Address)
+			return &ServerError{Server: "api", Address: s.Address, Err: eris.Wrap(err, "listen")}
 		}
 	}
 	server := NewHTTPServer(s.handler())
@@ -97,13 +97,15 @@
 	}()
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(l) }()
+	RegisterVitals(s.Metrics)
+	LogStart(s.Logger, "address", l.Addr())
 	_ = s.Logger.Log("event", "serving", "address", l.Addr(), "version", Version())
 	select {
 	case err := <-serveErr:
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
-		return eris.Wrap(err, "serve")
+		return &ServerError{Server: "api", Address: l.Addr().String(), Err: eris.Wrap(err, "serve")}
 	case <-ctx.Done():
 	}
 	return s.shutdown(server)
