--- a/ragworttest/fleet.go
+++ b/ragworttest/fleet.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -143,9 +144,31 @@
 // of the program's output. Args must make the program listen on address.
 func StartProcess(t testing.TB, program, address string, args ...string) *Process {
 	t.Helper()
-	p := &Process{Address: address, Log: &Output{}, exited: make(chan struct{})}
-	p.cmd = exec.Command(Binary(t, program), args...)
-	p.cmd.Stdout, p.cmd.Stderr = p.Log, p.Log
+	output := &Output{}
+	return start(t, &Process{Address: address, Log: output}, output, exec.Command(Binary(t, program), args...))
+}
+
+// StartProcessWritingTo is like StartProcess for a program whose output goes to out, and not to
+// Process.Log.
+func StartProcessWritingTo(t testing.TB, out *os.File, program, address string, args ...string) *Process {
+	t.Helper()
+	return start(t, &Process{Address: address, Log: &Output{}}, out, exec.Command(Binary(t, program), args...))
+}
+
+// StartTestProcess starts the test binary as a process that runs only the named test, with the
+// environment of this one.
+func StartTestProcess(t testing.TB, test string) *Process {
+	t.Helper()
+	output := &Output{}
+	cmd := exec.Command(os.Args[0], "-test.run=^"+test+"$", "-test.timeout=1m")
+	return start(t, &Process{Log: output}, output, cmd)
+}
+
+// start starts a command whose output goes to out.
+func start(t testing.TB, p *Process, out io.Writer, cmd *exec.Cmd) *Process {
+	t.Helper()
+	p.exited, p.cmd = make(chan struct{}), cmd
+	p.cmd.Stdout, p.cmd.Stderr = out, out
 	require.NoError(t, p.cmd.Start())
 	go func() {
 		_ = p.cmd.Wait()
@@ -156,7 +179,7 @@
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 		if t.Failed() {
-			t.Logf("last output of %s %s:\n%s", program, strings.Join(args, " "), tail(p.Log.String()))
+			t.Logf("last output of %s:\n%s", strings.Join(cmd.Args, " "), tail(p.Log.String()))
 		}
 	})
 	return p
@@ -172,6 +195,9 @@
 	require.NoError(t, p.cmd.Process.Signal(s))
 }
 
+// TrySignal is like Signal, and returns the error if the process has exited.
+func (p *Process) TrySignal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
 // Kill kills the process and waits until it has exited.
 func (p *Process) Kill(t testing.TB) {
 	t.Helper()
@@ -201,6 +227,31 @@
 	}
 }
 
+// ExitCode waits until the process has exited and returns its exit code, -1 if a signal ended it.
+func (p *Process) ExitCode(t testing.TB) int {
+	t.Helper()
+	p.WaitExit(t)
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// HandlesSignal reports whether the process ignores or handles a signal by now. Until then the signal has
+// its default action.
+func (p *Process) HandlesSignal(t testing.TB, s syscall.Signal) bool {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	for _, field := range []string{"SigIgn:", "SigCgt:"} {
+		_, line, _ := strings.Cut(string(status), field)
+		var mask uint64
+		_, err = fmt.Sscanf(line, "%x", &mask)
+		require.NoError(t, err)
+		if mask&(1<<(s-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // WaitExit waits until the process has exited.
 func (p *Process) WaitExit(t testing.TB) {
 	t.Helper()
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -46,12 +46,13 @@
 
 // relayNode is one node of a relayFleet; a restart replaces its process.
 type relayNode struct {
-	name          id.Node
-	settingsPath  string
-	callerAddress string
-	readyAddress  string
-	peerAddress   string
-	process       *ragworttest.Process
+	name           id.Node
+	settingsPath   string
+	callerAddress  string
+	readyAddress   string
+	peerAddress    string
+	metricsAddress string // empty: none
+	process        *ragworttest.Process
 }
 
 // relayMemoryMB is the memory of a relay process, about that of the smallest VMs of the users.
@@ -137,6 +138,13 @@
 }
 
 func (f *relayFleet) writeSettings(r *relayNode) {
+	text, err := json.Marshal(f.settings(r))
+	require.NoError(f.t, err)
+	require.NoError(f.t, os.WriteFile(r.settingsPath, text, 0o600))
+}
+
+// settings returns the settings of a node.
+func (f *relayFleet) settings(r *relayNode) *gateway.Settings {
 	s := &gateway.Settings{
 		Node: r.name, DataCentre: "th-a", Seeds: f.seeds, StoreAddress: f.storeAddress, DutyAddress: f.storeAddress, Duties: []string{"usage"}, MemoryMB: relayMemoryMB,
 		Bounds: gateway.Bounds{
@@ -144,10 +152,8 @@
 			WindowS: relayUsageWindow.Seconds(), UsageLateS: 8,
 		},
 	}
-	s.Listen.Callers, s.Listen.Ready, s.Listen.Peers = r.callerAddress, r.readyAddress, r.peerAddress
-	text, err := json.Marshal(s)
-	require.NoError(f.t, err)
-	require.NoError(f.t, os.WriteFile(r.settingsPath, text, 0o600))
+	s.Listen.Callers, s.Listen.Ready, s.Listen.Peers, s.Metrics = r.callerAddress, r.readyAddress, r.peerAddress, r.metricsAddress
+	return s
 }
 
 // startNode starts the process of a node.
