process: the reader of the log may go away

Every program ended by SIGPIPE at its next line once the reader of its standard output or standard error had gone, and again after each restart: Go gives a write to a broken pipe on these two the default action of the signal, unless it is ignored.

Package signals ignores SIGPIPE, for all programs. A write to the log now fails instead; its lines are counted (log_lines_lost, on the metrics page), and the next lines are tried all the same, so that a new reader of a named pipe is told how many are missing.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 
+	_ "github.com/ragwortpass/ragwortpass/process/signals"
 	"github.com/ragwortpass/ragwortpass/setting"
 )
 
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/ragwortpass/ragwortpass/entry"
 	"github.com/ragwortpass/ragwortpass/process"
+	_ "github.com/ragwortpass/ragwortpass/process/signals"
 	"github.com/ragwortpass/ragwortpass/setting"
 )
 
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/process"
+	_ "github.com/ragwortpass/ragwortpass/process/signals"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/sidecar"
 )
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/process"
+	_ "github.com/ragwortpass/ragwortpass/process/signals"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
--- a/process/asynclog.go
+++ b/process/asynclog.go
@@ -29,14 +29,14 @@
 	queued  bytes.Buffer
 	dropped uint64
 	closed  bool
-	out     io.Writer
+	out     *lineWriter
 	stop    chan struct{}
 	done    chan struct{}
 }
 
 // NewAsyncLogWriter returns a writer to out. The caller must call Close at the end.
 func NewAsyncLogWriter(out io.Writer) *AsyncLogWriter {
-	w := &AsyncLogWriter{out: out, stop: make(chan struct{}), done: make(chan struct{})}
+	w := &AsyncLogWriter{out: &lineWriter{out: out}, stop: make(chan struct{}), done: make(chan struct{})}
 	go w.writeLoop()
 	return w
 }
@@ -48,6 +48,7 @@
 	defer w.mu.Unlock()
 	if w.closed || w.queued.Len()+len(line) > maxQueuedBytes {
 		w.dropped++
+		lostLines.Inc(1)
 		return len(line), nil
 	}
 	return w.queued.Write(line)
@@ -88,7 +89,7 @@
 			stopping = true
 		}
 		if lines := w.drainQueue(); len(lines) > 0 {
-			_, _ = w.out.Write(lines) // a failure of the log cannot be logged
+			_, _ = w.out.Write(lines) // counts the lines that could not be written, and returns no error
 		}
 	}
 }
--- a/process/server.go
+++ b/process/server.go
@@ -34,7 +34,7 @@
 
 // NewLogger returns a logger that writes each event to stderr as one logfmt line.
 func NewLogger(program, node string) log.Logger {
-	l := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	l := log.NewLogfmtLogger(&lineWriter{out: os.Stderr})
 	return log.With(l, "ts", log.DefaultTimestampUTC, "program", program, "node", node)
 }
 
--- a/process/vitals.go
+++ b/process/vitals.go
@@ -41,7 +41,7 @@
 	_ = log.With(logger, "event", "start", "version", Version(), "pid", os.Getpid(), "after_exec", afterExec).Log(fields...)
 }
 
-// RegisterVitals adds the gauges of this process to a registry.
+// RegisterVitals adds the gauges of this process, and the counter of its lost log lines, to a registry.
 func RegisterVitals(r metrics.Registry) {
 	always := func(read func() int64) func() (int64, bool) {
 		return func() (int64, bool) { return read(), true }
@@ -60,6 +60,7 @@
 	add("process_resident_bytes", residentMemory)
 	add("process_peak_resident_bytes", peakMemory)
 	add("process_open_descriptors", openDescriptors)
+	r.GetOrRegister("log_lines_lost", lostLines)
 }
 
 // sinceExec returns the time since exec, which the kernel keeps in clock ticks since boot.
