process, gateway: a taken port does not end a program

Another process that has a port of a relay, by listening or as the local port of an outgoing connection, ended it with exit code 1, also if it was only the port of the metrics or of peers, and each restart again; so did any later failure of one listener.

Servers accept from process.Listener, which listens as soon as the port is free and again after a failure, with a log line each time. The other servers serve meanwhile, and the readiness check says no until callers can connect. Without the port for callers or for the readiness check a program ends after two minutes; it waits for the others for ever. What an http.Server says, such as a panic of a handler, is in the log now.

--- a/gateway/program.go
+++ b/gateway/program.go
@@ -7,8 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -17,7 +15,6 @@
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
-	"github.com/rotisserie/eris"
 
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/clock"
@@ -80,14 +77,6 @@
 	// memoryLimitFraction is the part of the process's memory that is set as the soft
 	// limit of the garbage collector.
 	memoryLimitFraction = 0.7
-	// maxHeaderBytes limits the size of a request's headers before the catalog's limit
-	// applies.
-	maxHeaderBytes = 64 << 10
-	// readHeaderTimeout limits how long a caller may take to send a request's headers.
-	readHeaderTimeout = 10 * time.Second
-	// defaultIdleTimeout limits how long an idle connection of a caller is kept open if
-	// the catalog sets no shorter time.
-	defaultIdleTimeout = 2 * time.Minute
 )
 
 // Program runs a gateway as a process.
@@ -109,6 +98,7 @@
 	registry     metrics.Registry
 	logger       log.Logger
 
+	servers servers      // set by Run
 	callers *CallerConns // connections of callers; set by Run
 }
 
@@ -282,6 +272,8 @@
 // After a signal it lets running requests finish.
 func (p *Program) Run(ctx context.Context, signals Signals) error {
 	s := p.settings
+	process.LogStart(p.logger, "callers", s.Listen.Callers, "ready", s.Listen.Ready, "peers", s.Listen.Peers, "metrics", s.Metrics,
+		"data_centre", s.DataCentre, "memory_mb", s.MemoryMB)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB * memoryLimitFraction * (1 << 20)))
 	}
@@ -290,35 +282,12 @@
 	var tasks sync.WaitGroup
 	failed := make(chan error, 4)
 	p.startTasks(ctx, &tasks, failed)
-	callers := &http.Server{
-		Handler: p.gateway.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	serve := func(name string, server *http.Server, address string) error {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return &process.ServerError{Server: name, Address: address, Err: eris.Wrap(err, "listen")}
-		}
-		if server == callers {
-			p.callers = p.gateway.TrackCallers(server, l)
-			l = p.callers
-		}
-		tasks.Go(func() { failed <- &process.ServerError{Server: name, Address: address, Err: server.Serve(l)} })
-		return nil
-	}
-	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: readHeaderTimeout}
-	metricsServer := &http.Server{Handler: p.operatorPages(), ReadHeaderTimeout: readHeaderTimeout}
-	err := errors.Join(serve("callers", callers, s.Listen.Callers), serve("ready", ready, s.Listen.Ready))
-	peers := &http.Server{Handler: p.peers.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	p.startServers(&tasks, failed)
 	if s.Listen.Peers != "" {
-		err = errors.Join(err, serve("peers", peers, s.Listen.Peers))
 		goTask(&tasks, failed, "peers", func() { p.peers.Run(ctx) })
 	}
-	if s.Metrics != "" {
-		err = errors.Join(err, serve("metrics", metricsServer, s.Metrics))
-	}
-	process.LogStart(p.logger, "callers", s.Listen.Callers, "ready", s.Listen.Ready, "peers", s.Listen.Peers, "metrics", s.Metrics,
-		"data_centre", s.DataCentre, "memory_mb", s.MemoryMB, "err", err)
-	for running := err == nil; running; {
+	var err error
+	for running := true; running; {
 		select {
 		case <-signals.Reload:
 			p.reload()
@@ -330,24 +299,13 @@
 		}
 		running = false
 	}
-	for _, server := range []*http.Server{callers, ready, peers, metricsServer} {
-		err = errors.Join(err, server.Close())
-	}
+	err = errors.Join(err, p.servers.close())
 	cancel()
 	tasks.Wait()
 	_ = p.logger.Log("event", "stop", "err", err)
 	return err
 }
 
-// operatorPages returns the handler of the metrics and of what else operators ask a gateway.
-func (p *Program) operatorPages() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/", process.MetricsHandler(p.registry))
-	mux.Handle("/holds", p.gateway.HoldsHandler())
-	mux.Handle("/holds/", p.gateway.HoldsHandler())
-	return mux
-}
-
 // startTasks starts everything that runs beside the servers.
 func (p *Program) startTasks(ctx context.Context, tasks *sync.WaitGroup, failed chan<- error) {
 	for i, f := range p.followers {
@@ -386,12 +344,3 @@
 	p.retryBudgets.Configure(RetryBudgetConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: durationS(b.RetryWindowS)})
 	_ = p.logger.Log("event", "reloaded", "listen_changed", s.Listen != p.settings.Listen)
 }
-
-// ready answers the load balancer's readiness check.
-func (p *Program) ready(w http.ResponseWriter, _ *http.Request) {
-	if !p.gateway.Ready() && !p.staysReady(time.Now()) {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = fmt.Fprintln(w, "ready")
-}
--- a/process/server.go
+++ b/process/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -75,15 +76,21 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
+// apiServer names the one server of a program, in its log.
+const apiServer = "api"
+
 // Serve serves until ctx is done and then shuts down gracefully: running requests are
 // completed before the tasks are stopped.
 func Serve(ctx context.Context, s Server) error {
+	RegisterVitals(s.Metrics)
+	LogStart(s.Logger, "address", s.Address)
 	l := s.Listener
 	if l == nil {
-		var err error
-		if l, err = net.Listen("tcp", s.Address); err != nil {
-			return &ServerError{Server: "api", Address: s.Address, Err: eris.Wrap(err, "listen")}
+		address, err := netip.ParseAddrPort(s.Address)
+		if err != nil {
+			return &ServerError{Server: apiServer, Address: s.Address, Err: err}
 		}
+		l = NewListener(time.Now(), apiServer, address, ListenPatience, s.Logger)
 	}
 	server := NewHTTPServer(s.handler())
 	defer s.startTasks(ctx)()
@@ -98,15 +105,12 @@
 	}()
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(l) }()
-	RegisterVitals(s.Metrics)
-	LogStart(s.Logger, "address", l.Addr())
-	_ = s.Logger.Log("event", "serving", "address", l.Addr(), "version", Version())
 	select {
 	case err := <-serveErr:
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
-		return &ServerError{Server: "api", Address: l.Addr().String(), Err: eris.Wrap(err, "serve")}
+		return eris.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
 	return s.shutdown(server)
