gateway: a start waits for settings that can be used

A relay that started while its settings file was missing, empty, half written or of another version ended with exit code 2 at once, and so did each restart until the file was whole. TestTornSettingsEndProcess failed so.

AwaitSettings reads the file again for five seconds, logs each error once, and ends at once on SIGTERM. It makes no difference between a cut off and an invalid file, as either may be about to be replaced; the exit code stays 2, and the exit line names the file and the problem.

--- a/cmd/entry/relay.go
+++ b/cmd/entry/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"time"
 
@@ -31,12 +32,17 @@
 		}
 		return s, nil
 	}
-	s, err := readSettings()
-	if err != nil {
-		return process.Main(process.NewAsyncLogger(logWriter, "entry", ""), func() error { return err })
+	nameless := process.NewAsyncLogger(logWriter, "entry", "")
+	s, err := gateway.AwaitSettings(readSettings, signals.Terminations(), nameless)
+	switch {
+	case errors.Is(err, gateway.ErrTerminated):
+		return process.Main(nameless, func() error { return nil })
+	case err != nil:
+		return process.Main(nameless, func() error { return err })
 	}
 	logger := process.NewAsyncLogger(logWriter, "entry", string(s.Node))
 	return process.Main(logger, func() error {
-		return gateway.NewProgram(s, readSettings, clock.NewWithOffset(c.ClockError), platform.New(s, logger), logger).Run(context.Background(), gateway.Signals{Terminate: signals.Terminations(), Reload: signals.Hangups()})
+		program := gateway.NewProgram(s, readSettings, clock.NewWithOffset(c.ClockError), platform.New(s, logger), logger)
+		return program.Run(context.Background(), gateway.Signals{Terminate: signals.Terminations(), Reload: signals.Hangups()})
 	})
 }
