gateway: a planned stop closes its listener once

A process that was told to end and had served all ended with status 1 now and then, 5 of 108 real stops under load, after "close tcp ...: use of closed network connection". The stop closes the listener of callers; if Serve had not returned when the server was closed a moment later, the server closed the same listener again and returned the error.

The listener now closes once and returns that result to whoever closes it again.

--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -26,6 +26,9 @@
 	net.Listener
 	idleTimeout func() time.Duration // zero: no limit
 
+	closeOnce sync.Once
+	closeErr  error // of Listener
+
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConn
 }
@@ -47,6 +50,13 @@
 	return &callerConn{Conn: conn, idleSince: time.Now()}, nil
 }
 
+// Close implements net.Listener. A planned stop closes the listener before the server and Serve do; their
+// calls return what the first one did.
+func (c *CallerConns) Close() error {
+	c.closeOnce.Do(func() { c.closeErr = c.Listener.Close() })
+	return c.closeErr
+}
+
 // Len returns the number of open connections.
 func (c *CallerConns) Len() int {
 	c.mu.Lock()
--- a/gateway/caller_conns_test.go
+++ b/gateway/caller_conns_test.go
@@ -17,7 +17,7 @@
 	require.NoError(t, err)
 	server := &http.Server{Handler: http.NotFoundHandler()}
 	callers := (&Gateway{}).TrackCallers(server, listener)
-	t.Cleanup(func() { callers.Close() })
+	t.Cleanup(func() { _ = callers.Close() })
 	return callers, server
 }
 
