gateway: a request that has arrived keeps its connection

A connection was closed as idle, by the timeout of the catalogue or by a planned stop, if no byte of a further request had been read. Bytes that had arrived and were not read yet, as the process had to wait for its processor, did not count: the close reset the connection, and the caller of a kept connection got no answer.

The connection is now asked whether something is there to be read before it is closed. What arrives within the microseconds between the two still crosses the close, as it may with any idle connection.

--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -5,15 +5,18 @@
 //
 // An http.Server takes a connection for idle until it has read the whole head of a request.
 // Closing it by that state may cut off a request whose head is being read, or one that is
-// already on its way to an upstream. CallerConns therefore decides by the bytes read: a
-// connection is closed only if no byte of a further request was read, and nothing is read
+// already on its way to an upstream. CallerConns therefore decides by the bytes received: a
+// connection is closed only if no byte of a further request has arrived, and nothing is read
 // from it any more once that is decided.
 
 import (
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // unreadGrace is how much longer than the idle timeout a connection is kept, so that a
@@ -159,8 +162,26 @@
 func (c *callerConn) closeIfIdleSince(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && !c.idleSince.IsZero() && !c.idleSince.After(t) {
+	if !c.closed && !c.idleSince.IsZero() && !c.idleSince.After(t) && !readable(c.Conn) {
 		c.closed = true
 		_ = c.Close() // nothing is lost: no request has begun
 	}
 }
+
+// readable reports whether a connection has received bytes or an end that were not read, or a listener
+// connections that were not accepted. It reports false for what is not a socket.
+func readable(socket any) bool {
+	conn, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false // closed
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		ready, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
