gateway: a planned stop closes its listener while there is time to answer

The listener was closed when no request had arrived for 0.5 s, which with such callers, or with many that the balancer still sends, was never. Everything was then closed at once at the end of the grace period. Before a catalogue was known the same callers got EOF in place of not_ready.

A stop now has phases, decided by stopSchedule from the time, the requests and the connections: it serves, refuses what may outlast it, closes the listener, answers, and ends. The listener closes 0.8 s before the planned end at the latest, after the connections that the kernel holds were accepted, as closing it would reset them; the connection that was accepted last is kept for 0.5 s and has 0.2 s to be refused. Connections are tracked as they are accepted, so that none is missed while the server has not seen it. A VM that was suspended goes through every phase and still has the time to answer. The line "left" says what was cut, by whether the request was read.

--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -10,8 +10,12 @@
 // from it any more once that is decided.
 
 import (
+	"context"
+	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +27,12 @@
 // process that was stopped for a while reads what has arrived meanwhile.
 const unreadGrace = 100 * time.Millisecond
 
+const (
+	// maxAcceptWait is how long StopAccepting waits for connections that the kernel holds.
+	maxAcceptWait      = 100 * time.Millisecond
+	acceptPollInterval = 100 * time.Microsecond
+)
+
 // CallerConns is the listener of one http.Server and tracks its connections. It is safe for
 // concurrent use.
 type CallerConns struct {
@@ -31,26 +41,55 @@
 
 	closeOnce sync.Once
 	closeErr  error // of Listener
+	drainOnce sync.Once
+	drained   chan struct{} // closed when Accept has failed: no further connection comes
 
 	mu    sync.Mutex
-	conns map[net.Conn]*callerConn
+	conns map[*callerConn]struct{}
 }
 
 // TrackCallers makes a server close idle connections after the timeout of the catalog in
 // force. The server must accept its connections from the returned listener.
 func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) *CallerConns {
-	c := &CallerConns{Listener: l, idleTimeout: g.idleTimeout, conns: make(map[net.Conn]*callerConn)}
+	c := &CallerConns{Listener: l, idleTimeout: g.idleTimeout, drained: make(chan struct{}), conns: make(map[*callerConn]struct{})}
 	server.ConnState = c.connStateChanged
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, callerConnKey{}, conn)
+	}
 	return c
 }
 
-// Accept implements net.Listener.
+// callerConnKey is the key of a request's connection in its context.
+type callerConnKey struct{}
+
+// Accept implements net.Listener. It tracks the connection at once, so that a stop never misses one.
 func (c *CallerConns) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		c.drainOnce.Do(func() { close(c.drained) })
+	}
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, idleSince: time.Now()}, nil
+	tracked := &callerConn{Conn: conn, idleSince: time.Now()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// StopAccepting closes the listener once the connections that the kernel holds for it are accepted: it would
+// reset them. It returns when all that were accepted are tracked.
+func (c *CallerConns) StopAccepting() error {
+	for deadline := time.Now().Add(maxAcceptWait); readable(c.Listener) && time.Now().Before(deadline); {
+		time.Sleep(acceptPollInterval)
+	}
+	err := c.Close()
+	select {
+	case <-c.drained:
+	case <-time.After(maxAcceptWait): // the server has not begun to accept
+	}
+	return err
 }
 
 // Close implements net.Listener. A planned stop closes the listener before the server and Serve do; their
@@ -67,17 +106,40 @@
 	return len(c.conns)
 }
 
-// CloseIdle closes the connections that have been idle for at least a period.
-func (c *CallerConns) CloseIdle(now time.Time, period time.Duration) {
-	c.mu.Lock()
-	var conns []*callerConn
-	for _, conn := range c.conns {
-		conns = append(conns, conn)
+// connStates counts connections by what they are doing.
+type connStates struct{ idle, reading, serving int }
+
+// states returns how many connections are idle, have a head that is being read, and have a request.
+func (c *CallerConns) states() (n connStates) {
+	for _, conn := range c.open() {
+		conn.mu.Lock()
+		switch {
+		case conn.serving:
+			n.serving++
+		case conn.idleSince.IsZero():
+			n.reading++
+		default:
+			n.idle++
+		}
+		conn.mu.Unlock()
 	}
-	c.mu.Unlock()
-	for _, conn := range conns {
-		conn.closeIfIdleSince(now.Add(-period))
+	return n
+}
+
+func (c *CallerConns) open() []*callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.conns))
+}
+
+// CloseIdle closes the connections that have been idle for at least a period and returns their number.
+func (c *CallerConns) CloseIdle(now time.Time, period time.Duration) (n int) {
+	for _, conn := range c.open() {
+		if conn.closeIfIdleSince(now.Add(-period)) {
+			n++
+		}
 	}
+	return n
 }
 
 // connStateChanged is the ConnState hook of the server.
@@ -87,17 +149,13 @@
 		return
 	}
 	switch s {
-	case http.StateNew:
-		c.mu.Lock()
-		c.conns[conn] = tracked
-		c.mu.Unlock()
 	case http.StateActive:
 		tracked.beginRequest()
 	case http.StateIdle:
 		tracked.endRequest(time.Now(), c.idleTimeout())
 	case http.StateClosed, http.StateHijacked:
 		c.mu.Lock()
-		delete(c.conns, conn)
+		delete(c.conns, tracked)
 		c.mu.Unlock()
 	}
 }
@@ -108,6 +166,7 @@
 
 	mu        sync.Mutex
 	idleSince time.Time // no byte of a request was read since then; zero: a request has begun
+	serving   bool      // a request has reached its handler
 	readAhead bool      // a byte was read while the request before was being served
 	closed    bool      // closed as idle: what is read now is discarded
 	idleTimer *time.Timer
@@ -143,11 +202,21 @@
 	return !c.closed
 }
 
+// beginServing records that the request on a connection of a CallerConns, if it is one, has reached its handler.
+func beginServing(ctx context.Context) {
+	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.serving = true
+	}
+}
+
 // endRequest records that a request was answered, and closes the connection after the
 // timeout unless another one begins. A timeout of zero means never.
 func (c *callerConn) endRequest(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = false
 	if c.readAhead {
 		c.readAhead = false // the first byte of the next request
 		return
@@ -158,14 +227,16 @@
 	}
 }
 
-// closeIfIdleSince closes the connection if it has been idle since t or longer.
-func (c *callerConn) closeIfIdleSince(t time.Time) {
+// closeIfIdleSince closes the connection if it has been idle since t or longer, and reports whether it did.
+func (c *callerConn) closeIfIdleSince(t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && !c.idleSince.IsZero() && !c.idleSince.After(t) && !readable(c.Conn) {
-		c.closed = true
-		_ = c.Close() // nothing is lost: no request has begun
+	if c.closed || c.idleSince.IsZero() || c.idleSince.After(t) || readable(c.Conn) {
+		return false
 	}
+	c.closed = true
+	_ = c.Close() // nothing is lost: no request has begun
+	return true
 }
 
 // readable reports whether a connection has received bytes or an end that were not read, or a listener
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,6 +142,7 @@
 // close their connections.
 func (g *Gateway) trackActivity(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		beginServing(r.Context())
 		g.inFlight.Add(1)
 		g.lastActivity.Store(clock.InstantOf(time.Now()))
 		defer func() {
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -1,6 +1,11 @@
 package gateway
 
-// This file defines the shutdown of a Program within the grace period of the platform.
+// This file defines the planned stop of a Program within the grace period of the platform. It is a
+// sequence of phases; stopSchedule decides when the next one begins, and plannedStop does what each
+// phase is for.
+//
+// Callers use open connections until these are closed. Every response during a stop is therefore the
+// last one on its connection: closing a connection while a request is on its way would lose the request.
 
 import (
 	"os"
@@ -11,7 +16,7 @@
 )
 
 const (
-	// shutdownAcceptPeriod is how long a process that is shutting down accepts every new
+	// shutdownAcceptPeriod is how long a process that is shutting down serves every new
 	// request. The load balancer checks readiness once a second and removes a process after
 	// two failed checks; requests accepted later may not finish in time.
 	shutdownAcceptPeriod = 2800 * time.Millisecond
@@ -20,61 +25,163 @@
 	// two failed checks must have removed it within four seconds.
 	shutdownReadyPeriod = 1800 * time.Millisecond
 	// shutdownIdlePeriod is how long no request must have arrived before a process that is
-	// shutting down ends. It exceeds the time for which a busy VM leaves a request unread.
+	// shutting down closes its listener, and before it closes a connection. It exceeds the time
+	// for which a busy VM leaves a request unread.
 	shutdownIdlePeriod = 500 * time.Millisecond
-	// shutdownPollInterval is the time between two checks of whether the process may end.
+	// shutdownClosePeriod is the time from the close of the listener to the last answers, at the
+	// least. A connection that is accepted last is kept for shutdownIdlePeriod, and its request
+	// then has the time to be refused.
+	shutdownClosePeriod = shutdownIdlePeriod + 200*time.Millisecond
+	// shutdownAnswerPeriod is how long before the planned end those who still wait are answered.
+	shutdownAnswerPeriod = 100 * time.Millisecond
+	// shutdownPollInterval is the time between two checks of whether the next phase begins.
 	shutdownPollInterval = 50 * time.Millisecond
+	// shutdownAnswerPollInterval is the same in the phase that answers those who still wait.
+	shutdownAnswerPollInterval = 10 * time.Millisecond
 	// shutdownMargin is the time between the planned end of the process and the platform's
 	// SIGKILL.
 	shutdownMargin = 400 * time.Millisecond
 )
 
-// gracePeriod is the time from a SIGTERM to the planned end of the process. The time for which the
-// VM is suspended is part of it: the platform's SIGKILL comes no later for that.
-type gracePeriod struct {
-	bootNow func() time.Time // of a clock that also counts suspensions
-	began   time.Time        // by bootNow
-	length  time.Duration
-}
+// stopPhase is a phase of a planned stop. The phases follow each other in this order.
+type stopPhase int
+
+const (
+	stopServing   stopPhase = iota // every request is served
+	stopRefusing                   // requests that may outlast the process are refused
+	stopClosing                    // no connection is accepted, and idle ones are closed
+	stopAnswering                  // those who still wait are told that the process ends
+	stopEnded                      // what is left is cut
+)
+
+var stopPhaseNames = [...]string{stopServing: "serving", stopRefusing: "refusing", stopClosing: "closing", stopAnswering: "answering", stopEnded: "ended"}
 
-func (g *gracePeriod) elapsed() time.Duration { return g.bootNow().Sub(g.began) }
+func (p stopPhase) String() string { return stopPhaseNames[p] }
 
-// left returns the time until the end of the process, which is not negative.
-func (g *gracePeriod) left() time.Duration { return max(0, g.length-g.elapsed()) }
+// stopSchedule holds the times since the SIGTERM at which phases begin at the latest.
+type stopSchedule struct{ refusing, closing, answering, ended time.Duration }
+
+// newStopSchedule returns the schedule of a stop that the platform ends after the grace period.
+func newStopSchedule(grace time.Duration) stopSchedule {
+	ended := max(0, grace-shutdownMargin)
+	answering := max(0, ended-shutdownAnswerPeriod)
+	closing := max(0, answering-shutdownClosePeriod)
+	return stopSchedule{refusing: min(shutdownAcceptPeriod, closing), closing: closing, answering: answering, ended: ended}
+}
 
-// poll waits until done reports true or the grace period has ended.
-func (g *gracePeriod) poll(done func() bool) {
-	for !done() && g.left() > 0 {
-		time.Sleep(min(g.left(), shutdownPollInterval))
+// stopStatus is what a stopSchedule decides by.
+type stopStatus struct {
+	elapsed     time.Duration // since the SIGTERM, suspensions of the VM included
+	inPhase     time.Duration // since the phase began, without suspensions
+	quiet       bool          // no request is being served, and none has arrived for shutdownIdlePeriod
+	connections int
+}
+
+// next returns the phase that follows p now, or p. A VM that was suspended goes through every phase, and still
+// has shutdownAnswerPeriod for answers.
+func (s stopSchedule) next(p stopPhase, now stopStatus) stopPhase {
+	switch p {
+	case stopServing:
+		if now.elapsed >= s.refusing {
+			return stopRefusing
+		}
+	case stopRefusing:
+		if now.quiet || now.elapsed >= s.closing {
+			return stopClosing
+		}
+	case stopClosing:
+		switch {
+		case now.connections == 0:
+			return stopEnded
+		case now.elapsed >= s.answering:
+			return stopAnswering
+		}
+	case stopAnswering:
+		if now.connections == 0 || now.elapsed >= s.ended && now.inPhase >= shutdownAnswerPeriod {
+			return stopEnded
+		}
+	case stopEnded:
 	}
+	return p
 }
 
-// shutDown ends the service within the grace period that the platform gives. It serves
-// all requests until the load balancer has noticed, then refuses those that may outlast
-// the process, and returns when running requests have finished and no new ones arrive.
-//
-// Callers use open connections until these are closed. Every response during the
-// shutdown is therefore the last one on its connection: closing a connection while a
-// request is on its way would lose the request.
+// plannedStop is a planned stop that is under way.
+type plannedStop struct {
+	program  *Program
+	schedule stopSchedule
+	began    time.Time // by the clock that also counts suspensions
+	phase    stopPhase
+	entered  time.Time // when the phase began
+	idle     int       // connections closed without a request
+}
+
+// shutDown stops the service within the grace period that the platform gives.
 func (p *Program) shutDown(sig os.Signal) error {
 	p.gateway.BeginShutdown(time.Now())
 	_ = p.logger.Log("event", "leaving", "signal", sig, "running", p.gateway.InFlight())
-	grace := &gracePeriod{bootNow: p.bootNow, began: p.bootNow(), length: durationS(p.settings.Bounds.GraceS) - shutdownMargin}
-	grace.poll(func() bool { return grace.elapsed() >= shutdownAcceptPeriod })
-	grace.poll(func() bool {
-		p.gateway.SetShutdownDeadline(time.Now().Add(grace.left()))
-		return p.gateway.Idle(time.Now(), shutdownIdlePeriod)
-	})
-	err := p.callers.Close()
-	grace.poll(func() bool { // some requests may outlast the grace period; the log line counts them
-		p.gateway.SetShutdownDeadline(time.Now().Add(grace.left()))
-		p.callers.CloseIdle(time.Now(), shutdownIdlePeriod)
-		return p.callers.Len() == 0
-	})
-	_ = p.logger.Log("event", "left", "after", grace.elapsed(), "running", p.gateway.InFlight(), "connections", p.callers.Len(), "err", err)
+	s := &plannedStop{program: p, schedule: newStopSchedule(durationS(p.settings.Bounds.GraceS)), began: p.bootNow(), entered: time.Now()}
+	var err error
+	for s.phase != stopEnded {
+		now := time.Now()
+		s.act(now)
+		if next := s.schedule.next(s.phase, s.status(now)); next != s.phase {
+			s.phase, s.entered = next, now
+			if next == stopClosing {
+				err = p.callers.StopAccepting()
+			}
+			continue
+		}
+		time.Sleep(s.pollInterval())
+	}
+	s.logEnd(err)
 	return err
 }
 
+func (s *plannedStop) elapsed() time.Duration { return s.program.bootNow().Sub(s.began) }
+
+func (s *plannedStop) status(now time.Time) stopStatus {
+	return stopStatus{
+		elapsed: s.elapsed(), inPhase: now.Sub(s.entered),
+		quiet: s.program.gateway.Idle(now, shutdownIdlePeriod), connections: s.program.callers.Len(),
+	}
+}
+
+// act does what the phase is for. It is called repeatedly.
+func (s *plannedStop) act(now time.Time) {
+	p := s.program
+	if s.phase >= stopRefusing {
+		p.gateway.SetShutdownDeadline(now.Add(max(0, s.schedule.answering-s.elapsed())))
+	}
+	if s.phase >= stopClosing {
+		s.idle += p.callers.CloseIdle(now, shutdownIdlePeriod)
+	}
+}
+
+// pollInterval returns the time until the next check.
+func (s *plannedStop) pollInterval() time.Duration {
+	if s.phase == stopAnswering {
+		return shutdownAnswerPollInterval
+	}
+	latest := map[stopPhase]time.Duration{stopServing: s.schedule.refusing, stopRefusing: s.schedule.closing, stopClosing: s.schedule.answering}
+	return min(shutdownPollInterval, max(time.Millisecond, latest[s.phase]-s.elapsed()))
+}
+
+// logEnd logs how the stop has ended, and what is cut: connections without a request, and requests by whether
+// their head or body is still being read.
+func (s *plannedStop) logEnd(err error) {
+	g := s.program.gateway
+	open, bodies := s.program.callers.states(), g.bodies.count()
+	_ = s.program.logger.Log("event", "left", "after", s.elapsed(), "closed_idle", s.idle, "cut_idle", open.idle, "cut_reading", open.reading+bodies,
+		"cut_serving", max(0, open.serving-bodies), "err", err)
+}
+
+// count returns how many bodies are being read.
+func (b *bodyReads) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.until)
+}
+
 // staysReady reports whether a process that is shutting down stays ready for now. This
 // is for rolling restarts that go on to the next process before the previous one has
 // ended: with no gateway ready, a load balancer sends callers to all of them, those
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -86,3 +86,82 @@
 	require.Less(t, time.Since(began), grace-shutdownMargin)
 	require.True(t, g.exceedsShutdown(time.Now().Add(time.Millisecond)))
 }
+
+// TestStopSchedule walks a stop through its phases, with a VM that is suspended in some of them. Each phase must be
+// entered, and those who still wait must have their time at the end.
+func TestStopSchedule(t *testing.T) {
+	const (
+		grace    = 8 * time.Second
+		step     = 10 * time.Millisecond
+		planned  = grace - shutdownMargin
+		answers  = planned - shutdownAnswerPeriod
+		lastOpen = answers - shutdownClosePeriod
+	)
+	for name, tc := range map[string]struct {
+		grace       time.Duration
+		busyUntil   time.Duration // requests are served and arrive
+		connections time.Duration // until then some are open
+		suspendedAt time.Duration
+		suspension  time.Duration
+		entered     map[stopPhase]time.Duration // since the SIGTERM
+	}{
+		"nobody":           {grace: grace, entered: map[stopPhase]time.Duration{stopRefusing: shutdownAcceptPeriod, stopClosing: shutdownAcceptPeriod, stopEnded: shutdownAcceptPeriod}},
+		"soon done":        {grace: grace, busyUntil: 4 * time.Second, connections: 5 * time.Second, entered: map[stopPhase]time.Duration{stopRefusing: shutdownAcceptPeriod, stopClosing: 4 * time.Second, stopEnded: 5 * time.Second}},
+		"no pause":         {grace: grace, busyUntil: grace, connections: lastOpen + step, entered: map[stopPhase]time.Duration{stopRefusing: shutdownAcceptPeriod, stopClosing: lastOpen, stopEnded: lastOpen + step}},
+		"no end":           {grace: grace, busyUntil: grace, connections: grace, entered: map[stopPhase]time.Duration{stopRefusing: shutdownAcceptPeriod, stopClosing: lastOpen, stopAnswering: answers, stopEnded: planned}},
+		"answered at last": {grace: grace, busyUntil: grace, connections: answers + 2*step, entered: map[stopPhase]time.Duration{stopRefusing: shutdownAcceptPeriod, stopClosing: lastOpen, stopAnswering: answers, stopEnded: answers + 2*step}},
+		"suspended":        {grace: grace, busyUntil: time.Minute, connections: time.Minute, suspendedAt: time.Second, suspension: 9 * time.Second, entered: map[stopPhase]time.Duration{stopRefusing: 10 * time.Second, stopClosing: 10 * time.Second, stopAnswering: 10 * time.Second, stopEnded: 10*time.Second + shutdownAnswerPeriod}},
+		"suspended late":   {grace: grace, busyUntil: time.Minute, connections: time.Minute, suspendedAt: answers + step, suspension: 9 * time.Second, entered: map[stopPhase]time.Duration{stopRefusing: shutdownAcceptPeriod, stopClosing: lastOpen, stopAnswering: answers, stopEnded: answers + 9*time.Second + shutdownAnswerPeriod}},
+		"no grace":         {busyUntil: time.Minute, connections: time.Minute, entered: map[stopPhase]time.Duration{stopRefusing: 0, stopClosing: 0, stopAnswering: 0, stopEnded: shutdownAnswerPeriod}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			schedule := newStopSchedule(tc.grace)
+			entered := make(map[stopPhase]time.Duration)
+			var phase stopPhase
+			var elapsed, inPhase time.Duration
+			suspended := tc.suspension == 0
+			for phase != stopEnded {
+				if !suspended && elapsed >= tc.suspendedAt {
+					elapsed, suspended = elapsed+tc.suspension, true
+				}
+				now := stopStatus{elapsed: elapsed, inPhase: inPhase, quiet: elapsed >= tc.busyUntil}
+				if elapsed < tc.connections {
+					now.connections = 1
+				}
+				if next := schedule.next(phase, now); next != phase {
+					require.Greater(t, next, phase)
+					phase, inPhase = next, 0
+					entered[phase] = elapsed
+					continue
+				}
+				elapsed, inPhase = elapsed+step, inPhase+step
+				require.Less(t, elapsed, time.Minute)
+			}
+			require.Equal(t, tc.entered, entered)
+		})
+	}
+}
+
+// TestAcceptedConnectionIsForgotten guards against a stop that ends while a connection was accepted and the server
+// has not seen it yet.
+func TestAcceptedConnectionIsForgotten(t *testing.T) {
+	callers, _ := listenForCallers(t)
+	caller, err := net.Dial("tcp", callers.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	accepted := make(chan net.Conn, 1)
+	stopped := make(chan error, 1)
+	go func() {
+		time.Sleep(10 * time.Millisecond) // the kernel holds the connection while the listener is about to close
+		conn, _ := callers.Accept()
+		accepted <- conn
+		_, err := callers.Accept()
+		stopped <- err
+	}()
+	require.NoError(t, callers.StopAccepting())
+	require.Equal(t, 1, callers.Len())
+	conn := <-accepted
+	require.NotNil(t, conn)
+	require.ErrorIs(t, <-stopped, net.ErrClosed)
+	require.NoError(t, conn.Close())
+}
