gateway: a planned stop answers what it will not finish

When a process ended as planned, a request whose head was not complete and one that an upstream still had got EOF: their callers could not tell a stop from a crash, and the first was not told that it may be sent again.

In the last 0.1 s the stop now refuses incomplete heads with 503 leaving, and ends the attempts that are under way, whose callers get 502 leaving, as the upstream may run them; there is no further attempt. A handler that begins while its head is being refused does not serve: one of the two wins under the lock of the connection. The line "left" counts these, and what is cut by the phase of its request. A stop that cuts ends with status 0, as before; the design says why.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,6 +43,8 @@
 	defer cancel(nil)
 	f.gateway.pending.add(f, cancel)
 	defer f.gateway.pending.remove(f)
+	f.gateway.attempts.add(f, cancel)
+	defer f.gateway.attempts.remove(f)
 	if f.canRetry() {
 		go cancelIfGone(ctx, cancel, assignment.Gone())
 	}
@@ -144,6 +146,8 @@
 		return &responseLost{problem.AnswerCrossed, cause}
 	case errors.Is(cause, errPromptHeld):
 		return &responseLost{problem.PromptHeld, cause}
+	case errors.Is(cause, errProcessEnds):
+		return &responseLost{problem.Leaving, cause}
 	}
 	return &abandoned{reason: abandonReason(ctx)}
 }
@@ -154,7 +158,7 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errUpstreamGone):
 		return &notSent{err: cause, unreachable: true}
-	case errors.Is(cause, errPromptHeld), errors.Is(cause, errOwnResponseMissing):
+	case errors.Is(cause, errPromptHeld), errors.Is(cause, errOwnResponseMissing), errors.Is(cause, errProcessEnds):
 		return &notSent{err: cause}
 	}
 	return &abandoned{reason: abandonReason(ctx), unsent: true}
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -1,7 +1,7 @@
 package gateway
 
 // This file defines CallerConns, which closes idle connections of callers without losing a
-// request that is just arriving.
+// request that is just arriving, and refuses what arrives too late for the end of the process.
 //
 // An http.Server takes a connection for idle until it has read the whole head of a request.
 // Closing it by that state may cut off a request whose head is being read, or one that is
@@ -31,6 +31,8 @@
 	// maxAcceptWait is how long StopAccepting waits for connections that the kernel holds.
 	maxAcceptWait      = 100 * time.Millisecond
 	acceptPollInterval = 100 * time.Microsecond
+	// maxRefusalWrite is how long the refusal of an incomplete head is written.
+	maxRefusalWrite = 10 * time.Millisecond
 )
 
 // CallerConns is the listener of one http.Server and tracks its connections. It is safe for
@@ -142,6 +144,17 @@
 	return n
 }
 
+// refuseHeads answers the requests whose heads have been incomplete since t or longer, and returns their number.
+// Their connections are closed.
+func (c *CallerConns) refuseHeads(t time.Time, answer []byte) (n int) {
+	for _, conn := range c.open() {
+		if conn.refuseHead(t, answer) {
+			n++
+		}
+	}
+	return n
+}
+
 // connStateChanged is the ConnState hook of the server.
 func (c *CallerConns) connStateChanged(conn net.Conn, s http.ConnState) {
 	tracked, ok := conn.(*callerConn)
@@ -166,9 +179,10 @@
 
 	mu        sync.Mutex
 	idleSince time.Time // no byte of a request was read since then; zero: a request has begun
+	begunAt   time.Time // when the request began, if idleSince is zero
 	serving   bool      // a request has reached its handler
 	readAhead bool      // a byte was read while the request before was being served
-	closed    bool      // closed as idle: what is read now is discarded
+	closed    bool      // closed as idle, or refused: what is read now is discarded
 	idleTimer *time.Timer
 }
 
@@ -194,7 +208,9 @@
 func (c *callerConn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince = time.Time{}
+	if !c.idleSince.IsZero() {
+		c.idleSince, c.begunAt = time.Time{}, time.Now()
+	}
 	if c.idleTimer != nil {
 		c.idleTimer.Stop()
 		c.idleTimer = nil
@@ -202,13 +218,17 @@
 	return !c.closed
 }
 
-// beginServing records that the request on a connection of a CallerConns, if it is one, has reached its handler.
-func beginServing(ctx context.Context) {
-	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.serving = true
+// beginServing records that a request has reached its handler. It reports false if the request was refused
+// meanwhile: the handler must not serve it.
+func beginServing(ctx context.Context) bool {
+	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return true
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = !c.closed
+	return c.serving
 }
 
 // endRequest records that a request was answered, and closes the connection after the
@@ -218,7 +238,7 @@
 	defer c.mu.Unlock()
 	c.serving = false
 	if c.readAhead {
-		c.readAhead = false // the first byte of the next request
+		c.readAhead, c.begunAt = false, now // the first byte of the next request
 		return
 	}
 	c.idleSince = now
@@ -239,6 +259,33 @@
 	return true
 }
 
+// refuseHead answers a request whose head has been incomplete since t or longer, and reports whether it did.
+// The server's read then fails, and it closes the connection.
+func (c *callerConn) refuseHead(t time.Time, answer []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.serving || !c.idleSince.IsZero() || c.begunAt.After(t) {
+		return false
+	}
+	c.closed = true
+	err := c.SetWriteDeadline(time.Now().Add(maxRefusalWrite))
+	if err == nil {
+		_, err = c.Conn.Write(answer)
+	}
+	return errors.Join(err, c.SetReadDeadline(time.Now())) == nil
+}
+
+// Write implements net.Conn. It fails if the connection was closed as idle or its request refused.
+func (c *callerConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
 // readable reports whether a connection has received bytes or an end that were not read, or a listener
 // connections that were not accepted. It reports false for what is not a socket.
 func readable(socket any) bool {
--- a/gateway/caller_conns_test.go
+++ b/gateway/caller_conns_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,3 +62,47 @@
 	require.NoError(t, err)
 	require.Equal(t, request, string(got))
 }
+
+// TestRefusedHeadIsServed completes heads while they are refused. Each request is either served or refused; one that is
+// refused must not reach its handler, as its answer says that it was not run.
+func TestRefusedHeadIsServed(t *testing.T) {
+	const (
+		tries   = 100
+		refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	)
+	callers, server := listenForCallers(t)
+	var served atomic.Int64
+	server.Handler = (&Gateway{}).trackActivity(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	go func() { _ = server.Serve(callers) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for i := range tries {
+		before := served.Load()
+		conn, err := net.Dial("tcp", callers.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: d")
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return callers.states().reading == 1 }, time.Second, time.Millisecond)
+		refused := make(chan int, 1)
+		rest := func() { _, _ = io.WriteString(conn, "esk.example\r\n\r\n") }
+		refuse := func() { refused <- callers.refuseHeads(time.Now(), []byte(refusal)) }
+		if i == 0 {
+			refuse()
+		} else {
+			go refuse()
+		}
+		rest()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		if <-refused == 1 {
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.Equal(t, before, served.Load())
+		} else {
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+			require.Equal(t, before+1, served.Load())
+		}
+		require.NoError(t, conn.Close())
+		require.Eventually(t, func() bool { return callers.Len() == 0 }, time.Second, time.Millisecond)
+	}
+	require.Less(t, served.Load(), int64(tries))
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -171,7 +171,7 @@
 				f.noteCut(ctx, assignment)
 			}
 			failed = problem.New(result.reason, problem.RunUnknown, http.StatusBadGateway, "upstream %s: %.*v", assignment.Upstream.ID, maxErrorRunes, result.err)
-			if result.reason == problem.PromptHeld {
+			if result.reason == problem.PromptHeld || result.reason == problem.Leaving {
 				return failed
 			}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,7 @@
 type Gateway struct {
 	deps             Deps
 	crashes          *crashDetector
+	attempts         *runningAttempts
 	pending          *pendingAttempts
 	bodies           *bodyReads
 	shutdownStarted  clock.AtomicInstant // not set: not shutting down
@@ -130,7 +131,7 @@
 
 // New returns a gateway.
 func New(deps Deps) *Gateway {
-	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), pending: newPendingAttempts(), bodies: newBodyReads()}
+	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), attempts: newRunningAttempts(), pending: newPendingAttempts(), bodies: newBodyReads()}
 }
 
 // Handler returns the handler for callers' requests.
@@ -142,7 +143,9 @@
 // close their connections.
 func (g *Gateway) trackActivity(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		beginServing(r.Context())
+		if !beginServing(r.Context()) {
+			panic(http.ErrAbortHandler) // the stop has refused the request while its head was being read
+		}
 		g.inFlight.Add(1)
 		g.lastActivity.Store(clock.InstantOf(time.Now()))
 		defer func() {
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -8,11 +8,17 @@
 // last one on its connection: closing a connection while a request is on its way would lose the request.
 
 import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/peer"
+	"github.com/ragwortpass/ragwortpass/problem"
 )
 
 const (
@@ -112,7 +118,14 @@
 	began    time.Time // by the clock that also counts suspensions
 	phase    stopPhase
 	entered  time.Time // when the phase began
-	idle     int       // connections closed without a request
+	counts   stopCounts
+}
+
+// stopCounts are the connections and requests that a stop has ended.
+type stopCounts struct {
+	idle        int // connections without a request
+	heads       int // requests refused while their heads were being read
+	interrupted int // requests answered, or whose streams were cut, while an upstream had them
 }
 
 // shutDown stops the service within the grace period that the platform gives.
@@ -153,7 +166,11 @@
 		p.gateway.SetShutdownDeadline(now.Add(max(0, s.schedule.answering-s.elapsed())))
 	}
 	if s.phase >= stopClosing {
-		s.idle += p.callers.CloseIdle(now, shutdownIdlePeriod)
+		s.counts.idle += p.callers.CloseIdle(now, shutdownIdlePeriod)
+	}
+	if s.phase >= stopAnswering {
+		s.counts.heads += p.callers.refuseHeads(now.Add(-shutdownPollInterval), p.gateway.incompleteHeadAnswer())
+		s.counts.interrupted += p.gateway.attempts.endAll()
 	}
 }
 
@@ -167,12 +184,31 @@
 }
 
 // logEnd logs how the stop has ended, and what is cut: connections without a request, and requests by whether
-// their head or body is still being read.
+// they are being read, wait for an upstream, or were passed on to one.
 func (s *plannedStop) logEnd(err error) {
 	g := s.program.gateway
-	open, bodies := s.program.callers.states(), g.bodies.count()
-	_ = s.program.logger.Log("event", "left", "after", s.elapsed(), "closed_idle", s.idle, "cut_idle", open.idle, "cut_reading", open.reading+bodies,
-		"cut_serving", max(0, open.serving-bodies), "err", err)
+	open, bodies, passedOn := s.program.callers.states(), g.bodies.count(), g.attempts.count()
+	_ = s.program.logger.Log("event", "left", "after", s.elapsed(),
+		"closed_idle", s.counts.idle, "refused_reading", s.counts.heads, "interrupted", s.counts.interrupted,
+		"cut_idle", open.idle, "cut_reading", open.reading+bodies, "cut_waiting", max(0, open.serving-bodies-passedOn), "cut_passed_on", passedOn, "err", err)
+}
+
+// incompleteHeadAnswer returns the response to a request of which the process will not read the whole head.
+func (g *Gateway) incompleteHeadAnswer() []byte {
+	p := problem.New(problem.Leaving, problem.NotRun, http.StatusServiceUnavailable, "the process ends before the head of the request is complete")
+	body, err := json.Marshal(p)
+	if err != nil {
+		_ = g.deps.Logger.Log("event", "answer_not_made", "err", err) // the status alone says it
+	}
+	resp := &http.Response{
+		StatusCode: p.Status, ProtoMajor: 1, ProtoMinor: 1, Close: true, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+		Header: http.Header{"Content-Type": {problem.ContentType}, "Retry-After": {strconv.FormatFloat(shutdownRetryAfter.Seconds(), 'f', 3, 64)}},
+	}
+	var text bytes.Buffer
+	if err := resp.Write(&text); err != nil {
+		_ = g.deps.Logger.Log("event", "answer_not_made", "err", err)
+	}
+	return text.Bytes()
 }
 
 // count returns how many bodies are being read.
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -72,7 +72,7 @@
 	)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	g := &Gateway{bodies: newBodyReads(), deps: Deps{Catalog: new(catalog.Latest)}}
+	g := &Gateway{attempts: newRunningAttempts(), bodies: newBodyReads(), deps: Deps{Catalog: new(catalog.Latest)}}
 	g.inFlight.Add(1) // a request that outlasts the process
 	var suspended atomic.Int64
 	began := time.Now()
