gateway: a request that waits is refused when the process will end first

A request that waited for a slot of a limited upstream, up to the latency objective of its route, found out only when a slot was free that its process would end before it. If none was free until then its connection was closed without an answer, although nothing had run.

TestWaitingRequestOutlastsProcess failed with "the request still waits" at the end of the process.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -246,11 +246,9 @@
 		now := time.Now()
 		switch choice := f.gateway.deps.Pool.Choose(now, query).(type) {
 		case *pool.Assignment:
-			if !f.headSent && f.gateway.exceedsShutdown(f.req.deadline) { // the request may have waited since it was accepted
+			if p := f.shutdownProblem(); p != nil {
 				choice.Unsent()
 				choice.End(now)
-				p := f.gateway.leavingProblem(f.req)
-				p.Run = f.runState()
 				return nil, p
 			}
 			if waits {
@@ -274,6 +272,9 @@
 			if choice.Until.After(latestStart) {
 				return nil, f.throttledProblem(now, query, choice)
 			}
+			if p := f.shutdownProblem(); p != nil {
+				return nil, p
+			}
 			f.gateway.deps.Pool.Wait(query)
 			waits = true
 			wake := choice.Until
@@ -287,6 +288,17 @@
 	}
 }
 
+// shutdownProblem returns the problem of a request that may outlast the process, also one that has waited since
+// it was accepted, or nil. The rest of a stream that has begun is sought for as long as the process runs.
+func (f *forwarding) shutdownProblem() *problem.Problem {
+	if f.headSent || !f.gateway.exceedsShutdown(f.req.deadline) {
+		return nil
+	}
+	p := f.gateway.leavingProblem(f.req)
+	p.Run = f.runState()
+	return p
+}
+
 // maxEngineWait returns how long the next attempt may wait for an engine to read other prompts, so that
 // the answer can still be in time, or zero if the caller has a part of the answer.
 func (f *forwarding) maxEngineWait(now time.Time) time.Duration {
--- a/gateway/late_body_test.go
+++ b/gateway/late_body_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -122,3 +123,41 @@
 	}
 	require.Equal(t, sent, arrivals.Between(began, time.Now()))
 }
+
+// TestWaitingRequestOutlastsProcess guards against a caller that hears nothing when the process ends while its
+// request waits for a slot of a limited upstream.
+func TestWaitingRequestOutlastsProcess(t *testing.T) {
+	const left = 600 * time.Millisecond // until the process ends
+	currentCatalog := new(catalog.Latest)
+	c := testCatalog()
+	for i := range c.Routes {
+		c.Routes[i].LatencyObjective, c.Routes[i].Timeout = 10*time.Second, 40*time.Second
+	}
+	c.Index()
+	currentCatalog.Update(c)
+	f := newFixtureWith(t, currentCatalog)
+	f.serveUpstream(func(w http.ResponseWriter, _ *http.Request) { standin.NameLimit(w.Header(), 0.2) })
+	answers := make(chan response, 1)
+	for waits := false; !waits; {
+		go func() {
+			rq := f.request(t.Context(), http.MethodPost, "/once/x", "")
+			rq.Header.Set("X-Deadline-Ms", "40000")
+			answers <- f.do(rq)
+		}()
+		select {
+		case got := <-answers:
+			require.Equal(t, http.StatusOK, got.status, got.body)
+		case <-time.After(400 * time.Millisecond):
+			waits = true
+		}
+	}
+	f.gateway.BeginShutdown(time.Now())
+	f.gateway.SetShutdownDeadline(time.Now().Add(left))
+	select {
+	case got := <-answers:
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.Contains(t, got.body, `"reason":"leaving"`)
+	case <-time.After(left):
+		require.Fail(t, "the request still waits")
+	}
+}
