gateway: streams go on to the end of a planned stop

Only attempts of whose response the caller has nothing end then. Those that are still open at the end are cut with their own line, reason=leaving in place of caller_gone.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -271,7 +271,10 @@
 
 // callerWriteFailed returns the outcome of a failed write to the caller.
 func callerWriteFailed(ctx context.Context) outcome {
-	if ctx.Err() != nil {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errProcessEnds):
+		return &responseLost{problem.Leaving, cause}
+	case ctx.Err() != nil:
 		return &abandoned{reason: abandonReason(ctx)}
 	}
 	return &abandoned{reason: problem.CallerGone}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,6 +61,7 @@
 		h.Set("Connection", connection)
 	}
 	f.headSent = true
+	f.gateway.attempts.noteHead(f)
 	f.gateway.observeDuration("first_answer_ms", time.Since(f.req.arrived))
 }
 
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -125,7 +125,7 @@
 type stopCounts struct {
 	idle        int // connections without a request
 	heads       int // requests refused while their heads were being read
-	interrupted int // requests answered, or whose streams were cut, while an upstream had them
+	interrupted int // requests answered while an upstream had them
 }
 
 // shutDown stops the service within the grace period that the platform gives.
@@ -170,7 +170,7 @@
 	}
 	if s.phase >= stopAnswering {
 		s.counts.heads += p.callers.refuseHeads(now.Add(-shutdownPollInterval), p.gateway.incompleteHeadAnswer())
-		s.counts.interrupted += p.gateway.attempts.endAll()
+		s.counts.interrupted += p.gateway.attempts.endUnanswered()
 	}
 }
 
@@ -187,7 +187,7 @@
 // they are being read, wait for an upstream, or were passed on to one.
 func (s *plannedStop) logEnd(err error) {
 	g := s.program.gateway
-	open, bodies, passedOn := s.program.callers.states(), g.bodies.count(), g.attempts.count()
+	open, bodies, passedOn := s.program.callers.states(), g.bodies.count(), g.attempts.endAll()
 	_ = s.program.logger.Log("event", "left", "after", s.elapsed(),
 		"closed_idle", s.counts.idle, "refused_reading", s.counts.heads, "interrupted", s.counts.interrupted,
 		"cut_idle", open.idle, "cut_reading", open.reading+bodies, "cut_waiting", max(0, open.serving-bodies-passedOn), "cut_passed_on", passedOn, "err", err)
