process: a Listener shows connections that the kernel holds

A planned stop accepts what the kernel holds for the listener before it closes it, as closing resets that.

--- a/process/listener.go
+++ b/process/listener.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -38,7 +39,10 @@
 	failed time.Time    // when the first of consecutive attempts failed; zero: none
 }
 
-var _ net.Listener = (*Listener)(nil)
+var (
+	_ net.Listener = (*Listener)(nil)
+	_ syscall.Conn = (*Listener)(nil)
+)
 
 // NewListener tries to listen for the named server. If that fails, Accept tries again until patience is
 // over, or for ever if patience is zero.
@@ -94,6 +98,14 @@
 	return net.TCPAddrFromAddrPort(l.address)
 }
 
+// SyscallConn implements syscall.Conn. The error is net.ErrClosed while the port is not listened on.
+func (l *Listener) SyscallConn() (syscall.RawConn, error) {
+	if inner, ok := l.current().(syscall.Conn); ok {
+		return inner.SyscallConn()
+	}
+	return nil, net.ErrClosed
+}
+
 func (l *Listener) isClosed() bool {
 	select {
 	case <-l.closed:
