guard, gateway, peer, feed: a panic of a task does not end the process

A panic in a goroutine outside a request's own ended the process and cut all that it served; if a record of the store caused it, each restart ended in the same way. TestPanicOfTaskEndsProcess, whose follower panics on its first reads, failed so.

Package guard logs a panic with its value and stack, counts it, and starts a task again after 0.1 s to 5 s; of goroutines that do one thing (exchanges with peers, trials, the writing of a request) that one thing fails. A record at which the decoder panics is an unreadable one, so that the records after it are still applied. The tasks of serve and sidecar start again in the same way; goroutines that these start themselves are not guarded yet.

--- a/feed/copier.go
+++ b/feed/copier.go
@@ -14,6 +14,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/guard"
 )
 
 // CopyStore keeps copies of one topic at several places that fail independently.
@@ -117,7 +119,9 @@
 	errs := make([]error, c.store.Places())
 	var wg sync.WaitGroup
 	for place := range errs {
-		wg.Go(func() { errs[place] = do(ctx, place) })
+		wg.Go(func() {
+			errs[place] = guard.Catch("copy", func() error { return do(ctx, place) })
+		})
 	}
 	wg.Wait()
 	return errs
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,7 +46,7 @@
 	f.gateway.attempts.add(f, cancel)
 	defer f.gateway.attempts.remove(f)
 	if f.canRetry() {
-		go cancelIfGone(ctx, cancel, assignment.Gone())
+		go f.gateway.guard.Do("cancel_if_gone", func() { cancelIfGone(ctx, cancel, assignment.Gone()) })
 	}
 	f.attemptStarted, f.exchange, f.firstEvent, f.survived, f.response = time.Now(), nil, time.Time{}, false, nil
 	upstreamReq, err := f.newUpstreamRequest(ctx, assignment)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/clock"
+	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/quarantine"
@@ -119,6 +120,7 @@
 // Gateway relays the requests of callers to upstreams.
 type Gateway struct {
 	deps             Deps
+	guard            *guard.Guard
 	crashes          *crashDetector
 	attempts         *runningAttempts
 	pending          *pendingAttempts
@@ -131,7 +133,10 @@
 
 // New returns a gateway.
 func New(deps Deps) *Gateway {
-	return &Gateway{deps: deps, crashes: newCrashDetector(deps.Client, deps.Pool), attempts: newRunningAttempts(), pending: newPendingAttempts(), bodies: newBodyReads()}
+	return &Gateway{
+		deps: deps, guard: guard.New(deps.Logger, deps.Metrics), crashes: newCrashDetector(deps.Client, deps.Pool),
+		attempts: newRunningAttempts(), pending: newPendingAttempts(), bodies: newBodyReads(),
+	}
 }
 
 // Handler returns the handler for callers' requests.
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -20,6 +19,7 @@
 	"github.com/ragwortpass/ragwortpass/clock"
 	"github.com/ragwortpass/ragwortpass/duty"
 	"github.com/ragwortpass/ragwortpass/feed"
+	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/peer"
 	"github.com/ragwortpass/ragwortpass/pool"
@@ -96,6 +96,7 @@
 	holdKeeper   *holdKeeper // nil: holds are not kept
 	bootNow      func() time.Time
 	registry     metrics.Registry
+	guard        *guard.Guard
 	logger       log.Logger
 
 	servers servers      // set by Run
@@ -109,15 +110,15 @@
 	registry := metrics.NewRegistry()
 	process.RegisterVitals(registry)
 	p := &Program{
-		settings: s, readSettings: readSettings, bootNow: bootClock.Now, registry: registry, logger: logger,
+		settings: s, readSettings: readSettings, bootNow: bootClock.Now, registry: registry, guard: guard.New(logger, registry), logger: logger,
 		table: peer.NewTable(peer.Member{Node: s.Node, Incarnation: id.Incarnation(bootClock.Now().UnixNano())}, bootClock.Now()),
 	}
 	currentCatalog := new(catalog.Latest)
 	upstreamPool := pool.New(currentCatalog)
 	operators := feed.New(feed.Config{Name: "operators", ReadWait: p.operatorReadWait, MaxPeerViewAge: p.maxViewAge, IsLeader: p.readsOperators}, platform.OperatorTopic,
-		newOperatorSink(platform.Decoder, currentCatalog, upstreamPool, logger, registry), logger, registry)
+		newOperatorSink(guardedDecoder{platform.Decoder}, currentCatalog, upstreamPool, logger, registry), logger, registry)
 	listings := feed.New(feed.Config{Name: "upstreams", ReadPause: p.upstreamReadPause, MaxPeerViewAge: p.maxViewAge, IsLeader: p.isLeader}, platform.UpstreamTopic,
-		newListingSink(platform.Decoder, upstreamPool, logger, registry), logger, registry)
+		newListingSink(guardedDecoder{platform.Decoder}, upstreamPool, logger, registry), logger, registry)
 	p.pool = upstreamPool
 	p.retryBudgets = NewRetryBudgets(RetryBudgetConfig{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: durationS(s.Bounds.RetryWindowS)})
 	p.followers = []*feed.Follower{operators, listings}
@@ -281,11 +282,8 @@
 	defer cancel()
 	var tasks sync.WaitGroup
 	failed := make(chan error, 4)
-	p.startTasks(ctx, &tasks, failed)
+	p.startTasks(ctx, &tasks)
 	p.startServers(&tasks, failed)
-	if s.Listen.Peers != "" {
-		goTask(&tasks, failed, "peers", func() { p.peers.Run(ctx) })
-	}
 	var err error
 	for running := true; running; {
 		select {
@@ -306,30 +304,27 @@
 	return err
 }
 
-// startTasks starts everything that runs beside the servers.
-func (p *Program) startTasks(ctx context.Context, tasks *sync.WaitGroup, failed chan<- error) {
-	for i, f := range p.followers {
-		goTask(tasks, failed, fmt.Sprint("follower_", i), func() { f.Run(ctx) })
+// startTasks starts everything that runs beside the servers. A task that panics starts again.
+func (p *Program) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
+	start := func(name string, run func(context.Context)) {
+		tasks.Go(func() { p.guard.Run(ctx, name, run) })
+	}
+	for _, f := range p.followers {
+		start("follower", f.Run)
 	}
-	for i, c := range p.copiers {
-		goTask(tasks, failed, fmt.Sprint("copier_", i), func() { c.Run(ctx) })
+	for _, c := range p.copiers {
+		start("copier", c.Run)
 	}
-	goTask(tasks, failed, "trials", func() { p.gateway.TryUpstreams(ctx) })
+	start("trials", p.gateway.TryUpstreams)
 	if p.holdKeeper != nil {
-		goTask(tasks, failed, "holds", func() { p.holdKeeper.run(ctx) })
+		start("holds", p.holdKeeper.run)
 	}
 	if p.reportDriver != nil {
-		goTask(tasks, failed, "usage", func() { p.reportDriver.run(ctx) })
+		start("usage", p.reportDriver.run)
+	}
+	if p.settings.Listen.Peers != "" {
+		start("peers", p.peers.Run)
 	}
-}
-
-// goTask runs a task in the background. A panic of it ends the program.
-func goTask(tasks *sync.WaitGroup, failed chan<- error, name string, run func()) {
-	tasks.Go(func() {
-		if err := process.CatchPanic(name, run); err != nil {
-			failed <- err
-		}
-	})
 }
 
 // reload rereads the settings file and applies the retry limit, the only setting that a
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -24,7 +24,7 @@
 		case <-ticker.C:
 		}
 		for _, l := range g.deps.Pool.StartTrials(time.Now()) {
-			go g.tryUpstream(ctx, l)
+			go g.guard.Do("trial", func() { g.tryUpstream(ctx, l) })
 		}
 	}
 }
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/response"
@@ -54,6 +55,7 @@
 	codec    HeaderCodec
 	memory   *response.Memory
 	registry metrics.Registry
+	guard    *guard.Guard
 	logger   log.Logger
 
 	mu   sync.Mutex
@@ -68,7 +70,7 @@
 			Timeout:         connectTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 		},
-		codec: codec, memory: response.NewMemory(memoryMB), registry: registry, logger: logger,
+		codec: codec, memory: response.NewMemory(memoryMB), registry: registry, guard: guard.New(logger, registry), logger: logger,
 		kept: make(map[upstreamStart][]*upstreamConn),
 	}
 }
@@ -104,8 +106,10 @@
 	x := &exchange{client: c, conn: conn, headMemory: c.memory.Share(u.ID), kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
 	observer.connected(x)
 	x.stopCancel = context.AfterFunc(ctx, func() {
-		x.sealUnsent()
-		conn.Close()
+		c.guard.Do("cancel_exchange", func() {
+			defer conn.Close()
+			x.sealUnsent()
+		})
 	})
 	go x.writeRequest()
 	resp, err := x.readResponse(func(crossed *CrossedError) { observer.foreignResponse(x, crossed) }) //nolint:bodyclose // the caller closes it
@@ -221,14 +225,20 @@
 		conn.Close()
 		return
 	}
-	go func() {
+	go c.watchIdle(conn)
+}
+
+// watchIdle waits until something arrives on a kept connection, or it ends or is taken.
+func (c *UpstreamClient) watchIdle(conn *upstreamConn) {
+	err := c.guard.Try("watch_idle", func() error {
 		_, err := conn.in.Peek(1)
-		dropped := c.drop(conn) // before a taker may use the connection, and keep it again
-		conn.idle <- err
-		if dropped {
-			c.closeIdle(conn, err)
-		}
-	}()
+		return err
+	})
+	dropped := c.drop(conn) // before a taker may use the connection, and keep it again
+	conn.idle <- err
+	if dropped {
+		c.closeIdle(conn, err)
+	}
 }
 
 // drop removes a kept connection. It reports false if it was taken for a request before.
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -192,10 +192,12 @@
 // writeRequest writes the request.
 func (x *exchange) writeRequest() {
 	x.conn.out.Reset(x)
-	err := x.req.Write(x.conn.out)
-	if err == nil {
-		err = x.conn.out.Flush()
-	}
+	err := x.client.guard.Try("write_request", func() error {
+		if err := x.req.Write(x.conn.out); err != nil {
+			return err
+		}
+		return x.conn.out.Flush()
+	})
 	if err != nil {
 		_ = x.conn.SetReadDeadline(time.Now().Add(writeFailureGrace)) // fails only if the connection is closed
 	}
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -18,6 +18,7 @@
 
 	"github.com/ragwortpass/ragwortpass/clock"
 	"github.com/ragwortpass/ragwortpass/feed"
+	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
@@ -83,6 +84,7 @@
 	httpClient *http.Client
 	logger     log.Logger
 	registry   metrics.Registry
+	guard      *guard.Guard
 	wake       chan struct{} // holds a value if an urgent round is due
 	strings    *stringGuard
 
@@ -98,7 +100,7 @@
 func NewExchanger(cfg Config, table *Table, topics Topics, clock *clock.Clock, makeRow func(time.Time) (*Row, bool), logger log.Logger, registry metrics.Registry) *Exchanger {
 	dialer := &net.Dialer{Timeout: exchangeTimeout}
 	return &Exchanger{
-		cfg: cfg, table: table, topics: topics, clock: clock, makeRow: makeRow, logger: logger, registry: registry,
+		cfg: cfg, table: table, topics: topics, clock: clock, makeRow: makeRow, logger: logger, registry: registry, guard: guard.New(logger, registry),
 		httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}},
 		wake:       make(chan struct{}, 1), strings: newStringGuard(logger, registry), failures: make(map[string]int), clients: make(map[string]ragwortv1connect.PeerServiceClient),
 	}
@@ -124,10 +126,10 @@
 			requestAge = groupRequestAge
 		}
 		for _, address := range x.selectAddresses(round, fanout) {
-			go x.exchange(ctx, address, requestAge)
+			x.goExchange(ctx, address, requestAge)
 		}
 		if address := x.table.Source(now, x.cfg.DataCentre).GetAddress(); address != "" {
-			go x.pullTopics(ctx, address)
+			go x.guard.Do("pull_topics", func() { x.pullTopics(ctx, address) })
 		}
 		for waiting := true; waiting; {
 			select {
@@ -164,10 +166,15 @@
 func (x *Exchanger) exchangeUrgently(ctx context.Context, now time.Time) {
 	x.publish(now, true)
 	for _, address := range x.selectAddresses(1, urgentFanout) {
-		go x.exchange(ctx, address, topicRequestAge)
+		x.goExchange(ctx, address, topicRequestAge)
 	}
 }
 
+// goExchange starts an exchange in the background.
+func (x *Exchanger) goExchange(ctx context.Context, address string, requestAge time.Duration) {
+	go x.guard.Do("exchange", func() { x.exchange(ctx, address, requestAge) })
+}
+
 // selectAddresses returns the addresses to call in a round: all in the first round, later
 // a random choice of up to calls live peers and, at times or without live peers, one fallback
 // address.
--- a/process/exit.go
+++ b/process/exit.go
@@ -5,11 +5,11 @@
 import (
 	"errors"
 	"fmt"
-	"runtime/debug"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/setting"
 )
 
@@ -44,39 +44,15 @@
 // Unwrap returns the cause.
 func (e *SettingsError) Unwrap() error { return e.Err }
 
-// PanicError is a panic that was recovered.
-type PanicError struct {
-	Task  string // which was running
-	Value any
-	Stack string
-}
-
-// Error implements error. The message has no stack.
-func (e *PanicError) Error() string { return fmt.Sprintf("panic in %s: %v", e.Task, e.Value) }
-
-// CatchPanic runs f and returns a panic of f as an error.
-func CatchPanic(task string, f func()) (err *PanicError) {
-	defer func() {
-		if v := recover(); v != nil {
-			err = &PanicError{Task: task, Value: v, Stack: string(debug.Stack())}
-		}
-	}()
-	f()
-	return nil
-}
-
 // Main runs a program that serves until a signal, logs why it ended, and returns its exit code.
 func Main(logger log.Logger, run func() error) (code int) {
-	var err error
-	if panicked := CatchPanic("main", func() { err = run() }); panicked != nil {
-		err = panicked
-	}
+	err := guard.Catch("main", run)
 	cause, code := exitCause(err)
 	exit := log.With(logger, "event", "exit", "cause", cause, "code", code, "uptime", Uptime().Round(time.Millisecond))
 	if peak, ok := peakMemory(); ok {
 		exit = log.With(exit, "peak_memory_kb", peak>>10)
 	}
-	var panicked *PanicError
+	var panicked *guard.PanicError
 	if errors.As(err, &panicked) {
 		exit = log.With(exit, "task", panicked.Task, "stack", panicked.Stack)
 	}
@@ -88,7 +64,7 @@
 func exitCause(err error) (cause string, code int) {
 	var server *ServerError
 	var settings *SettingsError
-	var panicked *PanicError
+	var panicked *guard.PanicError
 	switch {
 	case err == nil:
 		return "signal", 0
--- a/process/exit_test.go
+++ b/process/exit_test.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
+	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 )
@@ -32,7 +33,7 @@
 		{"settings", func() error { return &process.SettingsError{Path: "settings.json", Err: errors.New("empty")} },
 			setting.ExitBadSettings, []string{"cause=settings", "settings file settings.json: empty"}},
 		{"panic of main", func() error { panic("broken") }, process.ExitPanic, []string{"cause=panic", "task=main", "panic in main: broken", "exit_test.go"}},
-		{"panic of a task", func() error { return process.CatchPanic("usage", func() { panic("broken") }) },
+		{"panic of a task", func() error { return guard.Catch("usage", func() error { panic("broken") }) },
 			process.ExitPanic, []string{"cause=panic", "task=usage", "exit_test.go"}},
 		{"other", func() error { return net.ErrClosed }, setting.ExitFailure, []string{"cause=failure"}},
 	} {
--- a/process/server.go
+++ b/process/server.go
@@ -18,6 +18,8 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+
+	"github.com/ragwortpass/ragwortpass/guard"
 )
 
 const (
@@ -120,8 +122,9 @@
 func (s Server) startTasks(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
+	g := guard.New(s.Logger, s.Metrics)
 	for _, task := range s.Tasks {
-		wg.Go(func() { task(ctx) })
+		wg.Go(func() { g.Run(ctx, "server_task", task) })
 	}
 	return func() {
 		cancel()
