entry, process: panics of the tasks of serve and sidecar

A panic in a heartbeat, in the work of a lease, in the queue of a target, in a survey or in any other task of serve or sidecar ended the process, as it did in a gateway.

These run under guards now, and the lock of a lease task is left by defer. The followers and writers of the log still end the process: a record that was applied in part would leave it with another state than all others, and a start reads the log again.

--- a/entry/candidacy.go
+++ b/entry/candidacy.go
@@ -30,9 +30,8 @@
 	}
 	_ = e.deps.Logger.Log("event", "usage_candidate")
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){e.deps.Usage.Run, e.usageReporter.task.run} {
-		wg.Go(func() { run(ctx) })
-	}
+	wg.Go(func() { e.deps.Usage.Run(ctx) })
+	wg.Go(func() { e.usageReporter.task.run(ctx) })
 	wg.Wait()
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/ragwortpass/ragwortpass/estimate"
 	"github.com/ragwortpass/ragwortpass/fleet"
+	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
@@ -69,6 +70,7 @@
 type Entry struct {
 	cfg             Config
 	deps            Deps
+	guard           *guard.Guard
 	upstreams       *upstream.Table
 	membership      *membership
 	requestTracker  *key.RequestTracker
@@ -92,7 +94,7 @@
 	if deps.Usage == nil {
 		deps.Usage = control
 	}
-	e := &Entry{cfg: cfg, deps: deps, upstreams: upstream.NewTable()}
+	e := &Entry{cfg: cfg, deps: deps, guard: guard.New(deps.Logger, deps.Metrics), upstreams: upstream.NewTable()}
 	e.membership = newMembership(e)
 	e.requestTracker = key.NewRequestTracker(deps.State.Keys)
 	e.intentAges = newIntentAges(deps.Bookings.State)
@@ -113,9 +115,9 @@
 // the usage and orders leases, until ctx is done.
 func (e *Entry) RunLeases(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){e.usageWriter.run, e.runUsageCandidacy, e.fleetController.task.run} {
-		wg.Go(func() { run(ctx) })
-	}
+	wg.Go(func() { e.usageWriter.run(ctx) })
+	wg.Go(func() { e.guard.Run(ctx, "usage_candidacy", e.runUsageCandidacy) })
+	wg.Go(func() { e.fleetController.task.run(ctx) })
 	wg.Wait()
 }
 
--- a/entry/lease_task.go
+++ b/entry/lease_task.go
@@ -128,7 +128,7 @@
 	tick := time.NewTicker(t.cfg.TTL / ticksPerTTL)
 	defer tick.Stop()
 	for {
-		t.step(ctx, &lease.Tick{LogAvailable: t.logAvailable()})
+		t.e.guard.Do("lease_step", func() { t.step(ctx, &lease.Tick{LogAvailable: t.logAvailable()}) })
 		select {
 		case <-ctx.Done():
 			<-t.workDone
@@ -161,7 +161,7 @@
 		case <-tick.C:
 		}
 		if _, ok := t.heldTerm(t.cfg.MaxOrderLifetime); ok && t.logAvailable() {
-			t.work(t.workCtx)
+			t.e.guard.Do("lease_work", func() { t.work(t.workCtx) })
 		}
 	}
 }
@@ -183,14 +183,18 @@
 // step passes the grant that this process has applied, then an event, to the candidate,
 // and applies the resulting actions.
 func (t *leaseTask) step(ctx context.Context, ev lease.Event) {
+	for _, a := range t.decide(ev) {
+		t.apply(ctx, a)
+	}
+}
+
+// decide returns the candidate's actions after an event.
+func (t *leaseTask) decide(ev lease.Event) []lease.Action {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	grant := t.stream.State.Leases.Grant(t.duty)
 	actions := t.candidate.Step(t.readClocks(), &lease.GrantObserved{Grant: grant})
-	actions = append(actions, t.candidate.Step(t.readClocks(), ev)...)
-	t.mu.Unlock()
-	for _, a := range actions {
-		t.apply(ctx, a)
-	}
+	return append(actions, t.candidate.Step(t.readClocks(), ev)...)
 }
 
 // apply carries out an action of the candidate.
@@ -198,11 +202,11 @@
 	holder, ttl := string(t.cfg.Holder), t.cfg.TTL.Milliseconds()
 	switch a := a.(type) {
 	case *lease.AppendClaim:
-		go t.append(ctx, a.AppendID, &ragwortv1.Record{Body: &ragwortv1.Record_LeaseClaimed{LeaseClaimed: &ragwortv1.LeaseClaimed{
+		t.goAppend(ctx, a.AppendID, &ragwortv1.Record{Body: &ragwortv1.Record_LeaseClaimed{LeaseClaimed: &ragwortv1.LeaseClaimed{
 			Duty: string(t.duty), Holder: holder, Term: uint64(a.Term), SeenOffset: uint64(a.SeenOffset), TtlMs: ttl,
 		}}})
 	case *lease.AppendRenewal:
-		go t.append(ctx, a.AppendID, &ragwortv1.Record{Body: &ragwortv1.Record_LeaseRenewed{LeaseRenewed: &ragwortv1.LeaseRenewed{
+		t.goAppend(ctx, a.AppendID, &ragwortv1.Record{Body: &ragwortv1.Record_LeaseRenewed{LeaseRenewed: &ragwortv1.LeaseRenewed{
 			Duty: string(t.duty), Holder: holder, Term: uint64(a.Term), TtlMs: ttl,
 		}}})
 	case *lease.AppendRelease:
@@ -215,12 +219,21 @@
 	}
 }
 
+// goAppend calls append in the background.
+func (t *leaseTask) goAppend(ctx context.Context, appendID uint64, r *ragwortv1.Record) {
+	go t.e.guard.Do("lease_append", func() { t.append(ctx, appendID, r) })
+}
+
 // append appends a lease record and passes the outcome to the candidate, except for a
 // release, whose appendID is zero.
 func (t *leaseTask) append(ctx context.Context, appendID uint64, r *ragwortv1.Record) {
 	appendCtx, cancel := context.WithTimeout(ctx, t.cfg.TTL/2)
 	defer cancel()
-	out, err := t.stream.Writer.Append(appendCtx, time.Now(), r)
+	var out logbook.Outcome
+	err := t.e.guard.Try("lease_append", func() (err error) {
+		out, err = t.stream.Writer.Append(appendCtx, time.Now(), r)
+		return err
+	})
 	if appendID == 0 {
 		return
 	}
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -63,7 +63,7 @@
 		case <-ctx.Done():
 			return
 		case <-vmListTick.C:
-			go m.refreshVMList(ctx)
+			go m.e.guard.Do("vm_list", func() { m.refreshVMList(ctx) })
 		case <-heartbeatTick.C:
 		}
 	}
@@ -110,7 +110,11 @@
 	}
 	round := newHeartbeatRound(len(due), onComplete)
 	for _, a := range due {
-		go func() { round.peerDone(m.heartbeat(ctx, a)) }()
+		go func() {
+			var offset id.Offset
+			m.e.guard.Do("heartbeat", func() { offset = m.heartbeat(ctx, a) })
+			round.peerDone(offset)
+		}()
 	}
 }
 
--- a/entry/program.go
+++ b/entry/program.go
@@ -121,7 +121,7 @@
 			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: registry, Logger: logger,
 			OnShutdown: e.BeginShutdown, ShutdownDelay: s.Linger,
 			OnDrained: e.Finish,
-			Tasks:     []func(context.Context){control.Run, bookings.Run, e.Run, e.RunLeases},
+			Tasks:     []func(context.Context){e.Run, e.RunLeases}, JournalTasks: []func(context.Context){control.Run, bookings.Run},
 		},
 	}
 }
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -4,6 +4,7 @@
 // upstreams that have capacity, highest tier first.
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -84,7 +85,7 @@
 	}
 	if !q.running {
 		q.running = true
-		go q.run()
+		go q.e.guard.Run(context.Background(), "queue", func(context.Context) { q.run() })
 		return
 	}
 	if w.Waiting() && w.StartBy.Before(q.nextRun) {
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -37,11 +37,13 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			if v, ok := e.queryLoad(ctx, vm.Address); ok {
-				mu.Lock()
-				defer mu.Unlock()
-				views = append(views, v)
-			}
+			e.guard.Do("survey", func() {
+				if v, ok := e.queryLoad(ctx, vm.Address); ok {
+					mu.Lock()
+					defer mu.Unlock()
+					views = append(views, v)
+				}
+			})
 		})
 	}
 	wg.Wait()
--- a/entry/usage_writer.go
+++ b/entry/usage_writer.go
@@ -83,8 +83,10 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			pending.Update(int64(u.counted.Pending().Add(totalCounts(u.unflushed())).OutputTokens))
-			u.flush(ctx)
+			u.e.guard.Do("usage_flush", func() {
+				pending.Update(int64(u.counted.Pending().Add(totalCounts(u.unflushed())).OutputTokens))
+				u.flush(ctx)
+			})
 		}
 	}
 }
--- a/process/server.go
+++ b/process/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -69,7 +70,10 @@
 	DrainTimeout  time.Duration           // limits the wait for running requests; zero: no limit
 	OnDrained     func(context.Context)   // called once after the last request, while the tasks still run; nil: nothing to do
 	Abort         <-chan struct{}         // when closed, requests are aborted, and Serve returns without a shutdown unless it has begun; nil: never
-	Tasks         []func(context.Context) // run until their context is done, which is after OnDrained
+	Tasks         []func(context.Context) // run until their context is done, which is after OnDrained; start again after a panic
+	// JournalTasks are like Tasks, but a panic ends the process: a record of the log that was applied in
+	// part would leave it with another state than all others, and a start reads the log again.
+	JournalTasks []func(context.Context)
 }
 
 // SignalContext returns a context that is done on SIGTERM or SIGINT, for commands that an operator runs. A
@@ -95,6 +99,7 @@
 		l = NewListener(time.Now(), apiServer, address, ListenPatience, s.Logger)
 	}
 	server := NewHTTPServer(s.handler())
+	server.ErrorLog = stdlog.New(log.NewStdlibAdapter(log.With(s.Logger, "event", "http_server_error", "server", apiServer)), "", 0)
 	defer s.startTasks(ctx)()
 	done := make(chan struct{})
 	defer close(done)
@@ -122,6 +127,9 @@
 func (s Server) startTasks(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
+	for _, task := range s.JournalTasks {
+		wg.Go(func() { task(ctx) })
+	}
 	g := guard.New(s.Logger, s.Metrics)
 	for _, task := range s.Tasks {
 		wg.Go(func() { g.Run(ctx, "server_task", task) })
--- a/sidecar/program.go
+++ b/sidecar/program.go
@@ -83,7 +83,7 @@
 		Server: process.Server{
 			Address: s.Listen, Handler: sidecar.Handler(), Ready: sidecar.Ready, Metrics: registry, Logger: logger,
 			OnShutdown: sidecar.BeginShutdown, ShutdownDelay: s.Linger,
-			Tasks: []func(context.Context){follower.Run, sidecar.Run},
+			Tasks: []func(context.Context){sidecar.Run}, JournalTasks: []func(context.Context){follower.Run},
 		},
 	}
 }
