process: a log that nobody reads does not hold up serve and sidecar

Entries, sidecars and stand-ins wrote each line of their log where it arose, so that a reader that had stopped reading held up whatever logged, also the planned stop: TestStuckLogReaderStopsNothing, with a pipe of 4 KB, failed for serve, which had not ended 30 s after its SIGTERM. They queue their lines now as the relay does.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -45,6 +45,8 @@
 
 // serve runs an entry until SIGTERM or SIGINT and returns the exit code.
 func (s *settings) serve() int {
-	logger := process.NewLogger("entry", s.Serve.Node)
+	logWriter := process.NewAsyncLogWriter(os.Stderr)
+	defer logWriter.Close()
+	logger := process.NewAsyncLogger(logWriter, "entry", s.Serve.Node)
 	return process.Main(logger, func() error { return entry.NewProgram(time.Now(), &s.Serve, logger).Run(signals.Context()) })
 }
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -21,6 +21,8 @@
 
 // run runs a sidecar until SIGTERM or SIGINT and returns the exit code.
 func run(s *sidecar.Settings) int {
-	logger := process.NewLogger("sidecar", s.Node)
+	logWriter := process.NewAsyncLogWriter(os.Stderr)
+	defer logWriter.Close()
+	logger := process.NewAsyncLogger(logWriter, "sidecar", s.Node)
 	return process.Main(logger, func() error { return sidecar.NewProgram(time.Now(), s, logger).Run(signals.Context()) })
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -77,7 +77,9 @@
 
 // serve serves until SIGTERM or SIGINT and returns the exit code.
 func serve(address, name string, h http.Handler) int {
-	logger := process.NewLogger("standin", name)
+	logWriter := process.NewAsyncLogWriter(os.Stderr)
+	defer logWriter.Close()
+	logger := process.NewAsyncLogger(logWriter, "standin", name)
 	return process.Main(logger, func() error {
 		return process.Serve(signals.Context(), process.Server{
 			Address: address, Handler: h, Ready: func() error { return nil },
--- a/process/server.go
+++ b/process/server.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"os/signal"
 	"runtime/debug"
 	"sync"
@@ -36,12 +35,6 @@
 	pingResponseTimeout = 2 * time.Second
 )
 
-// NewLogger returns a logger that writes each event to stderr as one logfmt line.
-func NewLogger(program, node string) log.Logger {
-	l := log.NewLogfmtLogger(&lineWriter{out: os.Stderr})
-	return log.With(l, "ts", log.DefaultTimestampUTC, "program", program, "node", node)
-}
-
 // Version returns the VCS revision that the program was built from, or else the version of
 // its main module.
 func Version() string {
--- a/ragworttest/process_end_test.go
+++ b/ragworttest/process_end_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/ragwortpass/ragwortpass/clock"
 	"github.com/ragwortpass/ragwortpass/feed"
@@ -322,3 +323,35 @@
 	readSettings := func() (*gateway.Settings, error) { return s, nil }
 	require.NoError(t, gateway.NewProgram(s, readSettings, clock.New(), p, logger).Run(t.Context(), gateway.Signals{}))
 }
+
+// TestStuckLogReaderStopsNothing starts programs whose output is never read and too much for the pipe. They
+// must stop when asked to.
+func TestStuckLogReaderStopsNothing(t *testing.T) {
+	const platformURL = "http://127.0.0.1:1" // nothing listens there: each failure is logged
+	for _, c := range []struct {
+		program string
+		args    []string
+	}{
+		{"entry", nil},
+		{"sidecar", []string{"--upstream=u", "--upstream-url=http://127.0.0.1:2", "--service=desk"}},
+	} {
+		t.Run(c.program, func(t *testing.T) {
+			reader, output, err := os.Pipe()
+			require.NoError(t, err)
+			t.Cleanup(func() { require.NoError(t, reader.Close()) })
+			size, _, errno := syscall.Syscall(syscall.SYS_FCNTL, output.Fd(), unix.F_SETPIPE_SZ, 4096)
+			require.Zero(t, errno)
+			address := ragworttest.FreeAddress(t)
+			args := append([]string{"--node=n", "--data-centre=th-a", "--listen=" + address, "--platform=" + platformURL, "--linger=1ms"}, c.args...)
+			p := ragworttest.StartProcessWritingTo(t, output, c.program, address, args...)
+			require.NoError(t, output.Close())
+			ragworttest.Eventually(t, func() bool {
+				held, err := unix.IoctlGetInt(int(reader.Fd()), unix.TIOCINQ)
+				return err == nil && held > int(size)*3/4
+			}, "the pipe is full")
+			time.Sleep(briefly)
+			p.Signal(t, syscall.SIGTERM)
+			require.Zero(t, p.ExitCode(t))
+		})
+	}
+}
