--- a/gateway/program.go
+++ b/gateway/program.go
@@ -284,11 +284,15 @@
 	failed := make(chan error, 4)
 	p.startTasks(ctx, &tasks)
 	p.startServers(&tasks, failed)
+	reload := reloader{read: p.readSettings, apply: p.apply, logger: p.logger}
 	var err error
 	for running := true; running; {
 		select {
 		case <-signals.Reload:
-			p.reload()
+			p.guard.Do("reload", func() { reload.request(time.Now()) })
+			continue
+		case <-reload.again:
+			p.guard.Do("reload", func() { reload.try(time.Now()) })
 			continue
 		case err = <-failed:
 		case sig := <-signals.Terminate:
@@ -327,14 +331,8 @@
 	}
 }
 
-// reload rereads the settings file and applies the retry limit, the only setting that a
-// running process can change. Invalid settings change nothing.
-func (p *Program) reload() {
-	s, err := p.readSettings()
-	if err != nil {
-		_ = p.logger.Log("event", "reload_refused", "err", err)
-		return
-	}
+// apply applies the retry limit of reread settings, the only one that a running process can change.
+func (p *Program) apply(s *Settings) {
 	b := s.Bounds
 	p.retryBudgets.Configure(RetryBudgetConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: durationS(b.RetryWindowS)})
 	_ = p.logger.Log("event", "reloaded", "listen_changed", s.Listen != p.settings.Listen)
--- a/ragworttest/process_end_test.go
+++ b/ragworttest/process_end_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -355,3 +356,18 @@
 		})
 	}
 }
+
+// TestTornSettingsAreReloaded asks for a reload while the settings file is being written. The process must
+// apply the whole file once it is there.
+func TestTornSettingsAreReloaded(t *testing.T) {
+	f := newRelayFleet(t, 1)
+	node := f.nodes[0]
+	whole, err := os.ReadFile(node.settingsPath)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(node.settingsPath, whole[:len(whole)/2], 0o600))
+	node.process.Signal(t, syscall.SIGHUP)
+	ragworttest.Eventually(t, func() bool { return strings.Contains(node.process.Log.String(), "event=reload_refused") }, "the torn file is refused")
+	require.NotContains(t, node.process.Log.String(), "event=reloaded")
+	require.NoError(t, os.WriteFile(node.settingsPath, whole, 0o600))
+	ragworttest.Eventually(t, func() bool { return strings.Contains(node.process.Log.String(), "event=reloaded") }, "the whole file is applied")
+}
