process, gateway: a listener that closes resets no accepted connection

That the queue was seen empty did not help, as the goroutine that accepts had to be woken before the listener was closed, and the sockets that net.Listen makes, of multipath TCP, know no filters.

process.DrainingListener has the kernel drop the first packets of new connections, waits for handshakes that have begun, and closes in the goroutine that accepts, once it sees the queue empty. Gateways listen by plain TCP. Where the kernel knows no filter the rest still holds.

--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -17,10 +17,9 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/ragwortpass/ragwortpass/process"
 )
 
 // unreadGrace is how much longer than the idle timeout a connection is kept, so that a
@@ -28,9 +27,6 @@
 const unreadGrace = 100 * time.Millisecond
 
 const (
-	// maxAcceptWait is how long StopAccepting waits for connections that the kernel holds.
-	maxAcceptWait      = 100 * time.Millisecond
-	acceptPollInterval = 100 * time.Microsecond
 	// maxRefusalWrite is how long the refusal of an incomplete head is written.
 	maxRefusalWrite = 10 * time.Millisecond
 )
@@ -38,14 +34,9 @@
 // CallerConns is the listener of one http.Server and tracks its connections. It is safe for
 // concurrent use.
 type CallerConns struct {
-	net.Listener
+	*process.DrainingListener
 	idleTimeout func() time.Duration // zero: no limit
 
-	closeOnce sync.Once
-	closeErr  error // of Listener
-	drainOnce sync.Once
-	drained   chan struct{} // closed when Accept has failed: no further connection comes
-
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
@@ -53,7 +44,7 @@
 // TrackCallers makes a server close idle connections after the timeout of the catalog in
 // force. The server must accept its connections from the returned listener.
 func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) *CallerConns {
-	c := &CallerConns{Listener: l, idleTimeout: g.idleTimeout, drained: make(chan struct{}), conns: make(map[*callerConn]struct{})}
+	c := &CallerConns{DrainingListener: process.NewDrainingListener(l), idleTimeout: g.idleTimeout, conns: make(map[*callerConn]struct{})}
 	server.ConnState = c.connStateChanged
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, callerConnKey{}, conn)
@@ -66,10 +57,7 @@
 
 // Accept implements net.Listener. It tracks the connection at once, so that a stop never misses one.
 func (c *CallerConns) Accept() (net.Conn, error) {
-	conn, err := c.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		c.drainOnce.Do(func() { close(c.drained) })
-	}
+	conn, err := c.DrainingListener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -80,27 +68,6 @@
 	return tracked, nil
 }
 
-// StopAccepting closes the listener once the connections that the kernel holds for it are accepted: it would
-// reset them. It returns when all that were accepted are tracked.
-func (c *CallerConns) StopAccepting() error {
-	for deadline := time.Now().Add(maxAcceptWait); readable(c.Listener) && time.Now().Before(deadline); {
-		time.Sleep(acceptPollInterval)
-	}
-	err := c.Close()
-	select {
-	case <-c.drained:
-	case <-time.After(maxAcceptWait): // the server has not begun to accept
-	}
-	return err
-}
-
-// Close implements net.Listener. A planned stop closes the listener before the server and Serve do; their
-// calls return what the first one did.
-func (c *CallerConns) Close() error {
-	c.closeOnce.Do(func() { c.closeErr = c.Listener.Close() })
-	return c.closeErr
-}
-
 // Len returns the number of open connections.
 func (c *CallerConns) Len() int {
 	c.mu.Lock()
@@ -251,7 +218,7 @@
 func (c *callerConn) closeIfIdleSince(t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.idleSince.IsZero() || c.idleSince.After(t) || readable(c.Conn) {
+	if c.closed || c.idleSince.IsZero() || c.idleSince.After(t) || process.Readable(c.Conn) {
 		return false
 	}
 	c.closed = true
@@ -285,21 +252,3 @@
 	}
 	return c.Conn.Write(b)
 }
-
-// readable reports whether a connection has received bytes or an end that were not read, or a listener
-// connections that were not accepted. It reports false for what is not a socket.
-func readable(socket any) bool {
-	conn, ok := socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false // closed
-	}
-	ready := 0
-	err = raw.Control(func(fd uintptr) {
-		ready, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return err == nil && ready > 0
-}
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -140,7 +140,7 @@
 		if next := s.schedule.next(s.phase, s.status(now)); next != s.phase {
 			s.phase, s.entered = next, now
 			if next == stopClosing {
-				err = p.callers.StopAccepting()
+				err = p.callers.Stop()
 			}
 			continue
 		}
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -158,7 +158,7 @@
 		_, err := callers.Accept()
 		stopped <- err
 	}()
-	require.NoError(t, callers.StopAccepting())
+	require.NoError(t, callers.Stop())
 	require.Equal(t, 1, callers.Len())
 	conn := <-accepted
 	require.NotNil(t, conn)
--- a/process/listener.go
+++ b/process/listener.go
@@ -106,6 +106,14 @@
 	return nil, net.ErrClosed
 }
 
+// SetDeadline sets until when Accept waits on the port, if it is listened on.
+func (l *Listener) SetDeadline(t time.Time) error {
+	if inner, ok := l.current().(interface{ SetDeadline(t time.Time) error }); ok {
+		return inner.SetDeadline(t)
+	}
+	return nil
+}
+
 func (l *Listener) isClosed() bool {
 	select {
 	case <-l.closed:
@@ -153,7 +161,7 @@
 	if l.inner != nil || l.isClosed() {
 		return nil
 	}
-	inner, err := net.Listen("tcp", l.address.String())
+	inner, err := ListenTCP(l.address.String())
 	if err == nil {
 		var after time.Duration
 		if !l.failed.IsZero() {
