process: a shutdown answers the requests of connections that it accepted

From the signal on each HTTP/1 response is the last one on its connection, as in a gateway; the listener is drained; and the server is shut down only when a request was read from each connection that was accepted in the last 0.5 s.

--- a/process/server.go
+++ b/process/server.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,11 @@
 	onDrainedTimeout  = 10 * time.Second
 	dialTimeout       = time.Second
 
+	// unreadTimeout is how long a server that is shutting down waits for the request of a connection that it
+	// has accepted.
+	unreadTimeout      = 500 * time.Millisecond
+	unreadPollInterval = 10 * time.Millisecond
+
 	// A peer connection sends an HTTP/2 ping after sendPingTimeout without receiving a
 	// frame, and is closed if no response to the ping arrives within pingResponseTimeout.
 	sendPingTimeout     = 2 * time.Second
@@ -91,8 +97,10 @@
 		}
 		l = NewListener(time.Now(), apiServer, address, ListenPatience, s.Logger)
 	}
-	server := NewHTTPServer(s.handler())
+	leaving, unread := new(atomic.Bool), newUnreadConns()
+	server := NewHTTPServer(closeWhenLeaving(leaving, s.handler()))
 	server.ErrorLog = stdlog.New(log.NewStdlibAdapter(log.With(s.Logger, "event", "http_server_error", "server", apiServer)), "", 0)
+	unread.track(server)
 	defer s.startTasks(ctx)()
 	done := make(chan struct{})
 	defer close(done)
@@ -104,7 +112,8 @@
 		}
 	}()
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(l) }()
+	listener := NewDrainingListener(l)
+	go func() { serveErr <- server.Serve(listener) }()
 	select {
 	case err := <-serveErr:
 		if errors.Is(err, http.ErrServerClosed) {
@@ -113,7 +122,29 @@
 		return eris.Wrap(err, "serve")
 	case <-ctx.Done():
 	}
-	return s.shutdown(server)
+	leaving.Store(true)
+	return s.shutdown(server, func() error {
+		err := listener.Stop()
+		if ended := <-serveErr; !errors.Is(ended, net.ErrClosed) { // all that were accepted are known
+			err = errors.Join(err, ended)
+		}
+		closed := time.Now()
+		for unread.acceptedSince(time.Now().Add(-unreadTimeout)) && time.Since(closed) < unreadTimeout {
+			time.Sleep(unreadPollInterval)
+		}
+		return err
+	})
+}
+
+// closeWhenLeaving makes each response of a process that is leaving the last one on its connection: a connection that is
+// closed as idle may have a request on its way. HTTP/2 announces the close by itself.
+func closeWhenLeaving(leaving *atomic.Bool, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if leaving.Load() && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // startTasks starts the tasks and returns a function that stops them and waits for them.
@@ -133,12 +164,17 @@
 	}
 }
 
-func (s Server) shutdown(server *http.Server) error {
+// shutdown shuts the server down. StopAccepting closes its listener and returns once requests were read from the
+// connections that were accepted last: http.Server.Shutdown cuts those from which it has read nothing yet.
+func (s Server) shutdown(server *http.Server, stopAccepting func() error) error {
 	_ = s.Logger.Log("event", "leaving")
 	if s.OnShutdown != nil {
 		s.OnShutdown()
 	}
 	time.Sleep(s.ShutdownDelay)
+	if err := stopAccepting(); err != nil {
+		_ = s.Logger.Log("event", "listener_not_closed", "err", err)
+	}
 	ctx, cancel := context.Background(), func() {}
 	if s.DrainTimeout > 0 {
 		ctx, cancel = context.WithTimeout(ctx, s.DrainTimeout)
