--- a/ragworttest/stop_test.go
+++ b/ragworttest/stop_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -45,9 +46,11 @@
 
 // persistentCaller uses each connection until it is told to close it.
 type persistentCaller struct {
-	address string
-	conn    net.Conn // nil: none
-	in      *bufio.Reader
+	address   string
+	path      string
+	conn      net.Conn // nil: none
+	in        *bufio.Reader
+	requestID id.Request // of the latest call
 }
 
 // call sends a request and returns the status of the answer. Any error but errNotAccepted means that a
@@ -71,8 +74,9 @@
 	if err := c.conn.SetDeadline(time.Now().Add(2 * deadline)); err != nil {
 		return 0, err
 	}
-	_, err := fmt.Fprintf(c.conn, "GET /look/x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: %d\r\n\r\n",
-		newRequestID(), deadline.Milliseconds())
+	c.requestID = newRequestID()
+	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
+		c.path, c.requestID, deadline.Milliseconds())
 	if err != nil {
 		return 0, err
 	}
@@ -108,7 +112,7 @@
 	var running sync.WaitGroup
 	for range callers {
 		running.Go(func() {
-			c := &persistentCaller{address: node.callerAddress}
+			c := &persistentCaller{address: node.callerAddress, path: "/look/x"}
 			defer c.close()
 			for {
 				status, err := c.call(2 * time.Second)
@@ -227,7 +231,7 @@
 	node.process.Kill(t)
 	f.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
 	f.startNode(node)
-	c := &persistentCaller{address: node.callerAddress}
+	c := &persistentCaller{address: node.callerAddress, path: "/look/x"}
 	defer c.close()
 	ragworttest.Eventually(t, func() bool {
 		status, _ := c.call(time.Second)
@@ -244,3 +248,59 @@
 	}
 	require.Zero(t, node.process.ExitCode(t), node.process.Log.Tail())
 }
+
+// TestBookingIsLostWhileAStopIsFrozen freezes a process at several steps of its stop. A booking that was passed on must be
+// answered, and whoever was accepted before the freeze ended.
+func TestBookingIsLostWhileAStopIsFrozen(t *testing.T) {
+	const (
+		callers = 8
+		frozen  = 500 * time.Millisecond
+		idle    = 40 * time.Millisecond
+	)
+	for _, at := range []time.Duration{0, 400 * time.Millisecond, 900 * time.Millisecond, 2700 * time.Millisecond, 4700 * time.Millisecond} {
+		t.Run(at.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newRelayFleet(t, 1)
+			f.runTime.Store(int64(5 * time.Millisecond))
+			node := f.nodes[0]
+			var outcomes tally
+			var running sync.WaitGroup
+			for i := range callers {
+				running.Go(func() {
+					c := &persistentCaller{address: node.callerAddress, path: "/book/x"}
+					defer c.close()
+					for {
+						status, err := c.call(2 * time.Second)
+						f.mu.Lock()
+						runs := f.bookingRuns[c.requestID]
+						f.mu.Unlock()
+						switch {
+						case errors.Is(err, errNotAccepted):
+							return
+						case err != nil:
+							outcomes.add(fmt.Sprintf("cut, run %d times: %s", runs, strings.ReplaceAll(err.Error(), node.callerAddress, "gateway")))
+						case (status == http.StatusOK) != (runs == 1):
+							outcomes.add(fmt.Sprintf("%s, run %d times", http.StatusText(status), runs))
+						default:
+							outcomes.add(http.StatusText(status))
+						}
+						time.Sleep(idle * time.Duration(i) / callers)
+					}
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			node.process.Signal(t, syscall.SIGTERM)
+			time.Sleep(at)
+			node.process.Signal(t, syscall.SIGSTOP)
+			time.Sleep(frozen)
+			node.process.Signal(t, syscall.SIGCONT)
+			code := node.process.ExitCode(t)
+			running.Wait()
+			t.Logf("exit status %d, %v", code, outcomes.counts)
+			for outcome := range outcomes.counts {
+				require.Contains(t, []string{http.StatusText(http.StatusOK), http.StatusText(http.StatusServiceUnavailable)}, outcome, "%v", outcomes.counts)
+			}
+			require.Zero(t, code, node.process.Log.Tail())
+		})
+	}
+}
