soak: faults in the life of a process, and checks of how it ends and what it takes

It had fewer callers than descriptors, short bodies, no memory in the settings, an output that is always read, no SIGHUP or SIGTERM near a start, ports and settings that are always there, callers that pause, and it looked for the stop line only, not at the exit status.

The exit status replaces no check: the stop line is still asked for where the output is read.

The logs of a failed seed hold all processes of a node, not only the last.

--- a/ragworttest/fleet.go
+++ b/ragworttest/fleet.go
@@ -113,7 +113,8 @@
 	Log     *Output
 
 	cmd    *exec.Cmd
-	exited chan struct{} // closed when the process has exited
+	output io.ReadCloser // the end of the pipe from which its output is read
+	exited chan struct{} // closed when the process has exited and its output is read
 }
 
 // Output collects the standard output and standard error of a process. It is safe for
@@ -144,8 +145,7 @@
 // of the program's output. Args must make the program listen on address.
 func StartProcess(t testing.TB, program, address string, args ...string) *Process {
 	t.Helper()
-	output := &Output{}
-	return start(t, &Process{Address: address, Log: output}, output, exec.Command(Binary(t, program), args...))
+	return start(t, &Process{Address: address, Log: &Output{}}, nil, exec.Command(Binary(t, program), args...))
 }
 
 // StartProcessWritingTo is like StartProcess for a program whose output goes to out, and not to
@@ -159,19 +159,28 @@
 // environment of this one.
 func StartTestProcess(t testing.TB, test string) *Process {
 	t.Helper()
-	output := &Output{}
-	cmd := exec.Command(os.Args[0], "-test.run=^"+test+"$", "-test.timeout=1m")
-	return start(t, &Process{Log: output}, output, cmd)
+	return start(t, &Process{Log: &Output{}}, nil, exec.Command(os.Args[0], "-test.run=^"+test+"$", "-test.timeout=1m"))
 }
 
-// start starts a command whose output goes to out.
-func start(t testing.TB, p *Process, out io.Writer, cmd *exec.Cmd) *Process {
+// start starts a command whose output goes to out, or to the log of the process if out is nil.
+func start(t testing.TB, p *Process, out *os.File, cmd *exec.Cmd) *Process {
 	t.Helper()
 	p.exited, p.cmd = make(chan struct{}), cmd
+	output, input, err := os.Pipe()
+	require.NoError(t, err)
+	p.output = output
+	if out == nil {
+		out = input
+	}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	require.NoError(t, p.cmd.Start())
+	require.NoError(t, input.Close())
+	var reading sync.WaitGroup
+	reading.Go(func() { _, _ = io.Copy(p.Log, output) }) // until the process or CloseOutput closes the pipe
 	go func() {
 		_ = p.cmd.Wait()
+		reading.Wait()
+		p.output.Close()
 		close(p.exited)
 	}()
 	t.Cleanup(func() {
@@ -195,7 +204,7 @@
 	require.NoError(t, p.cmd.Process.Signal(s))
 }
 
-// TrySignal is like Signal, and returns the error if the process has exited.
+// TrySignal sends a signal to the process. It returns os.ErrProcessDone if the process has ended.
 func (p *Process) TrySignal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
 // Kill kills the process and waits until it has exited.
@@ -205,16 +214,56 @@
 	p.WaitExit(t)
 }
 
-// PeakMemoryMB returns the most memory that the process has had resident.
+// CloseOutput stops reading the output of the process: it writes to a broken pipe from then on.
+func (p *Process) CloseOutput() { p.output.Close() }
+
+// Status returns how the process has ended. It must have exited.
+func (p *Process) Status() syscall.WaitStatus {
+	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	if !ok {
+		panic("ragworttest: the system has another wait status")
+	}
+	return status
+}
+
+// PeakMemoryMB returns the most memory that the process has had resident. It must run.
 func (p *Process) PeakMemoryMB(t testing.TB) float64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	megabytes, err := p.PeakMemory()
 	require.NoError(t, err)
-	_, line, ok := strings.Cut(string(status), "VmHWM:")
-	require.True(t, ok)
+	return megabytes
+}
+
+// PeakMemory returns the most megabytes that the process has had resident. It returns an error if the
+// process has ended.
+func (p *Process) PeakMemory() (megabytes float64, err error) {
 	var kilobytes float64
-	_, err = fmt.Sscanf(line, "%f kB", &kilobytes)
-	require.NoError(t, err)
-	return kilobytes / 1024
+	err = p.scanStatus("VmHWM", "%f kB", &kilobytes)
+	return kilobytes / 1024, err
+}
+
+// HandlesSignal reports whether the process, or at least its runtime, ignores or handles a signal by now.
+// Until then the signal has its default action, whatever the program does.
+func (p *Process) HandlesSignal(s syscall.Signal) bool {
+	for _, field := range []string{"SigIgn", "SigCgt"} {
+		var mask uint64
+		if err := p.scanStatus(field, "%x", &mask); err == nil && mask&(1<<(s-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// scanStatus reads a field of the status that the kernel shows of the process.
+func (p *Process) scanStatus(field, format string, value any) error {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return err
+	}
+	_, line, _ := strings.Cut(string(status), field+":")
+	if _, err := fmt.Sscanf(line, format, value); err != nil {
+		return fmt.Errorf("no %s in the status of the process: %w", field, err)
+	}
+	return nil
 }
 
 // Exited reports whether the process has exited.
@@ -234,24 +283,6 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-// HandlesSignal reports whether the process ignores or handles a signal by now. Until then the signal has
-// its default action.
-func (p *Process) HandlesSignal(t testing.TB, s syscall.Signal) bool {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	require.NoError(t, err)
-	for _, field := range []string{"SigIgn:", "SigCgt:"} {
-		_, line, _ := strings.Cut(string(status), field)
-		var mask uint64
-		_, err = fmt.Sscanf(line, "%x", &mask)
-		require.NoError(t, err)
-		if mask&(1<<(s-1)) != 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // WaitExit waits until the process has exited.
 func (p *Process) WaitExit(t testing.TB) {
 	t.Helper()
--- a/ragworttest/process_end_test.go
+++ b/ragworttest/process_end_test.go
@@ -130,7 +130,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			for range 5 {
 				p := c.start(t)
-				for !p.HandlesSignal(t, syscall.SIGHUP) && !p.Exited() {
+				for !p.HandlesSignal(syscall.SIGHUP) && !p.Exited() {
 					time.Sleep(100 * time.Microsecond)
 				}
 				for range 50 {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -99,7 +100,8 @@
 		client := &http.Client{Transport: transport}
 		for range 1 + rand.IntN(maxRequestsPerConnection) {
 			n++
-			if !tb.callersRunning() || !tb.send(client, target, id.Request(fmt.Sprintf("%d-%d-%08x", caller, n, rand.Uint32())), testRoutes[rand.IntN(len(testRoutes))], nil) || !tb.sleep(thinkTime) {
+			c := call{request: id.Request(fmt.Sprintf("%d-%d-%08x", caller, n, rand.Uint32())), route: testRoutes[rand.IntN(len(testRoutes))]}
+			if !tb.callersRunning() || !tb.send(client, target, c) || !tb.sleep(thinkTime) {
 				break
 			}
 		}
@@ -136,14 +138,27 @@
 	return "", 0
 }
 
-// send sends one request, with a prompt if parts are given, and records the result; it reports
-// whether to reuse the connection.
-func (tb *testbed) send(client *http.Client, target *node, requestID id.Request, route testRoute, parts []string) bool {
+// call is a request that a caller sends.
+type call struct {
+	request id.Request
+	route   testRoute
+	parts   []string // of its prompt; empty: it has none
+	crowd   *crowd   // says how the body is sent; nil: short and at once
+	stop    int      // the stop during which it is sent without a pause, from 1; zero: none
+}
+
+// send sends one request and records the result; it reports whether to reuse the connection.
+func (tb *testbed) send(client *http.Client, target *node, c call) bool {
 	key, workspacePriority := tb.pickKey()
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
 	payload := strings.Repeat("steel ", 1+rand.IntN(200))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.callerAddress+"/"+route.kind.String()+"/x", io.NopCloser(strings.NewReader(payload)))
+	body := io.Reader(strings.NewReader(payload))
+	if c.crowd != nil {
+		payload = crowdPayload
+		body = c.crowd.body(ctx)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.callerAddress+"/"+c.route.kind.String()+"/x", io.NopCloser(body))
 	if err != nil {
 		tb.t.Errorf("build request: %v", err)
 		return false
@@ -152,20 +167,24 @@
 		req.ContentLength = int64(len(payload)) // otherwise chunked
 	}
 	req.Host = hostName
-	standin.SetRequestHeaders(req.Header, requestID, key, callerDeadline)
-	if len(parts) > 0 {
-		standin.SetPrompt(req.Header, "m", parts...)
+	standin.SetRequestHeaders(req.Header, c.request, key, callerDeadline)
+	if len(c.parts) > 0 {
+		standin.SetPrompt(req.Header, "m", c.parts...)
 	}
 	abandons := rand.Float64() < abandonShare
-	r := &result{request: requestID, kind: route.kind, key: key, node: target.name, incarnation: target.currentIncarnation(), sent: tb.now(), priority: [2]int{workspacePriority, route.priority}}
-	if len(parts) > 0 {
-		r.prompt = parts[len(parts)-2] // the last part that others share
+	r := &result{
+		request: c.request, kind: c.route.kind, key: key, node: target.name, incarnation: target.currentIncarnation(), sent: tb.now(),
+		priority: [2]int{workspacePriority, c.route.priority}, stop: c.stop,
+	}
+	if len(c.parts) > 0 {
+		r.prompt = c.parts[len(c.parts)-2] // the last part that others share
 	}
 	if abandons {
 		hangUp := time.AfterFunc(time.Duration(rand.Int64N(int64(eventInterval*streamEvents))), cancel)
 		defer hangUp.Stop()
 	}
 	resp, err := client.Do(req)
+	r.notAccepted = isDialError(err)
 	reusable := false
 	if err == nil {
 		reusable = tb.readResponse(resp, r, []byte(payload))
@@ -182,6 +201,12 @@
 	return reusable
 }
 
+// isDialError reports whether a request failed before it had a connection.
+func isDialError(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial"
+}
+
 func (n *node) currentIncarnation() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/soak/check.go
+++ b/soak/check.go
@@ -51,7 +51,9 @@
 	{"repeats_answered", checkRepeatsAnswered},
 	{"repeats_refused", checkRepeatsRefused},
 	{"recovery", checkRecovery},
-	{"own_ends", func(h *history) checkResult { return checkResult{h.endedProcesses, h.unexpectedEnds} }},
+	{"own_ends", checkOwnEnds},
+	{"memory", checkMemory},
+	{"stop_answered", checkStopAnswered},
 }
 
 // runCheckers returns the result of each checker by its name.
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -50,7 +50,7 @@
 			parts = slices.Delete(parts, 1, 2)
 		}
 		callers.Go(func() {
-			tb.send(client, target, id.Request(fmt.Sprintf("prompt-%d-%08x", n, rand.Uint32())), promptRoute, parts)
+			tb.send(client, target, call{request: id.Request(fmt.Sprintf("prompt-%d-%08x", n, rand.Uint32())), route: promptRoute, parts: parts})
 		})
 	}
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -71,6 +71,8 @@
 	abandoned   bool   // the caller disconnected at done
 	priority    [2]int // of the workspace and of the route
 	prompt      string // its last shared part; empty: it has no prompt
+	stop        int    // the stop during which its caller calls without a pause; zero: none
+	notAccepted bool   // no connection was made for it
 }
 
 func (r *result) refused() bool {
@@ -98,24 +100,24 @@
 
 // history holds the records of one run; while it goes on, they are guarded by mu.
 type history struct {
-	mu             sync.Mutex
-	start          time.Time
-	bounds         bounds
-	arrivals       []*arrival
-	results        []*result
-	waits          []askedWait
-	limits         []namedLimit
-	visits         []visit // in the order of arrival
-	treated        []treated
-	crashes        []time.Duration // of upstreams under a request
-	changes        []change
-	disturbances   []disturbance
-	reports        []usageReport
-	dataCentreOf   map[id.Upstream]id.DataCentre
-	endedProcesses int      // number of processes that ended
-	unexpectedEnds []string // crashes, and SIGTERMs without event=stop in the log
-	faultsEnded    time.Duration
-	duration       time.Duration
+	mu           sync.Mutex
+	start        time.Time
+	bounds       bounds
+	arrivals     []*arrival
+	results      []*result
+	waits        []askedWait
+	limits       []namedLimit
+	visits       []visit // in the order of arrival
+	treated      []treated
+	crashes      []time.Duration // of upstreams under a request
+	changes      []change
+	disturbances []disturbance
+	reports      []usageReport
+	dataCentreOf map[id.Upstream]id.DataCentre
+	ends         []processEnd
+	stops        int // with callers that call without a pause
+	faultsEnded  time.Duration
+	duration     time.Duration
 }
 
 // bounds are the bounds of the guarantees. A node is in contact with the store once undisturbed
--- a/soak/main.go
+++ b/soak/main.go
@@ -24,6 +24,7 @@
 	callersPerEntry int
 	faultDuration   time.Duration // length of the period in which faults are injected
 	failedDir       string        // folder for reports and logs of failed seeds; empty: not kept
+	lifeFaults      bool          // faults of lifeFaultNames are drawn as well
 }
 
 const (
@@ -34,6 +35,8 @@
 	// tailDuration is how long callers go on after the recovery time, so that usage windows
 	// within it are reported before the run ends.
 	tailDuration = 4 * time.Second
+	// injectsLifeFaults is whether the faults of lifeFaultNames are drawn unless a flag says otherwise.
+	injectsLifeFaults = false
 	// startTimeout bounds how long the entries take until all are ready.
 	startTimeout = 20 * time.Second
 )
@@ -61,6 +64,9 @@
 		defer close(done)
 		tb := newTestbed(t, rng, res.entries)
 		faults := tb.drawFaults(c.faultDuration)
+		if c.lifeFaults {
+			faults = append(faults, tb.drawLifeFaults(c.faultDuration)...)
+		}
 		if tb.runLoad(res.entries*c.callersPerEntry, faults) {
 			checks := tb.runCheckers()
 			res.violations = listViolations(checks)
@@ -155,7 +161,7 @@
 		fmt.Fprintf(&text, "%v to %v %s %s\n", d.from, d.until, d.cause, d.node)
 	}
 	for _, n := range tb.nodes {
-		if err := os.WriteFile(filepath.Join(dir, string(n.name)+".log"), []byte(n.process.Log.String()), 0o644); err != nil {
+		if err := os.WriteFile(filepath.Join(dir, string(n.name)+".log"), []byte(n.earlierLogs), 0o644); err != nil {
 			tb.t.Errorf("save the log of %s: %v", n.name, err)
 		}
 	}
@@ -172,8 +178,9 @@
 	callers := flag.Int("callers", 4, "callers for each entry")
 	faultDuration := flag.Duration("faults", defaultFaultDuration, "length of the period in which faults are injected")
 	failedDir := flag.String("keep", "soak-failed", "folder for the reports and logs of failed seeds")
+	lifeFaults := flag.Bool("life", injectsLifeFaults, "inject faults in the life of a process as well: at its start, of its output and signals, many callers")
 	flag.Parse()
-	c := config{entries: *entries, callersPerEntry: *callers, faultDuration: *faultDuration, failedDir: *failedDir}
+	c := config{entries: *entries, callersPerEntry: *callers, faultDuration: *faultDuration, failedDir: *failedDir, lifeFaults: *lifeFaults}
 	var mu sync.Mutex
 	var failed []uint64
 	checked := make(map[string]int)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -144,8 +144,8 @@
 		tb.rotateKey(f)
 	case "evacuate":
 		tb.evacuate(f)
-	case "crashing_prompts":
-		tb.sendCrashingPrompts(f)
+	case "start_hangup", "start_terminate", "start_port", "start_settings", "hangup", "hangup_stop", "output_gone", "many_callers", "busy_stop":
+		tb.injectLifeFault(f, n)
 	default:
 		tb.injectStoreFault(f, record)
 	}
@@ -233,6 +233,9 @@
 
 func (tb *testbed) injectUpstreamFault(f scheduledFault) {
 	switch f.name {
+	case "crashing_prompts":
+		tb.sendCrashingPrompts(f)
+		return
 	case "repeated_refusals":
 		tb.repeatRefusals(f)
 		return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,10 +19,13 @@
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
+// exitStatus returns how a process ends with an exit code.
+func exitStatus(code int) syscall.WaitStatus { return syscall.WaitStatus(code << 8) }
+
 // validHistory returns a history without violations in which each checker has cases to check.
 func validHistory() *history {
 	seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
-	h := &history{bounds: testedBounds, duration: seconds(60), faultsEnded: seconds(40), endedProcesses: 1, dataCentreOf: map[id.Upstream]id.DataCentre{"i-1": "th-a", "i-2": "th-a", "i-3": "th-a"}}
+	h := &history{bounds: testedBounds, duration: seconds(60), faultsEnded: seconds(40), dataCentreOf: map[id.Upstream]id.DataCentre{"i-1": "th-a", "i-2": "th-a", "i-3": "th-a"}}
 	h.start = time.Unix(0, 1000*int64(testedBounds.window)) // a usage window begins with the run
 	h.changes = []change{
 		{kind: "key_added", name: "key-a"}, {kind: "key_added", name: "key-w"},
@@ -72,6 +77,14 @@
 	h.arrivalOf("crashing").began = 0
 	beside, _ := add("beside", catalog.KindResumable, "key-a", 16.2, 503, false, [2]int{0, 1})
 	beside.prompt = sharedPart
+	h.ends = []processEnd{
+		{node: "entry-0", sent: syscall.SIGTERM, served: true, stopLogged: true, peakMB: 40},
+		{node: "entry-0", sent: syscall.SIGTERM, status: syscall.WaitStatus(syscall.SIGTERM), peakMB: 10}, // before it served
+		{node: "entry-0", sent: syscall.SIGKILL, status: syscall.WaitStatus(syscall.SIGKILL), served: true, peakMB: 40},
+		{node: "entry-0", faultySettings: true, status: exitStatus(1)},
+		{node: "entry-0", uncaughtHangup: true, status: syscall.WaitStatus(syscall.SIGHUP)},
+	}
+	h.resultOf("planned").stop = 1
 	h.treated = []treated{{"once", ragworttest.AnsweredAfterRepeat}, {"refused", ragworttest.Refused}}
 	for _, second := range []int64{4, 5, 15, 16, 21, 22, 31, 50} { // one request began in each
 		h.reports = append(h.reports, usageReport{at: seconds(float64(second) + 2), ReceivedUsage: standin.ReceivedUsage{
@@ -214,7 +227,24 @@
 			h.addTreated(minTreated, ragworttest.Refused, 502)
 		}},
 		{"not served after the faults", "recovery", func(h *history) { h.resultOf("after").status = 502 }},
-		{"a process that crashed", "own_ends", func(h *history) { h.unexpectedEnds = []string{"entry-0"} }},
+		{"a process that crashed", "own_ends", func(h *history) { h.ends[2].sent = 0 }},
+		{"a process that crashed after SIGTERM", "own_ends", func(h *history) { h.ends[0].status, h.ends[0].stopLogged = syscall.WaitStatus(syscall.SIGSEGV), false }},
+		{"a planned stop with an error", "own_ends", func(h *history) { h.ends[0].status = exitStatus(1) }},
+		{"a planned stop whose output nobody reads, with an error", "own_ends", func(h *history) { h.ends[0].status, h.ends[0].outputClosed = exitStatus(1), true }},
+		{"a planned stop that is cut short", "own_ends", func(h *history) { h.ends[0].stopLogged = false }},
+		{"SIGTERM ends a process that serves", "own_ends", func(h *history) { h.ends[1].served = true }},
+		{"SIGHUP ends a process that starts", "own_ends", func(h *history) { h.ends[4].uncaughtHangup = false }},
+		{"SIGHUP ends a process that serves", "own_ends", func(h *history) { h.ends[4].served = true }},
+		{"a process gives up at its start", "own_ends", func(h *history) { h.ends[3].faultySettings = false }},
+		{"invalid settings end a process that serves", "own_ends", func(h *history) { h.ends[3].served = true }},
+		{"too much memory", "memory", func(h *history) { h.ends[2].peakMB = memoryMB + 1 }},
+		{"no answers in a stop", "stop_answered", func(h *history) {
+			for range maxUnanswered + 1 {
+				lost := *h.resultOf("refused")
+				lost.request, lost.status, lost.complete, lost.stop = "lost", 0, false, 1
+				h.results = append(h.results, &lost)
+			}
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := validHistory()
@@ -251,6 +281,21 @@
 	require.NotZero(t, tb.arrivals[0].ended)
 }
 
+// TestPortTaken checks that a port that is taken as a process starts cannot be had until it is free.
+func TestPortTaken(t *testing.T) {
+	tb := &testbed{t: t, stopped: make(chan struct{})}
+	for _, connected := range []bool{false, true} {
+		p := &portTaken{address: ragworttest.FreeAddress(t), connected: connected}
+		p.prepare(&node{testbed: tb})
+		_, err := net.Listen("tcp", p.address)
+		require.ErrorIs(t, err, syscall.EADDRINUSE)
+		p.follow(&node{testbed: tb})
+		l, err := net.Listen("tcp", p.address)
+		require.NoError(t, err)
+		l.Close()
+	}
+}
+
 // TestSeeds runs one seed for a short time, and seeds that once reported violations, each with
 // the cause.
 func TestSeeds(t *testing.T) {
@@ -262,7 +307,7 @@
 		{7, "in the soak: a start with invalid settings counted as a crash"},
 	} {
 		t.Run(tc.cause, func(t *testing.T) {
-			res := runSeed(tc.seed, config{callersPerEntry: 3, faultDuration: 5 * time.Second, entries: 3})
+			res := runSeed(tc.seed, config{callersPerEntry: 3, faultDuration: 5 * time.Second, entries: 3, lifeFaults: injectsLifeFaults})
 			t.Log(res.summary)
 			require.Empty(t, res.violations)
 		})
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -5,11 +5,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -71,6 +73,10 @@
 	endSignal      syscall.Signal // sent to end the process; zero: none
 	faultySettings bool           // the settings file is invalid, so a start must fail
 	inRotation     bool           // the balancer opens new connections to it
+	startFault     startFault     // of the next start; nil: none
+	outputClosed   bool           // nobody reads the output of the process any more
+	uncaughtHangup bool           // a SIGHUP was sent before the process could catch it
+	earlierLogs    string         // of the processes that have ended
 }
 
 // testbed holds the processes, stand-ins and recorded history of one run.
@@ -183,37 +189,53 @@
 		if n == n.testbed.nodes[0] {
 			args = append(args, "--clock-error="+clockOffsets[n.incarnation%len(clockOffsets)]) // the other entries' clocks are correct
 		}
+		fault := n.takeStartFault()
+		fault.prepare(n)
+		end := processEnd{node: n.name, started: n.testbed.now()}
 		process := ragworttest.StartProcess(n.testbed.t, "entry", n.callerAddress, args...)
 		n.mu.Lock()
-		faultySettings := n.faultySettings // at the start of the process, or soon after
-		n.process, n.endSignal = process, 0
+		end.faultySettings = n.faultySettings // at the start of the process, or soon after
+		n.process, n.endSignal, n.outputClosed, n.uncaughtHangup = process, 0, false, false
 		n.incarnation++
 		n.mu.Unlock()
-		for !process.Exited() && n.testbed.sleep(pollInterval) {
+		n.testbed.tasks.Go(func() { fault.follow(n) })
+		for goesOn := true; goesOn && !process.Exited(); goesOn = n.testbed.sleep(pollInterval) {
+			if peak, err := process.PeakMemory(); err == nil { // otherwise it has just ended
+				end.peakMB = max(end.peakMB, peak)
+			}
 		}
-		n.mu.Lock()
-		endSignal := n.endSignal
-		faultySettings = faultySettings || n.faultySettings
-		n.inRotation = false
-		n.mu.Unlock()
-		select {
-		case <-n.testbed.stopped:
-			return
-		default:
-		}
-		n.testbed.add(func() { n.testbed.endedProcesses++ })
-		// After SIGTERM, the last log line is event=stop; after a crash it is not.
-		if graceful := endSignal == syscall.SIGTERM; endSignal == 0 && !faultySettings || graceful && !strings.Contains(process.Log.Tail(), "event=stop") {
-			n.testbed.add(func() {
-				n.testbed.unexpectedEnds = append(n.testbed.unexpectedEnds, fmt.Sprintf("%s ended unexpectedly at %v: %s", n.name, n.testbed.now(), process.Log.Tail()))
-			})
+		if !process.Exited() {
+			n.sendEndSignal(syscall.SIGKILL) // the run is over
+			process.WaitExit(n.testbed.t)
 		}
+		n.recordEnd(process, end)
 		if !n.testbed.sleep(restartDelay) {
 			return
 		}
 	}
 }
 
+// servesPattern matches the line of a process that serves, and endTailBytes is how much of the last
+// output of a process the history keeps.
+var servesPattern = regexp.MustCompile(`event=start .*err=null`)
+
+const endTailBytes = 500
+
+// recordEnd adds the end of the node's process to the history.
+func (n *node) recordEnd(process *ragworttest.Process, end processEnd) {
+	n.mu.Lock()
+	end.sent, end.outputClosed, end.uncaughtHangup = n.endSignal, n.outputClosed, n.uncaughtHangup
+	end.faultySettings = end.faultySettings || n.faultySettings
+	n.inRotation = false
+	text := process.Log.String()
+	n.earlierLogs += text
+	n.mu.Unlock()
+	end.at, end.status = n.testbed.now(), process.Status()
+	end.served, end.stopLogged = servesPattern.MatchString(text), strings.Contains(process.Log.Tail(), "event=stop")
+	end.tail = text[max(0, len(text)-endTailBytes):]
+	n.testbed.add(func() { n.testbed.ends = append(n.testbed.ends, end) })
+}
+
 // takesSignals reports whether the process runs and was not killed. One that was killed may not be
 // seen to have ended yet. The caller holds the lock.
 func (n *node) takesSignals() bool {
@@ -224,9 +246,8 @@
 func (n *node) sendEndSignal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.takesSignals() {
+	if n.takesSignals() && n.signal(s) {
 		n.endSignal = s
-		n.process.Signal(n.testbed.t, s)
 	}
 }
 
@@ -235,15 +256,27 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.takesSignals() {
-		n.process.Signal(n.testbed.t, s)
+		n.uncaughtHangup = n.uncaughtHangup || s == syscall.SIGHUP && !n.process.HandlesSignal(s)
+		n.signal(s)
 	}
 }
 
+// signal sends a signal to the process; it reports false if the process has ended. The caller holds
+// the lock.
+func (n *node) signal(s syscall.Signal) bool {
+	err := n.process.TrySignal(s)
+	if errors.Is(err, os.ErrProcessDone) {
+		return false
+	}
+	require.NoError(n.testbed.t, err)
+	return true
+}
+
 // writeSettings writes the settings file; a suffix that is not empty makes it invalid.
 func (n *node) writeSettings(suffix string) {
 	b := n.testbed.bounds
 	settings := &gateway.Settings{
-		Node: n.name, DataCentre: dataCentres[0], StoreAddress: n.link.Address(), DutyAddress: n.link.Address(), Duties: []string{"usage"},
+		Node: n.name, DataCentre: dataCentres[0], MemoryMB: memoryMB, StoreAddress: n.link.Address(), DutyAddress: n.link.Address(), Duties: []string{"usage"},
 		Bounds: gateway.Bounds{
 			ConfigMS: float64(b.config.Milliseconds()), RetryRatio: b.retryRatio, RetrySlack: b.retrySlack, RetryWindowS: b.retryWindow.Seconds(),
 			GraceS: b.grace.Seconds(), LeaseMS: float64(b.lease.Milliseconds()), WindowS: b.window.Seconds(), UsageLateS: b.reportWithin.Seconds(),
@@ -282,7 +315,7 @@
 	defer tb.listMu.Unlock()
 	tb.version += 3
 	c := &catalog.Catalog{
-		Version: tb.version, RequireKeys: true, Limits: catalog.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 14},
+		Version: tb.version, RequireKeys: true, Limits: catalog.Limits{BodyBytes: maxBodyBytes, HeaderBytes: 1 << 14},
 		Services: make(map[id.Service]*catalog.Service), Workspaces: make(map[string]*catalog.Workspace),
 	}
 	for _, name := range []id.Service{plainService, modelService} {
