soak: what a link drops as a fault of its upstream begins or ends

i-4 crashed at 3.8246 s under prompt-3-. It had just written the eighth and last event of 16-18-, which began at 3.690 s, and its handler had returned; the event was still in the proxy that stands for the link, which drops what it holds (the entry had passed on seven). The soak asked for earlier faults only as the handler returned. A fault now also interrupts the answers that its upstream finished up to 0.1 s before.

Callers that hear neither an answer nor a refusal are left out if they end within 0.1 s of the begin or end of a fault of an upstream of their service, and only these: TestLostOnLink and TestAnswerOnLink; TestEachCheckerCanFail still fails repeats_refused without.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -26,8 +26,11 @@
 	priority int
 }
 
-func (r testRoute) service() id.Service {
-	if r.kind.Streams() {
+func (r testRoute) service() id.Service { return serviceOf(r.kind) }
+
+// serviceOf returns the service of requests of a kind.
+func serviceOf(k catalog.Kind) id.Service {
+	if k.Streams() {
 		return modelService
 	}
 	return plainService
--- a/soak/check.go
+++ b/soak/check.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
 )
 
@@ -330,16 +329,10 @@
 // checkRetryBudget compares the repeated arrivals in each window with the requests that
 // callers sent in it or up to one window earlier.
 func checkRetryBudget(h *history) (v checkResult) {
-	service := func(k catalog.Kind) id.Service {
-		if k.Streams() {
-			return modelService
-		}
-		return plainService
-	}
 	for _, name := range []id.Service{plainService, modelService} {
 		var sent, repeats []time.Duration
 		for _, r := range h.results {
-			if service(r.kind) == name {
+			if serviceOf(r.kind) == name {
 				sent = append(sent, r.sent)
 			}
 		}
--- a/soak/history.go
+++ b/soak/history.go
@@ -43,6 +43,15 @@
 	leaving     bool          // the response said that the upstream is leaving
 }
 
+// faultEdge is a time at which a fault of an upstream or its link begins or ends.
+type faultEdge struct {
+	at      time.Duration
+	service id.Service
+}
+
+// linkTransit bounds the time that data takes from an upstream to a caller.
+const linkTransit = 100 * time.Millisecond
+
 // askedWait is a refusal by which an upstream asked a node for a wait.
 type askedWait struct {
 	request  id.Request
@@ -109,6 +118,7 @@
 	limits       []namedLimit
 	visits       []visit // in the order of arrival
 	treated      []treated
+	edges        []faultEdge
 	crashes      []time.Duration // of upstreams under a request
 	changes      []change
 	disturbances []disturbance
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -263,11 +263,21 @@
 	u.markDisturbed()
 }
 
-// markDisturbed records that a fault affects the upstream or its link now.
+// markDisturbed records that a fault of the upstream or its link begins or ends now. An answer that the
+// upstream has just finished may still be on the link.
 func (u *upstream) markDisturbed() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.lastDisturbed = u.testbed.now()
+	now := u.testbed.now()
+	u.lastDisturbed = now
+	u.testbed.add(func() {
+		u.testbed.edges = append(u.testbed.edges, faultEdge{now, u.service})
+		for _, a := range u.testbed.arrivals {
+			if a.upstream == u.name && a.ended != 0 && a.ended >= now-linkTransit {
+				a.interrupted = true
+			}
+		}
+	})
 }
 
 func (u *upstream) setMode(mode string) {
--- a/soak/repeat.go
+++ b/soak/repeat.go
@@ -129,6 +129,9 @@
 		if slices.ContainsFunc(got, failsCaller) || slices.ContainsFunc(runs[r.request], func(a *arrival) bool { return a.interrupted }) {
 			continue
 		}
+		if !r.served() && !r.refused() && h.lostOnLink(r) {
+			continue
+		}
 		v.checked++
 		ran := slices.ContainsFunc(runs[r.request], func(a *arrival) bool { return a.ran })
 		if r.served() || r.refused() && !ran {
@@ -141,6 +144,14 @@
 	return v
 }
 
+// lostOnLink reports whether a request ended just as a fault of an upstream of its service began or
+// ended, by which a link drops what it holds: the request may have been lost there without an arrival.
+func (h *history) lostOnLink(r *result) bool {
+	return slices.ContainsFunc(h.edges, func(e faultEdge) bool {
+		return e.service == serviceOf(r.kind) && r.sent <= e.at && (r.done-e.at).Abs() <= linkTransit
+	})
+}
+
 // failsCaller reports whether a request may fail although it ran: its upstream fails it, or sends a
 // response that may be of any request.
 func failsCaller(t ragworttest.Treatment) bool {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -281,6 +281,43 @@
 	require.NotZero(t, tb.arrivals[0].ended)
 }
 
+// TestAnswerOnLink checks that a fault of an upstream interrupts the answers that it has just finished.
+func TestAnswerOnLink(t *testing.T) {
+	tb := &testbed{}
+	tb.start = time.Now().Add(-time.Second)
+	u := &upstream{testbed: tb, name: "i-1"}
+	now := tb.now()
+	onLink := &arrival{upstream: "i-1", ended: now}
+	earlier := &arrival{upstream: "i-1", ended: now - 2*linkTransit}
+	other := &arrival{upstream: "i-2", ended: now}
+	tb.arrivals = []*arrival{onLink, earlier, other}
+	u.markDisturbed()
+	require.True(t, onLink.interrupted)
+	require.False(t, earlier.interrupted)
+	require.False(t, other.interrupted)
+}
+
+// TestLostOnLink checks that requests that end as a fault of an upstream ends may have been lost on its
+// link, and no others.
+func TestLostOnLink(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		edge     faultEdge
+		violated bool
+	}{
+		{"as the fault ends", faultEdge{14 * time.Second, plainService}, false},
+		{"later", faultEdge{14*time.Second - linkTransit, plainService}, true},
+		{"other service", faultEdge{14 * time.Second, modelService}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := validHistory()
+			h.addTreated(minTreated, ragworttest.Refused, 502)
+			h.edges = []faultEdge{tc.edge}
+			require.Equal(t, tc.violated, len(checkRepeatsRefused(h).violations) > 0)
+		})
+	}
+}
+
 // TestPortTaken checks that a port that is taken as a process starts cannot be had until it is free.
 func TestPortTaken(t *testing.T) {
 	tb := &testbed{t: t, stopped: make(chan struct{})}
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -142,11 +142,10 @@
 // recordEnd records that an upstream no longer works on a request.
 func (u *upstream) recordEnd(a *arrival) {
 	u.mu.Lock()
-	lastDisturbed := u.lastDisturbed
-	u.mu.Unlock()
+	defer u.mu.Unlock()
 	u.testbed.add(func() {
 		a.ended = u.testbed.now()
-		a.interrupted = lastDisturbed != 0 && lastDisturbed >= a.at-u.testbed.bounds.contact
+		a.interrupted = u.lastDisturbed != 0 && u.lastDisturbed >= a.at-u.testbed.bounds.contact
 	})
 }
 
