gateway: a head that is due is read after its caller has left

A caller that leaves before the head of the response now ends the connection 20 ms later in place of at once; nothing is written to it meanwhile. A refusal that is read in that time says what the upstream takes next, and that the request has not run, so that it is not counted as usage.

TestHeadThatIsDueIsRead fails without the change (error in place of the refusal).

--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,9 @@
 	// acknowledges the probes.
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// dueHeadWait is how long the head of a response may still come after its caller has left. A refusal
+	// that is on its way says what the upstream takes next: it may ask for a wait.
+	dueHeadWait = 20 * time.Millisecond
 	// maxIdleConnsPerUpstream limits the idle connections kept open to one upstream.
 	maxIdleConnsPerUpstream = 64
 	// upstreamIdleTimeout closes idle connections before upstreams do, which close them
@@ -105,14 +109,19 @@
 	req.Close = newConn
 	x := &exchange{client: c, conn: conn, headMemory: c.memory.Share(u.ID), kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
 	observer.connected(x)
+	var headRead atomic.Bool
 	x.stopCancel = context.AfterFunc(ctx, func() {
 		c.guard.Do("cancel_exchange", func() {
-			defer conn.Close()
-			x.sealUnsent()
+			if unsent := x.sealUnsent(); unsent || headRead.Load() || !errors.Is(context.Cause(ctx), context.Canceled) {
+				conn.Close()
+				return
+			}
+			time.AfterFunc(dueHeadWait, func() { conn.Close() })
 		})
 	})
 	go x.writeRequest()
 	resp, err := x.readResponse(func(crossed *CrossedError) { observer.foreignResponse(x, crossed) }) //nolint:bodyclose // the caller closes it
+	headRead.Store(true)
 	if err != nil {
 		unsent := x.sealUnsent()
 		x.end(false)
--- a/gateway/upstream_conn_test.go
+++ b/gateway/upstream_conn_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -181,3 +183,59 @@
 		require.False(t, interruptedUnsent(ctx).mayHaveRun())
 	}
 }
+
+// TestHeadThatIsDueIsRead has a caller leave, or its time end, while the upstream refuses the request. A
+// refusal that is on its way is read, and the connection closed after dueHeadWait at the latest.
+func TestHeadThatIsDueIsRead(t *testing.T) {
+	const servedFor = time.Second // until the caller leaves or the time ends
+	for _, tc := range []struct {
+		name     string
+		deadline bool          // the time of the request ends, otherwise its caller leaves
+		after    time.Duration // from then to the refusal
+		closed   time.Duration // from then to the end of the connection, if no refusal was read
+	}{
+		{name: "refused as the caller leaves", after: dueHeadWait / 2},
+		{name: "refused later", after: 2 * dueHeadWait, closed: dueHeadWait},
+		{name: "refused as the time ends", deadline: true, after: dueHeadWait / 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ours, theirs := net.Pipe()
+				client := NewUpstreamClient(idCodec{}, 0, metrics.NewRegistry(), log.NewNopLogger())
+				client.keep(newUpstreamConn(ours, upstreamStart{upstream: "i-1"}))
+				ctx, leave := context.WithCancel(t.Context())
+				if tc.deadline {
+					ctx, leave = context.WithTimeout(t.Context(), servedFor)
+				}
+				defer leave()
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://desk.example/x", strings.NewReader("steel"))
+				require.NoError(t, err)
+				began := time.Now()
+				var upstream sync.WaitGroup
+				defer upstream.Wait()
+				upstream.Go(func() {
+					if _, err := http.ReadRequest(bufio.NewReader(theirs)); err != nil {
+						t.Errorf("read the request: %v", err)
+					}
+					time.Sleep(servedFor)
+					if !tc.deadline {
+						leave()
+					}
+					time.Sleep(tc.after)
+					_, _ = io.WriteString(theirs, "HTTP/1.1 503 x\r\nId: rq\r\nContent-Length: 0\r\n\r\n") // fails once the connection is closed
+				})
+				resp, err := client.do(req, "rq", &pool.Listing{ID: "i-1"}, false, idCodec{})
+				if read := !tc.deadline && tc.after < dueHeadWait; read {
+					require.NoError(t, err)
+					require.NoError(t, resp.Body.Close())
+					require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+				} else {
+					require.Error(t, err)
+					require.Equal(t, servedFor+tc.closed, time.Since(began))
+				}
+				_, err = theirs.Read(make([]byte, 1))
+				require.ErrorIs(t, err, io.EOF) // the connection is closed
+			})
+		})
+	}
+}
