soak: sound prompts are compared with requests without one

Sound requests must now begin at least half as often as requests without a prompt to the same service, sent within 0.1 s of each, and are judged where 20 of them are due to begin; where there are none without a prompt, all are due, as before. That is as strict as before wherever others are served: TestEachCheckerCanFail holds the sound ones back while half of the others begin, and while there are no others.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -26,7 +26,7 @@
 	// maxCrashesLate is how many requests may reach upstreams later than the contact time after
 	// the crash with the number crashesKnown.
 	maxCrashesLate, crashesKnown = 3, 5
-	// minSoundPrompts is how many sound requests of a kind suffice to compare how many began.
+	// minSoundPrompts is how many sound requests must be due to begin to compare how many did.
 	minSoundPrompts = 20
 
 	sharedPart, crashingPart = "shared", "crashing"
@@ -76,15 +76,21 @@
 }
 
 // checkCrashing checks that requests with a part that crashes upstreams no longer reach them, and
-// that sound ones with the part before it still do.
+// that sound ones with the part before it still do, at least half as often as requests without a prompt
+// at the same time: there may be no upstream for either.
 func checkCrashing(h *history) (v checkResult) {
 	if len(h.crashes) < crashesKnown {
 		return v
 	}
 	known := slices.Sorted(slices.Values(h.crashes))[crashesKnown-1]
 	runs := h.arrivalsByRequest()
-	late, sound, begun := 0, 0, 0
+	began := func(r *result) bool {
+		return slices.ContainsFunc(runs[r.request], func(a *arrival) bool { return a.ran })
+	}
+	var sound, others []*result
+	late, begun := 0, 0
 	for _, r := range h.results {
+		compared := r.sent > known+2*h.bounds.contact && h.inContact(r.node, span{r.sent, r.done}) && !r.abandoned
 		switch {
 		case r.prompt == crashingPart:
 			for _, a := range runs[r.request] {
@@ -93,19 +99,44 @@
 					late++
 				}
 			}
-		case r.prompt == sharedPart && r.sent > known+2*h.bounds.contact && h.inContact(r.node, span{r.sent, r.done}) && !r.abandoned:
+		case r.prompt == sharedPart && compared:
 			v.checked++
-			sound++
-			if slices.ContainsFunc(runs[r.request], func(a *arrival) bool { return a.ran }) {
+			sound = append(sound, r)
+			if began(r) {
 				begun++
 			}
+		case r.prompt == "" && serviceOf(r.kind) == modelService && compared:
+			others = append(others, r)
 		}
 	}
 	if late > maxCrashesLate {
 		v.violation("%d requests under which upstreams crash reached them later than %v after the crash at %v", late, h.bounds.contact, known)
 	}
-	if sound >= minSoundPrompts && 2*begun < sound {
-		v.violation("%d of %d sound requests beside those began", begun, sound)
+	expected := 0.0 // to begin, if they are treated as those without a prompt
+	for _, r := range sound {
+		expected += shareNear(others, r.sent, began)
+	}
+	if expected >= minSoundPrompts && 2*float64(begun) < expected {
+		v.violation("%d of %d sound requests beside those began, of those without a prompt as many as %.1f", begun, len(sound), expected)
 	}
 	return v
 }
+
+// shareNear returns the share of the requests sent around a time that satisfy a condition; 1 if there
+// are none.
+func shareNear(results []*result, at time.Duration, condition func(*result) bool) float64 {
+	near, satisfy := 0, 0
+	for _, r := range results {
+		if (r.sent - at).Abs() > promptInterval {
+			continue
+		}
+		near++
+		if condition(r) {
+			satisfy++
+		}
+	}
+	if near == 0 {
+		return 1
+	}
+	return float64(satisfy) / float64(near)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// addPrompts adds requests to the model service, those with status 200 with an arrival.
+func (h *history) addPrompts(n int, draw func(n int) (prompt string, status int)) {
+	for i := range n {
+		r, a := *h.resultOf("beside"), *h.arrivalOf("crashing")
+		r.request = id.Request(fmt.Sprint("prompt-", i))
+		r.prompt, r.status = draw(i)
+		r.own = r.status == http.StatusOK
+		h.results = append(h.results, &r)
+		if r.own {
+			a.request = r.request
+			h.arrivals = append(h.arrivals, &a)
+		}
+	}
+}
+
+// TestNoUpstreamForPrompts checks that sound requests beside crashing ones need not begin where no others do.
+func TestNoUpstreamForPrompts(t *testing.T) {
+	h := validHistory()
+	h.addPrompts(2*minSoundPrompts, func(n int) (prompt string, status int) { return []string{sharedPart, ""}[n%2], 503 })
+	require.Empty(t, checkCrashing(h).violations)
+}
+
 // TestEachCheckerCanFail adds one violation at a time to a valid history: the checker of that
 // guarantee, and no other, must report it.
 func TestEachCheckerCanFail(t *testing.T) {
@@ -220,6 +242,11 @@
 				h.results = append(h.results, &other)
 			}
 		}},
+		{"sound requests beside those are held back, half of the others are served", "crashing", func(h *history) {
+			h.addPrompts(8*minSoundPrompts, func(n int) (prompt string, status int) {
+				return []string{sharedPart, "", sharedPart, ""}[n%4], []int{503, 503, 503, 200}[n%4]
+			})
+		}},
 		{"no answers beside repeated refusals", "repeats_answered", func(h *history) {
 			h.addTreated(minTreated, ragworttest.AnsweredAfterRepeat, 502)
 		}},
