pool: place requests by the loads of engines that all gateways tell

Cause: an engine with few slots for each gateway is full and no gateway can tell, as each has one to three requests there. Affinity had no bound but 40,000 own tokens, utilisation counted as unknown and nothing was borrowed: 60 to 100 requests stood at a dozen engines of 32 slots while others had 6 to 20, and summaries waited there until their deadline. Where utilisation was known, short requests that found no slot ran beside long prompts at all engines for these, so that the longest answers were cut.

Change: rows tell the requests and the unread tokens at each model engine and how many requests with short prompts run. Full engines lose affinity by the requests of all gateways, unless all of their side are as full; the side for short prompts has as many engines as these use slots, and the one for long prompts keeps half of what its work calls for; short prompts do not yield to long ones that are refused for their wait.

--- a/emulator/day_test.go
+++ b/emulator/day_test.go
@@ -151,7 +151,7 @@
 	t.Parallel()
 	names, err := filepath.Glob("../bench/testdata/*.site.json")
 	require.NoError(t, err)
-	require.Len(t, names, 6)
+	require.Len(t, names, 7)
 	for _, name := range names {
 		text, err := os.ReadFile(name)
 		require.NoError(t, err)
--- a/emulator/overload_test.go
+++ b/emulator/overload_test.go
@@ -13,11 +13,7 @@
 
 // playLoad plays a site of five gateways and nine engines with a multiple of its load.
 func playLoad(t *testing.T, factor float64) *emulator.DayResult {
-	f, err := os.Open("../bench/testdata/quiet.site.json")
-	require.NoError(t, err)
-	defer func() { _ = f.Close() }()
-	s, err := emulator.ReadSite(f)
-	require.NoError(t, err)
+	s := loadSite(t, "quiet")
 	for i := range s.Kinds {
 		s.Kinds[i].PerSecond *= factor
 	}
@@ -47,13 +43,21 @@
 }
 
 // playBursts plays bursts of three kinds, of which the least urgent holds its slots for longest.
-func playBursts(t *testing.T, seed uint64) *emulator.DayResult {
-	f, err := os.Open("../bench/testdata/bursts.site.json")
+func playBursts(t *testing.T, seed uint64) *emulator.DayResult { return playSite(t, "bursts", seed) }
+
+// playSite plays a site of the test data.
+func playSite(t *testing.T, name string, seed uint64) *emulator.DayResult {
+	return emulator.Play(loadSite(t, name), seed)
+}
+
+// loadSite reads a site of the test data.
+func loadSite(t *testing.T, name string) *emulator.Site {
+	f, err := os.Open("../bench/testdata/" + name + ".site.json")
 	require.NoError(t, err)
 	defer func() { _ = f.Close() }()
 	s, err := emulator.ReadSite(f)
 	require.NoError(t, err)
-	return emulator.Play(s, seed)
+	return s
 }
 
 // TestSummariesGetNothingWhilePlansBegin guards against requests that get nothing while less urgent ones of over
@@ -93,3 +97,19 @@
 		})
 	}
 }
+
+// TestHotPrefixFillsEngines guards against engines that are full of requests with the same prefix while others have free
+// slots, in a fleet whose gateways each have one or two requests at such an engine.
+func TestHotPrefixFillsEngines(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := playSite(t, "hot-prefix", seed)
+			for i, worst := range r.WorstInversions(5 * time.Second) {
+				require.Less(t, worst.Share(), 1.0/24, "%+v", worst)
+				require.Greater(t, r.Kinds[i].Share(emulator.InTime), 0.6, worst.Kind)
+			}
+		})
+	}
+}
--- a/gateway/peer_load.go
+++ b/gateway/peer_load.go
@@ -3,7 +3,9 @@
 // This file defines how gateways tell each other the loads of services.
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -25,17 +27,18 @@
 // encodeLoads returns the wire form of the own loads, without services and levels that have none.
 func encodeLoads(loads map[id.Service]pool.Load) (rows []*ragwortv1.ServiceLoad) {
 	for service, load := range loads {
-		row := &ragwortv1.ServiceLoad{Service: string(service), Running: uint32(load.Running)}
+		row := &ragwortv1.ServiceLoad{Service: string(service), Running: uint32(load.Running), ShortRunning: uint32(load.Short)}
 		for urgency := range load.Levels {
 			l := &load.Levels[urgency]
 			if l.Running == 0 && l.Arrived < minReportedLoad && l.Ended < minReportedLoad {
 				continue
 			}
 			row.Levels = append(row.Levels, &ragwortv1.LevelLoad{
-				Urgency: uint32(urgency), Running: uint32(l.Running), Arrived: float32(l.Arrived), Refused: float32(l.Refused),
+				Urgency: uint32(urgency), Running: uint32(l.Running), Arrived: float32(l.Arrived), Refused: float32(l.Refused), RefusedLong: float32(l.RefusedLong),
 				SlotSeconds: float32(l.SlotSeconds), Started: float32(l.Started), Ended: float32(l.Ended),
 			})
 		}
+		encodeUpstreams(row, load.Upstreams)
 		if row.GetRunning() > 0 || len(row.GetLevels()) > 0 {
 			rows = append(rows, row)
 		}
@@ -43,6 +46,38 @@
 	return rows
 }
 
+// encodeUpstreams adds the loads of engines to a row.
+func encodeUpstreams(row *ragwortv1.ServiceLoad, loads map[pool.UpstreamKey]pool.UpstreamLoad) {
+	for _, key := range slices.Sorted(maps.Keys(loads)) {
+		row.Upstreams = append(row.Upstreams, uint32(key))
+		row.UpstreamRunning = append(row.UpstreamRunning, uint32(loads[key].Running))
+		row.UpstreamUnread = append(row.UpstreamUnread, uint32(min(loads[key].Unread, maxPeerUnread)))
+	}
+}
+
+// decodeUpstreams returns the loads of engines in a row, or nil if it has none.
+func decodeUpstreams(row *ragwortv1.ServiceLoad) map[pool.UpstreamKey]pool.UpstreamLoad {
+	running, unread := row.GetUpstreamRunning(), row.GetUpstreamUnread()
+	if len(row.GetUpstreams()) == 0 {
+		return nil
+	}
+	loads := make(map[pool.UpstreamKey]pool.UpstreamLoad)
+	for i, key := range row.GetUpstreams() {
+		if i < min(len(running), len(unread), maxPeerUpstreams) {
+			loads[pool.UpstreamKey(key)] = pool.UpstreamLoad{
+				Running: int(min(running[i], maxPeerLoad)), Unread: id.Tokens(min(unread[i], maxPeerUnread)),
+			}
+		}
+	}
+	return loads
+}
+
+const (
+	// maxPeerUnread and maxPeerUpstreams bound what a peer can say of engines.
+	maxPeerUnread    = 1 << 30
+	maxPeerUpstreams = 1 << 12
+)
+
 // minReportedLoad is the number of requests below which what decays is not reported.
 const minReportedLoad = 0.01
 
@@ -51,11 +86,11 @@
 func decodeLoads(rows []*ragwortv1.ServiceLoad) map[id.Service]pool.Load {
 	loads := make(map[id.Service]pool.Load, len(rows))
 	for _, row := range rows {
-		load := pool.Load{Running: int(min(row.GetRunning(), maxPeerLoad))}
+		load := pool.Load{Running: int(min(row.GetRunning(), maxPeerLoad)), Short: int(min(row.GetShortRunning(), maxPeerLoad)), Upstreams: decodeUpstreams(row)}
 		for _, l := range row.GetLevels() {
 			if l.GetUrgency() < pool.UrgencyLevels {
 				load.Levels[l.GetUrgency()] = pool.LevelLoad{
-					Running: int(min(l.GetRunning(), maxPeerLoad)), Arrived: boundedLoad(l.GetArrived()), Refused: boundedLoad(l.GetRefused()),
+					Running: int(min(l.GetRunning(), maxPeerLoad)), Arrived: boundedLoad(l.GetArrived()), Refused: boundedLoad(l.GetRefused()), RefusedLong: boundedLoad(l.GetRefusedLong()),
 					SlotSeconds: boundedLoad(l.GetSlotSeconds()), Started: boundedLoad(l.GetStarted()), Ended: boundedLoad(l.GetEnded()),
 				}
 			}
--- a/gateway/peer_load_test.go
+++ b/gateway/peer_load_test.go
@@ -25,19 +25,26 @@
 	p.table.Publish(now, row("a", map[id.Service]pool.Load{"llm": running(40)}), false)
 	require.Empty(t, p.peerLoads(now), "no peers")
 	busy := running(7)
-	busy.Levels[2] = pool.LevelLoad{Running: 5, Arrived: 2.5, Refused: 0.5, SlotSeconds: 20, Started: 8, Ended: 4}
+	busy.Levels[2] = pool.LevelLoad{Running: 5, Arrived: 2.5, Refused: 0.5, RefusedLong: 0.25, SlotSeconds: 20, Started: 8, Ended: 4}
+	busy.Short, busy.Upstreams = 4, map[pool.UpstreamKey]pool.UpstreamLoad{1<<32 - 1: {Running: 5, Unread: 70_000}, 7: {Running: 2}}
 	busy.Levels[9] = pool.LevelLoad{Running: 2, Arrived: 1, SlotSeconds: 2, Started: 2, Ended: 2}
 	other := running(5)
 	other.Levels[2] = pool.LevelLoad{Running: 5, Arrived: 1, SlotSeconds: 4, Started: 1, Ended: 1}
+	other.Short, other.Upstreams = 1, map[pool.UpstreamKey]pool.UpstreamLoad{7: {Running: 5, Unread: 400}}
 	foreign := row("d", nil)
-	foreign.Loads = []*ragwortv1.ServiceLoad{{Service: "llm", Running: 1 << 31, Levels: []*ragwortv1.LevelLoad{
-		{Urgency: pool.UrgencyLevels, Running: 1}, {Urgency: 1 << 31, Running: 1},
-		{Urgency: 0, Running: 1 << 31, Arrived: float32(math.NaN()), Refused: -1, SlotSeconds: float32(math.Inf(1)), Started: float32(math.Inf(-1)), Ended: 1},
-	}}}
+	foreign.Loads = []*ragwortv1.ServiceLoad{{Service: "llm", Running: 1 << 31, ShortRunning: 1 << 31,
+		Upstreams: []uint32{8, 9, 10}, UpstreamRunning: []uint32{1 << 31, 1}, UpstreamUnread: []uint32{1 << 31}, Levels: []*ragwortv1.LevelLoad{
+			{Urgency: pool.UrgencyLevels, Running: 1}, {Urgency: 1 << 31, Running: 1},
+			{Urgency: 0, Running: 1 << 31, Arrived: float32(math.NaN()), Refused: -1, SlotSeconds: float32(math.Inf(1)), Started: float32(math.Inf(-1)), Ended: 1},
+		}}}
 	p.table.Merge(now, []*peer.Row{row("b", map[id.Service]pool.Load{"llm": busy, "desk": {}}), row("c", map[id.Service]pool.Load{"llm": other, "desk": running(2)}), foreign}, nil)
 	llm := running(12 + maxPeerLoad)
+	llm.Short = 5 + maxPeerLoad
+	llm.Upstreams = map[pool.UpstreamKey]pool.UpstreamLoad{
+		1<<32 - 1: {Running: 5, Unread: 70_000}, 7: {Running: 7, Unread: 400}, 8: {Running: maxPeerLoad, Unread: maxPeerUnread},
+	}
 	llm.Levels[0] = pool.LevelLoad{Running: maxPeerLoad, SlotSeconds: maxPeerLoad, Ended: 1}
-	llm.Levels[2] = pool.LevelLoad{Running: 10, Arrived: 3.5, Refused: 0.5, SlotSeconds: 24, Started: 9, Ended: 5}
+	llm.Levels[2] = pool.LevelLoad{Running: 10, Arrived: 3.5, Refused: 0.5, RefusedLong: 0.25, SlotSeconds: 24, Started: 9, Ended: 5}
 	llm.Levels[9] = busy.Levels[9]
 	require.Equal(t, map[id.Service]pool.Load{"llm": llm, "desk": running(2)}, p.peerLoads(now))
 }
@@ -50,4 +57,10 @@
 	withLevel := proto.Size(&peer.Row{Loads: encodeLoads(map[id.Service]pool.Load{"zipu76a": load})})
 	require.Less(t, empty, 20)
 	require.LessOrEqual(t, withLevel-empty, 34, "one urgency")
+	load.Upstreams = make(map[pool.UpstreamKey]pool.UpstreamLoad)
+	for i := range pool.UpstreamKey(100) {
+		load.Upstreams[i<<25] = pool.UpstreamLoad{Running: 2, Unread: 8000}
+	}
+	withUpstreams := proto.Size(&peer.Row{Loads: encodeLoads(map[id.Service]pool.Load{"zipu76a": load})})
+	require.LessOrEqual(t, withUpstreams-withLevel, 715, "100 engines")
 }
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -110,14 +110,15 @@
 type admission struct {
 	waited, tokens decayingSum // for the answer to begin, in seconds, and the tokens before it
 	arrived        recentCount
-	refused        recentCount // because the wait would have been too long
+	refused        recentCount // because the wait would have been too long, without long prompts
+	refusedLong    recentCount // those with long prompts
 	returns        returnTimes
 
 	running                     int         // requests of this gateway
 	begun                       int         // of these, those that hold slots
 	begunSince                  time.Time   // when that last changed
 	slotSeconds, started, ended decayingSum // as in LevelLoad, up to begunSince
-	shareLeft                   float64     // of a request: the shares of those that were refused, to be admitted
+	shareLeft, longShareLeft    float64     // of a request: the shares of those that were refused, to be admitted; of prompts that are long
 }
 
 // wait returns how long a request is expected to wait for some tokens to be read.
@@ -220,7 +221,7 @@
 		}
 	}
 	if rq.MaxWait > 0 {
-		if shed := p.shed(now, rq.Service, level); shed != nil {
+		if shed := p.shed(now, rq, level); shed != nil {
 			return candidate{}, p.refuse(now, own, &Overloaded{Wait: own.wait(now, best.ahead), Shed: shed}, rq, engines)
 		}
 	}
@@ -233,7 +234,11 @@
 // engines need for the request or, if it lacks a slot, until one of its urgency is released. The caller holds
 // the lock.
 func (p *Pool) refuse(now time.Time, a *admission, o *Overloaded, rq *Request, engines int) *Overloaded {
-	if o.Shed == nil {
+	switch {
+	case o.Shed != nil:
+	case isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)):
+		a.refusedLong.add(now)
+	default:
 		a.refused.add(now)
 	}
 	earliest := now.Add(max(o.Wait-rq.MaxWait, minReturnWait))
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -78,6 +78,7 @@
 	state        *upstreamState
 	promptTokens id.Tokens
 	prefillDone  bool
+	short        bool      // its prompt is not long
 	begun        bool      // its engine has given it a slot
 	level        int       // of its urgency
 	sentAt       time.Time // to the upstream
@@ -120,6 +121,9 @@
 	// bound in tokens does not detect that a workspace or key sends many times its usual
 	// number of short requests.
 	maxAffinityUtilisation = 0.9
+	// affinitySlotFactor is how many times the mean utilisation of its group a saturated upstream has at least.
+	// Where all are full, a request that goes elsewhere waits there as well, and its prefix is prefilled again.
+	affinitySlotFactor = 1.25
 	// minSlotsPerGateway is how many slots an upstream must have for each gateway so that
 	// its utilisation can be estimated from this gateway's own requests. With fewer, a
 	// single request would decide the result.
@@ -160,6 +164,7 @@
 	a := &Assignment{
 		Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u,
 		promptTokens: rq.Prompt.Length, level: urgencyLevel(rq.Urgency), sentAt: now, ahead: ahead,
+		short: rq.Prompt.Length > 0 && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)),
 	}
 	p.takeSlots(now, a)
 	if p.maySilentlyHaveGone(now, u, rq) {
@@ -259,11 +264,6 @@
 	return nil
 }
 
-// load returns the work that this gateway has running on the upstream, in prompt tokens.
-func (u *upstreamState) load() float64 {
-	return float64(u.backlog.before(UrgencyLevels-1)) + runningLoadTokens*float64(u.running)
-}
-
 // selectUpstream chooses one of the eligible upstreams and returns the group that the request
 // belongs to, and the reason for the log. A slot of a limited upstream that is about to pass unused
 // takes the next request, unless the upstream is as busy as others or the prompt is long. A request
@@ -279,34 +279,38 @@
 		return u, eligible, "slot"
 	}
 	if prefixHash == 0 {
-		return leastLoaded(p.randomPair(eligible)), eligible, "least_of_two"
+		return p.leastLoaded(p.randomPair(eligible)), eligible, "least_of_two"
 	}
 	eligible = p.engineGroup(now, eligible, rq)
 	if len(eligible) == 1 {
 		return eligible[0], eligible, "only"
 	}
-	mean := meanLoad(eligible)
+	mean := p.meanWork(eligible)
 	for i, u := range rendezvousCandidates(eligible, prefixHash) {
-		if u.load() <= affinityLoadFactor*mean+affinitySlackTokens && !p.saturated(u) {
+		if p.work(u) <= affinityLoadFactor*mean+affinitySlackTokens && !p.saturated(u, eligible) {
 			return u, eligible, affinityReasons[i]
 		}
 	}
-	return leastLoaded(p.randomPair(eligible)), eligible, "over_bound"
+	return p.leastLoaded(p.randomPair(eligible)), eligible, "over_bound"
 }
 
-// meanLoad returns the mean load of upstreams.
-func meanLoad(upstreams []*upstreamState) (mean float64) {
+// meanWork returns the mean work of upstreams. The caller holds the lock.
+func (p *Pool) meanWork(upstreams []*upstreamState) (mean float64) {
 	for _, u := range upstreams {
-		mean += u.load() / float64(len(upstreams))
+		mean += p.work(u) / float64(len(upstreams))
 	}
 	return mean
 }
 
-// saturated reports whether the slots of an upstream are estimated to be taken. It is
-// false if the utilisation cannot be estimated. The caller holds the lock.
-func (p *Pool) saturated(u *upstreamState) bool {
+// saturated reports whether the slots of an upstream are estimated to be taken while those of its group are less
+// so. It is false if that cannot be estimated. The caller holds the lock.
+func (p *Pool) saturated(u *upstreamState, group []*upstreamState) bool {
 	utilisation, known := p.slotUtilisation([]*upstreamState{u})
-	return known && utilisation >= maxAffinityUtilisation
+	if !known || utilisation < maxAffinityUtilisation {
+		return false
+	}
+	mean, known := p.slotUtilisation(group)
+	return !known || utilisation >= affinitySlotFactor*mean
 }
 
 // affinityReasons holds the log reason for each candidate of rendezvousCandidates.
@@ -361,11 +365,11 @@
 	return []*upstreamState{eligible[i], eligible[j]}
 }
 
-// leastLoaded returns the candidate with the least load, the first of equals.
-func leastLoaded(candidates []*upstreamState) *upstreamState {
+// leastLoaded returns the candidate with the least work, the first of equals. The caller holds the lock.
+func (p *Pool) leastLoaded(candidates []*upstreamState) *upstreamState {
 	best := candidates[0]
 	for _, u := range candidates[1:] {
-		if u.load() < best.load() {
+		if p.work(u) < p.work(best) {
 			best = u
 		}
 	}
@@ -413,6 +417,9 @@
 	if a.promptTokens > 0 {
 		a.levelState().running += n
 	}
+	if a.short {
+		a.pool.shortRunning[a.Upstream.Service] += n
+	}
 }
 
 // levelState returns the state of the urgency of the assignment. The caller holds the pool's lock.
--- a/pool/load.go
+++ b/pool/load.go
@@ -15,23 +15,28 @@
 
 // Load is the load of a service by the requests of one gateway or of several.
 type Load struct {
-	Running int // requests at upstreams, those without a prompt included
-	Levels  [UrgencyLevels]LevelLoad
+	Running   int // requests at upstreams, those without a prompt included
+	Short     int // of these, those with prompts that are not long
+	Levels    [UrgencyLevels]LevelLoad
+	Upstreams map[UpstreamKey]UpstreamLoad // model engines at which requests run; nil: not known
 }
 
 // LevelLoad is the part of a Load that requests of one urgency for model engines make up.
 type LevelLoad struct {
 	Running int
 	Arrived float64 // requests a second, refused ones included
-	Refused float64 // requests a second, because no engine would have begun in time
+	// Refused is how many requests a second were refused because no engine would have begun in time, and RefusedLong
+	// how many of these had long prompts.
+	Refused, RefusedLong float64
 	// SlotSeconds is for how long requests have held slots, and Started and Ended how many requests have
 	// begun and ended to do so. All decay with loadTimeConstant.
 	SlotSeconds, Started, Ended float64
 }
 
-// add adds the load of another gateway.
+// add adds the load of another gateway, without that of single engines.
 func (l *Load) add(other *Load) {
 	l.Running += other.Running
+	l.Short += other.Short
 	for i := range l.Levels {
 		l.Levels[i].add(&other.Levels[i])
 	}
@@ -41,6 +46,7 @@
 	l.Running += other.Running
 	l.Arrived += other.Arrived
 	l.Refused += other.Refused
+	l.RefusedLong += other.RefusedLong
 	l.SlotSeconds += other.SlotSeconds
 	l.Started += other.Started
 	l.Ended += other.Ended
@@ -88,6 +94,7 @@
 		for service, l := range byService {
 			sum := sums[service]
 			sum.add(&l)
+			sum.addUpstreams(l.Upstreams)
 			sums[service] = sum
 		}
 	}
@@ -100,14 +107,17 @@
 	defer p.mu.Unlock()
 	loads := make(map[id.Service]Load, len(p.byService))
 	for service := range p.byService {
-		loads[service] = p.load(now, service)
+		l := p.load(now, service)
+		l.Upstreams = p.upstreamLoads(service)
+		loads[service] = l
 	}
 	return loads
 }
 
-// load returns the load of a service by the requests of this gateway. The caller holds the lock.
+// load returns the load of a service by the requests of this gateway, without that of single engines. The caller
+// holds the lock.
 func (p *Pool) load(now time.Time, s id.Service) Load {
-	l := Load{Running: p.ownLoad(s)}
+	l := Load{Running: p.ownLoad(s), Short: p.shortRunning[s]}
 	if levels := p.admissions[s]; levels != nil {
 		for i := range levels {
 			l.Levels[i] = levels[i].load(now)
@@ -123,7 +133,8 @@
 		held += float64(a.begun) * now.Sub(a.begunSince).Seconds()
 	}
 	return LevelLoad{
-		Running: a.running, Arrived: a.arrived.rate(now), Refused: a.refused.rate(now),
+		Running: a.running, Arrived: a.arrived.rate(now),
+		Refused: a.refused.rate(now) + a.refusedLong.rate(now), RefusedLong: a.refusedLong.rate(now),
 		SlotSeconds: held, Started: a.started.value(now), Ended: a.ended.value(now),
 	}
 }
@@ -177,22 +188,3 @@
 	}
 	return float64(own+p.peerLoads[s].Running) / float64(own)
 }
-
-// slotUtilisation estimates the fraction of their slots that engines of one service use, including
-// queued requests. It assumes that the requests of all gateways are spread over them as those of this
-// one. Known is false without engines, and when one of them has too few slots for each gateway for an
-// estimate (see minSlotsPerGateway). The caller holds the lock.
-func (p *Pool) slotUtilisation(engines []*upstreamState) (fraction float64, known bool) {
-	running, slots := 0, 0
-	for _, u := range engines {
-		if u.Slots < minSlotsPerGateway*p.gatewayCount {
-			return 0, false
-		}
-		running += u.running
-		slots += u.Slots
-	}
-	if slots == 0 {
-		return 0, false
-	}
-	return float64(running) * p.fleetFactor(engines[0].Service) / float64(slots), true
-}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,7 +4,7 @@
 // A Pool records which upstreams exist, which accept new requests, which are cold, and
 // what this gateway has running on each of them. choose.go defines how an upstream is
 // chosen, admission.go which requests are refused because engines are too far behind, shed.go which of
-// them for the sake of more urgent ones, load.go the loads that this depends on, split.go the separation of long prompts from short
+// them for the sake of more urgent ones, load.go and upstream_load.go the loads that this depends on, split.go the separation of long prompts from short
 // ones, cold.go the rate limit of cold
 // upstreams, remark.go what upstreams say of themselves in responses, limit.go the
 // limits that they name, slot.go and line.go how requests use the slots of both and wait for them,
@@ -79,6 +79,7 @@
 	lines             map[id.Service]*line
 	splits            map[id.Service]*engineSplit
 	admissions        map[id.Service]*[UrgencyLevels]admission
+	shortRunning      map[id.Service]int // requests of this gateway with prompts that are not long
 	remarks           map[incarnation]*remark
 	rand              *rand.Rand
 }
@@ -94,7 +95,7 @@
 	return &Pool{
 		upstreams: make(map[id.Upstream]*upstreamState), byService: make(map[id.Service][]*upstreamState),
 		evacuated: make(map[id.DataCentre]bool), evacuationEndedAt: make(map[id.DataCentre]time.Time),
-		splits: make(map[id.Service]*engineSplit), admissions: make(map[id.Service]*[UrgencyLevels]admission), remarks: make(map[incarnation]*remark), lines: make(map[id.Service]*line), latest: latest, gatewayCount: 1,
+		splits: make(map[id.Service]*engineSplit), admissions: make(map[id.Service]*[UrgencyLevels]admission), remarks: make(map[incarnation]*remark), lines: make(map[id.Service]*line), shortRunning: make(map[id.Service]int), latest: latest, gatewayCount: 1,
 		rand: rand.New(globalSource{}),
 	}
 }
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -94,15 +94,19 @@
 
 // yieldShare returns the share of the requests of a level that need not be refused because more urgent ones
 // are refused for their wait. The more of these are, the more slots less urgent ones give up, the least
-// urgent first.
-func yieldShare(load *Load, slots, level int) float64 {
+// urgent first. Prompts that are not long do not yield to long ones, which wait for other engines.
+func yieldShare(load *Load, slots, level int, long bool) float64 {
 	if float64(load.Running) < minYieldUtilisation*float64(slots) {
 		return 1
 	}
 	excess := 0.0
 	for l := range level {
 		urgent := &load.Levels[l]
-		if repeated := urgent.Refused - 1; repeated > 0 {
+		refused := urgent.Refused
+		if !long {
+			refused -= urgent.RefusedLong
+		}
+		if repeated := refused - 1; repeated > 0 {
 			excess = max(excess, repeated/urgent.Arrived/maxUrgentRefused-1)
 		}
 	}
@@ -127,22 +131,26 @@
 
 // shed returns why a request of a level is refused for the sake of more urgent ones, or nil if it is not. The
 // caller holds the lock.
-func (p *Pool) shed(now time.Time, s id.Service, level int) *Shed {
-	load := p.fleetLoad(now, s)
-	slots := p.slots(s)
-	share, forSlots := yieldShare(&load, slots, level), false
+func (p *Pool) shed(now time.Time, rq *Request, level int) *Shed {
+	load, long := p.fleetLoad(now, rq.Service), isLong(&rq.Prompt, p.longPromptThreshold(rq.Service))
+	slots := p.slots(rq.Service)
+	share, forSlots := yieldShare(&load, slots, level, long), false
 	if p.peerLoads != nil && slots > 0 {
 		if found := slotShare(&load, slots, level); found < share {
 			share, forSlots = found, true
 		}
 	}
-	own := &p.admissionsOf(s)[level]
+	own := &p.admissionsOf(rq.Service)[level]
+	left := &own.shareLeft
+	if long {
+		left = &own.longShareLeft
+	}
 	if share >= 1 {
-		own.shareLeft = 0
+		*left = 0
 		return nil
 	}
-	if own.shareLeft += share; own.shareLeft >= 1 {
-		own.shareLeft--
+	if *left += share; *left >= 1 {
+		*left--
 		return nil
 	}
 	return &Shed{ForSlots: forSlots, Share: share, Load: load, Slots: slots}
--- a/pool/shed_test.go
+++ b/pool/shed_test.go
@@ -209,6 +209,21 @@
 	require.Equal(t, 100, begun(2), "more urgent than those that are refused")
 }
 
+// TestShortPromptsDoNotYieldToLongOnes guards against short requests that are refused because a few more urgent ones with
+// long prompts were, for which other engines are too busy.
+func TestShortPromptsDoNotYieldToLongOnes(t *testing.T) {
+	p := newSlotPool(9, 128, 5)
+	load := pool.Load{Running: 700}
+	load.Levels[2] = pool.LevelLoad{Running: 10, Arrived: 10, Refused: 5, RefusedLong: 4.5, SlotSeconds: 50, Started: 20, Ended: 20}
+	load.Levels[3] = pool.LevelLoad{Running: 400, Arrived: 200, SlotSeconds: 200, Started: 400, Ended: 400}
+	load.Levels[5] = pool.LevelLoad{Running: 290, Arrived: 60, SlotSeconds: 500, Started: 200, Ended: 200}
+	p.SetPeerLoads(map[id.Service]pool.Load{modelService: load})
+	for urgency := 3; urgency <= 5; urgency++ {
+		require.IsType(t, new(pool.Assignment), ask(p, now, urgency, shortTokens), urgency)
+		require.IsType(t, new(pool.Overloaded), ask(p, now, urgency, longTokens), urgency)
+	}
+}
+
 // TestShedCallersReturnBeforeSlotsAreReleased guards against callers that return at once, all of them, and are refused
 // again.
 func TestShedCallersReturnBeforeSlotsAreReleased(t *testing.T) {
--- a/pool/slot.go
+++ b/pool/slot.go
@@ -57,7 +57,7 @@
 func (p *Pool) passingSlot(now time.Time, eligible []*upstreamState, rq *Request) *upstreamState {
 	for _, u := range eligible {
 		rate, slots, limited := u.limitRate()
-		if limited && quota.Passing(now, slots.Next(now, rate, p.fleet)) && u.load() < meanLoad(eligible) && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)) {
+		if limited && quota.Passing(now, slots.Next(now, rate, p.fleet)) && p.work(u) < p.meanWork(eligible) && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)) {
 			return u
 		}
 	}
--- a/pool/split.go
+++ b/pool/split.go
@@ -8,7 +8,8 @@
 // the batch therefore stalls for the duration of a chunk, again and again, while a long
 // prompt is prefilled. Next to two long prompts, a stream with a small permitted gap
 // between events is late, and if long prompts may run anywhere, no engine is free of
-// them. The sizes of the groups follow the recent work of long and short prompts.
+// them. The sizes of the groups follow the recent work of long and short prompts, and the slots that requests with
+// short prompts use.
 
 import (
 	"math"
@@ -61,6 +62,9 @@
 	// are more urgent. A group that is full sends requests to the other one until that is nearly full,
 	// too: a stream next to long prompts may be late, one that gets no slot is lost.
 	fullUtilisation, nearlyFullUtilisation = 0.9, 0.95
+	// keptLongDivisor sets how many engines remain for long prompts when others need the slots: those that their work
+	// calls for, divided by this value.
+	keptLongDivisor = 2
 	// minSplitEngines is the smallest number of engines that is divided into groups.
 	minSplitEngines = 3
 )
@@ -106,14 +110,28 @@
 	}
 }
 
-// divideEngines returns how many of n engines are for long prompts.
-func (s *engineSplit) divideEngines(n int) int {
+// divideEngines returns how many of n engines are for long prompts, where others need a number of them for their
+// slots.
+func (s *engineSplit) divideEngines(n, forShort int) int {
 	share := (s.longWork + initialLongShare*initialShareWeightTokens) / (s.longWork + s.shortWork + initialShareWeightTokens)
 	wanted := min(max(share, minLongShare), maxLongShare) * float64(n)
 	if s.totalEngines != n || math.Abs(wanted-float64(s.longEngines)) > resplitThreshold {
 		s.totalEngines, s.longEngines = n, min(max(int(math.Round(wanted)), 1), n-1)
 	}
-	return s.longEngines
+	kept := (s.longEngines + keptLongDivisor - 1) / keptLongDivisor
+	return min(s.longEngines, max(n-forShort, kept))
+}
+
+// enginesForShort returns how many of the engines of a service have as many slots as the requests of all gateways with
+// prompts that are not long use. Where these run beside long prompts for lack of slots, a step of the engine takes
+// several times as long, and the longest of their answers are cut at their deadlines. The caller holds the lock.
+func (p *Pool) enginesForShort(s id.Service, engines int) int {
+	slots := p.slots(s)
+	if slots == 0 || p.peerLoads == nil {
+		return 0
+	}
+	running := float64(p.shortRunning[s] + p.peerLoads[s].Short)
+	return int(math.Ceil(running / (borrowMinUtilisation * float64(slots) / float64(engines))))
 }
 
 // longPromptThreshold returns the length above which a prompt for a service counts as
@@ -158,7 +176,7 @@
 	if accepting < minSplitEngines {
 		return eligible
 	}
-	longEngines, index := s.divideEngines(accepting), 0
+	longEngines, index := s.divideEngines(accepting, p.enginesForShort(rq.Service, accepting)), 0
 	var group, otherGroup []*upstreamState
 	next := 0
 	for _, u := range p.byService[rq.Service] {
--- /dev/null
+++ b/pool/upstream_load.go
@@ -0,0 +1,82 @@
+package pool
+
+// This file defines the load of single engines by the requests of all gateways. A gateway of a large fleet has
+// one or two requests at an engine that is full, so that its own ones do not tell full engines from idle ones.
+
+import "github.com/ragwortpass/ragwortpass/id"
+
+// UpstreamKey identifies an upstream among those of a service.
+type UpstreamKey uint32
+
+// UpstreamLoad is the part of a Load that runs at one model engine.
+type UpstreamLoad struct {
+	Running int
+	Unread  id.Tokens // of prompts
+}
+
+// key returns the key of an upstream, which is the same at all gateways.
+func (u *upstreamState) key() UpstreamKey { return UpstreamKey(u.hashOrder) }
+
+// upstreamLoads returns the loads of the model engines of a service at which this gateway has requests. The caller
+// holds the lock.
+func (p *Pool) upstreamLoads(s id.Service) map[UpstreamKey]UpstreamLoad {
+	if p.admissions[s] == nil {
+		return nil
+	}
+	loads := make(map[UpstreamKey]UpstreamLoad)
+	for _, u := range p.byService[s] {
+		if u.running > 0 {
+			loads[u.key()] = UpstreamLoad{Running: u.running, Unread: u.backlog.before(UrgencyLevels - 1)}
+		}
+	}
+	return loads
+}
+
+// addUpstreams adds the loads of engines by the requests of another gateway.
+func (l *Load) addUpstreams(other map[UpstreamKey]UpstreamLoad) {
+	if l.Upstreams == nil && len(other) > 0 {
+		l.Upstreams = make(map[UpstreamKey]UpstreamLoad, len(other))
+	}
+	for key, more := range other {
+		sum := l.Upstreams[key]
+		sum.Running += more.Running
+		sum.Unread += more.Unread
+		l.Upstreams[key] = sum
+	}
+}
+
+// work returns the work that an upstream has, in prompt tokens: for this gateway, and for its peers as far as they
+// tell. The caller holds the lock.
+func (p *Pool) work(u *upstreamState) float64 {
+	peers := p.peerLoads[u.Service].Upstreams[u.key()]
+	return float64(u.backlog.before(UrgencyLevels-1)+peers.Unread) + runningLoadTokens*float64(u.running+peers.Running)
+}
+
+// fleetRunning estimates how many requests of all gateways an engine has, queued ones included. Where peers do not
+// tell, it assumes that theirs are spread over the engines as those of this gateway. Known is false if the engine has
+// too few slots for each gateway for that (see minSlotsPerGateway). The caller holds the lock.
+func (p *Pool) fleetRunning(u *upstreamState) (running float64, known bool) {
+	if peers := p.peerLoads[u.Service].Upstreams; peers != nil {
+		return float64(u.running + peers[u.key()].Running), true
+	}
+	return float64(u.running) * p.fleetFactor(u.Service), u.Slots >= minSlotsPerGateway*p.gatewayCount
+}
+
+// slotUtilisation estimates the fraction of their slots that engines of one service use, including queued
+// requests. Known is false without engines, and where the requests at one of them are not known. The caller holds
+// the lock.
+func (p *Pool) slotUtilisation(engines []*upstreamState) (fraction float64, known bool) {
+	running, slots := 0.0, 0
+	for _, u := range engines {
+		n, known := p.fleetRunning(u)
+		if !known {
+			return 0, false
+		}
+		running += n
+		slots += u.Slots
+	}
+	if slots == 0 {
+		return 0, false
+	}
+	return running / float64(slots), true
+}
