--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -112,6 +112,11 @@
 // putCatalog writes a new version of the configuration, in which one workspace has the given
 // keys.
 func (f *relayFleet) putCatalog(keys ...string) {
+	require.NoError(f.t, f.store.PutCatalog(f.newCatalog(keys...)))
+}
+
+// newCatalog returns a new version of the configuration, in which one workspace has the given keys.
+func (f *relayFleet) newCatalog(keys ...string) *catalog.Catalog {
 	f.version += 3
 	route := func(name id.Route, k catalog.Kind, attempts int) catalog.Route {
 		return catalog.Route{
@@ -134,7 +139,7 @@
 	for _, key := range keys {
 		c.Workspaces[key] = &catalog.Workspace{Name: "ws"}
 	}
-	require.NoError(f.t, f.store.PutCatalog(c))
+	return c
 }
 
 func (f *relayFleet) writeSettings(r *relayNode) {
