gateway: bound the memory of requests and connections

Cause: only responses had a bound together. Each body had one of its own, was read whole before anything else was decided, by a buffer that doubles; requests, heads and connections were not counted at all.

As before a holder may have as much as is free: a workspace for its requests, so that others keep their room. Less urgent requests leave a twentieth for each step of urgency. A request takes the memory for itself and its head, then for its body, before a byte of that is read; a body of known length is read into one piece. Where there is none it gets 503 memory_full, not run, with Retry-After, and if its body has arrived the connection stays open. There is memory for more connections than for requests, so that room for a new one can be made by closing one that no request is being served on: first those that have kept the process waiting for a head, the longest first, then idle ones. Heads above 4 KiB have a fifth of the memory for connections, and wait for their turn.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,8 +22,8 @@
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
-	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/retry"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
@@ -60,7 +60,7 @@
 	Platform      hosting.Platform
 	PeerClient    *http.Client // for requests to sidecars and other entries
 	ControlClient *http.Client // for heartbeats to sidecars and other entries
-	Responses     *response.Memory
+	Memory        *memory.Budgets
 	Traces        *trace.Log
 	Metrics       metrics.Registry
 	Logger        log.Logger
--- a/entry/events.go
+++ b/entry/events.go
@@ -12,8 +12,8 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
-	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
@@ -37,7 +37,7 @@
 
 	rs            *http.Response
 	outputBefore  id.Tokens // output delivered by earlier attempts
-	memory        *response.Share
+	memory        *memory.Share
 	buffered      []string // events withheld until the next content
 	bufferedBytes int
 	finishReasons int    // number received in this attempt
@@ -48,7 +48,7 @@
 // reason and the done event. Nothing is sent before the first content, so that an
 // empty answer can be retried unnoticed.
 func (e *Entry) relayEvents(a *answer, u *upstream.View, rs *http.Response) attemptResult {
-	s := &attemptStream{e: e, a: a, u: u, rs: rs, memory: e.deps.Responses.Share(u.ID), outputBefore: a.output}
+	s := &attemptStream{e: e, a: a, u: u, rs: rs, memory: e.deps.Memory.Responses.Share(memory.Holder(u.ID)), outputBefore: a.output}
 	defer s.memory.Release()
 	body := &eventReader{from: rs.Body, a: a, stallTimeout: e.cfg.StallTimeout}
 	defer body.stop()
--- a/entry/program.go
+++ b/entry/program.go
@@ -16,8 +16,8 @@
 	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/process"
-	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/usage"
@@ -66,7 +66,7 @@
 		c.Endpoint("seeds", seed)
 	}
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
-	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= response.MaxMemoryMB, "memory-mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", response.MaxMemoryMB))
+	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= memory.MaxProcessMB, "memory-mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", memory.MaxProcessMB))
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
 	c.Require(s.CheckpointDelay >= 0, "checkpoint-delay", s.CheckpointDelay.String(), "a duration from zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
@@ -103,11 +103,15 @@
 	bookings := open(platform.Stream(hosting.StreamBookings), 1, "bookings_")
 	usageStream := open(platform.Stream(hosting.StreamUsage), 2, "usage_")
 	peers := process.NewPeerClient()
+	budgets := memory.NewBudgets(s.MemoryMB)
+	if err := budgets.Register(registry); err != nil {
+		_ = logger.Log("event", "metrics_missing", "err", err)
+	}
 	deps := Deps{
 		State: control.State, Follower: control.Follower, Writer: control.Writer, Bookings: bookings,
 		Usage: usageStream, UsageLog: platform.Stream(hosting.StreamUsage),
 		PeerFetcher: logbook.NewPeerFetcher(control.State, peers, logger, registry), Platform: platform, PeerClient: peers, ControlClient: process.NewHeartbeatClient(),
-		Responses: response.NewMemory(s.MemoryMB), Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: registry, Logger: logger,
+		Memory: budgets, Traces: trace.New(id.Node(s.Node), s.Traces), Metrics: registry, Logger: logger,
 	}
 	e := New(Config{
 		Node: id.Node(s.Node), DataCentre: id.DataCentre(s.DataCentre), Address: s.Advertise,
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -14,8 +14,8 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
-	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
 )
@@ -86,10 +86,10 @@
 // relayUnstreamed relays an answer that is not streamed. It reads the whole answer before
 // it sends anything, so that an interrupted one can be retried.
 func (e *Entry) relayUnstreamed(a *answer, u *upstream.View, rs *http.Response) attemptResult {
-	whole, err := e.deps.Responses.ReadBody(u.ID, rs.Body, maxUnstreamedBytes)
+	whole, err := e.deps.Memory.Responses.Share(memory.Holder(u.ID)).ReadBody(rs.Body, maxUnstreamedBytes)
 	defer whole.Release()
 	switch {
-	case errors.Is(err, response.ErrTooLarge), errors.Is(err, response.ErrMemoryTaken):
+	case errors.Is(err, memory.ErrTooLarge), errors.Is(err, memory.ErrFull):
 		return failedAttempt(problem.AnswerTruncated, u, fmt.Sprintf("after %d bytes of the answer: %v", whole.Len(), err))
 	case err != nil:
 		return failedAttempt(problem.UpstreamCut, u, err.Error())
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
 )
 
@@ -48,12 +49,16 @@
 	uri            string
 	host           string
 	header         http.Header
-	body           []byte
+	share          *memory.Share  // what the request takes; nil: nothing is reserved
+	body           *memory.Buffer // nil: none
 }
 
 // serve handles a caller's request.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	req, p := g.accept(w, r, time.Now())
+	if req.share != nil {
+		defer req.share.Release()
+	}
 	if p != nil {
 		g.refuse(w, req, p)
 		return
@@ -84,6 +89,9 @@
 	if g.exceedsShutdown(req.deadline) {
 		return req, g.leavingProblem(req)
 	}
+	if p := g.reserve(w, r, req); p != nil {
+		return req, p
+	}
 	return req, g.readBody(w, r, req)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,10 +4,10 @@
 // is checked and relayed.
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -167,10 +167,13 @@
 // newUpstreamRequest returns the request for the upstream.
 func (f *forwarding) newUpstreamRequest(ctx context.Context, assignment *pool.Assignment) (*http.Request, error) {
 	req := f.req
-	upstreamReq, err := http.NewRequestWithContext(ctx, req.method, "http://"+assignment.Upstream.Address+req.uri, bytes.NewReader(req.body))
+	upstreamReq, err := http.NewRequestWithContext(ctx, req.method, "http://"+assignment.Upstream.Address+req.uri, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
+	if req.body != nil && req.body.Len() > 0 {
+		upstreamReq.Body, upstreamReq.ContentLength = io.NopCloser(req.body.Reader()), int64(req.body.Len())
+	}
 	upstreamReq.Host = req.host
 	upstreamReq.Header = req.header.Clone()
 	removeHopByHopHeaders(upstreamReq.Header)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,12 +5,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
 )
 
@@ -20,6 +22,19 @@
 	// bodyShutdownMargin is how long before the end of the process a body that is not complete is
 	// given up, so that its caller is told.
 	bodyShutdownMargin = 300 * time.Millisecond
+	// requestBytes is about what a request takes besides its head and body while it is served, with the
+	// connection to its upstream, and requestHeadFactor what its head takes, which is kept as received and
+	// as it is sent. There is memory for more connections than for requests, so that others than those
+	// that are in use can be closed for new ones.
+	requestBytes      = 24 << 10
+	requestHeadFactor = 3
+	// maxDiscardedBytes and discardTime bound what is read of a body that there is no memory for, to keep
+	// the connection.
+	maxDiscardedBytes = 256 << 10
+	discardTime       = 20 * time.Millisecond
+	// urgencyReserve is the part of the memory for requests that those of each urgency leave to the more
+	// urgent ones.
+	urgencyReserve = 0.05
 	// minBodyTime is how long a body is read at least, however near the deadline is: one that has
 	// arrived with its head is not late.
 	minBodyTime = 200 * time.Millisecond
@@ -73,34 +88,85 @@
 	return err
 }
 
-// readBody reads the body of a request.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request) *problem.Problem {
+// reserve takes the memory for a request without its body. It returns a problem if there is none.
+func (g *Gateway) reserve(w http.ResponseWriter, r *http.Request, req *request) *problem.Problem {
+	req.share = g.deps.Memory.Requests.ShareLeaving(memory.Holder(req.workspace), urgencyReserve*float64(req.urgency))
+	err := req.share.GrowTo(requestBytes + requestHeadFactor*int64(headerSize(r)))
+	if err == nil {
+		releaseHead(r.Context())
+		return nil
+	}
+	return memoryProblem(w, r, err)
+}
+
+// memoryProblem returns the problem of a request that there is no memory for.
+func memoryProblem(w http.ResponseWriter, r *http.Request, err error) *problem.Problem {
+	if discardErr := discardBody(w, r); discardErr != nil {
+		w.Header().Set("Connection", "close")
+	}
+	return problem.New(problem.MemoryFull, problem.NotRun, http.StatusServiceUnavailable, "%v", err).WithRetryAfter(busyRetryAfter)
+}
+
+// discardBody reads the rest of a body if it has arrived, or all but.
+func discardBody(w http.ResponseWriter, r *http.Request) error {
 	if r.Body == http.NoBody {
 		return nil
 	}
-	limit := req.catalog.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(time.Now().Add(discardTime)); err != nil {
+		return err
+	}
+	n, err := io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
+	switch {
+	case err == nil:
+		return fmt.Errorf("the body has more than %d bytes", n)
+	case !errors.Is(err, io.EOF):
+		return err
 	}
+	return controller.SetReadDeadline(time.Time{})
+}
+
+// bodyLimit returns the size in bytes that the body of a request may have.
+func (r *request) bodyLimit() int64 {
+	if limit := r.catalog.Limits.BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultMaxBodyBytes
+}
+
+// readBody reads the body of a request. If the head announces how long it is, nothing is read that there
+// is no memory for.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request) *problem.Problem {
+	if r.Body == http.NoBody {
+		return nil
+	}
+	limit := req.bodyLimit()
 	controller := http.NewResponseController(w)
 	until := req.deadline
 	if earliest := req.arrived.Add(minBodyTime); until.Before(earliest) {
 		until = earliest
 	}
 	err := g.bodies.begin(controller, until)
-	if err == nil {
-		req.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	switch {
+	case err != nil:
+	case r.ContentLength > limit:
+		err = memory.ErrTooLarge
+	case r.ContentLength >= 0:
+		req.body, err = req.share.ReadLength(r.Body, int(r.ContentLength))
+	default:
+		req.body, err = req.share.ReadBody(r.Body, int(limit))
 	}
 	if finishErr := g.bodies.finish(controller, err == nil); err == nil {
 		err = finishErr
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, memory.ErrFull) {
 		w.Header().Set("Connection", "close")
 	}
-	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, memory.ErrTooLarge):
 		return problem.New(problem.BodyTooLarge, problem.NotRun, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
+	case errors.Is(err, memory.ErrFull):
+		return memoryProblem(w, r, err)
 	case errors.Is(err, os.ErrDeadlineExceeded) && g.exceedsShutdown(req.deadline):
 		return g.leavingProblem(req)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -19,6 +19,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/process"
 )
 
@@ -36,15 +40,24 @@
 type CallerConns struct {
 	*process.DrainingListener
 	idleTimeout func() time.Duration // zero: no limit
+	memory      *memory.Budget
+	registry    metrics.Registry
+	logger      log.Logger
+
+	waitedInVain time.Time // when Accept last waited for memory and got none
 
-	mu    sync.Mutex
-	conns map[*callerConn]struct{}
+	mu           sync.Mutex
+	conns        map[*callerConn]struct{}
+	closedLogged time.Time // when a connection that was closed for want of memory was last logged
 }
 
 // TrackCallers makes a server close idle connections after the timeout of the catalog in
 // force. The server must accept its connections from the returned listener.
 func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) *CallerConns {
-	c := &CallerConns{DrainingListener: process.NewDrainingListener(l), idleTimeout: g.idleTimeout, conns: make(map[*callerConn]struct{})}
+	c := &CallerConns{
+		DrainingListener: process.NewDrainingListener(l), idleTimeout: g.idleTimeout,
+		memory: g.deps.Memory.Connections, registry: g.deps.Metrics, logger: g.deps.Logger, conns: make(map[*callerConn]struct{}),
+	}
 	server.ConnState = c.connStateChanged
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, callerConnKey{}, conn)
@@ -55,17 +68,41 @@
 // callerConnKey is the key of a request's connection in its context.
 type callerConnKey struct{}
 
-// Accept implements net.Listener. It tracks the connection at once, so that a stop never misses one.
+// Accept implements net.Listener. It tracks the connection at once, so that a stop never misses one, and makes
+// room for it by closing others that no request is being served on.
 func (c *CallerConns) Accept() (net.Conn, error) {
-	conn, err := c.DrainingListener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := c.DrainingListener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		holder := memory.Holder(conn.RemoteAddr().String())
+		tracked := &callerConn{
+			Conn: conn, conns: c, share: c.memory.ShareLeaving(holder, callerHeadReserve), headShare: c.memory.Share(holder), idleSince: time.Now(),
+		}
+		c.track(tracked)
+		if c.admit(tracked) == nil {
+			return tracked, nil
+		}
+		c.forget(tracked)
+		_ = conn.Close() // nothing is lost: nothing was read
 	}
-	tracked := &callerConn{Conn: conn, idleSince: time.Now()}
+}
+
+func (c *CallerConns) track(conn *callerConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conns[tracked] = struct{}{}
-	return tracked, nil
+	c.conns[conn] = struct{}{}
+}
+
+// forget gives back what a connection that is closed has.
+func (c *CallerConns) forget(conn *callerConn) {
+	c.mu.Lock()
+	delete(c.conns, conn)
+	c.mu.Unlock()
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.release()
 }
 
 // Len returns the number of open connections.
@@ -129,27 +166,31 @@
 		return
 	}
 	switch s {
-	case http.StateActive:
+	case http.StateActive: // the head was read
 		tracked.beginRequest()
+		tracked.endHead()
 	case http.StateIdle:
 		tracked.endRequest(time.Now(), c.idleTimeout())
 	case http.StateClosed, http.StateHijacked:
-		c.mu.Lock()
-		delete(c.conns, tracked)
-		c.mu.Unlock()
+		c.forget(tracked)
 	}
 }
 
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
+	conns *CallerConns
 
 	mu        sync.Mutex
-	idleSince time.Time // no byte of a request was read since then; zero: a request has begun
-	begunAt   time.Time // when the request began, if idleSince is zero
-	serving   bool      // a request has reached its handler
-	readAhead bool      // a byte was read while the request before was being served
-	closed    bool      // closed as idle, or refused: what is read now is discarded
+	share     *memory.Share // for the connection
+	headShare *memory.Share // for the head that is being read
+	idleSince time.Time     // no byte of a request was read since then; zero: a request has begun
+	begunAt   time.Time     // when the request began, if idleSince is zero
+	headBytes int64         // read of a head that is not complete
+	serving   bool          // the head of a request was read, and the request is being served
+	served    bool          // a request was served
+	readAhead bool          // a byte was read while the request before was being served
+	closed    bool          // closed as idle or for others, or refused: what is read now is discarded
 	idleTimer *time.Timer
 }
 
@@ -164,12 +205,19 @@
 		c.readAhead = true // the server reads single bytes only to notice that the caller disconnects
 	}
 	c.mu.Unlock()
-	if !c.beginRequest() {
+	if !c.beginRequest() || !c.growHead(n) {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// endHead records that a head was read, unless the connection was closed or refused before.
+func (c *callerConn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.served, c.headBytes = !c.closed, true, 0
+}
+
 // beginRequest records that a request has begun. It reports false if the connection was
 // closed before.
 func (c *callerConn) beginRequest() bool {
@@ -185,16 +233,15 @@
 	return !c.closed
 }
 
-// beginServing records that a request has reached its handler. It reports false if the request was refused
-// meanwhile: the handler must not serve it.
-func beginServing(ctx context.Context) bool {
+// mayServe reports whether a request that has reached its handler was not refused meanwhile: the handler must
+// not serve it then.
+func mayServe(ctx context.Context) bool {
 	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
 	if !ok {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = !c.closed
 	return c.serving
 }
 
@@ -204,6 +251,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
+	c.headShare.Release()
 	if c.readAhead {
 		c.readAhead, c.begunAt = false, now // the first byte of the next request
 		return
--- /dev/null
+++ b/gateway/caller_memory_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+// This file tests which connections of callers are closed when they take all the memory for them.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/memory"
+)
+
+// TestLeastNeeded checks the order in which connections are closed.
+func TestLeastNeeded(t *testing.T) {
+	now := time.Now()
+	ago := func(p callerPhase, d time.Duration) callerState { return callerState{p, now.Add(-d)} }
+	for name, tc := range map[string]struct {
+		states []callerState
+		period time.Duration
+		want   int // -1: none
+	}{
+		"none":                       {nil, 0, -1},
+		"serving":                    {[]callerState{ago(phaseServing, time.Hour)}, 0, -1},
+		"waiting before idle":        {[]callerState{ago(phaseIdle, time.Hour), ago(phaseWaiting, time.Second)}, 0, 1},
+		"longest waiting":            {[]callerState{ago(phaseWaiting, 1), ago(phaseWaiting, 3), ago(phaseWaiting, 2)}, 0, 1},
+		"longest idle":               {[]callerState{ago(phaseIdle, 2), ago(phaseServing, 9), ago(phaseIdle, 3)}, 0, 2},
+		"not long enough":            {[]callerState{ago(phaseWaiting, time.Second-1), ago(phaseIdle, 1)}, time.Second, -1},
+		"idle long enough":           {[]callerState{ago(phaseWaiting, 1), ago(phaseIdle, time.Second)}, time.Second, 1},
+		"waiting for just as long":   {[]callerState{ago(phaseWaiting, time.Second), ago(phaseIdle, time.Hour)}, time.Second, 0},
+		"slow head as silent":        {[]callerState{ago(phaseWaiting, 2), ago(phaseHead, 3), ago(phaseIdle, 4)}, 0, 1},
+		"a clock that is set behind": {[]callerState{ago(phaseWaiting, -time.Hour)}, 0, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i, found := leastNeeded(slices.All(tc.states), closable(now, tc.period))
+			if tc.want < 0 {
+				require.False(t, found)
+				return
+			}
+			require.True(t, found)
+			require.Equal(t, tc.want, i)
+		})
+	}
+}
+
+// newSmallServer returns the address of a server that has memory for a number of connections.
+func newSmallServer(t *testing.T, conns int) (address string, c *CallerConns) {
+	budgets := memory.NewBudgets(0)
+	budgets.Connections = memory.NewBudget(int64((float64(conns) + 1) * callerConnBytes / (1 - callerHeadReserve))) // a holder may have as much as is free
+	g := &Gateway{deps: Deps{Catalog: new(catalog.Latest), Memory: budgets, Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger()}}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
+	c = g.TrackCallers(server.Config, server.Listener)
+	server.Listener = c
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), c
+}
+
+// dialCaller opens a connection and writes to it.
+func dialCaller(t *testing.T, address, text string) net.Conn {
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	_, err = io.WriteString(conn, text)
+	require.NoError(t, err)
+	return conn
+}
+
+// requireServed reads an answer from a connection.
+func requireServed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(minHeadTime)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "served", string(body))
+}
+
+const callerRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// TestSilentCallersMakeRoom has more callers connect than there is memory for: those that send nothing are
+// closed for others, and one that was served before is not.
+func TestSilentCallersMakeRoom(t *testing.T) {
+	address, c := newSmallServer(t, 8)
+	kept := dialCaller(t, address, callerRequest)
+	requireServed(t, kept)
+	for range 30 {
+		dialCaller(t, address, "")
+	}
+	for range 3 {
+		requireServed(t, dialCaller(t, address, callerRequest))
+	}
+	_, err := io.WriteString(kept, callerRequest)
+	require.NoError(t, err)
+	requireServed(t, kept)
+	require.LessOrEqual(t, c.memory.Used(), int64(8*callerConnBytes))
+}
+
+// TestHeadsWithoutEndMakeRoom has callers send large heads without their end: they are closed, and one that
+// sends a whole head of that size is served.
+func TestHeadsWithoutEndMakeRoom(t *testing.T) {
+	address, _ := newSmallServer(t, 64)
+	head := "GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", 24<<10)
+	for range 20 {
+		dialCaller(t, address, head)
+	}
+	time.Sleep(minHeadTime)
+	requireServed(t, dialCaller(t, address, head+"\r\n\r\n"))
+}
+
+// TestConnectionsGiveMemoryBack opens and closes connections in several states: all memory comes back.
+func TestConnectionsGiveMemoryBack(t *testing.T) {
+	address, c := newSmallServer(t, 64)
+	for i := range 20 {
+		dialCaller(t, address, "").Close()
+		dialCaller(t, address, fmt.Sprintf("GET /%d HTTP/1.1\r\nA: %s", i, strings.Repeat("x", 8<<10))).Close()
+		served := dialCaller(t, address, callerRequest)
+		requireServed(t, served)
+		served.Close()
+	}
+	require.Eventually(t, func() bool { return c.Len() == 0 && c.memory.Used() == 0 }, minHeadTime, time.Millisecond)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/ragwortpass/ragwortpass/clock"
 	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/quarantine"
 )
@@ -110,6 +111,7 @@
 	Meter         UsageMeter
 	CatalogStatus CatalogStatus
 	Client        *UpstreamClient
+	Memory        *memory.Budgets
 	Quarantine    *quarantine.Register
 	FleetTime     func() time.Time // the time that the evidence of Quarantine has
 	TellPeers     func()           // asks for an exchange with peers soon
@@ -148,7 +150,7 @@
 // close their connections.
 func (g *Gateway) trackActivity(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !beginServing(r.Context()) {
+		if !mayServe(r.Context()) {
 			panic(http.ErrAbortHandler) // the stop has refused the request while its head was being read
 		}
 		g.inFlight.Add(1)
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -21,6 +21,7 @@
 	"github.com/ragwortpass/ragwortpass/feed"
 	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/peer"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/process"
@@ -132,9 +133,13 @@
 	fleetTime := func() time.Time { return bootClock.Now().Add(clockOffset()) }
 	p.usage = newUsageCounter(durationS(s.Bounds.WindowS), bootClock.Now, clockOffset)
 	p.quarantine = quarantine.New()
+	budgets := memory.NewBudgets(s.MemoryMB)
+	if err := budgets.Register(registry); err != nil {
+		_ = logger.Log("event", "metrics_missing", "err", err)
+	}
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
-		CatalogStatus: operatorStatus{operators, operatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, s.MemoryMB, registry, logger), Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
+		CatalogStatus: operatorStatus{operators, operatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, budgets, registry, logger), Memory: budgets, Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
 	})
 	if platform.Holds != nil {
 		p.holdKeeper = &holdKeeper{
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,9 +14,9 @@
 	"strconv"
 	"time"
 
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
-	"github.com/ragwortpass/ragwortpass/response"
 )
 
 const (
@@ -68,12 +68,12 @@
 // relayBuffered relays a response once it is complete, so that the request can be
 // retried if the response is cut off.
 func (f *forwarding) relayBuffered(ctx context.Context, assignment *pool.Assignment, resp *http.Response) outcome {
-	body, err := f.gateway.deps.Client.memory.ReadBody(assignment.Upstream.ID, resp.Body, maxBufferedResponse)
+	body, err := f.gateway.deps.Client.responses.Share(memory.Holder(assignment.Upstream.ID)).ReadBody(resp.Body, maxBufferedResponse)
 	defer body.Release()
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return interrupted(ctx)
-	case errors.Is(err, response.ErrTooLarge), errors.Is(err, response.ErrMemoryTaken):
+	case errors.Is(err, memory.ErrTooLarge), errors.Is(err, memory.ErrFull):
 		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.Len(), err)}
 	case err != nil:
 		return &responseLost{problem.UpstreamCut, err}
@@ -99,9 +99,9 @@
 		}
 	}
 	stream := &continuation{streamProgress: &f.streamProgress, isRest: f.headSent}
-	memory := f.gateway.deps.Client.memory.Share(assignment.Upstream.ID)
-	defer memory.Release()
-	events := newEventReader(resp.Body, memory)
+	share := f.gateway.deps.Client.responses.Share(memory.Holder(assignment.Upstream.ID))
+	defer share.Release()
+	events := newEventReader(resp.Body, share)
 	flusher := http.NewResponseController(f.w)
 	for {
 		event, err := events.next()
@@ -150,7 +150,7 @@
 		return &answered{resp.StatusCode}
 	case errors.Is(err, errNotAnEvent):
 		return &responseLost{problem.UpstreamFailed, err}
-	case errors.Is(err, errEventTooLarge), errors.Is(err, response.ErrMemoryTaken):
+	case errors.Is(err, errEventTooLarge), errors.Is(err, memory.ErrFull):
 		return &responseLost{problem.AnswerTruncated, err}
 	case ctx.Err() != nil:
 		return interrupted(ctx)
@@ -234,27 +234,27 @@
 
 // eventReader splits a stream into server-sent events.
 type eventReader struct {
-	lines  *bufio.Reader
-	raw    []byte // the event being read
-	memory *response.Share
+	lines *bufio.Reader
+	raw   []byte // the event being read
+	share *memory.Share
 }
 
 // newEventReader returns a reader of events that takes the memory for those larger than
 // eventBufferBytes from a share.
-func newEventReader(r io.Reader, memory *response.Share) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes), memory: memory}
+func newEventReader(r io.Reader, share *memory.Share) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes), share: share}
 }
 
 // addRaw adds a part of a line to the event being read. The error is errEventTooLarge or
-// response.ErrMemoryTaken.
+// memory.ErrFull.
 func (r *eventReader) addRaw(part []byte) error {
 	size := len(r.raw) + len(part)
 	if size > maxEventBytes {
 		return errEventTooLarge
 	}
 	if size > cap(r.raw) && size > eventBufferBytes {
-		size = (size + response.ChunkBytes - 1) / response.ChunkBytes * response.ChunkBytes
-		if err := r.memory.GrowTo(int64(size)); err != nil {
+		size = (size + memory.ChunkBytes - 1) / memory.ChunkBytes * memory.ChunkBytes
+		if err := r.share.GrowTo(int64(size)); err != nil {
 			return err
 		}
 		r.raw = append(make([]byte, 0, size), r.raw...)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/response"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/setting"
 )
 
@@ -79,7 +79,7 @@
 		c.Endpoint("seeds", seed)
 	}
 	b := s.Bounds
-	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= response.MaxMemoryMB, "memory_mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", response.MaxMemoryMB))
+	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= memory.MaxProcessMB, "memory_mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", memory.MaxProcessMB))
 	c.Require(isTime(durationMS(b.ConfigMS)), "bounds.config_ms", fmt.Sprint(b.ConfigMS), "milliseconds, from one to those of a year")
 	c.Require(b.RetryRatio >= 0, "bounds.retry_ratio", fmt.Sprint(b.RetryRatio), "a number from zero")
 	c.Require(b.RetrySlack >= 0, "bounds.retry_slack", fmt.Sprint(b.RetrySlack), "a number from zero")
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -20,8 +20,8 @@
 
 	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/pool"
-	"github.com/ragwortpass/ragwortpass/response"
 )
 
 const (
@@ -39,6 +39,10 @@
 	dueHeadWait = 20 * time.Millisecond
 	// maxIdleConnsPerUpstream limits the idle connections kept open to one upstream.
 	maxIdleConnsPerUpstream = 64
+	// upstreamConnBytes is about what an idle connection to an upstream takes, and idleUpstreamLeaves the
+	// part of the memory for connections that those leave to callers.
+	upstreamConnBytes  = 12 << 10
+	idleUpstreamLeaves = 0.4
 	// upstreamIdleTimeout closes idle connections before upstreams do, which close them
 	// after some seconds.
 	upstreamIdleTimeout = 4 * time.Second
@@ -55,26 +59,27 @@
 // UpstreamClient sends requests to upstreams over connections that it keeps open, or over new
 // ones. It never sends a request a second time. It is safe for concurrent use.
 type UpstreamClient struct {
-	dialer   *net.Dialer
-	codec    HeaderCodec
-	memory   *response.Memory
-	registry metrics.Registry
-	guard    *guard.Guard
-	logger   log.Logger
+	dialer      *net.Dialer
+	codec       HeaderCodec
+	responses   *memory.Budget
+	connections *memory.Budget
+	registry    metrics.Registry
+	guard       *guard.Guard
+	logger      log.Logger
 
 	mu   sync.Mutex
 	kept map[upstreamStart][]*upstreamConn // idle connections, the one used last at the end
 }
 
-// NewUpstreamClient returns a client without connections, for a process with the given memory in
-// megabytes; zero: not limited.
-func NewUpstreamClient(codec HeaderCodec, memoryMB float64, registry metrics.Registry, logger log.Logger) *UpstreamClient {
+// NewUpstreamClient returns a client without connections that keeps responses and idle connections within
+// budgets.
+func NewUpstreamClient(codec HeaderCodec, budgets *memory.Budgets, registry metrics.Registry, logger log.Logger) *UpstreamClient {
 	return &UpstreamClient{
 		dialer: &net.Dialer{
 			Timeout:         connectTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 		},
-		codec: codec, memory: response.NewMemory(memoryMB), registry: registry, guard: guard.New(logger, registry), logger: logger,
+		codec: codec, responses: budgets.Responses, connections: budgets.Connections, registry: registry, guard: guard.New(logger, registry), logger: logger,
 		kept: make(map[upstreamStart][]*upstreamConn),
 	}
 }
@@ -107,7 +112,7 @@
 		return nil, &UnsentError{err}
 	}
 	req.Close = newConn
-	x := &exchange{client: c, conn: conn, headMemory: c.memory.Share(u.ID), kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
+	x := &exchange{client: c, conn: conn, headMemory: c.responses.Share(memory.Holder(u.ID)), kept: kept, single: newConn, req: req, want: want, wrote: make(chan error, 1)}
 	observer.connected(x)
 	var headRead atomic.Bool
 	x.stopCancel = context.AfterFunc(ctx, func() {
@@ -152,7 +157,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return newUpstreamConn(opened, start), false, nil
+	return newUpstreamConn(opened, start, c.connections.ShareLeaving(memory.Holder(u.ID), idleUpstreamLeaves)), false, nil
 }
 
 // take takes a kept connection on which nothing has arrived since its last response and on which
@@ -225,7 +230,7 @@
 	conn.idle = make(chan error, 1)
 	c.mu.Lock()
 	conns := c.kept[conn.start]
-	full := len(conns) >= maxIdleConnsPerUpstream
+	full := len(conns) >= maxIdleConnsPerUpstream || conn.share.GrowTo(upstreamConnBytes) != nil
 	if !full {
 		c.kept[conn.start] = append(conns, conn)
 	}
@@ -243,6 +248,7 @@
 		_, err := conn.in.Peek(1)
 		return err
 	})
+	conn.share.Release()
 	dropped := c.drop(conn) // before a taker may use the connection, and keep it again
 	conn.idle <- err
 	if dropped {
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -22,7 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/response"
+	"github.com/ragwortpass/ragwortpass/memory"
 )
 
 const (
@@ -89,6 +89,7 @@
 type upstreamConn struct {
 	net.Conn
 	start    upstreamStart
+	share    *memory.Share // reserved while the connection is idle
 	in       *bufio.Reader
 	out      *bufio.Writer
 	headLeft int64                   // bytes that may still be read for a head; math.MaxInt64 outside of heads
@@ -116,8 +117,8 @@
 	return n, err
 }
 
-func newUpstreamConn(conn net.Conn, start upstreamStart) *upstreamConn {
-	c := &upstreamConn{Conn: conn, start: start, headLeft: math.MaxInt64, out: bufio.NewWriter(nil)}
+func newUpstreamConn(conn net.Conn, start upstreamStart, share *memory.Share) *upstreamConn {
+	c := &upstreamConn{Conn: conn, start: start, share: share, headLeft: math.MaxInt64, out: bufio.NewWriter(nil)}
 	c.in = bufio.NewReader(headReader{c})
 	return c
 }
@@ -126,7 +127,7 @@
 type exchange struct {
 	client     *UpstreamClient
 	conn       *upstreamConn
-	headMemory *response.Share
+	headMemory *memory.Share
 	kept       bool // the connection was opened for an earlier request
 	single     bool // the connection is closed afterwards
 	req        *http.Request
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -64,6 +64,7 @@
 	UpstreamEmpty      Reason = "upstream_empty"   // the answer has no content
 	AnswerCrossed      Reason = "answer_crossed"   // the upstream sent the answer to another request
 	AnswerTruncated    Reason = "answer_truncated" // the answer is incomplete or too large
+	MemoryFull         Reason = "memory_full"      // there is no memory for the request
 	NotReady           Reason = "not_ready"
 	Leaving            Reason = "leaving"                 // the process is shutting down
 	StaleConfig        Reason = "stale_config"            // the configuration of the process may be out of date
