entry: bound the memory of requests

An entry over its memory is ended, and its callers are cut off.

A request takes memory from the budget for requests as in package gateway, by workspace and tier, before its body is read; twice the size of the body, as that is kept as received and as it is sent. Without it the caller gets 503 memory_full, not run. Before, nothing refused any.

Connections of an entry and of a sidecar are not bounded: open.

--- a/entry/classify.go
+++ b/entry/classify.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
 	"github.com/ragwortpass/ragwortpass/rule"
 )
@@ -33,6 +34,7 @@
 	uri    string // path and query sent to the upstream
 	header http.Header
 	body   []byte
+	share  *memory.Share // what the request takes; nil: nothing is reserved
 
 	// Of requests to models.
 	model           id.Model
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -4,10 +4,7 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"slices"
 	"time"
 
@@ -27,6 +24,9 @@
 // completions serves chat and text completions.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request) {
 	rq, p := e.readCompletion(time.Now(), w, r)
+	if rq != nil && rq.share != nil {
+		defer rq.share.Release()
+	}
 	if p == nil {
 		p = e.limit(time.Now(), rq)
 	}
@@ -40,34 +40,35 @@
 	e.dispatch(w, r, rq)
 }
 
-// readCompletion checks the body and returns the classified request.
+// readCompletion checks the body and returns the classified request, also with a refusal if it has taken
+// memory.
 func (e *Entry) readCompletion(now time.Time, w http.ResponseWriter, r *http.Request) (*request, *problem.Problem) {
 	rq, p := e.classify(now, r, e.deps.State.Rules().ModelRoute())
 	if p != nil {
 		return nil, p
 	}
-	body, p := readBody(w, r, rq)
+	body, p := e.readBody(w, r, rq)
 	if p != nil {
-		return nil, p
+		return rq, p
 	}
 	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
-		return nil, badRequest("body: expected a JSON object")
+		return rq, badRequest("body: expected a JSON object")
 	}
 	rq.uri = r.URL.Path
 	rq.chat = r.URL.Path == "/v1/chat/completions"
 	if p := checkPrompt(rq.chat, body); p != nil {
-		return nil, p
+		return rq, p
 	}
 	model := gjson.GetBytes(body, "model")
 	if model.Type != gjson.String || model.Str == "" {
-		return nil, badRequest("model: expected a non-empty string")
+		return rq, badRequest("model: expected a non-empty string")
 	}
 	rq.model = id.Model(model.Str)
 	if e.deps.State.Rules().Models[rq.model] == nil {
-		return nil, problem.New(problem.ModelUnknown, problem.NotRun, http.StatusNotFound, "no model %q", rq.model)
+		return rq, problem.New(problem.ModelUnknown, problem.NotRun, http.StatusNotFound, "no model %q", rq.model)
 	}
 	if p := checkTokenLimits(body); p != nil {
-		return nil, p
+		return rq, p
 	}
 	rq.stream = gjson.GetBytes(body, "stream").Bool()
 	rq.includeUsage = gjson.GetBytes(body, "stream_options.include_usage").Bool()
@@ -83,38 +84,6 @@
 	return problem.New(problem.BadRequest, problem.NotRun, http.StatusBadRequest, "%s", detail)
 }
 
-// maxBodyTime limits the time in which a caller sends its body, if the request has no deadline.
-const maxBodyTime = time.Minute
-
-// readBody reads the body of a request within the request's time.
-func readBody(w http.ResponseWriter, r *http.Request, rq *request) ([]byte, *problem.Problem) {
-	until := rq.deadline
-	if until.IsZero() {
-		until = rq.arrived.Add(maxBodyTime)
-	}
-	controller := http.NewResponseController(w)
-	err := controller.SetReadDeadline(until)
-	var body []byte
-	if err == nil {
-		if body, err = io.ReadAll(r.Body); err == nil {
-			err = controller.SetReadDeadline(time.Time{})
-		}
-	}
-	if err != nil {
-		w.Header().Set("Connection", "close")
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, problem.New(problem.BodyLate, problem.NotRun, http.StatusRequestTimeout, "body: not complete within %v", until.Sub(rq.arrived))
-	case errors.As(err, &tooLarge):
-		return nil, problem.New(problem.BodyTooLarge, problem.NotRun, http.StatusRequestEntityTooLarge, "body: more than %d bytes", tooLarge.Limit)
-	case err != nil:
-		return nil, badRequest("body: " + err.Error())
-	}
-	return body, nil
-}
-
 func checkPrompt(chat bool, body []byte) *problem.Problem {
 	if chat {
 		m := gjson.GetBytes(body, "messages")
--- a/entry/service.go
+++ b/entry/service.go
@@ -12,6 +12,9 @@
 // service serves /services/{route}/{path...}.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
 	rq, p := e.readService(time.Now(), w, r)
+	if rq != nil && rq.share != nil {
+		defer rq.share.Release()
+	}
 	key := r.Header.Get(IdempotencyHeader)
 	if p == nil && !e.isKnownCall(rq, key) {
 		p = e.limit(time.Now(), rq)
@@ -43,6 +46,6 @@
 	if r.URL.RawQuery != "" {
 		rq.uri += "?" + r.URL.RawQuery
 	}
-	rq.body, p = readBody(w, r, rq)
+	rq.body, p = e.readBody(w, r, rq)
 	return rq, p
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -32,9 +32,6 @@
 	// the connection.
 	maxDiscardedBytes = 256 << 10
 	discardTime       = 20 * time.Millisecond
-	// urgencyReserve is the part of the memory for requests that those of each urgency leave to the more
-	// urgent ones.
-	urgencyReserve = 0.05
 	// minBodyTime is how long a body is read at least, however near the deadline is: one that has
 	// arrived with its head is not late.
 	minBodyTime = 200 * time.Millisecond
@@ -90,7 +87,7 @@
 
 // reserve takes the memory for a request without its body. It returns a problem if there is none.
 func (g *Gateway) reserve(w http.ResponseWriter, r *http.Request, req *request) *problem.Problem {
-	req.share = g.deps.Memory.Requests.ShareLeaving(memory.Holder(req.workspace), urgencyReserve*float64(req.urgency))
+	req.share = g.deps.Memory.Requests.ShareLeaving(memory.Holder(req.workspace), memory.UrgencyReserve*float64(req.urgency))
 	err := req.share.GrowTo(requestBytes + requestHeadFactor*int64(headerSize(r)))
 	if err == nil {
 		releaseHead(r.Context())
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -28,6 +28,10 @@
 	responseFraction   = 0.15
 )
 
+// UrgencyReserve is the part of the memory for requests that those of each urgency leave to the more urgent
+// ones.
+const UrgencyReserve = 0.05
+
 // ErrFull means that a holder has all the memory that it may have. The error that says so is a *FullError.
 var ErrFull = errors.New("no memory")
 
