gateway: requests of connections that were closed for room are not passed on

A connection can be closed for others just as its head becomes complete. Its request would be passed on, and its caller, which may have sent it again by then, would get no answer.

--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -233,8 +233,8 @@
 	return !c.closed
 }
 
-// mayServe reports whether a request that has reached its handler was not refused meanwhile: the handler must
-// not serve it then.
+// mayServe reports whether a handler may serve a request. If the request was refused as its head became complete, or
+// its connection closed for others, the caller may have sent it again already.
 func mayServe(ctx context.Context) bool {
 	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
 	if !ok {
--- a/gateway/caller_memory_test.go
+++ b/gateway/caller_memory_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -133,3 +134,32 @@
 	}
 	require.Eventually(t, func() bool { return c.Len() == 0 && c.memory.Used() == 0 }, minHeadTime, time.Millisecond)
 }
+
+// TestRequestOfClosedConnectionIsNotPassedOn guards against a request being passed on whose connection was
+// closed as its head became complete: its caller would get no answer to it.
+func TestRequestOfClosedConnectionIsNotPassedOn(t *testing.T) {
+	g := &Gateway{deps: Deps{Memory: memory.NewBudgets(0)}}
+	budget := g.deps.Memory.Connections
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	c := &callerConn{Conn: ours, share: budget.Share("c"), headShare: budget.Share("c"), begunAt: time.Now()}
+	require.True(t, c.closeForRoom())
+	c.endHead()
+	r := httptest.NewRequest(http.MethodPost, "/", http.NoBody)
+	r = r.WithContext(context.WithValue(r.Context(), callerConnKey{}, c))
+	require.PanicsWithError(t, http.ErrAbortHandler.Error(), func() { g.Handler().ServeHTTP(httptest.NewRecorder(), r) })
+}
+
+// TestServingConnectionIsNotClosed guards against a connection being closed for others on which a request is
+// being served.
+func TestServingConnectionIsNotClosed(t *testing.T) {
+	budget := memory.NewBudget(1 << 20)
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	defer ours.Close()
+	c := &callerConn{Conn: ours, share: budget.Share("c"), headShare: budget.Share("c"), begunAt: time.Now()}
+	c.endHead()
+	require.False(t, c.closeForRoom())
+	c.endRequest(time.Now(), 0)
+	require.True(t, c.closeForRoom())
+}
