ragworttest: the test of SIGHUPs at a start fits builds without cgo

TestHangupAtStartEndsProcess failed with CGO_ENABLED=0: Go's runtime handles SIGHUP, to end the program, before package signals registers it, and the test took that for the moment from which the process survives. Such a build has no constructor; the test waits there until SIGPIPE is ignored, which package signals does last. Builds with cgo are tested as before.

--- a/ragworttest/fleet.go
+++ b/ragworttest/fleet.go
@@ -244,13 +244,19 @@
 // HandlesSignal reports whether the process, or at least its runtime, ignores or handles a signal by now.
 // Until then the signal has its default action, whatever the program does.
 func (p *Process) HandlesSignal(s syscall.Signal) bool {
-	for _, field := range []string{"SigIgn", "SigCgt"} {
+	ignored, handled := p.SignalAction(s)
+	return ignored || handled
+}
+
+// SignalAction reports whether the process ignores a signal by now, or handles it. It reports neither of a
+// process that has ended.
+func (p *Process) SignalAction(s syscall.Signal) (ignored, handled bool) {
+	isSet := func(field string) bool {
 		var mask uint64
-		if err := p.scanStatus(field, "%x", &mask); err == nil && mask&(1<<(s-1)) != 0 {
-			return true
-		}
+		err := p.scanStatus(field, "%x", &mask)
+		return err == nil && mask&(1<<(s-1)) != 0
 	}
-	return false
+	return isSet("SigIgn"), isSet("SigCgt")
 }
 
 // scanStatus reads a field of the status that the kernel shows of the process.
--- a/ragworttest/process_end_test.go
+++ b/ragworttest/process_end_test.go
@@ -109,8 +109,8 @@
 	return all[name].Value + all[name].Count
 }
 
-// TestHangupAtStartEndsProcess sends SIGHUPs through the whole start of a process, from the moment at which
-// the signal has another action than the kernel's default.
+// TestHangupAtStartEndsProcess sends SIGHUPs through the whole start of a process, from the moment at which it
+// can be seen to survive them, and through its stop.
 func TestHangupAtStartEndsProcess(t *testing.T) {
 	fleet, node := newStoppedRelay(t)
 	platformFleet := ragworttest.NewFleet(t)
@@ -130,8 +130,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			for range 5 {
 				p := c.start(t)
-				for !p.HandlesSignal(syscall.SIGHUP) && !p.Exited() {
-					time.Sleep(100 * time.Microsecond)
+				for deadline := time.Now().Add(ragworttest.WaitTimeout); !survivesHangup(p) && !p.Exited(); time.Sleep(100 * time.Microsecond) {
+					require.True(t, time.Now().Before(deadline), "no signal is registered")
 				}
 				for range 50 {
 					require.False(t, p.Exited(), "a SIGHUP has ended the process: %s", p.Log.Tail())
