ragworttest: the test of callers without a pause shows when the signal was taken

Of 110 stops beside other work (load 50 on 8 cores) one lasted 7.8 s by the test and 4.8 s by the process's own line; whether the signal or the end was late was not to be seen.

--- a/ragworttest/stop_test.go
+++ b/ragworttest/stop_test.go
@@ -134,6 +134,7 @@
 	took := time.Since(signalled)
 	running.Wait()
 	t.Logf("exit status %d after %v, %v", code, took.Round(time.Millisecond), outcomes.counts)
+	t.Logf("signalled at %s: %s", signalled.UTC().Format(time.RFC3339Nano), eventLines(node.process.Log.String(), "leaving", "left"))
 	for outcome := range outcomes.counts {
 		require.Contains(t, []string{http.StatusText(http.StatusOK), http.StatusText(http.StatusServiceUnavailable)}, outcome, "%v", outcomes.counts)
 	}
@@ -141,6 +142,19 @@
 	require.Zero(t, code, node.process.Log.Tail())
 }
 
+// eventLines returns the lines of a log with the events.
+func eventLines(text string, events ...string) string {
+	var found []string
+	for line := range strings.Lines(text) {
+		for _, event := range events {
+			if strings.Contains(line, " event="+event+" ") {
+				found = append(found, line)
+			}
+		}
+	}
+	return strings.Join(found, "")
+}
+
 // acceptedRequest is a request that is on its way when a process is stopped.
 type acceptedRequest struct {
 	headAt time.Duration // after SIGTERM
