pool: an engine keeps affinity beyond its slots only where its group is full

Engines that are full were to keep affinity where all of their group are as full, but that was asked of the ratio alone, so that a group with 0.75 of its slots in use was enough.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -121,8 +121,8 @@
 	// bound in tokens does not detect that a workspace or key sends many times its usual
 	// number of short requests.
 	maxAffinityUtilisation = 0.9
-	// affinitySlotFactor is how many times the mean utilisation of its group a saturated upstream has at least.
-	// Where all are full, a request that goes elsewhere waits there as well, and its prefix is prefilled again.
+	// affinitySlotFactor is how many times the mean utilisation of its group a saturated upstream has at least, if
+	// that group is full as well. Where all are full, a request that goes elsewhere waits there as well, and its prefix is prefilled again.
 	affinitySlotFactor = 1.25
 	// minSlotsPerGateway is how many slots an upstream must have for each gateway so that
 	// its utilisation can be estimated from this gateway's own requests. With fewer, a
@@ -310,7 +310,7 @@
 		return false
 	}
 	mean, known := p.slotUtilisation(group)
-	return !known || utilisation >= affinitySlotFactor*mean
+	return !known || mean < maxAffinityUtilisation || utilisation >= affinitySlotFactor*mean
 }
 
 // affinityReasons holds the log reason for each candidate of rendezvousCandidates.
