process: a stop while a port is taken is no failure

A relay that got SIGTERM while it waited for its port for callers, with nothing accepted, ended with exit code 1: closing the listener asked for a socket that was not there, and the error became that of the stop.

A Listener without its port says that it has no socket, which the close takes as such.

--- a/process/listener.go
+++ b/process/listener.go
@@ -98,12 +98,13 @@
 	return net.TCPAddrFromAddrPort(l.address)
 }
 
-// SyscallConn implements syscall.Conn. The error is net.ErrClosed while the port is not listened on.
+// SyscallConn implements syscall.Conn. The error is errors.ErrUnsupported while the port is not listened on: there
+// is no socket, which is no failure of whoever closes the listener.
 func (l *Listener) SyscallConn() (syscall.RawConn, error) {
 	if inner, ok := l.current().(syscall.Conn); ok {
 		return inner.SyscallConn()
 	}
-	return nil, net.ErrClosed
+	return nil, errors.ErrUnsupported
 }
 
 // SetDeadline sets until when Accept waits on the port, if it is listened on.
