ragworttest: a proxy listens below the ephemeral ports

It takes a port of FreeAddress now, as the processes of tests do, and of which outgoing connections get none.

--- a/ragworttest/proxy.go
+++ b/ragworttest/proxy.go
@@ -26,12 +26,13 @@
 	directions map[string]*faults
 }
 
-// NewProxy starts a proxy in front of an address, such as 127.0.0.1:7000, until the test ends.
+// NewProxy starts a proxy in front of an address, such as 127.0.0.1:7000, until the test ends. No
+// outgoing connection takes its port while it is disabled.
 func NewProxy(t testing.TB, address string) *Proxy {
 	t.Helper()
 	registerFaults.Do(func() { toxics.Register(faultsToxic, new(faults)) })
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
-	p := &Proxy{t: t, proxy: toxiproxy.NewProxy(server, t.Name(), "127.0.0.1:0", address), directions: make(map[string]*faults)}
+	p := &Proxy{t: t, proxy: toxiproxy.NewProxy(server, t.Name(), FreeAddress(t), address), directions: make(map[string]*faults)}
 	for _, direction := range []string{"upstream", "downstream"} {
 		wrapper, err := p.proxy.Toxics.AddToxicJson(strings.NewReader(`{"type": "` + faultsToxic + `", "stream": "` + direction + `"}`))
 		require.NoError(t, err)
