--- a/entry/body.go
+++ b/entry/body.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"net/http"
 	"os"
@@ -21,6 +22,9 @@
 	// takes, which is kept as received and as it is sent.
 	requestBytes = 24 << 10
 	bodyFactor   = 2
+	// discardTime limits for how long a body that is not kept is read, so that its caller, which may hear
+	// nothing before it has sent all, is told.
+	discardTime = 500 * time.Millisecond
 	// memoryRetryAfter is the Retry-After of a request that there is no memory for.
 	memoryRetryAfter = time.Second
 )
@@ -41,10 +45,15 @@
 			err = controller.SetReadDeadline(time.Time{})
 		}
 	}
+	var tooLarge *http.MaxBytesError
 	if err != nil {
 		w.Header().Set("Connection", "close")
+		if errors.Is(err, memory.ErrFull) || errors.As(err, &tooLarge) {
+			if controller.SetReadDeadline(time.Now().Add(discardTime)) == nil {
+				_, _ = io.Copy(io.Discard, r.Body) // fails at the limit that accept has set, which the server must see
+			}
+		}
 	}
-	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, memory.ErrFull):
 		return nil, problem.New(problem.MemoryFull, problem.NotRun, http.StatusServiceUnavailable, "%v", err).WithRetryAfter(memoryRetryAfter)
