gateway: callers with large bodies read that there is no memory

A caller that sends all before it reads was reset in place of a 503 if its body was over 256 KiB and there was no memory for it, as the rest was not read. It is read now without being kept, as long as it comes without a pause, for half a second at most.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -28,10 +27,12 @@
 	// that are in use can be closed for new ones.
 	requestBytes      = 24 << 10
 	requestHeadFactor = 3
-	// maxDiscardedBytes and discardTime bound what is read of a body that there is no memory for, to keep
-	// the connection.
-	maxDiscardedBytes = 256 << 10
-	discardTime       = 20 * time.Millisecond
+	// A body that there is no memory for is read without keeping it, in pieces of discardBytes, so that its
+	// caller can read the refusal and keep the connection: for maxDiscardTime, or until nothing has come
+	// for discardStall.
+	discardBytes   = 64 << 10
+	maxDiscardTime = 500 * time.Millisecond
+	discardStall   = 20 * time.Millisecond
 	// minBodyTime is how long a body is read at least, however near the deadline is: one that has
 	// arrived with its head is not late.
 	minBodyTime = 200 * time.Millisecond
@@ -104,23 +105,28 @@
 	return problem.New(problem.MemoryFull, problem.NotRun, http.StatusServiceUnavailable, "%v", err).WithRetryAfter(busyRetryAfter)
 }
 
-// discardBody reads the rest of a body if it has arrived, or all but.
+// errBodyUnread means that the rest of a body has not come in time.
+var errBodyUnread = errors.New("the body is not read to its end")
+
+// discardBody reads the rest of a body if it comes without a pause.
 func discardBody(w http.ResponseWriter, r *http.Request) error {
 	if r.Body == http.NoBody {
 		return nil
 	}
 	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(time.Now().Add(discardTime)); err != nil {
-		return err
-	}
-	n, err := io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
-	switch {
-	case err == nil:
-		return fmt.Errorf("the body has more than %d bytes", n)
-	case !errors.Is(err, io.EOF):
-		return err
+	for began := time.Now(); time.Since(began) < maxDiscardTime; {
+		if err := controller.SetReadDeadline(time.Now().Add(discardStall)); err != nil {
+			return err
+		}
+		_, err := io.CopyN(io.Discard, r.Body, discardBytes)
+		if errors.Is(err, io.EOF) {
+			return controller.SetReadDeadline(time.Time{})
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return controller.SetReadDeadline(time.Time{})
+	return errBodyUnread
 }
 
 // bodyLimit returns the size in bytes that the body of a request may have.
--- a/gateway/request_memory_test.go
+++ b/gateway/request_memory_test.go
@@ -114,3 +114,22 @@
 	require.Equal(t, http.StatusServiceUnavailable, f.do(less).status)
 	require.Equal(t, http.StatusOK, f.call(http.MethodPost, "/once/x", "steel").status)
 }
+
+// TestLargeBodyIsToldOfRefusal guards against a caller being reset before it has read the refusal of a large
+// body that there is no memory for: it reads nothing before it has sent all.
+func TestLargeBodyIsToldOfRefusal(t *testing.T) {
+	f := newFixture(t)
+	const size = 32 << 20
+	c := testCatalog()
+	c.Version, c.Limits.BodyBytes = c.Version+1, size
+	c.Index()
+	f.currentCatalog.Update(c)
+	defer f.fillRequests(20)()
+	conn := f.startRequest("/once/x", fmt.Sprintf("Content-Length: %d", size))
+	require.NoError(t, conn.SetDeadline(time.Now().Add(2*time.Second)))
+	_, err := conn.Write(make([]byte, size))
+	require.NoError(t, err)
+	status, body := readAnswer(t, conn, time.Second)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, `"reason":"memory_full"`)
+}
