pool: an engine keeps affinity beyond its slots only where peers tell theirs

TestSaturatedEngineLosesAffinity asks that an engine with 0.9 of its slots in use, by an estimate from this gateway's own requests, gets no more of them for affinity; 3 of 60 runs failed since placement knows the loads of engines.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -122,7 +122,7 @@
 	// number of short requests.
 	maxAffinityUtilisation = 0.9
 	// affinitySlotFactor is how many times the mean utilisation of its group a saturated upstream has at least, if
-	// that group is full as well. Where all are full, a request that goes elsewhere waits there as well, and its prefix is prefilled again.
+	// peers tell theirs. Where all are full, a request that goes elsewhere waits there as well, and its prefix is prefilled again.
 	affinitySlotFactor = 1.25
 	// minSlotsPerGateway is how many slots an upstream must have for each gateway so that
 	// its utilisation can be estimated from this gateway's own requests. With fewer, a
@@ -309,8 +309,11 @@
 	if !known || utilisation < maxAffinityUtilisation {
 		return false
 	}
+	if p.peerLoads[u.Service].Upstreams == nil {
+		return true // how full the others are is not known
+	}
 	mean, known := p.slotUtilisation(group)
-	return !known || mean < maxAffinityUtilisation || utilisation >= affinitySlotFactor*mean
+	return !known || utilisation >= affinitySlotFactor*mean
 }
 
 // affinityReasons holds the log reason for each candidate of rendezvousCandidates.
