--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -217,7 +217,7 @@
 
 // servesPattern matches the line of a process that serves, and endTailBytes is how much of the last
 // output of a process the history keeps.
-var servesPattern = regexp.MustCompile(`event=start .*err=null`)
+var servesPattern = regexp.MustCompile(`event=listening server=callers `)
 
 const endTailBytes = 500
 
