process: Accept may close a listener before Stop wakes it

Accept that looks between the two steps of Stop closes the listener, and setting its deadline then failed: the planned stop ended with status 1.

--- a/process/drain.go
+++ b/process/drain.go
@@ -97,6 +97,9 @@
 	time.Sleep(handshakeTime)
 	l.stopping.Store(true)
 	err := l.setDeadline(time.Now()) // wakes Accept
+	if errors.Is(err, net.ErrClosed) {
+		err = nil // Accept has closed it before
+	}
 	select {
 	case <-l.ended:
 	case <-time.After(maxAcceptWait):
