gateway: tests that fail if connections or heads take no memory

TestSilentCallersMakeRoom and TestHeadsWithoutEndMakeRoom passed without admit and without growHead: a limit of the memory in use also holds if none is taken.

--- a/gateway/caller_memory_test.go
+++ b/gateway/caller_memory_test.go
@@ -108,18 +108,20 @@
 	require.NoError(t, err)
 	requireServed(t, kept)
 	require.LessOrEqual(t, c.memory.Used(), int64(8*callerConnBytes))
+	require.LessOrEqual(t, c.Len(), 8)
 }
 
 // TestHeadsWithoutEndMakeRoom has callers send large heads without their end: they are closed, and one that
 // sends a whole head of that size is served.
 func TestHeadsWithoutEndMakeRoom(t *testing.T) {
-	address, _ := newSmallServer(t, 64)
+	address, c := newSmallServer(t, 64)
 	head := "GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", 24<<10)
 	for range 20 {
 		dialCaller(t, address, head)
 	}
 	time.Sleep(minHeadTime)
 	requireServed(t, dialCaller(t, address, head+"\r\n\r\n"))
+	require.Less(t, c.Len(), 20, "heads beyond the memory for connections are kept")
 }
 
 // TestConnectionsGiveMemoryBack opens and closes connections in several states: all memory comes back.
