--- a/process/stop_test.go
+++ b/process/stop_test.go
@@ -26,7 +26,7 @@
 	require.NoError(t, err)
 	null, err := os.Open("/dev/null")
 	require.NoError(t, err)
-	defer null.Close()
+	t.Cleanup(func() { _ = null.Close() })
 	l := process.NewDrainingListener(unfilteredListener{inner.(*net.TCPListener), null})
 	go func() {
 		for {
