quarantine: of two common parts that are equally suspect, the rarer is held

Both parts were common and in every crash, and both were due at the fifth separate one. There a sound request on the same engine was recorded 0.11 ms before the crashing one, so that "shared" alone had enough; "crashing" had as much with the next record, but among equals the part that was held stayed. Nothing was released until an entry restarted 6.8 s later.

Among equals, a common part now gives way to one that fewer requests have: the other one is also at the engines that crash from it. If engines crash under "shared" alone, one more crash turns the verdict.

Evidence: TestRarerPartIsHeldWhicheverIsSeenFirst fails without the change ("shared").

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -290,3 +290,19 @@
 	}
 	require.Equal(t, []id.PromptPart{"bad"}, r.heldParts())
 }
+
+// TestRarerPartIsHeldWhicheverIsSeenFirst has engines crash under requests with two common parts, of
+// which every second request has the one that crashes them. In the last crash, the one beside it is seen
+// first.
+func TestRarerPartIsHeldWhicheverIsSeenFirst(t *testing.T) {
+	r := newRegister()
+	beside, crashing := []id.PromptPart{"shared"}, []id.PromptPart{"shared", "z-bad"}
+	for range 5 {
+		r.CountRequest(beside)
+		r.CountRequest(crashing)
+		r.crash(step, beside, crashing)
+	}
+	require.Equal(t, []id.PromptPart{"z-bad"}, r.heldParts())
+	r.crash(step, beside) // crashes that the held part does not explain
+	require.Equal(t, []id.PromptPart{"shared"}, r.heldParts())
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -127,7 +127,9 @@
 }
 
 // worst returns the suspect against which the crashes that no guilty part explains weigh most, in
-// proportion to what holds it, if they suffice. Among equals, it prefers one that is held already.
+// proportion to what holds it, if they suffice. Among equals, it prefers of two common parts the one that
+// fewer requests have, as the other one is also at engines that crash from it, and then one that is held
+// already.
 func (r *Register) worst(suspects []*suspect, explained map[Start]bool, guilty map[id.PromptPart]bool) *suspect {
 	var worst *suspect
 	var most weight
@@ -141,7 +143,15 @@
 			continue
 		}
 		_, held := r.holds[s.part]
-		if worst == nil || w*worst.needed > most*s.needed || w*worst.needed == most*s.needed && held && !worstHeld {
+		isWorse := worst == nil || w*worst.needed > most*s.needed
+		if !isWorse && w*worst.needed == most*s.needed {
+			more := r.requests.byPart[s.part] - r.requests.byPart[worst.part]
+			if !r.requests.isCommon(s.part) || !r.requests.isCommon(worst.part) {
+				more = 0
+			}
+			isWorse = more < 0 || more == 0 && held && !worstHeld
+		}
+		if isWorse {
 			worst, most, worstHeld = s, w, held
 		}
 	}
