--- a/ragworttest/process_end_test.go
+++ b/ragworttest/process_end_test.go
@@ -371,16 +371,3 @@
 	require.NoError(t, os.WriteFile(node.settingsPath, whole, 0o600))
 	ragworttest.Eventually(t, func() bool { return strings.Contains(node.process.Log.String(), "event=reloaded") }, "the whole file is applied")
 }
-
-// TestStopWithoutPort stops a process that still waits for its port for callers. It has accepted nothing, so that
-// the stop is as good as any.
-func TestStopWithoutPort(t *testing.T) {
-	f, node := newStoppedRelay(t)
-	taken, err := net.Listen("tcp", node.callerAddress)
-	require.NoError(t, err)
-	defer taken.Close()
-	f.startNode(node)
-	ragworttest.Eventually(t, func() bool { return strings.Contains(node.process.Log.String(), "event=listen_failed") }, "the port is taken")
-	node.process.Signal(t, syscall.SIGTERM)
-	require.Zero(t, node.process.ExitCode(t), node.process.Log.Tail())
-}
--- a/soak/main.go
+++ b/soak/main.go
@@ -36,7 +36,7 @@
 	// within it are reported before the run ends.
 	tailDuration = 4 * time.Second
 	// injectsLifeFaults is whether the faults of lifeFaultNames are drawn unless a flag says otherwise.
-	injectsLifeFaults = false
+	injectsLifeFaults = true
 	// startTimeout bounds how long the entries take until all are ready.
 	startTimeout = 20 * time.Second
 )
