process: a full log keeps its newest lines

Its queue, of 128 KB for the 50 ms between two writes, was full of refusals, and a full queue dropped what came: just the lines that tell how a process has ended. It now drops the oldest, a part at a time, and says so before the lines that follow. TestFullLogLosesLastLines failed before.

--- a/process/asynclog.go
+++ b/process/asynclog.go
@@ -18,12 +18,15 @@
 	// reader is slow. It allows for about 10,000 lines per second, far more than an entry
 	// logs in normal operation.
 	maxQueuedBytes = 128 << 10
+	// minDroppedBytes is how much is dropped at once, so that a full queue is not shortened for each line.
+	minDroppedBytes = maxQueuedBytes / 8
 	// writeInterval is the time between two writes, so that one write carries many lines.
 	writeInterval = 50 * time.Millisecond
 )
 
 // AsyncLogWriter queues log lines and writes them in the background. If the queue is full,
-// it drops lines and later writes a line with their number.
+// it drops the oldest lines and later writes a line with their number: the newest tell what
+// is the matter, and how the process has ended.
 type AsyncLogWriter struct {
 	mu      sync.Mutex
 	queued  bytes.Buffer
@@ -46,14 +49,32 @@
 func (w *AsyncLogWriter) Write(line []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closed || w.queued.Len()+len(line) > maxQueuedBytes {
-		w.dropped++
-		lostLines.Inc(1)
+	if w.closed || len(line) > maxQueuedBytes {
+		w.countDropped(1)
 		return len(line), nil
 	}
+	if excess := w.queued.Len() + len(line) - maxQueuedBytes; excess > 0 {
+		w.dropOldest(max(excess, minDroppedBytes))
+	}
 	return w.queued.Write(line)
 }
 
+// dropOldest drops the oldest lines, of n bytes at least. The caller holds the lock.
+func (w *AsyncLogWriter) dropOldest(n int) {
+	oldest := w.queued.Next(n)
+	w.countDropped(bytes.Count(oldest, []byte{'\n'}))
+	if !bytes.HasSuffix(oldest, []byte{'\n'}) {
+		_, _ = w.queued.ReadBytes('\n') // the rest of the last one; the queue has whole lines
+		w.countDropped(1)
+	}
+}
+
+// countDropped counts lines that are dropped. The caller holds the lock.
+func (w *AsyncLogWriter) countDropped(lines int) {
+	w.dropped += uint64(lines)
+	lostLines.Inc(int64(lines))
+}
+
 // Dropped returns the number of lines dropped since it was last written to the log.
 func (w *AsyncLogWriter) Dropped() uint64 {
 	w.mu.Lock()
@@ -94,20 +115,21 @@
 	}
 }
 
-// drainQueue returns and clears the queued lines, followed by a line with the number of
-// dropped lines, if any.
+// drainQueue returns and clears the queued lines, after a line with the number of those that
+// were dropped before them, if any.
 func (w *AsyncLogWriter) drainQueue() []byte {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.queued.Len() == 0 && w.dropped == 0 {
 		return nil
 	}
-	lines := append([]byte(nil), w.queued.Bytes()...)
-	w.queued.Reset()
+	var lines []byte
 	if w.dropped > 0 {
 		lines = fmt.Appendf(lines, "event=log_lines_dropped count=%d\n", w.dropped)
 		w.dropped = 0
 	}
+	lines = append(lines, w.queued.Bytes()...)
+	w.queued.Reset()
 	return lines
 }
 
--- a/process/asynclog_test.go
+++ b/process/asynclog_test.go
@@ -61,3 +61,25 @@
 	w.Close()
 	require.NoError(t, out.Close())
 }
+
+// TestFullLogLosesLastLines fills the queue while the log is not read. The lines that tell how the process has
+// ended are written last and must be kept.
+func TestFullLogLosesLastLines(t *testing.T) {
+	in, out := io.Pipe()
+	w := process.NewAsyncLogWriter(out)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	for range 4096 {
+		_, err := w.Write(line)
+		require.NoError(t, err)
+	}
+	_, err := w.Write([]byte("event=exit\n"))
+	require.NoError(t, err)
+	text := make(chan string, 1)
+	go func() {
+		all, _ := io.ReadAll(in) // ends when the pipe is closed
+		text <- string(all)
+	}()
+	w.Close()
+	require.NoError(t, out.Close())
+	require.True(t, strings.HasSuffix(<-text, "\nevent=exit\n"))
+}
