gateway: connections of callers leave descriptors to upstreams

The platform's number of descriptors is a setting now (max_descriptors). Callers may have half of those for sockets; beyond that, a new connection displaces one without a request, as for want of memory. Idle connections that have carried requests are displaced only while none keeps the process waiting: before, callers that had just connected displaced them. A connection that fails for want of descriptors, buffers or ports says nothing of the upstream.

Not bounded: connections to upstreams, of which each request in service has one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/pool"
@@ -70,7 +72,7 @@
 	var crossed *CrossedError
 	switch {
 	case errors.As(err, &unsent) && ctx.Err() == nil:
-		return &notSent{err: err, unreachable: true}
+		return &notSent{err: err, unreachable: !isOwnShortage(err)}
 	case errors.As(err, &unsent):
 		return interruptedUnsent(ctx)
 	case ctx.Err() != nil:
@@ -84,6 +86,14 @@
 	return &responseLost{problem.UpstreamCut, err}
 }
 
+// isOwnShortage reports whether a connection failed for want of what this process or its VM has, which says nothing of the
+// upstream.
+func isOwnShortage(err error) bool {
+	return slices.ContainsFunc([]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}, func(shortage error) bool {
+		return errors.Is(err, shortage)
+	})
+}
+
 // attemptObserver implements exchangeObserver for one attempt.
 type attemptObserver struct {
 	forwarding *forwarding
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -41,6 +42,8 @@
 	*process.DrainingListener
 	idleTimeout func() time.Duration // zero: no limit
 	memory      *memory.Budget
+	maxOpen     int64 // zero: no limit
+	open        atomic.Int64
 	registry    metrics.Registry
 	logger      log.Logger
 
@@ -56,7 +59,7 @@
 func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) *CallerConns {
 	c := &CallerConns{
 		DrainingListener: process.NewDrainingListener(l), idleTimeout: g.idleTimeout,
-		memory: g.deps.Memory.Connections, registry: g.deps.Metrics, logger: g.deps.Logger, conns: make(map[*callerConn]struct{}),
+		memory: g.deps.Memory.Connections, maxOpen: int64(g.deps.MaxCallers), registry: g.deps.Metrics, logger: g.deps.Logger, conns: make(map[*callerConn]struct{}),
 	}
 	server.ConnState = c.connStateChanged
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
@@ -117,7 +120,7 @@
 
 // states returns how many connections are idle, have a head that is being read, and have a request.
 func (c *CallerConns) states() (n connStates) {
-	for _, conn := range c.open() {
+	for _, conn := range c.all() {
 		conn.mu.Lock()
 		switch {
 		case conn.serving:
@@ -132,7 +135,7 @@
 	return n
 }
 
-func (c *CallerConns) open() []*callerConn {
+func (c *CallerConns) all() []*callerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.Collect(maps.Keys(c.conns))
@@ -140,7 +143,7 @@
 
 // CloseIdle closes the connections that have been idle for at least a period and returns their number.
 func (c *CallerConns) CloseIdle(now time.Time, period time.Duration) (n int) {
-	for _, conn := range c.open() {
+	for _, conn := range c.all() {
 		if conn.closeIfIdleSince(now.Add(-period)) {
 			n++
 		}
@@ -151,7 +154,7 @@
 // refuseHeads answers the requests whose heads have been incomplete since t or longer, and returns their number.
 // Their connections are closed.
 func (c *CallerConns) refuseHeads(t time.Time, answer []byte) (n int) {
-	for _, conn := range c.open() {
+	for _, conn := range c.all() {
 		if conn.refuseHead(t, answer) {
 			n++
 		}
@@ -182,6 +185,7 @@
 	conns *CallerConns
 
 	mu        sync.Mutex
+	counted   bool          // in CallerConns.open
 	share     *memory.Share // for the connection
 	headShare *memory.Share // for the head that is being read
 	idleSince time.Time     // no byte of a request was read since then; zero: a request has begun
--- a/gateway/caller_memory.go
+++ b/gateway/caller_memory.go
@@ -1,6 +1,7 @@
 package gateway
 
-// This file defines which connections of callers are closed when they take all the memory for them.
+// This file defines which connections of callers are closed when they take all the memory or all the descriptors
+// for them.
 //
 // A connection on which no request is being served can be closed without harm: its caller knows that
 // nothing was read, and may send its request again. Those on which the process waits for a first request
@@ -9,6 +10,7 @@
 
 import (
 	"context"
+	"fmt"
 	"iter"
 	"time"
 
@@ -18,6 +20,10 @@
 )
 
 const (
+	// otherDescriptors is how many descriptors of a process are for other than sockets, and callerSocketFraction the
+	// part of the sockets for callers: each request that is being served takes another one, to its upstream.
+	otherDescriptors     = 200
+	callerSocketFraction = 0.5
 	// callerConnBytes is about what an open connection of a caller takes, and callerHeadReserve the part of
 	// the memory for connections that is left to heads.
 	callerConnBytes   = 10 << 10
@@ -39,6 +45,11 @@
 	closedLogInterval = time.Second
 )
 
+// maxCallers returns how many connections of callers a process with a number of descriptors may have; zero: not known.
+func maxCallers(descriptors int) int {
+	return int(callerSocketFraction * float64(max(0, descriptors-otherDescriptors)))
+}
+
 // callerPhase is what a connection of a caller is doing.
 type callerPhase int
 
@@ -69,6 +80,14 @@
 	return func(s callerState) bool { return s.phase != phaseServing && now.Sub(s.since) >= period }
 }
 
+// stalled returns whether a connection may be closed for another one since it has kept the process waiting for at
+// least minHeadTime.
+func stalled(now time.Time) func(callerState) bool {
+	return func(s callerState) bool {
+		return (s.phase == phaseWaiting || s.phase == phaseHead) && now.Sub(s.since) >= minHeadTime
+	}
+}
+
 // headLate returns whether a connection may be closed for the head that arrives on another one.
 func headLate(now time.Time) func(callerState) bool {
 	return func(s callerState) bool { return s.phase == phaseHead && now.Sub(s.since) >= minHeadTime }
@@ -114,15 +133,22 @@
 	return err
 }
 
-// admit reserves the memory for a new connection. If no other has kept the process waiting for long, it
-// waits for a while, but not again at once, as more connections may have come; then it closes any that no
-// request is being served on.
+// admit reserves the descriptor and the memory for a new connection. If no other has kept the process waiting for long,
+// it waits for a while, but not again at once, as more connections may have come; then it closes any that no
+// request is being served on. Idle ones that have carried requests are closed only if no other keeps the process waiting.
 func (c *CallerConns) admit(conn *callerConn) error {
+	if conn.reserve() == nil {
+		return nil
+	}
 	now, longest := time.Now(), maxAcceptWait
 	if now.Sub(c.waitedInVain) < minHeadTime {
 		longest = 0
 	}
-	err := c.waitForRoom(conn, conn.reserve, closable(now, minHeadTime), longest)
+	mayClose := stalled(now)
+	if _, waits := c.leastNeeded(conn, func(s callerState) bool { return s.phase == phaseWaiting || s.phase == phaseHead }); !waits {
+		mayClose = closable(now, minHeadTime)
+	}
+	err := c.waitForRoom(conn, conn.reserve, mayClose, longest)
 	if err != nil {
 		c.waitedInVain = time.Now()
 		err = c.makeRoom(conn, conn.reserve, closable(c.waitedInVain, 0))
@@ -181,10 +207,24 @@
 	return callerState{phaseWaiting, c.idleSince}
 }
 
-// reserve reserves the memory for the connection.
+// tooManyCallersError is why there is no room for a further connection.
+type tooManyCallersError struct{ limit int64 }
+
+func (e *tooManyCallersError) Error() string {
+	return fmt.Sprintf("no descriptors for more than %d connections of callers", e.limit)
+}
+
+// reserve reserves the descriptor and the memory for the connection.
 func (c *callerConn) reserve() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if limit := c.conns.maxOpen; limit > 0 && !c.counted {
+		if c.conns.open.Add(1) > limit {
+			c.conns.open.Add(-1)
+			return &tooManyCallersError{limit}
+		}
+		c.counted = true
+	}
 	return c.share.GrowTo(callerConnBytes)
 }
 
@@ -201,6 +241,10 @@
 // release gives the memory of the connection back. The caller holds c.mu.
 func (c *callerConn) release() {
 	c.closed = true
+	if c.counted {
+		c.conns.open.Add(-1)
+		c.counted = false
+	}
 	c.share.Release()
 	c.headShare.Release()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 	CatalogStatus CatalogStatus
 	Client        *UpstreamClient
 	Memory        *memory.Budgets
+	MaxCallers    int // most connections of callers; zero: as many as there is memory for
 	Quarantine    *quarantine.Register
 	FleetTime     func() time.Time // the time that the evidence of Quarantine has
 	TellPeers     func()           // asks for an exchange with peers soon
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -29,7 +29,9 @@
 	Duties       []string `json:"duties"`       // names of the duties that the gateway may hold; see usageDuty
 	Metrics      string   `json:"metrics"`      // address that serves metrics; empty: none
 	MemoryMB     float64  `json:"memory_mb"`    // memory of the process; zero: no limit is set
-	Bounds       Bounds   `json:"bounds"`
+	// MaxDescriptors is how many descriptors the process may have open; zero: not known.
+	MaxDescriptors int    `json:"max_descriptors"`
+	Bounds         Bounds `json:"bounds"`
 }
 
 // Bounds are the times and limits that the platform sets for gateways and their fleet.
@@ -80,6 +82,7 @@
 	}
 	b := s.Bounds
 	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= memory.MaxProcessMB, "memory_mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", memory.MaxProcessMB))
+	c.Require(s.MaxDescriptors == 0 || s.MaxDescriptors > otherDescriptors, "max_descriptors", fmt.Sprint(s.MaxDescriptors), fmt.Sprintf("zero, or more than %d", otherDescriptors))
 	c.Require(isTime(durationMS(b.ConfigMS)), "bounds.config_ms", fmt.Sprint(b.ConfigMS), "milliseconds, from one to those of a year")
 	c.Require(b.RetryRatio >= 0, "bounds.retry_ratio", fmt.Sprint(b.RetryRatio), "a number from zero")
 	c.Require(b.RetrySlack >= 0, "bounds.retry_slack", fmt.Sprint(b.RetrySlack), "a number from zero")
--- a/ragworttest/descriptors_test.go
+++ b/ragworttest/descriptors_test.go
@@ -37,9 +37,12 @@
 		idle        = 600
 		neighbours  = 8
 	)
-	f := newRelayFleet(t, 1)
+	f, node := newStoppedRelay(t)
+	node.maxDescriptors = 200 + descriptors // that many are not for sockets
+	f.writeSettings(node)
+	f.startNode(node)
+	f.waitReady(node)
 	f.runTime.Store(int64(20 * time.Millisecond))
-	node := f.nodes[0]
 	limit := unix.Rlimit{Cur: descriptors, Max: descriptors}
 	require.NoError(t, unix.Prlimit(relayPid(t, node.process), unix.RLIMIT_NOFILE, &limit, nil))
 	for name, keep := range map[string]bool{"kept": true, "new": false} {
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -52,6 +52,7 @@
 	readyAddress   string
 	peerAddress    string
 	metricsAddress string // empty: none
+	maxDescriptors int    // zero: not told
 	process        *ragworttest.Process
 }
 
@@ -151,7 +152,7 @@
 // settings returns the settings of a node.
 func (f *relayFleet) settings(r *relayNode) *gateway.Settings {
 	s := &gateway.Settings{
-		Node: r.name, DataCentre: "th-a", Seeds: f.seeds, StoreAddress: f.storeAddress, DutyAddress: f.storeAddress, Duties: []string{"usage"}, MemoryMB: relayMemoryMB,
+		Node: r.name, DataCentre: "th-a", Seeds: f.seeds, StoreAddress: f.storeAddress, DutyAddress: f.storeAddress, Duties: []string{"usage"}, MemoryMB: relayMemoryMB, MaxDescriptors: r.maxDescriptors,
 		Bounds: gateway.Bounds{
 			ConfigMS: 2000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, GraceS: 6, LeaseMS: 500,
 			WindowS: relayUsageWindow.Seconds(), UsageLateS: 8,
