ragworttest: a proxy takes another port if its own was taken meanwhile

Since proxies listen below the ephemeral ports, two test processes that run at once may be given the same free address, and one of them takes it first. NewProxy tries further addresses. A port that is taken while a proxy is disabled still fails Enable.

--- a/ragworttest/proxy.go
+++ b/ragworttest/proxy.go
@@ -19,6 +19,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// proxyStartTries is how many addresses NewProxy tries.
+const proxyStartTries = 10
+
 // Proxy is a TCP proxy that forwards connections to an address and can disturb them.
 type Proxy struct {
 	t          testing.TB
@@ -41,7 +44,12 @@
 		f.removed, f.dropped = make(chan struct{}), make(chan struct{})
 		p.directions[direction] = f
 	}
-	require.NoError(t, p.proxy.Start())
+	err := p.proxy.Start()
+	for try := 1; err != nil && try < proxyStartTries; try++ { // another test process may have taken the port
+		p.proxy.Listen = FreeAddress(t)
+		err = p.proxy.Start()
+	}
+	require.NoError(t, err)
 	t.Cleanup(p.proxy.Stop)
 	return p
 }
