--- a/feed/feed.go
+++ b/feed/feed.go
@@ -96,8 +96,18 @@
 	// is nil, every follower reads for itself and IsLeader is not called.
 	MaxPeerViewAge func() time.Duration
 	IsLeader       func() bool
+	LogRecords     bool // each page with records is logged, for a topic that seldom changes
 }
 
+// source is where the content of a follower came from.
+type source string
+
+const (
+	sourceRead source = "read"
+	sourcePeer source = "peer"
+	sourceCopy source = "copy"
+)
+
 // Follower keeps a sink up to date with a topic.
 type Follower struct {
 	cfg      Config
@@ -118,7 +128,18 @@
 
 // New returns a follower that has not started.
 func New(cfg Config, topic Topic, sink Sink, logger log.Logger, registry metrics.Registry) *Follower {
-	return &Follower{cfg: cfg, topic: topic, sink: sink, logger: log.With(logger, "topic", cfg.Name), registry: registry}
+	f := &Follower{cfg: cfg, topic: topic, sink: sink, logger: log.With(logger, "topic", cfg.Name), registry: registry}
+	registry.GetOrRegister("feed_view_age_ms_"+cfg.Name, metrics.NewFunctionalGauge(func() int64 { return f.viewAge(time.Now()).Milliseconds() }))
+	registry.GetOrRegister("feed_next_offset_"+cfg.Name, metrics.NewFunctionalGauge(func() int64 { return int64(f.View().Next.Offset) }))
+	return f
+}
+
+// viewAge returns for how long the view may have been outdated: the time since the last
+// successful read began, here or at the peer whose view was adopted. It is the longest
+// time.Duration if there was none.
+func (f *Follower) viewAge(now time.Time) time.Duration {
+	contact, _ := f.Contact()
+	return now.Sub(contact)
 }
 
 // Contact returns when the last successful read began, here or at the peer whose view was
@@ -193,7 +214,10 @@
 	if !v.Loaded || f.loaded && v.Next.Compare(f.next) < 0 {
 		return false
 	}
-	isNew := !f.loaded || v.Next.Compare(f.next) > 0
+	isNew, from := !f.loaded || v.Next.Compare(f.next) > 0, sourcePeer
+	if v.Contact.IsZero() {
+		from = sourceCopy
+	}
 	if isNew && len(v.Records) == 0 || v.Incremental && (!f.loaded || v.Next.Era != f.next.Era) {
 		return false // the peer was asked for no records, or for others than are missing now
 	}
@@ -211,8 +235,10 @@
 		f.recordLocked(records)
 		f.sink.Apply(now, records)
 		f.next = v.Next
+		f.logRecords(now, from, records)
 	default:
 		f.replaceLocked(now, v.Page)
+		f.logRecords(now, from, v.Records)
 	}
 	return true
 }
@@ -368,13 +394,24 @@
 	}
 	if full {
 		f.replaceLocked(now, page)
+		f.logRecords(now, sourceRead, page.Records)
 		return
 	}
-	if records := recordsFrom(page.Records, f.next.Offset); len(records) > 0 {
+	records := recordsFrom(page.Records, f.next.Offset)
+	if len(records) > 0 {
 		f.recordLocked(records)
 		f.sink.Apply(now, records)
 	}
 	f.next = page.Next
+	f.logRecords(now, sourceRead, records)
+}
+
+// logRecords logs that records were applied, if the follower's topic is one whose records are logged.
+// The caller holds the lock.
+func (f *Follower) logRecords(now time.Time, from source, records []Record) {
+	if f.cfg.LogRecords && len(records) > 0 {
+		_ = f.logger.Log("event", "feed_applied", "from", from, "read_age", now.Sub(f.contact).Round(time.Millisecond), "records", len(records), "next", f.next)
+	}
 }
 
 // endOutageLocked records that a read has succeeded after failed ones, here or at a peer.
@@ -410,7 +447,8 @@
 	f.mu.Unlock()
 	metrics.GetOrRegisterCounter("feed_read_failed_"+f.cfg.Name, f.registry).Inc(1)
 	if first {
-		_ = f.logger.Log("event", "feed_lost", "err", err)
+		now := time.Now()
+		_ = f.logger.Log("event", "feed_lost", "took", now.Sub(started).Round(time.Millisecond), "view_age", f.viewAge(now).Round(time.Millisecond), "err", err)
 	}
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -191,6 +192,18 @@
 	require.Equal(t, map[string]string{"b": "7"}, sink.values)
 }
 
+// TestLogNamesTheSourceOfRecords checks that the log of a topic that seldom changes tells whether records
+// came from a read, a peer or a copy.
+func TestLogNamesTheSourceOfRecords(t *testing.T) {
+	var out strings.Builder
+	f := feed.New(feed.Config{Name: "test", LogRecords: true}, nil, &mapSink{values: map[string]string{}}, log.NewLogfmtLogger(&out), metrics.NewRegistry())
+	now := time.Now()
+	require.True(t, f.Adopt(now, view(time.Time{}, 3, record(2, "a", "3"))))
+	require.Contains(t, out.String(), "event=feed_applied from=copy")
+	require.True(t, f.Adopt(now, view(now.Add(-time.Second), 4, record(3, "a", "4"))))
+	require.Contains(t, out.String(), "event=feed_applied from=peer read_age=1s records=1 next=0/4")
+}
+
 func TestFirstViewFromPeer(t *testing.T) {
 	f, sink, _ := runFollower(t, readResult{err: errUnavailable})
 	now := time.Now()
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -116,7 +116,7 @@
 	}
 	currentCatalog := new(catalog.Latest)
 	upstreamPool := pool.New(currentCatalog)
-	operators := feed.New(feed.Config{Name: "operators", ReadWait: p.operatorReadWait, MaxPeerViewAge: p.maxViewAge, IsLeader: p.readsOperators}, platform.OperatorTopic,
+	operators := feed.New(feed.Config{Name: "operators", LogRecords: true, ReadWait: p.operatorReadWait, MaxPeerViewAge: p.maxViewAge, IsLeader: p.readsOperators}, platform.OperatorTopic,
 		newOperatorSink(guardedDecoder{platform.Decoder}, currentCatalog, upstreamPool, logger, registry), logger, registry)
 	listings := feed.New(feed.Config{Name: "upstreams", ReadPause: p.upstreamReadPause, MaxPeerViewAge: p.maxViewAge, IsLeader: p.isLeader}, platform.UpstreamTopic,
 		newListingSink(guardedDecoder{platform.Decoder}, upstreamPool, logger, registry), logger, registry)
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -61,6 +61,12 @@
 
 // newOperatorSink returns a sink that has received nothing.
 func newOperatorSink(decoder RecordDecoder, current *catalog.Latest, p *pool.Pool, logger log.Logger, registry metrics.Registry) *operatorSink {
+	registry.GetOrRegister("config_version", metrics.NewFunctionalGauge(func() int64 {
+		if c := current.Load(); c != nil {
+			return int64(c.Version)
+		}
+		return 0
+	}))
 	return &operatorSink{decoder: decoder, currentCatalog: current, pool: p, logger: logger, registry: registry, ended: make(map[id.DataCentre]bool)}
 }
 
@@ -74,6 +80,7 @@
 		case *CatalogChange:
 			if current := o.currentCatalog.Load(); current != nil && c.Catalog.Version < current.Version {
 				_ = o.logger.Log("event", "config_held", "config", current.Version, "store_has", c.Catalog.Version, "offset", r.Offset)
+				continue
 			}
 		case *Evacuation:
 			evacuated[c.DataCentre] = c.Active
@@ -135,6 +142,8 @@
 	case *CatalogChange:
 		if o.currentCatalog.Update(c.Catalog) {
 			_ = o.logger.Log("event", "config_in_force", "config", c.Catalog.Version, "routes", len(c.Catalog.Routes), "keys", len(c.Catalog.Workspaces), "offset", r.Offset)
+		} else if current := o.currentCatalog.Load(); c.Catalog.Version < current.Version {
+			_ = o.logger.Log("event", "config_older", "config", current.Version, "store_has", c.Catalog.Version, "offset", r.Offset)
 		}
 	case *Evacuation:
 		o.evacuate(now, c)
