--- a/ragworttest/proxy.go
+++ b/ragworttest/proxy.go
@@ -41,7 +41,7 @@
 		require.NoError(t, err)
 		f, ok := wrapper.Toxic.(*faults)
 		require.True(t, ok)
-		f.removed, f.dropped = make(chan struct{}), make(chan struct{})
+		f.removed, f.dropped, f.silenced = make(chan struct{}), make(chan struct{}), make(chan struct{})
 		p.directions[direction] = f
 	}
 	err := p.proxy.Start()
@@ -73,6 +73,14 @@
 // requests or "downstream" for responses.
 func (p *Proxy) BlockDirection(direction string) { p.directions[direction].set(0, true) }
 
+// SilenceConnections keeps the present connections open, but forwards nothing on them any more, as
+// a box on the way does that has lost its state. New connections work.
+func (p *Proxy) SilenceConnections() {
+	for _, f := range p.directions {
+		f.silence()
+	}
+}
+
 // RemoveFaults removes the faults of AddLatency and BlockDirection. It closes the connections whose data
 // may have been dropped.
 func (p *Proxy) RemoveFaults() {
@@ -93,6 +101,8 @@
 	blocked bool
 	removed chan struct{} // closed when the faults are removed
 	dropped chan struct{} // closed when they are, if data was dropped
+	// silenced is closed when the present connections fall silent.
+	silenced chan struct{}
 }
 
 var _ toxics.BufferedToxic = (*faults)(nil)
@@ -115,11 +125,18 @@
 	f.latency, f.blocked = 0, false
 }
 
-// droppedNow returns dropped of the faults of now.
-func (f *faults) droppedNow() <-chan struct{} {
+func (f *faults) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.silenced)
+	f.silenced = make(chan struct{})
+}
+
+// now returns dropped and silenced of the faults of now.
+func (f *faults) now() (dropped, silenced <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.dropped
+	return f.dropped, f.silenced
 }
 
 // passes waits as long as data that was read at a time is delayed. It reports false if the data is
@@ -144,7 +161,8 @@
 
 // Pipe implements toxics.Toxic: it passes on the data of one connection.
 func (f *faults) Pipe(stub *toxics.ToxicStub) {
-	dropped := f.droppedNow()
+	dropped, silenced := f.now()
+	isSilent := false
 	for {
 		select {
 		case <-stub.Interrupt:
@@ -155,12 +173,14 @@
 				continue
 			}
 			return
+		case <-silenced:
+			isSilent, silenced = true, nil
 		case c := <-stub.Input:
 			if c == nil {
 				stub.Close()
 				return
 			}
-			if f.passes(c.Timestamp) {
+			if !isSilent && f.passes(c.Timestamp) {
 				stub.Output <- c
 			}
 		}
--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -71,10 +71,16 @@
 	f.addUpstream("i-1")
 	f.addUpstream("i-2")
 	f.putCatalog("key-1", "key-2")
+	f.addNodes(n)
+	return f
+}
+
+// addNodes starts n relay processes, which use f.storeAddress, and waits until they are ready.
+func (f *relayFleet) addNodes(n int) {
 	for i := range n {
 		r := &relayNode{
-			name: id.Node(fmt.Sprint("entry-", i)), settingsPath: filepath.Join(t.TempDir(), "settings.json"),
-			callerAddress: ragworttest.FreeAddress(t), readyAddress: ragworttest.FreeAddress(t), peerAddress: ragworttest.FreeAddress(t),
+			name: id.Node(fmt.Sprint("entry-", i)), settingsPath: filepath.Join(f.t.TempDir(), "settings.json"),
+			callerAddress: ragworttest.FreeAddress(f.t), readyAddress: ragworttest.FreeAddress(f.t), peerAddress: ragworttest.FreeAddress(f.t),
 		}
 		f.seeds = append(f.seeds, r.peerAddress)
 		f.nodes = append(f.nodes, r)
@@ -86,7 +92,6 @@
 	for _, r := range f.nodes {
 		f.waitReady(r)
 	}
-	return f
 }
 
 // addUpstream starts and lists an upstream that counts the runs of each request.
