platform, gateway: a read that is overdue is repeated on a new connection, in time for the bound

What callers see: after all connections to the store have fallen silent, a withdrawn key is served and a new one refused for up to 4.0 s of 2 s.

Cause: a gateway noticed silence only by the time limit of a read that waits: 2 s and 0.8 s more, constants that were not derived from the bound. The next read took another connection that was kept, and silent too.

Change: 250 ms after it should have ended, a read is repeated without a wait, on a new connection, as the idle ones are closed; the first response counts, so that a slow store costs one more call and no answer. The waits and the ages of views follow from the bound (freshness), so that each way that news comes is within it; a read waits 1 s at a bound of 2 s, not 2 s.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -41,8 +41,9 @@
 	// number of calls that it makes depends on the size of the topic.
 	Newest(ctx context.Context) (Page, error)
 	// Since returns the records from a position on. If there are none, it waits up to the
-	// given time for the first. It returns a *TrimmedError if some of the records are no
-	// longer kept, and an *EraError if the store is in another era.
+	// given time for the first. If it takes longer than that by ReadOverdue, it tries another
+	// connection. It returns a *TrimmedError if some of the records are no longer kept, and
+	// an *EraError if the store is in another era.
 	Since(ctx context.Context, from Position, wait time.Duration) (Page, error)
 }
 
@@ -62,6 +63,15 @@
 	Recovered(now time.Time)
 }
 
+const (
+	// ReadOverdue is how much longer than its wait a read of a topic may take until its
+	// connection is in doubt.
+	ReadOverdue = 250 * time.Millisecond
+	// ViewCheckInterval is how often a follower that relies on the views of peers
+	// checks the age of its own view.
+	ViewCheckInterval = 100 * time.Millisecond
+)
+
 const (
 	// minRetryPause and maxRetryPause bound the pause after a failed read, which doubles
 	// with each failure. It starts short because there is no service after a restart
@@ -70,9 +80,6 @@
 	maxRetryPause = 400 * time.Millisecond
 	// readTimeoutMargin is how much longer than ReadWait a read may take.
 	readTimeoutMargin = 800 * time.Millisecond
-	// peerViewCheckInterval is how often a follower that relies on the views of peers
-	// checks the age of its own view.
-	peerViewCheckInterval = 100 * time.Millisecond
 	// maxHeldRecords is how many records, one for each key, are held for peers before
 	// those of deleted keys are discarded.
 	maxHeldRecords = 4096
@@ -297,7 +304,7 @@
 		started := time.Now()
 		f.settle(started)
 		if f.peerViewSuffices(started) {
-			if !sleep(ctx, peerViewCheckInterval) {
+			if !sleep(ctx, ViewCheckInterval) {
 				return
 			}
 			continue
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -44,28 +44,15 @@
 }
 
 const (
-	// operatorReadWait is how long a read of the operators' topic waits for a record. It
-	// also limits how long a connection that no longer delivers anything goes unnoticed.
-	operatorReadWait = 2 * time.Second
-	// groupReadWait is the same for a gateway that reads for others. A view is up to two waits old before the next
-	// read ends, and two rounds of peers later those of all must not be older than maxPeerViewAge.
-	groupReadWait = 350 * time.Millisecond
 	// upstreamReadInterval is the time between two reads of the upstreams' topic. Every
 	// upstream writes there about once a second, so that a read that waits for the next
 	// record would mean one call for each record.
 	upstreamReadInterval = 700 * time.Millisecond
 	// groupUpstreamReadInterval is the same in a fleet whose views pass two gateways.
 	groupUpstreamReadInterval = 500 * time.Millisecond
-	// maxPeerViewAge limits the age of a peer's view of a topic that replaces an own read. A
-	// configuration must be in force from two seconds after it was published, and a draining
-	// upstream must get no new requests from two seconds after it has announced the drain.
-	maxPeerViewAge = 1100 * time.Millisecond
-	// maxGroupViewAge is the same for a gateway that takes over the views of the reader of its group. That
-	// one has then had the time to read for itself.
-	maxGroupViewAge = 1600 * time.Millisecond
 	// maxViewsAge is the age of a view from which on an upstream may have become cold without this
 	// gateway knowing. It exceeds what a read of the operators' topic waits.
-	maxViewsAge = operatorReadWait + 2*time.Second
+	maxViewsAge = maxOperatorReadWait + 2*time.Second
 	// operatorCopyInterval is the least time between two copies of the operators' topic,
 	// which seldom changes.
 	operatorCopyInterval = time.Second
@@ -96,6 +83,7 @@
 	quarantine   *quarantine.Register
 	holdKeeper   *holdKeeper // nil: holds are not kept
 	bootNow      func() time.Time
+	freshness    freshness
 	registry     metrics.Registry
 	guard        *guard.Guard
 	logger       log.Logger
@@ -112,7 +100,8 @@
 	process.RegisterVitals(registry)
 	p := &Program{
 		settings: s, readSettings: readSettings, bootNow: bootClock.Now, registry: registry, guard: guard.New(logger, registry), logger: logger,
-		table: peer.NewTable(peer.Member{Node: s.Node, Incarnation: id.Incarnation(bootClock.Now().UnixNano())}, bootClock.Now()),
+		freshness: newFreshness(durationMS(s.Bounds.ConfigMS)),
+		table:     peer.NewTable(peer.Member{Node: s.Node, Incarnation: id.Incarnation(bootClock.Now().UnixNano())}, bootClock.Now()),
 	}
 	currentCatalog := new(catalog.Latest)
 	upstreamPool := pool.New(currentCatalog)
@@ -139,7 +128,7 @@
 	}
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
-		CatalogStatus: operatorStatus{operators, operatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, budgets, registry, logger), Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
+		CatalogStatus: operatorStatus{operators, maxOperatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, budgets, registry, logger), Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
 	})
 	if platform.Holds != nil {
 		p.holdKeeper = &holdKeeper{
@@ -174,9 +163,9 @@
 // operatorReadWait returns how long a read of the operators' topic waits for a record.
 func (p *Program) operatorReadWait() time.Duration {
 	if _, grouped := p.table.Reader(time.Now(), p.settings.DataCentre); grouped {
-		return groupReadWait
+		return p.freshness.groupReadWait
 	}
-	return operatorReadWait
+	return p.freshness.operatorReadWait
 }
 
 // upstreamReadPause returns the time between two reads of the upstreams' topic.
@@ -192,9 +181,9 @@
 func (p *Program) maxViewAge() time.Duration {
 	reader, grouped := p.table.Reader(time.Now(), p.settings.DataCentre)
 	if grouped && reader != nil && reader.GetNode() != string(p.settings.Node) {
-		return maxGroupViewAge
+		return p.freshness.maxGroupViewAge
 	}
-	return maxPeerViewAge
+	return p.freshness.maxPeerViewAge
 }
 
 // readsOperators reports whether this gateway reads the operators' topic for its peers: the leader
