--- a/ragworttest/silent_store_test.go
+++ b/ragworttest/silent_store_test.go
@@ -1,6 +1,7 @@
 package ragworttest_test
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -9,33 +10,38 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/ragwortpass/ragwortpass/ragworttest"
+	"github.com/ragwortpass/ragwortpass/standin"
 )
 
 // TestWithdrawnKeyServesWhileStoreIsSilent guards against a configuration that is not in force in
-// time at gateways whose connections to the store have all fallen silent, while new ones work.
+// time at gateways whose reads of the store all hear nothing, while new ones would.
 func TestWithdrawnKeyServesWhileStoreIsSilent(t *testing.T) {
-	const phases = 6 // of the reads, which are differently far when the connections fall silent
-	for name, tc := range map[string]struct{ gateways, phases int }{"one gateway": {1, phases}, "four gateways": {4, phases / 2}} {
-		t.Run(name, func(t *testing.T) {
+	const phases = 6 // of the reads, which have waited differently long when the store falls silent
+	causes := map[string]func(*ragworttest.Proxy, *standin.Store){
+		"silent connections":   func(link *ragworttest.Proxy, _ *standin.Store) { link.SilenceConnections() },
+		"reads that hear late": func(_ *ragworttest.Proxy, s *standin.Store) { s.SetFaults(standin.StoreFaults{DeafReads: true}) },
+	}
+	for cause, silence := range causes {
+		for _, tc := range []struct{ gateways, phases int }{{1, phases}, {4, phases / 2}} {
 			for phase := range tc.phases {
-				t.Run("", func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s, %d gateways, phase %d", cause, tc.gateways, phase), func(t *testing.T) {
 					t.Parallel()
-					testSilentStore(t, tc.gateways, time.Duration(phase)*2*time.Second/time.Duration(tc.phases))
+					testSilentStore(t, tc.gateways, time.Duration(phase)*2*time.Second/time.Duration(tc.phases), silence)
 				})
 			}
-		})
+		}
 	}
 }
 
-// testSilentStore silences the connections of all gateways to the store after a time, changes a key,
-// and requires that the change is in force at each within the bound of the settings.
-func testSilentStore(t *testing.T, gateways int, after time.Duration) {
+// testSilentStore has the store fall silent after a time, changes a key, and requires that the change is in
+// force at each gateway within the bound of the settings.
+func testSilentStore(t *testing.T, gateways int, after time.Duration, silence func(*ragworttest.Proxy, *standin.Store)) {
 	f := newRelayFleet(t, 0)
 	link := ragworttest.NewProxy(t, f.storeAddress)
 	f.storeAddress = link.Address()
 	f.addNodes(gateways)
 	time.Sleep(after)
-	link.SilenceConnections()
+	silence(link, f.store)
 	f.putCatalog("key-1", "key-3")
 	changed := time.Now()
 	bound := time.Duration(f.settings(f.nodes[0]).Bounds.ConfigMS) * time.Millisecond
--- a/standin/store.go
+++ b/standin/store.go
@@ -22,6 +22,7 @@
 	Hang                  bool          // connections stay open, but no call is answered
 	ResponseDelay         time.Duration // delay before a call is handled
 	DropResponses         int           // number of coming appends that take effect, but whose connections break
+	DeafReads             bool          // a log-read that waits does not notice records that are appended meanwhile
 	StaleReads            bool          // log-read, but not log-newest, sees no records appended after this was set
 	UnavailablePartitions []string      // partitions whose calls fail with 503, by the names in wire.go
 }
@@ -318,13 +319,16 @@
 	}
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
-	for {
+	for waited := false; ; waited = true {
 		s.mu.Lock()
 		p := s.partition(partitionOf(r))
 		end, appended := p.end(), s.appended
 		if s.faults.StaleReads {
 			end = p.staleEnd
 		}
+		if s.faults.DeafReads && waited {
+			end = from
+		}
 		if from < p.firstOffset || from > p.end() {
 			writeStatusJSON(w, http.StatusGone, map[string]uint64{"First": p.firstOffset})
 			s.mu.Unlock()
