gateway, feed: what an old configuration refuses is refused for good only within the bound

What callers see: a gateway that cannot read the store refuses a key or a route that was added, with 401 or 404, for up to 4 s after the store has acknowledged it; callers do not try again after these.

Cause: a view counted as fresh for the wait of a read and the bound together, since a view was dated to the start of the read that waited. Now a read that has waited in vain dates the view to the end of the wait, and the bound alone is the limit; beyond it the answer is 503 stale_config.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -129,7 +129,7 @@
 	loaded       bool              // the content is known, from a read, a peer or a copy
 	newest       map[string]Record // the newest record of each key, including keys deleted from completeFrom on
 	completeFrom Offset            // newest has every change from this offset of the present era on
-	contact      time.Time         // start of the last successful read, here or at a peer
+	contact      time.Time         // when the content was last known to be that of the store, here or at a peer
 	failingSince time.Time         // start of the first of the consecutive failed reads; zero: the last read succeeded
 }
 
@@ -141,17 +141,16 @@
 	return f
 }
 
-// viewAge returns for how long the view may have been outdated: the time since the last
-// successful read began, here or at the peer whose view was adopted. It is the longest
-// time.Duration if there was none.
+// viewAge returns for how long the view may have been outdated: the time since Contact. It is the
+// longest time.Duration if there was no successful read.
 func (f *Follower) viewAge(now time.Time) time.Duration {
 	contact, _ := f.Contact()
 	return now.Sub(contact)
 }
 
-// Contact returns when the last successful read began, here or at the peer whose view was
-// adopted, and whether the follower has a view of the topic. The time is zero if the view
-// comes from a copy.
+// Contact returns when the view was last known to be that of the store, by a read here or at the
+// peer whose view was adopted, and whether the follower has a view of the topic. The time is zero
+// if the view comes from a copy.
 func (f *Follower) Contact() (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -368,7 +367,11 @@
 	if err != nil {
 		return err
 	}
-	f.applyPage(started, page, false)
+	current := started
+	if len(page.Records) == 0 && time.Since(started) >= wait {
+		current = started.Add(wait) // until when the store has waited for a record, at least
+	}
+	f.applyPage(current, page, false)
 	return nil
 }
 
@@ -383,10 +386,10 @@
 	return nil
 }
 
-// applyPage applies the result of a read that began at started, unless a newer view of a
-// peer was adopted in the meantime. Full tells whether the page has the newest records of
-// all keys.
-func (f *Follower) applyPage(started time.Time, page Page, full bool) {
+// applyPage applies the result of a read that shows the content of the store at a time, unless a
+// newer view of a peer was adopted in the meantime. Full tells whether the page has the newest
+// records of all keys.
+func (f *Follower) applyPage(current time.Time, page Page, full bool) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -395,7 +398,7 @@
 		return
 	}
 	f.endOutageLocked(now, page.Next)
-	f.contact = started
+	f.contact = current
 	if f.loaded && page.Next.Compare(f.next) < 0 {
 		return
 	}
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -128,7 +128,7 @@
 	}
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
-		CatalogStatus: operatorStatus{operators, maxOperatorReadWait + durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, budgets, registry, logger), Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
+		CatalogStatus: operatorStatus{operators, durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, budgets, registry, logger), Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
 	})
 	if platform.Holds != nil {
 		p.holdKeeper = &holdKeeper{
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -316,7 +316,7 @@
 // operatorStatus implements CatalogStatus with the follower of the operators' topic.
 type operatorStatus struct {
 	*feed.Follower
-	maxAge time.Duration // a catalog that was confirmed longer ago may be out of date
+	maxAge time.Duration // a catalog that was confirmed longer ago may lack one that is due to be in force
 }
 
 var _ CatalogStatus = operatorStatus{}
--- a/ragworttest/silent_store_test.go
+++ b/ragworttest/silent_store_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/ragworttest"
 	"github.com/ragwortpass/ragwortpass/standin"
@@ -66,3 +67,26 @@
 	}
 	checks.Wait()
 }
+
+// TestNewKeyIsRefusedForGoodByAnOldConfiguration guards against a gateway that cannot read the store and
+// refuses, with a status that callers do not retry, what a configuration allows that is due to be in force.
+func TestNewKeyIsRefusedForGoodByAnOldConfiguration(t *testing.T) {
+	f := newRelayFleet(t, 0)
+	link := ragworttest.NewProxy(t, f.storeAddress)
+	f.storeAddress = link.Address()
+	f.addNodes(1)
+	link.BlockDirection("upstream")
+	link.BlockDirection("downstream")
+	f.putCatalog("key-1", "key-3")
+	published := time.Now()
+	bound := time.Duration(f.settings(f.nodes[0]).Bounds.ConfigMS) * time.Millisecond
+	for time.Since(published) < 3*bound {
+		sent := time.Now()
+		if status := f.statusFor(f.nodes[0], "key-3"); sent.Sub(published) > bound {
+			require.Equal(t, http.StatusServiceUnavailable, status, "%v after the publication", sent.Sub(published))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	link.RemoveFaults()
+	ragworttest.Eventually(t, func() bool { return f.statusFor(f.nodes[0], "key-3") == http.StatusOK }, "the new key is in force")
+}
