platform, feed: a response to another read of the store does not move a follower ahead of its topic

What callers see: a configuration that is confirmed comes into force only at the next change or much later, at every gateway, while the logs show that all reads succeed.

Cause: records have no offsets in a response; they were numbered from the offset asked for, and the end and the first offset, which the response names, were thrown away. After the response to another read a follower was ahead of its topic, waited for a record that comes much later, took each read in vain as proof that it was current, and gave its position to peers.

A follower whose position two reads, a following and a full one, show to be beyond the end goes back from it as after a change of era, so that newer records are held.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -42,8 +42,9 @@
 	Newest(ctx context.Context) (Page, error)
 	// Since returns the records from a position on. If there are none, it waits up to the
 	// given time for the first. If it takes longer than that by ReadOverdue, it tries another
-	// connection. It returns a *TrimmedError if some of the records are no longer kept, and
-	// an *EraError if the store is in another era.
+	// connection. It returns a *TrimmedError if some of the records are no longer kept, a
+	// *BeyondEndError if the topic ends before the position, and an *EraError if the store is
+	// in another era.
 	Since(ctx context.Context, from Position, wait time.Duration) (Page, error)
 }
 
@@ -249,10 +250,10 @@
 	return true
 }
 
-// replaceLocked replaces the content by that of a full read. In a new era, the sink holds
-// what is newer. The caller holds the lock.
+// replaceLocked replaces the content by that of a full read. In a new era, and after a position that
+// was wrong, the sink holds what is newer. The caller holds the lock.
 func (f *Follower) replaceLocked(now time.Time, p Page) {
-	previous, rewinds := f.next, f.loaded && p.Next.Era > f.next.Era
+	previous, rewinds := f.next, f.loaded && (p.Next.Era > f.next.Era || p.Next.Compare(f.next) < 0)
 	f.newest = make(map[string]Record, len(p.Records))
 	f.recordLocked(p.Records)
 	f.next, f.completeFrom, f.loaded = p.Next, p.Next.Offset, true
@@ -345,7 +346,7 @@
 	from, loaded := f.next, f.loaded
 	f.mu.Unlock()
 	if !loaded {
-		return f.readAll(ctx)
+		return f.readAll(ctx, nil)
 	}
 	started := time.Now()
 	wait := time.Duration(0)
@@ -358,11 +359,17 @@
 	var trimmed *TrimmedError
 	if errors.As(err, &trimmed) {
 		_ = f.logger.Log("event", "feed_trimmed", "from", from, "first", trimmed.First)
-		return f.readAll(ctx)
+		return f.readAll(ctx, nil)
 	}
 	var otherEra *EraError
 	if errors.As(err, &otherEra) {
-		return f.readAll(ctx)
+		return f.readAll(ctx, nil)
+	}
+	var beyondEnd *BeyondEndError
+	if errors.As(err, &beyondEnd) {
+		metrics.GetOrRegisterCounter("feed_beyond_end_"+f.cfg.Name, f.registry).Inc(1)
+		_ = f.logger.Log("event", "feed_beyond_end", "at", from, "end", beyondEnd.End)
+		return f.readAll(ctx, &from)
 	}
 	if err != nil {
 		return err
@@ -371,25 +378,32 @@
 	if len(page.Records) == 0 && time.Since(started) >= wait {
 		current = started.Add(wait) // until when the store has waited for a record, at least
 	}
-	f.applyPage(current, page, false)
+	f.applyPage(current, page, nil)
 	return nil
 }
 
-// readAll reads the newest record of each key and replaces the content.
-func (f *Follower) readAll(ctx context.Context) error {
+// fullRead tells of a page that it has the newest records of all keys.
+type fullRead struct {
+	doubted *Position // which a read has shown to be beyond the end of the topic; nil: none
+}
+
+// readAll reads the newest record of each key and replaces the content. Doubted is a position that a
+// read has shown to be beyond the end of the topic, or nil. If the full read shows so too, the follower
+// goes back from it.
+func (f *Follower) readAll(ctx context.Context, doubted *Position) error {
 	started := time.Now()
 	page, err := f.topic.Newest(ctx)
 	if err != nil {
 		return err
 	}
-	f.applyPage(started, page, true)
+	f.applyPage(started, page, &fullRead{doubted})
 	return nil
 }
 
 // applyPage applies the result of a read that shows the content of the store at a time, unless a
-// newer view of a peer was adopted in the meantime. Full tells whether the page has the newest
-// records of all keys.
-func (f *Follower) applyPage(current time.Time, page Page, full bool) {
+// newer view of a peer was adopted in the meantime. Full is nil if the page has only the records
+// from a position on.
+func (f *Follower) applyPage(current time.Time, page Page, full *fullRead) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -399,10 +413,10 @@
 	}
 	f.endOutageLocked(now, page.Next)
 	f.contact = current
-	if f.loaded && page.Next.Compare(f.next) < 0 {
+	if goesBack := full != nil && full.doubted != nil && *full.doubted == f.next; f.loaded && page.Next.Compare(f.next) < 0 && !goesBack {
 		return
 	}
-	if full {
+	if full != nil {
 		f.replaceLocked(now, page)
 		f.logRecords(now, sourceRead, page.Records)
 		return
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -156,6 +156,14 @@
 			[]readResult{{page: page(5, record(4, "a", "5"))}, {err: &feed.TrimmedError{From: 5, First: 6}}, {page: page(3, record(2, "a", "2"))}},
 			[]string{"newest", "since", "newest", "since"}, map[string]string{"a": "5"},
 		},
+		"a position beyond the end of the topic": {
+			[]readResult{{page: page(5, record(4, "a", "5"))}, {err: &feed.BeyondEndError{From: 5, End: 3}}, {page: page(3, record(2, "a", "3"))}, {page: page(4, record(3, "a", "4"))}},
+			[]string{"newest", "since", "newest", "since", "since"}, map[string]string{"a": "4"},
+		},
+		"a position that only one read calls wrong": {
+			[]readResult{{page: page(5, record(4, "a", "5"))}, {err: &feed.BeyondEndError{From: 5, End: 3}}, {page: page(5, record(4, "a", "5"))}, {page: page(6, record(5, "a", "6"))}},
+			[]string{"newest", "since", "newest", "since", "since"}, map[string]string{"a": "6"},
+		},
 		"records that are repeated": {
 			[]readResult{{page: page(2, record(1, "a", "new"))}, {page: page(3, record(0, "a", "old"), record(1, "a", "new"), record(2, "b", "1"))}},
 			[]string{"newest", "since", "since"}, map[string]string{"a": "new", "b": "1"},
--- a/feed/position.go
+++ b/feed/position.go
@@ -38,6 +38,14 @@
 	return fmt.Sprintf("the store is in era %d, not %d", e.Actual, e.Expected)
 }
 
+// BeyondEndError means that a topic ends, at offset End, before the position from which it should be
+// read. No read has reached that position, so it is wrong.
+type BeyondEndError struct{ From, End Offset }
+
+func (e *BeyondEndError) Error() string {
+	return fmt.Sprintf("the topic ends at offset %d, before offset %d from which it should be read", e.End, e.From)
+}
+
 // TrimmedError means that records from offset From on are no longer kept. First is the
 // offset of the oldest record that is.
 type TrimmedError struct{ From, First Offset }
