gateway: of configurations that are read together only the newest is decoded

What callers see: after a series of large configurations the last one is late, by the time for each of the others.

Cause: every record of a page was decoded and indexed in order. Now the newest of each key is, and an older one only if that does not count (unreadable, or of a lower version than is in force).

TestSeriesOfConfigurationsDelaysTheLast failed before: 4, 3, 3 and 4 records decoded in place of 1, 2, 2 and 2.

--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,10 +116,14 @@
 	}
 }
 
-// Apply implements feed.Sink.
+// Apply implements feed.Sink. Of the records with one key it decodes the newest only, as a series of
+// large configurations would otherwise delay the last one; older ones count if that one does not.
 func (o *operatorSink) Apply(now time.Time, records []feed.Record) {
-	for _, r := range records {
-		o.apply(now, r, o.decode(r))
+	applied := make(map[string]bool)
+	for _, r := range slices.Backward(records) {
+		if !applied[r.Key] {
+			applied[r.Key] = o.apply(now, r, o.decode(r))
+		}
 	}
 }
 
@@ -136,18 +141,22 @@
 	return change
 }
 
-// apply puts the change of a record into effect.
-func (o *operatorSink) apply(now time.Time, r feed.Record, change OperatorChange) {
+// apply puts the change of a record into effect. It reports whether it did.
+func (o *operatorSink) apply(now time.Time, r feed.Record, change OperatorChange) bool {
 	switch c := change.(type) {
 	case *CatalogChange:
 		if o.currentCatalog.Update(c.Catalog) {
 			_ = o.logger.Log("event", "config_in_force", "config", c.Catalog.Version, "routes", len(c.Catalog.Routes), "keys", len(c.Catalog.Workspaces), "offset", r.Offset)
-		} else if current := o.currentCatalog.Load(); c.Catalog.Version < current.Version {
+			return true
+		}
+		if current := o.currentCatalog.Load(); c.Catalog.Version < current.Version {
 			_ = o.logger.Log("event", "config_older", "config", current.Version, "store_has", c.Catalog.Version, "offset", r.Offset)
 		}
 	case *Evacuation:
 		o.evacuate(now, c)
+		return true
 	}
+	return false
 }
 
 // evacuate starts or ends an evacuation and logs it.
--- a/gateway/sinks_test.go
+++ b/gateway/sinks_test.go
@@ -122,3 +122,43 @@
 	require.Equal(t, catalog.Version(8), latest.Load().Version, "a catalog never goes back")
 	require.Equal(t, []id.DataCentre{"th-a"}, p.Evacuated())
 }
+
+// countingDecoder counts the records that it decodes.
+type countingDecoder struct {
+	textDecoder
+	decoded *int
+}
+
+func (d countingDecoder) DecodeChange(r feed.Record) (OperatorChange, error) {
+	*d.decoded++
+	return d.textDecoder.DecodeChange(r)
+}
+
+// TestSeriesOfConfigurationsDelaysTheLast guards against decoding each of a series of large configurations
+// that are read together, and against losing one that counts because a later one does not.
+func TestSeriesOfConfigurationsDelaysTheLast(t *testing.T) {
+	for name, tc := range map[string]struct {
+		page    []feed.Record
+		version catalog.Version
+		decoded int
+	}{
+		"a series":                     {records("config", "version 5", "config", "version 7", "config", "version 8", "config", "version 11"), 11, 1},
+		"the last one cannot be read":  {records("config", "version 5", "config", "version 7", "config", "nonsense"), 7, 2},
+		"the last one is an older one": {records("config", "version 5", "config", "version 9", "config", "version 2"), 9, 2},
+		"other keys between":           {records("config", "version 5", "th-a", "on", "config", "version 6", "th-a", ""), 6, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var decoded int
+			current := new(catalog.Latest)
+			p := pool.New(current)
+			sink := newOperatorSink(countingDecoder{decoded: &decoded}, current, p, log.NewNopLogger(), metrics.NewRegistry())
+			now := time.Unix(1_800_000_000, 0)
+			sink.Apply(now, records("config", "version 3"))
+			decoded = 0
+			sink.Apply(now, tc.page)
+			require.Equal(t, tc.version, current.Load().Version)
+			require.Equal(t, tc.decoded, decoded)
+			require.Empty(t, p.Evacuated())
+		})
+	}
+}
