peer, feed: a gateway asks for the records of a peer that it knows to be ahead

One whose own reads succeed and bring nothing, as where reads are not woken, kept its view as current and did not ask, while its peers had told it of a newer one. Now it asks in the next round.

TestNewerViewOfPeerIsNotAskedFor: not within 2 s before, passes now.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -131,6 +131,7 @@
 	newest       map[string]Record // the newest record of each key, including keys deleted from completeFrom on
 	completeFrom Offset            // newest has every change from this offset of the present era on
 	contact      time.Time         // when the content was last known to be that of the store, here or at a peer
+	peerNext     Position          // the newest position that a peer has told
 	failingSince time.Time         // start of the first of the consecutive failed reads; zero: the last read succeeded
 }
 
@@ -192,6 +193,13 @@
 	return View{Page: Page{Next: f.next}, Loaded: f.loaded, Contact: f.contact}
 }
 
+// PeerAhead reports whether a peer has told of a newer view, whose records are missing here.
+func (f *Follower) PeerAhead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peerNext.Compare(f.next) > 0
+}
+
 // ViewFor returns the view for a peer that has loaded all records before peerNext, or
 // none if peerLoaded is false. It has the records that the peer lacks if these are still
 // held, and otherwise the newest of all keys.
@@ -221,6 +229,9 @@
 	if !v.Loaded || f.loaded && v.Next.Compare(f.next) < 0 {
 		return false
 	}
+	if v.Next.Compare(f.peerNext) > 0 {
+		f.peerNext = v.Next
+	}
 	isNew, from := !f.loaded || v.Next.Compare(f.next) > 0, sourcePeer
 	if v.Contact.IsZero() {
 		from = sourceCopy
@@ -256,7 +267,7 @@
 	previous, rewinds := f.next, f.loaded && (p.Next.Era > f.next.Era || p.Next.Compare(f.next) < 0)
 	f.newest = make(map[string]Record, len(p.Records))
 	f.recordLocked(p.Records)
-	f.next, f.completeFrom, f.loaded = p.Next, p.Next.Offset, true
+	f.next, f.completeFrom, f.loaded, f.peerNext = p.Next, p.Next.Offset, true, p.Next
 	if rewinds {
 		f.settleAt = now.Add(eraSettleTime)
 		metrics.GetOrRegisterCounter("feed_era_changed_"+f.cfg.Name, f.registry).Inc(1)
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -160,3 +160,21 @@
 	require.Equal(t, feed.Position{Era: 1, Offset: 3}, gateways[1].upstreams.View().Next)
 	require.Eventually(t, func() bool { return gateways[0].knowsAll(2) && gateways[1].knowsAll(2) }, 5*time.Second, 10*time.Millisecond)
 }
+
+// TestNewerViewOfPeerIsNotAskedFor guards against a gateway that knows that a peer has read more than itself and
+// does not ask for it, as its own reads succeed and bring nothing.
+func TestNewerViewOfPeerIsNotAskedFor(t *testing.T) {
+	view := func(next feed.Offset, value string) feed.View {
+		record := feed.Record{Offset: next - 1, Key: "i-1", Value: []byte(value)}
+		return feed.View{Page: feed.Page{Records: []feed.Record{record}, Next: feed.Position{Era: 1, Offset: next}}, Loaded: true, Contact: time.Now()}
+	}
+	gateways := startGateways(t, func(id.Node) *peer.Row { return &peer.Row{DataCentre: "th-a"} }, "entry-0", "entry-1")
+	ahead, behind := gateways[0], gateways[1]
+	require.True(t, ahead.upstreams.Adopt(time.Now(), view(4, "old")))
+	behind.upstreams.Adopt(time.Now(), view(4, "old"))
+	require.True(t, ahead.upstreams.Adopt(time.Now(), view(5, "new")))
+	require.Eventually(t, func() bool {
+		behind.upstreams.Adopt(time.Now(), view(4, "old")) // as an own read that brings nothing
+		return behind.content.value("i-1") == "new"
+	}, 2*time.Second, 20*time.Millisecond)
+}
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -324,10 +324,10 @@
 }
 
 // topicRequest returns how far this gateway has read a topic, and whether it asks the peer
-// for the rest: it does if its view is older than an age.
+// for the rest: it does if its view is older than an age, or than one that a peer has told of.
 func topicRequest(f *feed.Follower, age time.Duration) *ragwortv1.TopicView {
 	v := f.View()
-	return &ragwortv1.TopicView{Era: uint64(v.Next.Era), Next: uint64(v.Next.Offset), Known: v.Loaded, Wanted: !v.Loaded || time.Since(v.Contact) > age}
+	return &ragwortv1.TopicView{Era: uint64(v.Next.Era), Next: uint64(v.Next.Offset), Known: v.Loaded, Wanted: !v.Loaded || time.Since(v.Contact) > age || f.PeerAhead()}
 }
 
 // topicResponse returns the records that a peer lacks if it asks for them, and the age of
