hosting: after a failed call the platform's client uses new connections

A read on a silent connection fails after its time limit, 2 s, and the next took another kept one, of which there may be 256: rules, withdrawn keys and leases come late by 2 s for each.

TestReadsTakeOneSilentConnectionAfterTheOther failed before (second read: deadline exceeded), passes 3 of 3.

--- a/hosting/client.go
+++ b/hosting/client.go
@@ -178,16 +178,25 @@
 	return c.do(call, rq, out)
 }
 
+// unavailable returns the error of a call without a whole response. The idle connections are closed, since
+// what has failed one of them may have failed all.
+func (c *Client) unavailable(call string, err error) error {
+	if !errors.Is(err, context.Canceled) {
+		c.httpClient.CloseIdleConnections()
+	}
+	return &UnavailableError{Call: call, Cause: err}
+}
+
 // do sends a request, decodes the response into out and returns the document's ETag.
 func (c *Client) do(call string, rq *http.Request, out any) (etag string, err error) {
 	rs, err := c.httpClient.Do(rq)
 	if err != nil {
-		return "", &UnavailableError{Call: call, Cause: err}
+		return "", c.unavailable(call, err)
 	}
 	defer rs.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(rs.Body, maxResponseBytes))
 	if err != nil {
-		return "", &UnavailableError{Call: call, Cause: err}
+		return "", c.unavailable(call, err)
 	}
 	statusErr := &statusError{call: call, status: rs.StatusCode, body: string(bytes.TrimSpace(data))}
 	switch {
--- a/hosting/client_test.go
+++ b/hosting/client_test.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
 
@@ -109,3 +113,44 @@
 	_, err := c.Read(context.Background(), 2, 0)
 	return err
 }
+
+// TestReadsTakeOneSilentConnectionAfterTheOther guards against reads that each use another of the
+// connections that are kept, when all of these have fallen silent and new ones work.
+func TestReadsTakeOneSilentConnectionAfterTheOther(t *testing.T) {
+	const kept = 5
+	type connectionNumber struct{}
+	var opened, silent atomic.Int64
+	var together sync.WaitGroup
+	together.Add(kept)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if silent.Load() == 0 {
+			together.Done()
+			together.Wait()
+		} else if r.Context().Value(connectionNumber{}).(int64) <= silent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = w.Write([]byte(`{"first":1,"newest":3,"records":[{"offset":3,"payload":"eA=="}]}`))
+	}))
+	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connectionNumber{}, opened.Add(1))
+	}
+	server.Start()
+	defer server.Close()
+	defer server.CloseClientConnections()
+	c := hosting.NewClient(server.URL, process.NewExternalClient())
+	var reads sync.WaitGroup
+	for range kept {
+		reads.Go(func() { assert.NoError(t, readAfter2(c)) })
+	}
+	reads.Wait()
+	silent.Store(kept)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := c.Read(ctx, 2, 0)
+	require.Error(t, err)
+	ctx, cancel = context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err = c.Read(ctx, 2, 0)
+	require.NoError(t, err)
+}
--- a/ragworttest/config_test.go
+++ b/ragworttest/config_test.go
@@ -15,6 +15,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -126,6 +127,36 @@
 	}
 }
 
+// TestRulesAreLateWhileTheLogIsSilent guards against rules that are in force late at processes whose
+// connections to the log have all fallen silent, while new ones work.
+func TestRulesAreLateWhileTheLogIsSilent(t *testing.T) {
+	const phases = 4 // of the reads, which have waited differently long
+	for phase := range phases {
+		t.Run(fmt.Sprint("phase ", phase), func(t *testing.T) {
+			t.Parallel()
+			f := ragworttest.NewFleet(t)
+			f.PublishRules(rulesVersion(t, 0))
+			proxy := ragworttest.NewProxy(t, strings.TrimPrefix(f.PlatformURL, "http://"))
+			platformFlag := "--platform=http://" + proxy.Address()
+			_, url := f.StartEngine(standin.DefaultEngineConfig())
+			all := []*ragworttest.Process{f.StartSidecar("s1", "th-a", url, "--models=temper-70b", platformFlag), f.StartEntry("e1", "th-a", platformFlag)}
+			all[1].WaitReady(t)
+			time.Sleep(time.Second + time.Duration(phase)*time.Second/phases) // at least a round of heartbeats
+			for n := 1; n <= 2; n++ {
+				proxy.SilenceConnections()
+				f.PublishRules(rulesVersion(t, n))
+				newest, publishedAt := rulesOffset(t, f), time.Now()
+				for _, p := range all {
+					ragworttest.Eventually(t, func() bool { return nodeStatus(t, p).GetRulesOffset() == newest }, "%s applies the rules at offset %d", p.Node, newest)
+				}
+				t.Logf("rules applied everywhere %v after they were accepted", time.Since(publishedAt))
+				assert.Less(t, time.Since(publishedAt), rulesLimit)
+				time.Sleep(time.Duration(phase) * time.Second / phases)
+			}
+		})
+	}
+}
+
 // rulesOffset returns the offset of the rules in force on the log.
 func rulesOffset(t *testing.T, f *ragworttest.Fleet) uint64 {
 	ctx, cancel := context.WithTimeout(t.Context(), ragworttest.WaitTimeout)
