--- a/soak/plan.go
+++ b/soak/plan.go
@@ -53,6 +53,8 @@
 	storeAbsence, rewriteDelay = 300 * time.Millisecond, 600 * time.Millisecond
 	// maxLinkDelay bounds the delay of a slow link.
 	maxLinkDelay = time.Second
+	// silenceInterval is the mean time between two losses of all connections to the store.
+	silenceInterval = 4 * time.Second
 	// servesAfterRemoval is how long an upstream still serves after its listing was removed.
 	servesAfterRemoval = time.Second
 )
@@ -90,6 +92,9 @@
 		f.duration = total - f.start
 		faults = append(faults, f)
 	}
+	for range total / silenceInterval {
+		faults = append(faults, scheduledFault{name: "store_forgets_connections", start: time.Duration(tb.rng.Int64N(int64(total))), target: tb.rng.IntN(1 << 16), variant: tb.rng.IntN(1 << 16)})
+	}
 	return faults
 }
 
@@ -142,6 +147,8 @@
 		tb.drain(f)
 	case "key":
 		tb.rotateKey(f)
+	case "store_forgets_connections":
+		tb.forgetConnections(f)
 	case "evacuate":
 		tb.evacuate(f)
 	case "start_hangup", "start_terminate", "start_port", "start_settings", "hangup", "hangup_stop", "output_gone", "many_callers", "busy_stop":
@@ -338,6 +345,19 @@
 	tb.store.SetEvacuated(dataCentre, false)
 }
 
+// forgetConnections lets the open connections of all entries to the store fall silent, or every second time those
+// of one, and changes a key at once. New connections work, so that no guarantee is suspended.
+func (tb *testbed) forgetConnections(f scheduledFault) {
+	nodes := tb.nodes
+	if f.variant%2 == 1 {
+		nodes = []*node{tb.nodes[f.target%len(tb.nodes)]}
+	}
+	for _, n := range nodes {
+		n.link.SilenceConnections()
+	}
+	tb.rotateKey(f)
+}
+
 // rotateKey adds a key and later withdraws it.
 func (tb *testbed) rotateKey(f scheduledFault) {
 	key := fmt.Sprint("key-", f.variant)
