--- a/ragworttest/silent_store_test.go
+++ b/ragworttest/silent_store_test.go
@@ -23,7 +23,7 @@
 		"reads that hear late": func(_ *ragworttest.Proxy, s *standin.Store) { s.SetFaults(standin.StoreFaults{DeafReads: true}) },
 	}
 	for cause, silence := range causes {
-		for _, tc := range []struct{ gateways, phases int }{{1, phases}, {4, phases / 2}} {
+		for _, tc := range []struct{ gateways, phases int }{{1, phases}, {4, phases / 2}, {9, phases / 3}} {
 			for phase := range tc.phases {
 				t.Run(fmt.Sprintf("%s, %d gateways, phase %d", cause, tc.gateways, phase), func(t *testing.T) {
 					t.Parallel()
