feed, gateway: the log tells when a view of the store becomes older than the bound on configurations

A gateway goes on with what it knows when it hears nothing; feed_outdated and feed_current tell from when to when, and how far a peer had read. With config_in_force of other gateways they show whether a request was handled by an old configuration.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -132,6 +132,7 @@
 	completeFrom Offset            // newest has every change from this offset of the present era on
 	contact      time.Time         // when the content was last known to be that of the store, here or at a peer
 	peerNext     Position          // the newest position that a peer has told
+	outdated     bool              // the view was logged as outdated
 	failingSince time.Time         // start of the first of the consecutive failed reads; zero: the last read succeeded
 }
 
@@ -193,6 +194,17 @@
 	return View{Page: Page{Next: f.next}, Loaded: f.loaded, Contact: f.contact}
 }
 
+// LogIfOutdated logs when the view becomes older than a limit, and when it no longer is.
+func (f *Follower) LogIfOutdated(now time.Time, limit time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := now.Sub(f.contact)
+	if outdated := f.loaded && age > limit; outdated != f.outdated {
+		f.outdated = outdated
+		_ = f.logger.Log("event", map[bool]string{true: "feed_outdated", false: "feed_current"}[outdated], "view_age", age.Round(time.Millisecond), "at", f.next, "peer_at", f.peerNext)
+	}
+}
+
 // PeerAhead reports whether a peer has told of a newer view, whose records are missing here.
 func (f *Follower) PeerAhead() bool {
 	f.mu.Lock()
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -212,6 +212,25 @@
 	require.Contains(t, out.String(), "event=feed_applied from=peer read_age=1s records=1 next=0/4")
 }
 
+// TestOutdatedViewIsLogged checks that the log tells when a view becomes too old, once, and when it no longer is.
+func TestOutdatedViewIsLogged(t *testing.T) {
+	var out strings.Builder
+	f := feed.New(feed.Config{Name: "test"}, nil, &mapSink{values: map[string]string{}}, log.NewLogfmtLogger(&out), metrics.NewRegistry())
+	now := time.Now()
+	const limit = 2 * time.Second
+	f.LogIfOutdated(now, limit)
+	require.Empty(t, out.String(), "nothing is known yet")
+	require.True(t, f.Adopt(now, view(now, 3, record(2, "a", "3"))))
+	f.LogIfOutdated(now.Add(limit), limit)
+	require.Empty(t, out.String())
+	f.LogIfOutdated(now.Add(limit+time.Second), limit)
+	f.LogIfOutdated(now.Add(limit+2*time.Second), limit)
+	require.Equal(t, "topic=test event=feed_outdated view_age=3s at=0/3 peer_at=0/3\n", out.String())
+	require.True(t, f.Adopt(now, view(now.Add(5*time.Second), 4, record(3, "a", "4"))))
+	f.LogIfOutdated(now.Add(5*time.Second), limit)
+	require.Contains(t, out.String(), "event=feed_current view_age=0s")
+}
+
 func TestFirstViewFromPeer(t *testing.T) {
 	f, sink, _ := runFollower(t, readResult{err: errUnavailable})
 	now := time.Now()
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -219,7 +219,7 @@
 // the store is in a new era, as peers then need to know what this gateway has claimed, and when
 // this gateway has found something about the parts of prompts or the limit of an upstream.
 // The function also updates which gateways share the limits of the pool and of the retry
-// budgets.
+// budgets, and logs views that are outdated.
 func (p *Program) ownRow(fleetTime func() time.Time) func(time.Time) (*peer.Row, bool) {
 	var last struct {
 		window  duty.Window
@@ -235,6 +235,9 @@
 		p.pool.SetViewsOutdated(p.viewsOutdated(now))
 		p.pool.SetPeerLoads(p.peerLoads(now))
 		p.retryBudgets.SetFleet(fleet)
+		for _, f := range p.followers {
+			f.LogIfOutdated(now, durationMS(p.settings.Bounds.ConfigMS))
+		}
 		row = &peer.Row{
 			Address: p.settings.Listen.Peers, DataCentre: string(p.settings.DataCentre), Leaving: p.gateway.ShuttingDown(),
 			CountedToUnixMs: fleetTime().UnixMilli(), Loads: encodeLoads(p.pool.Loads(now)),
