standin: what is written again after a loss does not replace what is newer

Traced: version 24, which withdrew the key, was published between the return of the store and the rewriting of what it had lost, which then wrote version 21, with the key, at a higher offset; all six entries took 21 as the newest. Entry-5 had refused the key before, since it had not read its addition yet. Operators write versions in order, so the stand-in was wrong. It now leaves out keys that were written since the return; the checker is unchanged.

--- a/standin/store.go
+++ b/standin/store.go
@@ -153,7 +153,8 @@
 }
 
 // Restore replaces the content by that of a copy and begins the next era. The returned
-// function writes again what operators and replicas have written since the copy.
+// function writes again what operators and replicas have written since the copy, but for keys that
+// they have written anew since Restore: operators never write an older version after a newer one.
 func (s *Store) Restore(c *Copy) (rewrite func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,13 +177,30 @@
 	s.wakeReaders()
 	return func() {
 		for topic, keys := range lost {
+			var restoredEnd uint64
+			if p := c.partitions[topic]; p != nil {
+				restoredEnd = p.end()
+			}
 			for _, key := range keys {
-				s.Put(topic, key, before[topic].newest[key].value)
+				s.putUnlessWritten(topic, key, before[topic].newest[key].value, restoredEnd)
 			}
 		}
 	}
 }
 
+// putUnlessWritten is Put, unless a record with the key has been appended from an offset on.
+func (s *Store) putUnlessWritten(topic, key string, value []byte, from uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic)
+	for _, record := range p.records[min(len(p.records), int(max(from, p.firstOffset)-p.firstOffset)):] {
+		if string(record[1:1+int(record[0])]) == key {
+			return
+		}
+	}
+	s.appendRecord(p, append(append([]byte{byte(len(key))}, key...), value...))
+}
+
 // clone returns a copy of a partition. Records are never changed and may be shared.
 func (p *partition) clone() *partition {
 	return &partition{firstOffset: p.firstOffset, records: slices.Clone(p.records), staleEnd: p.staleEnd, newest: maps.Clone(p.newest)}
