soak: changes are put to the test while entries are undisturbed and their reads begin together

A change lets the reads of all begin at once, so one goes before the silence now, and the fault comes once more after all others, when entries are undisturbed.

--- a/soak/main.go
+++ b/soak/main.go
@@ -119,6 +119,11 @@
 	}
 	faultTasks.Wait()
 	tb.faultsEnded = tb.now()
+	tb.tasks.Go(func() {
+		if tb.sleep(tb.bounds.contact) { // entries that are undisturbed have to obey
+			tb.forgetConnections(scheduledFault{variant: 1 << 16})
+		}
+	})
 	tb.sleep(tb.bounds.recovery + tailDuration)
 	close(tb.stopCallers)
 	callerTasks.Wait() // before stop ends the processes
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -146,9 +146,7 @@
 	case "drain", "replace":
 		tb.drain(f)
 	case "key":
-		tb.rotateKey(f)
-	case "store_forgets_connections":
-		tb.forgetConnections(f)
+		tb.rotateKey(f, func() {})
 	case "evacuate":
 		tb.evacuate(f)
 	case "start_hangup", "start_terminate", "start_port", "start_settings", "hangup", "hangup_stop", "output_gone", "many_callers", "busy_stop":
@@ -200,6 +198,9 @@
 	case "platform_rewinds":
 		tb.rewindStore(f)
 		return
+	case "store_forgets_connections":
+		tb.forgetConnections(f)
+		return
 	case "platform_partly":
 		faults.UnavailablePartitions = [][]string{
 			{standin.OperatorsTopic},
@@ -346,21 +347,27 @@
 }
 
 // forgetConnections lets the open connections of all entries to the store fall silent, or every second time those
-// of one, and changes a key at once. New connections work, so that no guarantee is suspended.
+// of one, just before it adds a key and again before it withdraws the key. New connections work, so that no
+// guarantee is suspended. A change just before lets the reads of all entries begin together, so that no entry hears
+// much earlier than the others.
 func (tb *testbed) forgetConnections(f scheduledFault) {
 	nodes := tb.nodes
 	if f.variant%2 == 1 {
 		nodes = []*node{tb.nodes[f.target%len(tb.nodes)]}
 	}
-	for _, n := range nodes {
-		n.link.SilenceConnections()
-	}
-	tb.rotateKey(f)
+	tb.rotateKey(f, func() {
+		tb.publishConfig()
+		tb.sleep(time.Duration(f.variant%int(tb.bounds.config.Milliseconds())) * time.Millisecond / 4)
+		for _, n := range nodes {
+			n.link.SilenceConnections()
+		}
+	})
 }
 
-// rotateKey adds a key and later withdraws it.
-func (tb *testbed) rotateKey(f scheduledFault) {
+// rotateKey adds a key and later withdraws it. Before is called before either.
+func (tb *testbed) rotateKey(f scheduledFault, before func()) {
 	key := fmt.Sprint("key-", f.variant)
+	before()
 	tb.listMu.Lock()
 	if _, taken := tb.keys[key]; taken {
 		tb.listMu.Unlock()
@@ -371,6 +378,7 @@
 	tb.addChange(change{kind: "key_added", name: key, span: span{from: tb.now()}})
 	tb.publishConfig()
 	tb.sleep(tb.bounds.config + f.duration)
+	before()
 	tb.listMu.Lock()
 	delete(tb.keys, key)
 	tb.listMu.Unlock()
