--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -16,11 +16,15 @@
 	maxGroupReadWait    = 350 * time.Millisecond
 	maxPeerViewAge      = 1100 * time.Millisecond
 	maxGroupViewAge     = 1600 * time.Millisecond
+	// shortestReadWait is the least that a freshness has, whatever the bound.
+	shortestReadWait = 100 * time.Millisecond
 	// newReadTime is how long a read on a new connection may take, with what it brings being put in force.
 	newReadTime = 200 * time.Millisecond
 	// lateRead is how long after it should have ended a read whose connection is silent has been
 	// replaced by another.
 	lateRead = feed.ReadOverdue + newReadTime
+	// boundReserve is the part of the bound that is left for a gateway that is slow.
+	boundReserve = 0.1
 )
 
 // freshness holds time limits that keep a fleet's view of the operators' topic within a bound, also if all
@@ -40,19 +44,14 @@
 }
 
 // newFreshness returns the limits for a bound on the time from the publication of a configuration until it is
-// in force. A bound of less than about a second can only be kept while no connection falls silent.
+// in force. A bound of less than about 0.7 s can only be kept while no connection falls silent.
 func newFreshness(bound time.Duration) freshness {
-	longestViewAge := max(bound-feed.ViewCheckInterval-lateRead, newReadTime)
+	longest := time.Duration(float64(bound)*(1-boundReserve)) - lateRead
+	longestWait, longestViewAge := max(longest, shortestReadWait), max(longest-feed.ViewCheckInterval, shortestReadWait)
 	return freshness{
-		operatorReadWait: min(maxOperatorReadWait, bound/2),
-		groupReadWait:    min(maxGroupReadWait, bound/4),
+		operatorReadWait: min(maxOperatorReadWait, bound/2, longestWait),
+		groupReadWait:    min(maxGroupReadWait, bound/4, longestWait),
 		maxPeerViewAge:   min(maxPeerViewAge, longestViewAge),
 		maxGroupViewAge:  min(maxGroupViewAge, longestViewAge),
 	}
 }
-
-// longest returns the longest time from the publication of a configuration until it is in force: at a
-// gateway that reads for itself, at one that reads for its group, and at one that takes over views.
-func (f freshness) longest() (reader, groupReader, follower time.Duration) {
-	return f.operatorReadWait + lateRead, f.groupReadWait + lateRead, max(f.maxPeerViewAge, f.maxGroupViewAge) + feed.ViewCheckInterval + lateRead
-}
