--- a/feed/position.go
+++ b/feed/position.go
@@ -38,8 +38,8 @@
 	return fmt.Sprintf("the store is in era %d, not %d", e.Actual, e.Expected)
 }
 
-// BeyondEndError means that a topic ends, at offset End, before the position from which it should be
-// read. No read has reached that position, so it is wrong.
+// BeyondEndError means that a topic ends before the position from which it should be read. No read has
+// reached that position, so it is wrong. End is the end, or an offset before it if the store does not tell.
 type BeyondEndError struct{ From, End Offset }
 
 func (e *BeyondEndError) Error() string {
--- a/standin/store.go
+++ b/standin/store.go
@@ -347,7 +347,7 @@
 		if s.faults.DeafReads && waited {
 			end = from
 		}
-		if from < p.firstOffset {
+		if from < p.firstOffset || from > p.end() {
 			writeStatusJSON(w, http.StatusGone, map[string]uint64{"First": p.firstOffset})
 			s.mu.Unlock()
 			return
