--- a/soak/main.go
+++ b/soak/main.go
@@ -67,6 +67,7 @@
 		if c.lifeFaults {
 			faults = append(faults, tb.drawLifeFaults(c.faultDuration)...)
 		}
+		faults = append(faults, tb.drawSilences(c.faultDuration)...)
 		if tb.runLoad(res.entries*c.callersPerEntry, faults) {
 			checks := tb.runCheckers()
 			res.violations = listViolations(checks)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -92,6 +92,12 @@
 		f.duration = total - f.start
 		faults = append(faults, f)
 	}
+	return faults
+}
+
+// drawSilences draws when the connections to the store fall silent. It is called last, so that the schedules of
+// seeds that once failed stay as they were.
+func (tb *testbed) drawSilences(total time.Duration) (faults []scheduledFault) {
 	for range total / silenceInterval {
 		faults = append(faults, scheduledFault{name: "store_forgets_connections", start: time.Duration(tb.rng.Int64N(int64(total))), target: tb.rng.IntN(1 << 16), variant: tb.rng.IntN(1 << 16)})
 	}
