feed, gateway: full reads after a return of the store do not keep removed upstreams in use

What happens: an upstream that was removed gets requests for up to 2.2 s more (DRAIN, 2 s), some seconds after the store has come back from a copy.

Cause: what is removed shortly after a return may only have expired, so that it stays in use for 2.2 s from the return. Until the new era is settled, 6 s, every full read counted as one more return; a full view of a peer is one, too.

Now the follower tells its sink of a return once.

TestFullReadsAreNoFurtherReturns and TestRemovedListingIsUsedAfterFullReads failed before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -55,12 +55,14 @@
 	Replace(now time.Time, records []Record)
 	// Apply adds new records, in the order of their offsets.
 	Apply(now time.Time, records []Record)
-	// Rewind is called in place of Replace when the store has come back from a copy. Each
-	// record may be older than one that was applied before, and newer records may be
-	// missing: the sink must not go back to an older state. Apply follows with the records
-	// that are written again, and Replace once all of them should have been.
+	// Rewind is called in place of Replace when the store has come back from a copy, after
+	// Recovered, and for each further full read until Replace. Each record may be older than
+	// one that was applied before, and newer records may be missing: the sink must not go back
+	// to an older state. Apply follows with the records that are written again, and Replace
+	// once all of them should have been.
 	Rewind(now time.Time, records []Record)
-	// Recovered is called when the topic can be read again after an outage.
+	// Recovered is called when the topic can be read again after an outage, and when the store
+	// has come back from a copy.
 	Recovered(now time.Time)
 }
 
@@ -284,6 +286,7 @@
 		f.settleAt = now.Add(eraSettleTime)
 		metrics.GetOrRegisterCounter("feed_era_changed_"+f.cfg.Name, f.registry).Inc(1)
 		_ = f.logger.Log("event", "feed_era_changed", "from", previous, "to", p.Next, "records", len(p.Records), "held_for", eraSettleTime)
+		f.sink.Recovered(now)
 	}
 	if f.settleAt.IsZero() {
 		f.sink.Replace(now, p.Records)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -311,6 +311,20 @@
 	require.Equal(t, feed.Position{Era: 2, Offset: 6}, f.View().Next)
 }
 
+// TestFullReadsAreNoFurtherReturns guards against full reads, soon after a return of the store, that count as one more:
+// listings that are removed then would stay in use.
+func TestFullReadsAreNoFurtherReturns(t *testing.T) {
+	_, sink, _ := runFollower(t,
+		readResult{page: pageOf(1, 9, record(7, "a", "new"))},
+		readResult{err: &feed.EraError{Expected: 1, Actual: 2}},
+		readResult{page: pageOf(2, 5, record(3, "a", "old"))},
+		readResult{err: &feed.TrimmedError{From: 5, First: 7}},
+		readResult{page: pageOf(2, 8, record(7, "a", "newer"))},
+	)
+	require.Equal(t, 2, sink.rewinds)
+	require.Equal(t, 1, sink.recoveries)
+}
+
 // TestPeersOfDifferentEras guards against a view of an older era that replaces one of a newer
 // era by its higher offset, and against an incremental view across eras.
 func TestPeersOfDifferentEras(t *testing.T) {
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -215,7 +215,6 @@
 // the same upstream, so that one that is draining or gone does not come back. An upstream
 // without a record stays in use for the time in which expired listings reappear.
 func (l *listingSink) Rewind(now time.Time, records []feed.Record) {
-	l.pool.StoreRecovered(now)
 	listed := make(map[id.Upstream]bool)
 	held := 0
 	for _, r := range records {
--- a/gateway/sinks_test.go
+++ b/gateway/sinks_test.go
@@ -93,6 +93,7 @@
 				return out
 			}
 			sink.Apply(now, tc.before)
+			sink.Recovered(now.Add(time.Second))
 			sink.Rewind(now.Add(time.Second), tc.store)
 			require.Equal(t, tc.used, used(now.Add(time.Second)))
 			sink.Apply(now.Add(2*time.Second), tc.later)
@@ -101,6 +102,22 @@
 	}
 }
 
+// TestRemovedListingIsUsedAfterFullReads guards against an upstream that is removed, some seconds after a return of the
+// store, and stays in use because full reads have followed the return.
+func TestRemovedListingIsUsedAfterFullReads(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := pool.New(new(catalog.Latest))
+	sink := newListingSink(textDecoder{}, p, log.NewNopLogger(), metrics.NewRegistry())
+	sink.Apply(now, records("i-1", "7 4 ready", "i-2", "7 4 ready"))
+	sink.Recovered(now)
+	for range 5 {
+		sink.Rewind(now, records("i-1", "7 4 ready", "i-2", "7 4 ready"))
+		now = now.Add(time.Second)
+	}
+	sink.Apply(now, records("i-2", ""))
+	require.Equal(t, []id.Upstream{"i-1"}, p.Upstreams())
+}
+
 // TestRewindKeepsNewerChanges does the same with an older catalog, an evacuation that has
 // ended and one that the store has lost. Replace believes the store again.
 func TestRewindKeepsNewerChanges(t *testing.T) {
