pool: a wait is kept as the listing of the start that asked for it arrives

No response names its start, but a listing tells when the start began: a wait that was asked for later, by the fleet's common time, is kept. With a clock that is wrong by more than the time between, it is forgotten as before, or kept for a start that has not asked, for as long as the earlier one had.

TestWaitIsForgottenAsItsStartIsListed: 2 of 3 cases failed before. The test's other start has a realistic time now, 1 ms from now.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -149,6 +149,9 @@
 		isNew = true
 	}
 	u.Listing, u.removeAt, u.listedAt = l, time.Time{}, now
+	if isNew {
+		p.keepWait(now, &l)
+	}
 	u.coldUntil = time.Time{}
 	if l.ColdFor > 0 {
 		u.coldUntil = now.Add(l.ColdFor)
--- a/pool/remark.go
+++ b/pool/remark.go
@@ -27,6 +27,7 @@
 type remark struct {
 	leaving   bool
 	waitUntil time.Time // it wants no requests before
+	askedAt   time.Time // when it said so; zero: never
 	limit     *limitState
 	madeAt    time.Time // when it last said something
 }
@@ -48,11 +49,25 @@
 	defer p.mu.Unlock()
 	r := p.remarkFor(now, l)
 	if until := now.Add(min(wait, maxAskedWait)); until.After(r.waitUntil) {
-		r.waitUntil = until
+		r.waitUntil, r.askedAt = until, now
 	}
 	return r.waitUntil
 }
 
+// keepWait has an upstream that is listed anew keep a wait that was asked for after the start that it is listed
+// with: a response does not name the start that made it, and may come before the listing of that start. The
+// caller holds the lock.
+func (p *Pool) keepWait(now time.Time, l *Listing) {
+	for of, r := range p.remarks {
+		if of.upstream != l.ID || of.startUnixMS >= l.StartUnixMS || !now.Before(r.waitUntil) || p.fleet.Common(r.askedAt).UnixMilli() <= l.StartUnixMS {
+			continue
+		}
+		if own := p.remarkFor(now, l); own.waitUntil.Before(r.waitUntil) {
+			own.waitUntil, own.askedAt = r.waitUntil, r.askedAt
+		}
+	}
+}
+
 // remarkFor returns the remark of an incarnation, which it creates if there is none, and forgets old
 // ones. The caller holds the lock.
 func (p *Pool) remarkFor(now time.Time, l *Listing) *remark {
--- a/pool/remark_test.go
+++ b/pool/remark_test.go
@@ -65,13 +65,44 @@
 	}
 }
 
-// restarted returns the listing of the first upstream after another start.
+// restarted returns the listing of the first upstream after another start, a moment from now.
 func restarted() pool.Listing {
 	l := listing(0)
-	l.StartUnixMS = 2
+	l.StartUnixMS = now.UnixMilli() + 1
 	return l
 }
 
+// TestWaitIsForgottenAsItsStartIsListed guards against a wait that is forgotten because its response came before
+// the listing of the start that asked for it.
+func TestWaitIsForgottenAsItsStartIsListed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		asked  time.Duration // after the listing of the earlier start; the next start is 1 ms after that
+		remove bool          // the listing disappears between
+		used   bool
+	}{
+		"asked by the next start":               {asked: time.Second},
+		"asked by the next start, gone between": {asked: time.Second, remove: true},
+		"asked by the earlier start":            {asked: 0, used: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(2)
+			earlier := listing(0)
+			asked := now.Add(tc.asked)
+			p.AskWait(asked, &earlier, 4*time.Second)
+			if tc.remove {
+				p.Remove(asked, "i-0")
+			}
+			p.Put(asked, restarted())
+			if tc.used {
+				require.Contains(t, chosen(t, p, asked), "i-0")
+			} else {
+				require.NotContains(t, chosen(t, p, asked.Add(4*time.Second-1)), "i-0")
+			}
+			require.Contains(t, chosen(t, p, asked.Add(4*time.Second)), "i-0")
+		})
+	}
+}
+
 // TestLateMarkOfEarlierStart guards against a mark of an earlier start of an upstream that
 // takes out the present one.
 func TestLateMarkOfEarlierStart(t *testing.T) {
