--- a/ragworttest/silent_store_test.go
+++ b/ragworttest/silent_store_test.go
@@ -34,8 +34,11 @@
 	}
 }
 
-// testSilentStore has the store fall silent after a time, changes a key, and requires that the change is in
-// force at each gateway within the bound of the settings.
+// drainBound is the time from the end of a listing until its upstream must get no more requests.
+const drainBound = 2 * time.Second
+
+// testSilentStore has the store fall silent after a time, changes a key and ends a listing, and requires that
+// each gateway obeys within the bounds.
 func testSilentStore(t *testing.T, gateways int, after time.Duration, silence func(*ragworttest.Proxy, *standin.Store)) {
 	f := newRelayFleet(t, 0)
 	link := ragworttest.NewProxy(t, f.storeAddress)
@@ -44,6 +47,7 @@
 	time.Sleep(after)
 	silence(link, f.store)
 	f.putCatalog("key-1", "key-3")
+	f.store.DeleteListing("i-2")
 	changed := time.Now()
 	bound := time.Duration(f.settings(f.nodes[0]).Bounds.ConfigMS) * time.Millisecond
 	var checks sync.WaitGroup
@@ -66,6 +70,19 @@
 		})
 	}
 	checks.Wait()
+	time.Sleep(time.Until(changed.Add(drainBound)))
+	runs := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.byUpstream["i-2"]
+	}
+	before := runs()
+	for range 20 {
+		for _, r := range f.nodes {
+			f.statusFor(r, "key-1")
+		}
+	}
+	assert.Equal(t, before, runs(), "an upstream whose listing has ended gets requests")
 }
 
 // TestNewKeyIsRefusedForGoodByAnOldConfiguration guards against a gateway that cannot read the store and
