soak: crashes that come together count as one, as in the guarantee

Crashes 100 ms apart count as one (quarantine.md), as engines that end together have a common cause, so that four were known of the five that hold a part which a quarter of the requests have. The fifth came at 32.18 s, and the part was held everywhere 0.39 s later at most, of 3 s.

The checker counted every crash. It counts separate ones now, by the same rule; the time and the number after them are as before.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -24,8 +24,10 @@
 	// between sound requests with the part before it.
 	promptInterval = 100 * time.Millisecond
 	// maxCrashesLate is how many requests may reach upstreams later than the contact time after
-	// the crash with the number crashesKnown.
+	// the separate crash with the number crashesKnown. Crashes less than crashSpacing apart count as one: upstreams
+	// that end together have a common cause.
 	maxCrashesLate, crashesKnown = 3, 5
+	crashSpacing                 = 100 * time.Millisecond
 	// minSoundPrompts is how many sound requests must be due to begin to compare how many did.
 	minSoundPrompts = 20
 
@@ -79,10 +81,11 @@
 // that sound ones with the part before it still do, at least half as often as requests without a prompt
 // at the same time: there may be no upstream for either.
 func checkCrashing(h *history) (v checkResult) {
-	if len(h.crashes) < crashesKnown {
+	crashes := separateCrashes(h.crashes)
+	if len(crashes) < crashesKnown {
 		return v
 	}
-	known := slices.Sorted(slices.Values(h.crashes))[crashesKnown-1]
+	known := crashes[crashesKnown-1]
 	runs := h.arrivalsByRequest()
 	began := func(r *result) bool {
 		return slices.ContainsFunc(runs[r.request], func(a *arrival) bool { return a.ran })
@@ -122,6 +125,16 @@
 	return v
 }
 
+// separateCrashes returns the times of the crashes that count as separate, in order.
+func separateCrashes(crashes []time.Duration) (separate []time.Duration) {
+	for _, at := range slices.Sorted(slices.Values(crashes)) {
+		if len(separate) == 0 || at-separate[len(separate)-1] >= crashSpacing {
+			separate = append(separate, at)
+		}
+	}
+	return separate
+}
+
 // shareNear returns the share of the requests sent around a time that satisfy a condition; 1 if there
 // are none.
 func shareNear(results []*result, at time.Duration, condition func(*result) bool) float64 {
