--- a/feed/feed.go
+++ b/feed/feed.go
@@ -201,10 +201,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := now.Sub(f.contact)
-	if outdated := f.loaded && age > limit; outdated != f.outdated {
-		f.outdated = outdated
-		_ = f.logger.Log("event", map[bool]string{true: "feed_outdated", false: "feed_current"}[outdated], "view_age", age.Round(time.Millisecond), "at", f.next, "peer_at", f.peerNext)
+	outdated := f.loaded && age > limit
+	if outdated == f.outdated {
+		return
+	}
+	f.outdated = outdated
+	event := "feed_current"
+	if outdated {
+		event = "feed_outdated"
 	}
+	_ = f.logger.Log("event", event, "view_age", age.Round(time.Millisecond), "at", f.next, "peer_at", f.peerNext)
 }
 
 // PeerAhead reports whether a peer has told of a newer view, whose records are missing here.
@@ -284,8 +290,12 @@
 	f.next, f.completeFrom, f.loaded, f.peerNext = p.Next, p.Next.Offset, true, p.Next
 	if rewinds {
 		f.settleAt = now.Add(eraSettleTime)
-		metrics.GetOrRegisterCounter("feed_era_changed_"+f.cfg.Name, f.registry).Inc(1)
-		_ = f.logger.Log("event", "feed_era_changed", "from", previous, "to", p.Next, "records", len(p.Records), "held_for", eraSettleTime)
+		event := "feed_went_back"
+		if p.Next.Era > previous.Era {
+			event = "feed_era_changed"
+			metrics.GetOrRegisterCounter("feed_era_changed_"+f.cfg.Name, f.registry).Inc(1)
+		}
+		_ = f.logger.Log("event", event, "from", previous, "to", p.Next, "records", len(p.Records), "held_for", eraSettleTime)
 		f.sink.Recovered(now)
 	}
 	if f.settleAt.IsZero() {
@@ -438,8 +448,11 @@
 		return
 	}
 	f.endOutageLocked(now, page.Next)
-	f.contact = current
-	if goesBack := full != nil && full.doubted != nil && *full.doubted == f.next; f.loaded && page.Next.Compare(f.next) < 0 && !goesBack {
+	if current.After(f.contact) {
+		f.contact = current
+	}
+	goesBack := full != nil && full.doubted != nil && *full.doubted == f.next
+	if f.loaded && page.Next.Compare(f.next) < 0 && !goesBack {
 		return
 	}
 	if full != nil {
