response: the library's client is held to the same rules

The library lets a blank in a name, and any status of three digits, through; a sidecar that was answered with 000 panicked. Bodies larger than the limit of their reader were cut without a word. An order counted as carried out once the head of its response had come.

Change: response.Transport. A connection knows whether a write has failed, so that its end is told from a reset; a response without a length is whole only if its request was written; heads, informational ones and trailers are checked as the library has read them. Sidecars, the store, usage reports, hosting and ragwortctl use it; peers also refuse responses without a length, as their servers always send one or chunks. ReadBody refuses a larger body. An order is confirmed by a whole response.

--- a/cmd/ragwortctl/holds.go
+++ b/cmd/ragwortctl/holds.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"github.com/ragwortpass/ragwortpass/process"
 )
 
 // holdsTimeout bounds one call to an entry.
@@ -67,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := (&http.Client{Timeout: holdsTimeout}).Do(request)
+	response, err := (&http.Client{Transport: process.NewExternalClient().Transport, Timeout: holdsTimeout}).Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/hosting/client.go
+++ b/hosting/client.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +16,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/response"
 )
 
 // Limits of one request. A read of the log may take its wait on top of requestTimeout.
@@ -194,7 +194,7 @@
 		return "", c.unavailable(call, err)
 	}
 	defer rs.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(rs.Body, maxResponseBytes))
+	data, err := response.ReadBody(rs.Body, maxResponseBytes)
 	if err != nil {
 		return "", c.unavailable(call, err)
 	}
--- a/peer/exchanger.go
+++ b/peer/exchanger.go
@@ -20,6 +20,7 @@
 	"github.com/ragwortpass/ragwortpass/feed"
 	"github.com/ragwortpass/ragwortpass/guard"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
 )
@@ -99,9 +100,11 @@
 // that makeRow returns, and whether the row is urgent, to Table.Publish.
 func NewExchanger(cfg Config, table *Table, topics Topics, clock *clock.Clock, makeRow func(time.Time) (*Row, bool), logger log.Logger, registry metrics.Registry) *Exchanger {
 	dialer := &net.Dialer{Timeout: exchangeTimeout}
+	transport := response.NewTransport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true})
+	transport.RequireSize = true // a message that was cut may still be one
 	return &Exchanger{
 		cfg: cfg, table: table, topics: topics, clock: clock, makeRow: makeRow, logger: logger, registry: registry, guard: guard.New(logger, registry),
-		httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}},
+		httpClient: &http.Client{Transport: transport},
 		wake:       make(chan struct{}, 1), strings: newStringGuard(logger, registry), failures: make(map[string]int), clients: make(map[string]ragwortv1connect.PeerServiceClient),
 	}
 }
--- a/process/server.go
+++ b/process/server.go
@@ -21,6 +21,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ragwortpass/ragwortpass/guard"
+	"github.com/ragwortpass/ragwortpass/response"
 )
 
 const (
@@ -245,7 +246,7 @@
 
 // NewExternalClient returns an HTTP/1.1 client for upstreams and the platform.
 func NewExternalClient() *http.Client {
-	return newClient(&http.Transport{
+	return newExternalClient(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
@@ -257,7 +258,7 @@
 // connection. On a reused connection that breaks, http.Transport would resend a request
 // whose method is idempotent or that has an Idempotency-Key header.
 func NewNoResendClient() *http.Client {
-	return newClient(&http.Transport{
+	return newExternalClient(&http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
@@ -274,6 +275,13 @@
 	}
 }
 
+// newExternalClient is newClient for HTTP/1.1, which does not show by itself where a response ends.
+func newExternalClient(t *http.Transport) *http.Client {
+	c := newClient(t)
+	c.Transport = response.NewTransport(t)
+	return c
+}
+
 func (s Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
--- a/response/head.go
+++ b/response/head.go
@@ -17,12 +17,13 @@
 // maxShownBytes limits what errors repeat of a line.
 const maxShownBytes = 64
 
-// Part is a part of a response that consists of lines.
+// Part is a part of a response.
 type Part string
 
-// The parts of a response that consist of lines.
+// The parts of a response. Head and Trailer consist of lines.
 const (
 	Head    Part = "head"
+	Body    Part = "body"
 	Trailer Part = "trailer"
 )
 
--- a/response/read.go
+++ b/response/read.go
@@ -219,3 +219,15 @@
 	}
 	return n, io.EOF
 }
+
+// ReadBody reads a body of up to limit bytes. A larger one is an error, as a part of it is no response.
+func ReadBody(body io.Reader, limit int) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, int64(limit)+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(data) > limit:
+		return nil, &TooLargeError{Body, limit}
+	}
+	return data, nil
+}
--- a/sidecar/order.go
+++ b/sidecar/order.go
@@ -18,6 +18,7 @@
 	"github.com/ragwortpass/ragwortpass/fleet"
 	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/response"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1/ragwortv1connect"
 )
@@ -30,8 +31,12 @@
 	refusedFailed  = "failed"  // the upstream did not accept it
 )
 
-// maxRememberedOrders is how many executed orders are remembered to recognise repeats.
-const maxRememberedOrders = 64
+const (
+	// maxRememberedOrders is how many executed orders are remembered to recognise repeats.
+	maxRememberedOrders = 64
+	// maxConfirmationBytes limits the response of an upstream to an order.
+	maxConfirmationBytes = 64 << 10
+)
 
 // orderService implements the OrderService. It executes one order at a time, so that an
 // old order cannot overtake a new one between the check and the upstream.
@@ -147,7 +152,8 @@
 	if rs.StatusCode != http.StatusOK {
 		return &UpstreamOrderError{Status: rs.StatusCode}
 	}
-	return nil
+	_, err = response.ReadBody(rs.Body, maxConfirmationBytes) // a part of a response confirms nothing
+	return err
 }
 
 // UpstreamOrderError reports that the upstream refused an order.
