--- a/id/id.go
+++ b/id/id.go
@@ -30,6 +30,8 @@
 	Route string
 	// Upstream identifies a process of a model engine or plain service.
 	Upstream string
+	// Version identifies what an upstream runs: a build of a service, or the weights of a model.
+	Version string
 	// Node identifies an entry or sidecar process.
 	Node string
 	// DataCentre identifies a data centre.
--- /dev/null
+++ b/rollout/register.go
@@ -0,0 +1,336 @@
+package rollout
+
+// This file defines Register, what one gateway knows of the orders: records, counts and verdicts, its own and
+// those of its peers. choice.go defines what it decides for a request.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+// Load is what this gateway knows of the upstreams of one version that take requests.
+type Load struct {
+	Upstreams int
+	Slots     int // zero: not known
+	Running   int // requests of this gateway, also at upstreams that take no more
+}
+
+// size returns by how much upstreams count against those of another version.
+func (l Load) size() int { return cmp.Or(l.Slots, l.Upstreams) }
+
+// Service describes a service that an order is about.
+type Service struct {
+	Known    bool // a configuration names it, or none is known yet
+	Versions map[id.Version]Load
+}
+
+// Report is what one gateway knows of one order.
+type Report struct {
+	Service   id.Service
+	Target    id.Version
+	Order     uint64    // offset of the order
+	Live      bool      // the gateway is alive; not told
+	State     State     // of the newest record that it knows
+	Reason    Reason    // of that record
+	Started   time.Time // zero: not known
+	At        time.Time // of that record
+	By        id.Node   // of that record
+	Condemned Reason    // why the target is condemned; empty: it is not
+	// OtherRunning is how many of its requests run at upstreams of other versions.
+	OtherRunning int
+	Counts       Counts
+}
+
+// snapshot holds the counts of all gateways at a time.
+type snapshot struct {
+	at     time.Time
+	counts Counts
+}
+
+// rollout is an order with all that is known of it.
+type rollout struct {
+	order     Order
+	withdrawn bool
+	started   time.Time
+	record    Record // zero: none is known
+	condemned Reason // empty: the target is not condemned
+	rejected  map[id.Version]bool
+	service   Service
+	own       Counts
+	exposure  exposure
+	// Of all gateways, as of the last round:
+	whole, recent Counts
+	snapshots     []snapshot
+	otherRunning  int
+	allShifting   bool // every live gateway knows that the target goes first
+}
+
+// target returns whether a request for a version is one for the target.
+func (r *rollout) isTarget(v id.Version) bool { return v == r.order.Target }
+
+// schedule returns the times of the order.
+func (r *rollout) schedule() Schedule { return NewSchedule(r.started, r.order.Duration) }
+
+// stopped reports whether the target gets nothing, whatever the record says.
+func (r *rollout) stopped() bool {
+	switch r.record.State {
+	case Done:
+		return false
+	case RolledBack:
+		return true
+	}
+	return r.withdrawn || r.condemned != ""
+}
+
+// loads returns the loads of the target and of all other versions that are not rejected.
+func (r *rollout) loads() (target, others Load) {
+	for v, l := range r.service.Versions {
+		switch {
+		case r.isTarget(v):
+			target = l
+		case !r.rejected[v]:
+			others.Upstreams += l.Upstreams
+			others.Slots += l.Slots
+			others.Running += l.Running
+		}
+	}
+	return target, others
+}
+
+// Register is what a gateway knows of the orders. It is safe for concurrent use.
+type Register struct {
+	cfg    Config
+	random func() float64 // from zero to one
+
+	mu       sync.Mutex
+	rollouts map[id.Service]*rollout
+	gateways int  // the most that were known at once
+	isolated bool // most peers were not heard of late
+	version  int  // rises when peers should know of something at once
+}
+
+// New returns a register without orders.
+func New(cfg Config, random func() float64) *Register {
+	return &Register{cfg: cfg, random: random, rollouts: make(map[id.Service]*rollout), gateways: 1}
+}
+
+// Order takes up an order, unless it is the known one of its service. It reports whether it did,
+// and returns the order that is superseded, if any.
+func (g *Register) Order(now time.Time, o Order) (isNew bool, superseded *Order) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rejected := make(map[id.Version]bool)
+	if known := g.rollouts[o.Service]; known != nil {
+		if known.order == o && !known.withdrawn {
+			return false, nil
+		}
+		if known.record.State != Done {
+			rejected = maps.Clone(known.rejected)
+			rejected[known.order.Target] = true
+		}
+		before := known.order
+		superseded = &before
+	}
+	delete(rejected, o.Target)
+	g.rollouts[o.Service] = &rollout{
+		order: o, started: now, rejected: rejected, own: make(Counts), whole: make(Counts), recent: make(Counts), service: Service{Known: true},
+		exposure: exposure{routes: make(map[id.Route]int)},
+	}
+	g.version++
+	return true, superseded
+}
+
+// Withdraw records that the order of a service was deleted. It reports whether one was known.
+func (g *Register) Withdraw(service id.Service) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.rollouts[service]
+	if r == nil || r.withdrawn {
+		return false
+	}
+	r.withdrawn = true
+	g.version++
+	return true
+}
+
+// Orders returns the orders that stand, by service.
+func (g *Register) Orders() map[id.Service]Order {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	orders := make(map[id.Service]Order, len(g.rollouts))
+	for s, r := range g.rollouts {
+		if !r.withdrawn {
+			orders[s] = r.order
+		}
+	}
+	return orders
+}
+
+// Services returns the services that have or had an order.
+func (g *Register) Services() []id.Service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.rollouts))
+}
+
+// SetService sets what is known of the service of an order.
+func (g *Register) SetService(service id.Service, s Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.rollouts[service]; r != nil {
+		r.service = s
+	}
+}
+
+// SetFleet sets how many gateways share the bounds, and whether this one hears from too few of them
+// to learn of a verdict.
+func (g *Register) SetFleet(gateways int, isolated bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gateways, g.isolated = max(g.gateways, gateways), isolated
+}
+
+// Version rises when this gateway has learned something that its peers should know at once.
+func (g *Register) Version() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.version
+}
+
+// Adopt takes over a record that was read or appended, if it is about the known order and newer than the
+// known record. It reports whether it did.
+func (g *Register) Adopt(record Record) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.adopt(record)
+}
+
+// adopt is Adopt for a caller that holds the lock.
+func (g *Register) adopt(record Record) bool {
+	r := g.rollouts[record.Service]
+	if r == nil || !record.of(&r.order) || record.State <= r.record.State {
+		return false
+	}
+	r.record = record
+	if !record.Started.IsZero() && record.Started.Before(r.started) {
+		r.started = record.Started
+	}
+	g.version++
+	return true
+}
+
+// Change is what a round has changed: a verdict of this gateway, one of a peer, or a record that a peer told of.
+type Change struct {
+	Order   Order
+	Verdict *Verdict // nil: there is none of this gateway
+	Told    Reason   // why a peer has condemned the target; empty: none has
+	Record  *Record  // nil: none was told
+}
+
+// Round takes over the reports of all other gateways and judges the targets. The reports are those of
+// the gateways that are known, also of those that ended of late.
+func (g *Register) Round(now time.Time, reports []Report, livePeers int) (changes []Change) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(g.rollouts)) {
+		r := g.rollouts[service]
+		change := Change{Order: r.order}
+		whole := make(Counts)
+		whole.add(r.own)
+		_, others := r.loads()
+		running, shifting := others.Running, 0
+		for i := range reports {
+			report := &reports[i]
+			if report.Service != service || report.Target != r.order.Target || report.Order != uint64(r.order.Offset) {
+				continue
+			}
+			g.takeOver(r, report, &change)
+			whole.add(report.Counts)
+			if report.Live {
+				running += report.OtherRunning
+				if report.State >= Shifting {
+					shifting++
+				}
+			}
+		}
+		r.whole, r.otherRunning, r.allShifting = whole, running, shifting >= livePeers
+		r.takeSnapshot(now)
+		if !r.record.State.Final() && r.condemned == "" {
+			change.Verdict = judge(r.whole, false)
+			if change.Verdict == nil {
+				change.Verdict = judge(r.recent, true)
+			}
+			if change.Verdict != nil {
+				r.condemned = change.Verdict.Reason
+				g.version++
+			}
+		}
+		if change.Verdict != nil || change.Told != "" || change.Record != nil {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// takeOver takes over what a peer reports of an order, but its counts. The caller holds the lock.
+func (g *Register) takeOver(r *rollout, report *Report, change *Change) {
+	record := Record{
+		Service: r.order.Service, Target: r.order.Target, Order: r.order.Offset, State: report.State, Reason: report.Reason,
+		Started: report.Started, At: report.At, By: report.By,
+	}
+	if g.adopt(record) {
+		change.Record = &record
+	}
+	if !report.Started.IsZero() && report.Started.Before(r.started) {
+		r.started = report.Started
+	}
+	if report.Condemned != "" && r.condemned == "" {
+		r.condemned, change.Told = report.Condemned, report.Condemned
+		g.version++
+	}
+}
+
+const (
+	// snapshotInterval is the time between two snapshots that are kept.
+	snapshotInterval = time.Second
+	maxSnapshots     = int(recentTime/snapshotInterval) + 1
+)
+
+// takeSnapshot keeps the present counts and sets the recent ones.
+func (r *rollout) takeSnapshot(now time.Time) {
+	for len(r.snapshots) > 1 && now.Sub(r.snapshots[1].at) >= recentTime {
+		r.snapshots = r.snapshots[1:]
+	}
+	r.recent = r.whole
+	if len(r.snapshots) > 0 {
+		r.recent = r.whole.since(r.snapshots[0].counts)
+	}
+	if n := len(r.snapshots); n == 0 || n < 2*maxSnapshots && now.Sub(r.snapshots[n-1].at) >= snapshotInterval {
+		r.snapshots = append(r.snapshots, snapshot{now, r.whole})
+	}
+}
+
+// Reports returns what this gateway knows of all orders, for its peers.
+func (g *Register) Reports() (reports []Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(g.rollouts)) {
+		r := g.rollouts[service]
+		_, others := r.loads()
+		report := Report{
+			Service: service, Target: r.order.Target, Order: uint64(r.order.Offset), State: r.record.State, Reason: r.record.Reason,
+			Started: r.started, At: r.record.At, By: r.record.By, Condemned: r.condemned, OtherRunning: others.Running,
+		}
+		if !r.record.State.Final() {
+			report.Counts = make(Counts)
+			report.Counts.add(r.own)
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
