rollout: judge by Fisher's exact test, keep the counts of ended gateways, tests of each failure

Change: the exact test with a chance of 1e-5; counts by run of a gateway, which stay; doubt at 1e-3 keeps a target from being called good.

--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -55,6 +55,13 @@
 	reserved bool
 }
 
+// Has reports whether a service has an order.
+func (g *Register) Has(service id.Service) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rollouts[service] != nil
+}
+
 // Plan returns the plan of a request of a route, or nil if its service has no order. Either Sent or
 // Release must be called once with it.
 func (g *Register) Plan(now time.Time, service id.Service, route id.Route) *Plan {
@@ -110,7 +117,7 @@
 		return false
 	}
 	e, times := &r.exposure, r.schedule()
-	elapsed := min(max(float64(now.Sub(times.Started))/float64(times.Shift.Sub(times.Started)), 0), 1)
+	elapsed := min(max(float64(now.Sub(r.knownSince))/float64(times.Shift.Sub(times.Started)), 0), 1)
 	ofShare := shareFraction * g.cfg.Share * float64(e.sends+1)
 	allowed := ofShare + slackFraction*g.cfg.Slack*elapsed/float64(g.gateways)
 	left := allowed - float64(e.target)
@@ -166,6 +173,7 @@
 type Outcome struct {
 	Failed   bool          // a failure of the upstream
 	Duration time.Duration // until the first event or the whole answer; zero: it does not count for the pace
+	Stream   time.Duration // until the end of a stream; zero: it is none, or has not come to its end
 	// UpstreamAge is how long ago the upstream started; zero: not known.
 	UpstreamAge time.Duration
 }
@@ -185,7 +193,13 @@
 		tally.Failures++
 	}
 	isWarm := o.UpstreamAge == 0 || o.UpstreamAge >= min(warmUp, time.Duration(warmUpFraction*float64(r.order.Duration)))
-	if o.Duration > 0 && isWarm {
+	if !isWarm {
+		return
+	}
+	if o.Duration > 0 {
 		tally.Durations[bucketOf(o.Duration)]++
 	}
+	if o.Stream > 0 {
+		tally.Streams[bucketOf(o.Stream)]++
+	}
 }
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -51,7 +51,8 @@
 type Tally struct {
 	Answers   uint32 // failures included
 	Failures  uint32
-	Durations Histogram // until the first event or the end of answers that count for the pace
+	Durations Histogram // until the first event, or the whole answer, of answers that count for the pace
+	Streams   Histogram // until the end of those that are streams
 }
 
 // RouteCounts holds the tallies of one route.
@@ -77,8 +78,15 @@
 	}
 }
 
-// since returns the counts without earlier ones. What has got less, as a gateway was forgotten,
-// counts as none.
+// answers returns how many answers were counted.
+func (c Counts) answers() (n int) {
+	for _, counts := range c {
+		n += int(counts.Other.Answers) + int(counts.Target.Answers)
+	}
+	return n
+}
+
+// since returns the counts without earlier ones, of which none is greater.
 func (c Counts) since(earlier Counts) Counts {
 	out := make(Counts, len(c))
 	for r, counts := range c {
@@ -112,7 +120,8 @@
 	}
 	change(&t.Answers, other.Answers)
 	change(&t.Failures, other.Failures)
-	for i, n := range other.Durations {
-		change(&t.Durations[i], n)
+	for i := range histogramBuckets {
+		change(&t.Durations[i], other.Durations[i])
+		change(&t.Streams[i], other.Streams[i])
 	}
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -6,17 +6,23 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
 )
 
 const (
-	// A target is condemned for at least minBad bad answers, and if they are a greater part of its
-	// answers than of those of other versions at a confidence of minDeviations standard deviations.
-	minBad        = 5
-	minDeviations = 3.5
+	// A target is condemned for at least minBad bad answers, if they are a greater part of its answers than of
+	// those of other versions, and if so many would be found among as many answers of one version
+	// with a probability of maxChance at most.
+	minBad    = 5
+	maxChance = 1e-5
+	// It is in doubt, and not good, already for these.
+	minDoubtBad    = 3
+	maxDoubtChance = 1e-3
 	// minExtraFailures and minExtraSlow are by how much that part has to be greater.
 	minExtraFailures = 0.03
 	minExtraSlow     = 0.15
@@ -24,13 +30,14 @@
 	slowBuckets = 3
 	// minMedianAnswers is how many durations of other versions a median takes.
 	minMedianAnswers = 20
-	// unknownAnswers and unknownBad stand for answers of other versions that were not seen.
-	unknownAnswers, unknownBad = 10, 0.5
+	// unknownAnswers is how many sound answers of other versions are added to those that were seen, so that a target
+	// can be condemned without them.
+	unknownAnswers = 10
 
 	// A target is good with minAnswers answers in all, and on each route that has traffic with
 	// minRouteAnswers or one for each routeAnswersEach of other versions, of which
 	// maxFailing have failed at most. Its upstreams have minCapacity of the slots of the others.
-	minAnswers       = 40
+	minAnswers       = 30
 	minRouteAnswers  = 8
 	routeAnswersEach = 20
 	maxFailing       = 0.1
@@ -62,67 +69,121 @@
 	return fmt.Sprintf("%s:%s:%s:%d/%d:%d/%d", v.Reason, where, when, v.Bad, v.Answers, v.OtherBad, v.OtherAnswers)
 }
 
-// condemns reports whether the answers of the target are worse by more than chance. Extra is by how
-// much the part of bad ones has to be greater.
-func (v *Verdict) condemns(extra float64) bool {
-	if v.Bad < minBad {
+// standard is what it takes to find a target worse than other versions.
+type standard struct {
+	minBad    uint32
+	maxChance float64
+}
+
+var (
+	condemned = standard{minBad, maxChance}
+	inDoubt   = standard{minDoubtBad, maxDoubtChance}
+)
+
+// meets reports whether the answers of the target are worse by a standard. Extra is by how much the part
+// of bad ones has to be greater.
+func (v *Verdict) meets(s standard, extra float64) bool {
+	if v.Bad < s.minBad {
 		return false
 	}
-	answers, others := float64(v.Answers), float64(v.OtherAnswers)+unknownAnswers
-	part, otherPart := float64(v.Bad)/answers, (float64(v.OtherBad)+unknownBad)/others
-	pooled := (float64(v.Bad) + float64(v.OtherBad) + unknownBad) / (answers + others)
-	deviation := math.Sqrt(pooled * (1 - pooled) * (1/answers + 1/others))
-	return part-otherPart >= extra && part-otherPart >= minDeviations*deviation
+	others := v.OtherAnswers + unknownAnswers
+	if float64(v.Bad)/float64(v.Answers)-float64(v.OtherBad)/float64(others) < extra {
+		return false
+	}
+	return tail(v.Bad, v.Answers, v.OtherBad, others) <= s.maxChance
 }
 
-// judge returns why counts condemn the target, or nil.
-func judge(c Counts, recent bool) *Verdict {
-	slow := &Verdict{Reason: ReasonSlow, Recent: recent}
-	for route, counts := range c {
-		failing := failingVerdict(counts, recent)
-		failing.Route = route
-		if failing.condemns(minExtraFailures) {
-			return failing
+// tail returns the probability that of all bad answers as many as bad or more are among those of the target, if
+// the versions do not differ: the upper tail of the hypergeometric distribution, as in Fisher's exact test.
+func tail(bad, answers, otherBad, others uint32) (p float64) {
+	all := bad + otherBad
+	whole := logChoose(answers+others, all)
+	for k := bad; k <= min(all, answers); k++ {
+		term := math.Exp(logChoose(answers, k) + logChoose(others, all-k) - whole)
+		if p += term; term < p*1e-6 {
+			break
 		}
-		others := counts.Other.Durations.sum(0)
-		if others < minMedianAnswers {
-			continue
-		}
-		from := counts.Other.Durations.median() + slowBuckets
-		onRoute := &Verdict{
-			Reason: ReasonSlow, Route: route, Recent: recent, Bad: counts.Target.Durations.sum(from), Answers: counts.Target.Durations.sum(0),
-			OtherBad: counts.Other.Durations.sum(from), OtherAnswers: others,
-		}
-		if onRoute.condemns(minExtraSlow) {
-			return onRoute
+	}
+	return p
+}
+
+// logChoose returns the logarithm of the number of ways to choose k of n.
+func logChoose(n, k uint32) float64 {
+	if k > n {
+		return math.Inf(-1)
+	}
+	logFactorial := func(n uint32) float64 {
+		v, _ := math.Lgamma(float64(n) + 1)
+		return v
+	}
+	return logFactorial(n) - logFactorial(k) - logFactorial(n-k)
+}
+
+// judge returns why the target is worse by a standard, from counts, or nil.
+func judge(c Counts, recent bool, by standard) *Verdict {
+	slow := &Verdict{Reason: ReasonSlow, Recent: recent}
+	for _, route := range slices.Sorted(maps.Keys(c)) {
+		counts := c[route]
+		for _, v := range []*Verdict{
+			failingVerdict(counts), slowVerdict(&counts.Target.Durations, &counts.Other.Durations), slowVerdict(&counts.Target.Streams, &counts.Other.Streams),
+		} {
+			v.Route, v.Recent = route, recent
+			if v.meets(by, v.extra()) {
+				return v
+			}
+			if v.Reason == ReasonSlow {
+				slow.add(v)
+			}
 		}
-		slow.Bad += onRoute.Bad
-		slow.Answers += onRoute.Answers
-		slow.OtherBad += onRoute.OtherBad
-		slow.OtherAnswers += onRoute.OtherAnswers
 	}
 	all := c.all()
-	if failing := failingVerdict(&all, recent); failing.condemns(minExtraFailures) {
+	failing := failingVerdict(&all)
+	failing.Recent = recent
+	switch {
+	case failing.meets(by, failing.extra()):
 		return failing
-	}
-	if slow.condemns(minExtraSlow) {
+	case slow.meets(by, slow.extra()):
 		return slow
 	}
 	return nil
 }
 
-// failingVerdict returns the verdict that the failures in counts may justify.
-func failingVerdict(c *RouteCounts, recent bool) *Verdict {
-	return &Verdict{
-		Reason: ReasonFailing, Recent: recent, Bad: c.Target.Failures, Answers: c.Target.Answers,
-		OtherBad: c.Other.Failures, OtherAnswers: c.Other.Answers,
+// extra returns by how much the part of bad answers has to be greater.
+func (v *Verdict) extra() float64 {
+	if v.Reason == ReasonSlow {
+		return minExtraSlow
 	}
+	return minExtraFailures
+}
+
+// add adds the answers of another verdict.
+func (v *Verdict) add(other *Verdict) {
+	v.Bad += other.Bad
+	v.Answers += other.Answers
+	v.OtherBad += other.OtherBad
+	v.OtherAnswers += other.OtherAnswers
+}
+
+// slowVerdict returns the verdict that durations may justify. It has no answers if those of other versions are too
+// few for a median.
+func slowVerdict(target, others *Histogram) *Verdict {
+	v := &Verdict{Reason: ReasonSlow}
+	if n := others.sum(0); n >= minMedianAnswers {
+		from := others.median() + slowBuckets
+		v.Bad, v.Answers, v.OtherBad, v.OtherAnswers = target.sum(from), target.sum(0), others.sum(from), n
+	}
+	return v
+}
+
+// failingVerdict returns the verdict that the failures in counts may justify.
+func failingVerdict(c *RouteCounts) *Verdict {
+	return &Verdict{Reason: ReasonFailing, Bad: c.Target.Failures, Answers: c.Target.Answers, OtherBad: c.Other.Failures, OtherAnswers: c.Other.Answers}
 }
 
 // isGood reports whether a target that is not condemned has shown enough to be called good.
 func isGood(whole, recent Counts) bool {
 	all, last := whole.all(), recent.all()
-	if all.Target.Answers < minAnswers || failsOften(&all.Target) || failsOften(&last.Target) {
+	if all.Target.Answers < minAnswers || failsOften(&all.Target) || failsOften(&last.Target) || judge(whole, false, inDoubt) != nil {
 		return false
 	}
 	for _, c := range whole {
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -29,8 +29,15 @@
 	Versions map[id.Version]Load
 }
 
+// Source is one run of a gateway.
+type Source struct {
+	Node        id.Node
+	Incarnation id.Incarnation
+}
+
 // Report is what one gateway knows of one order.
 type Report struct {
+	From      Source // not told, as it is known of the row
 	Service   id.Service
 	Target    id.Version
 	Order     uint64    // offset of the order
@@ -57,13 +64,16 @@
 	order     Order
 	withdrawn bool
 	started   time.Time
-	record    Record // zero: none is known
-	condemned Reason // empty: the target is not condemned
-	rejected  map[id.Version]bool
-	service   Service
-	own       Counts
-	exposure  exposure
-	// Of all gateways, as of the last round:
+	// knownSince is when this gateway learned of the order: it has used no slack before.
+	knownSince time.Time
+	record     Record // zero: none is known
+	condemned  Reason // empty: the target is not condemned
+	rejected   map[id.Version]bool
+	service    Service
+	own        Counts
+	exposure   exposure
+	// Of all gateways, as of the last round. Counts of a run that has ended stay, so that they never get less.
+	told          map[Source]Counts
 	whole, recent Counts
 	snapshots     []snapshot
 	otherRunning  int
@@ -138,7 +148,7 @@
 	}
 	delete(rejected, o.Target)
 	g.rollouts[o.Service] = &rollout{
-		order: o, started: now, rejected: rejected, own: make(Counts), whole: make(Counts), recent: make(Counts), service: Service{Known: true},
+		order: o, started: now, knownSince: now, rejected: rejected, own: make(Counts), told: make(map[Source]Counts), whole: make(Counts), recent: make(Counts), service: Service{Known: true},
 		exposure: exposure{routes: make(map[id.Route]int)},
 	}
 	g.version++
@@ -233,15 +243,13 @@
 }
 
 // Round takes over the reports of all other gateways and judges the targets. The reports are those of
-// the gateways that are known, also of those that ended of late.
+// the gateways that are known, also of those that ended of late. They must not be changed afterwards.
 func (g *Register) Round(now time.Time, reports []Report, livePeers int) (changes []Change) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, service := range slices.Sorted(maps.Keys(g.rollouts)) {
 		r := g.rollouts[service]
 		change := Change{Order: r.order}
-		whole := make(Counts)
-		whole.add(r.own)
 		_, others := r.loads()
 		running, shifting := others.Running, 0
 		for i := range reports {
@@ -250,7 +258,9 @@
 				continue
 			}
 			g.takeOver(r, report, &change)
-			whole.add(report.Counts)
+			if report.Counts.answers() >= r.told[report.From].answers() {
+				r.told[report.From] = report.Counts
+			}
 			if report.Live {
 				running += report.OtherRunning
 				if report.State >= Shifting {
@@ -258,12 +268,17 @@
 				}
 			}
 		}
-		r.whole, r.otherRunning, r.allShifting = whole, running, shifting >= livePeers
+		r.whole = make(Counts)
+		r.whole.add(r.own)
+		for _, counts := range r.told {
+			r.whole.add(counts)
+		}
+		r.otherRunning, r.allShifting = running, shifting >= livePeers
 		r.takeSnapshot(now)
 		if !r.record.State.Final() && r.condemned == "" {
-			change.Verdict = judge(r.whole, false)
+			change.Verdict = judge(r.whole, false, condemned)
 			if change.Verdict == nil {
-				change.Verdict = judge(r.recent, true)
+				change.Verdict = judge(r.recent, true, condemned)
 			}
 			if change.Verdict != nil {
 				r.condemned = change.Verdict.Reason
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -116,7 +116,7 @@
 	// shareFraction is the part of Share that gateways use, and slackFraction that of Slack. The
 	// rest is for requests that are sent while the verdict spreads, and for errors of the counts.
 	shareFraction = 0.75
-	slackFraction = 0.5
+	slackFraction = 0.6
 )
 
 // The times of an order are fractions of its duration, within bounds.
@@ -157,3 +157,10 @@
 	s.Undecide = s.Shift.Add(s.Finish.Sub(s.Shift) / 2)
 	return s
 }
+
+// ConflictError reports that a record was not appended, as the topic ends elsewhere than expected.
+type ConflictError struct{ End feed.Offset }
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the topic of roll-outs ends at offset %d", e.End)
+}
--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -71,6 +71,7 @@
 
 // simGateway is one run of a gateway.
 type simGateway struct {
+	source     Source
 	node       id.Node
 	register   *Register
 	controller *Controller
@@ -159,7 +160,7 @@
 }
 
 func (s *simulation) newGateway(node id.Node) *simGateway {
-	g := &simGateway{node: node, register: New(s.cfg, s.Float64)}
+	g := &simGateway{node: node, source: Source{node, id.Incarnation(s.now.UnixNano())}, register: New(s.cfg, s.Float64)}
 	g.controller = NewController(node, g.register)
 	return g
 }
@@ -195,7 +196,7 @@
 				continue
 			}
 			for _, r := range row.reports {
-				r.Live = slices.Contains(live, peer)
+				r.Live, r.From = slices.Contains(live, peer), peer.source
 				reports = append(reports, r)
 			}
 			break
@@ -483,7 +484,7 @@
 	worst, done, rolledBack := 0.0, 0, 0
 	for seed := range uint64(seeds) {
 		s := newSimulation(seed, simKinds[seed%uint64(len(simKinds))])
-		switch seed / uint64(len(simKinds)) {
+		switch seed / uint64(len(simKinds)) % 4 {
 		case 1:
 			s.store.lossy = 0.4
 		case 2:
