gateway, platform, pool: roll-outs are served

Cause: nothing read op/rollout/SERVICE or wrote its status. Change: listings have a version; the plan of an order decides which upstreams a request may go to; a driver makes the rounds and the calls; one conditional append adds the status and our record to keyed.status; rows carry what gateways know. Without an order, or without rollback_ms, nothing changes.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/rollout"
 )
 
 const (
@@ -107,6 +108,7 @@
 	firstEvent        time.Time       // of the latest attempt; zero: none yet
 	survived          bool            // the upstream of the latest attempt has survived the request
 	response          *ownResponse    // of the latest attempt; nil: none yet
+	plan              *rollout.Plan   // of the latest attempt; nil: its service has no order
 }
 
 // dispatch sends a request to upstreams until the caller has a response.
@@ -136,6 +138,7 @@
 		result := f.send(ctx, assignment)
 		assignment.End(time.Now())
 		f.mayHaveRun = f.mayHaveRun || result.mayHaveRun()
+		f.noteVersion(assignment, result)
 		var failed *problem.Problem
 		switch result := result.(type) {
 		case *answered:
@@ -191,6 +194,9 @@
 	if assignment.Expected > 0 {
 		fields = append(fields, "expected", assignment.Expected.Round(time.Millisecond))
 	}
+	if f.plan != nil {
+		fields = append(fields, "version", assignment.Upstream.Version, "rollout", f.plan.State, "canary", f.plan.Canary)
+	}
 	if f.waited > 0 {
 		f.gateway.incrementCounter("waited_for_slot")
 		fields = append(fields, "waited", f.waited.Round(time.Millisecond))
@@ -244,7 +250,7 @@
 	f.waited = 0
 	for {
 		now := time.Now()
-		switch choice := f.gateway.deps.Pool.Choose(now, query).(type) {
+		switch choice := f.choose(now, query).(type) {
 		case *pool.Assignment:
 			if p := f.shutdownProblem(); p != nil {
 				choice.Unsent()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/quarantine"
+	"github.com/ragwortpass/ragwortpass/rollout"
 )
 
 // RequestInfo holds what the headers of a caller's request say.
@@ -114,8 +115,9 @@
 	Memory        *memory.Budgets
 	MaxCallers    int // most connections of callers; zero: as many as there is memory for
 	Quarantine    *quarantine.Register
-	FleetTime     func() time.Time // the time that the evidence of Quarantine has
-	TellPeers     func()           // asks for an exchange with peers soon
+	Rollouts      *rollout.Register // nil: versions of upstreams make no difference
+	FleetTime     func() time.Time  // the time that the evidence of Quarantine has
+	TellPeers     func()            // asks for an exchange with peers soon
 	Metrics       metrics.Registry
 	Logger        log.Logger
 }
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -27,6 +28,7 @@
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/quarantine"
 	"github.com/ragwortpass/ragwortpass/quota"
+	"github.com/ragwortpass/ragwortpass/rollout"
 )
 
 // Platform holds the interfaces to the platform that a Program runs on.
@@ -40,6 +42,7 @@
 	// Copies of the two topics, for a start while the topics are unavailable; nil: none.
 	OperatorCopies feed.CopyStore
 	UpstreamCopies feed.CopyStore
+	Rollouts       RolloutLog
 	Holds          feed.CopyStore // keeps the parts of prompts that are held; nil: they are not kept
 }
 
@@ -81,7 +84,8 @@
 	followers    []*feed.Follower
 	copiers      []*feed.Copier
 	quarantine   *quarantine.Register
-	holdKeeper   *holdKeeper // nil: holds are not kept
+	holdKeeper   *holdKeeper    // nil: holds are not kept
+	rollouts     *rolloutDriver // nil: nobody orders roll-outs
 	bootNow      func() time.Time
 	freshness    freshness
 	registry     metrics.Registry
@@ -105,8 +109,9 @@
 	}
 	currentCatalog := new(catalog.Latest)
 	upstreamPool := pool.New(currentCatalog)
+	operatorSink := newOperatorSink(guardedDecoder{platform.Decoder}, currentCatalog, upstreamPool, logger, registry)
 	operators := feed.New(feed.Config{Name: "operators", LogRecords: true, ReadWait: p.operatorReadWait, MaxPeerViewAge: p.maxViewAge, IsLeader: p.readsOperators}, platform.OperatorTopic,
-		newOperatorSink(guardedDecoder{platform.Decoder}, currentCatalog, upstreamPool, logger, registry), logger, registry)
+		operatorSink, logger, registry)
 	listings := feed.New(feed.Config{Name: "upstreams", ReadPause: p.upstreamReadPause, MaxPeerViewAge: p.maxViewAge, IsLeader: p.isLeader}, platform.UpstreamTopic,
 		newListingSink(guardedDecoder{platform.Decoder}, upstreamPool, logger, registry), logger, registry)
 	p.pool = upstreamPool
@@ -126,9 +131,21 @@
 	if err := budgets.Register(registry); err != nil {
 		_ = logger.Log("event", "metrics_missing", "err", err)
 	}
+	if s.Bounds.RollbackMS > 0 && platform.Rollouts != nil {
+		cfg := rollout.Config{Share: s.Bounds.ExposeShare, Slack: s.Bounds.ExposeSlack, Rollback: durationMS(s.Bounds.RollbackMS)}
+		register := rollout.New(cfg, rand.Float64)
+		operatorSink.rollouts = &rolloutOrders{register: register, fleetTime: fleetTime, logger: logger, registry: registry}
+		p.rollouts = &rolloutDriver{
+			register: register, controller: rollout.NewController(s.Node, register), records: platform.Rollouts, pool: upstreamPool, catalog: currentCatalog, table: p.table,
+			fleetTime: fleetTime, leaving: func() bool { return p.gateway.ShuttingDown() }, tellPeers: func() { p.peers.Wake() }, logger: logger, registry: registry,
+			storeEra: func() feed.Era {
+				return max(platform.Rollouts.Era(), operators.View().Next.Era, listings.View().Next.Era)
+			},
+		}
+	}
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
-		CatalogStatus: operatorStatus{operators, durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, budgets, registry, logger), Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
+		CatalogStatus: operatorStatus{operators, durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, budgets, registry, logger), Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, Rollouts: p.rollouts.registerOrNil(), FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
 	})
 	if platform.Holds != nil {
 		p.holdKeeper = &holdKeeper{
@@ -251,6 +268,9 @@
 		}
 		report, version := p.quarantine.Report(fleetTime(), p.isLeader())
 		row.Prompts = quarantine.Encode(report, p.holdKeeper != nil && p.holdKeeper.complete.Load())
+		if p.rollouts != nil {
+			row.Rollouts = rollout.Encode(p.rollouts.register.Reports())
+		}
 		limits, limitVersion := p.pool.LimitReports(now)
 		row.Limits = encodeLimits(limits)
 		previous := last
@@ -323,6 +343,9 @@
 	if p.reportDriver != nil {
 		start("usage", p.reportDriver.run)
 	}
+	if p.rollouts != nil {
+		start("rollouts", p.rollouts.run)
+	}
 	if p.settings.Listen.Peers != "" {
 		start("peers", p.peers.Run)
 	}
--- /dev/null
+++ b/gateway/rollout_driver.go
@@ -0,0 +1,239 @@
+package gateway
+
+// This file defines rolloutDriver, which tells a rollout.Register what this gateway learns of the fleet, and makes
+// the calls that a rollout.Controller decides on.
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ragwortpass/ragwortpass/catalog"
+	"github.com/ragwortpass/ragwortpass/feed"
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/peer"
+	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/rollout"
+)
+
+// RolloutLog holds the records of roll-outs, and what operators are told of them.
+type RolloutLog interface {
+	// Era returns the newest era that the store is known to be in.
+	Era() feed.Era
+	// Read returns the newest record of each service, and the end of the topic.
+	Read(ctx context.Context) ([]rollout.Record, feed.Position, error)
+	// Append adds a record if the topic ends at a position, and returns the end after it. Otherwise it returns
+	// a *rollout.ConflictError. After any other error but a refusal, the record may have been added.
+	Append(ctx context.Context, at feed.Position, r rollout.Record) (feed.Position, error)
+}
+
+const (
+	// rolloutInterval is the time between two rounds of a rolloutDriver.
+	rolloutInterval = 100 * time.Millisecond
+	// rolloutCallTimeout limits a call to the store.
+	rolloutCallTimeout = 700 * time.Millisecond
+)
+
+// rolloutDriver makes the rounds of a rollout.Register and the calls of a rollout.Controller.
+type rolloutDriver struct {
+	register    *rollout.Register
+	controller  *rollout.Controller
+	records     RolloutLog
+	pool        *pool.Pool
+	catalog     *catalog.Latest
+	table       *peer.Table
+	fleetTime   func() time.Time
+	storeEra    func() feed.Era // newest era that this gateway knows
+	leaving     func() bool
+	tellPeers   func()
+	logger      log.Logger
+	registry    metrics.Registry
+	pausedUntil time.Time // end of the delay after a failed call
+	version     int       // of the register that peers were told of
+}
+
+// registerOrNil returns the register of a driver, also of none.
+func (d *rolloutDriver) registerOrNil() *rollout.Register {
+	if d == nil {
+		return nil
+	}
+	return d.register
+}
+
+// run makes rounds and calls until ctx is done.
+func (d *rolloutDriver) run(ctx context.Context) {
+	tick := time.NewTicker(rolloutInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if len(d.register.Services()) == 0 {
+			continue
+		}
+		d.round(time.Now())
+		for d.step(ctx) {
+		}
+		if version := d.register.Version(); version != d.version {
+			d.version = version
+			d.tellPeers()
+		}
+	}
+}
+
+// round tells the register what this gateway knows of services and peers.
+func (d *rolloutDriver) round(now time.Time) {
+	current := d.catalog.Load()
+	for _, name := range d.register.Services() {
+		versions := make(map[id.Version]rollout.Load)
+		for v, l := range d.pool.Versions(name) {
+			versions[v] = rollout.Load{Upstreams: l.Upstreams, Slots: l.Slots, Running: l.Running}
+		}
+		d.register.SetService(name, rollout.Service{Known: current == nil || current.Services[name] != nil || len(versions) > 0, Versions: versions})
+	}
+	live, members := d.table.Live(now), len(d.table.Members(now))
+	d.register.SetFleet(max(len(live), members), 2*len(live) <= members)
+	var reports []rollout.Report
+	self := d.table.Self()
+	for _, row := range d.table.Rows() {
+		from := rollout.Source{Node: id.Node(row.GetNode()), Incarnation: id.Incarnation(row.GetIncarnation())}
+		if from == (rollout.Source{Node: self.Node, Incarnation: self.Incarnation}) {
+			continue
+		}
+		isLive := slices.ContainsFunc(live, func(l *peer.Row) bool {
+			return l.GetNode() == row.GetNode() && l.GetIncarnation() == row.GetIncarnation()
+		})
+		for _, r := range rollout.Decode(row.GetRollouts()) {
+			r.From, r.Live = from, isLive
+			reports = append(reports, r)
+		}
+	}
+	for _, c := range d.register.Round(d.fleetTime(), reports, len(live)-1) {
+		d.logChange(&c)
+	}
+	for _, s := range d.register.States() {
+		metrics.GetOrRegisterGauge("rollout_state_"+string(s.Service), d.registry).Update(int64(s.State))
+		metrics.GetOrRegisterGauge("rollout_exposed_"+string(s.Service), d.registry).Update(int64(s.Exposed))
+	}
+}
+
+// logChange logs and counts what a round has changed.
+func (d *rolloutDriver) logChange(c *rollout.Change) {
+	service, target, order := c.Order.Service, c.Order.Target, c.Order.Offset
+	if c.Verdict != nil {
+		metrics.GetOrRegisterCounter("rollout_condemned", d.registry).Inc(1)
+		_ = d.logger.Log("event", "rollout_condemned", "service", service, "target", target, "order", order, "by", "own", "reason", c.Verdict.Reason, "verdict", c.Verdict)
+	}
+	if c.Told != "" {
+		_ = d.logger.Log("event", "rollout_condemned", "service", service, "target", target, "order", order, "by", "peer", "reason", c.Told)
+	}
+	if c.Record != nil {
+		d.logRecord(c.Record, "peer")
+	}
+}
+
+// logRecord logs a record that this gateway has learned of.
+func (d *rolloutDriver) logRecord(r *rollout.Record, from string) {
+	_ = d.logger.Log("event", "rollout_state", "service", r.Service, "target", r.Target, "order", r.Order, "state", r.State, "reason", r.Reason, "by", r.By, "from", from)
+}
+
+// step makes the next call, if one is due. It reports whether another call may follow at once.
+func (d *rolloutDriver) step(ctx context.Context) bool {
+	now := time.Now()
+	if now.Before(d.pausedUntil) {
+		return false
+	}
+	var err error
+	switch action := d.controller.Step(d.fleetTime(), d.view(now)).(type) {
+	case *rollout.Wait:
+		return false
+	case *rollout.ReadRecords:
+		err = d.read(ctx)
+	case *rollout.AppendRecord:
+		err = d.append(ctx, action)
+	}
+	if err != nil {
+		d.pausedUntil = time.Now().Add(failureDelay)
+		metrics.GetOrRegisterCounter("rollout_call_failed", d.registry).Inc(1)
+	}
+	return err == nil && ctx.Err() == nil
+}
+
+// view returns what is known of the fleet, for the decision.
+func (d *rolloutDriver) view(now time.Time) rollout.View {
+	v := rollout.View{Rank: -1, Era: d.storeEra()}
+	if d.leaving() {
+		return v
+	}
+	rank := 0
+	for _, row := range d.table.Live(now) {
+		if row.GetNode() == string(d.table.Self().Node) {
+			v.Rank = rank
+			break
+		}
+		if !row.GetLeaving() {
+			rank++
+		}
+	}
+	if v.Rank < 0 {
+		v.Rank = 0 // this gateway has not published a row yet, or has no peers
+	}
+	v.Leader = v.Rank == 0
+	return v
+}
+
+// read reads the records. Another era of the store is no failure, as the next view has it.
+func (d *rolloutDriver) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, rolloutCallTimeout)
+	defer cancel()
+	records, end, err := d.records.Read(ctx)
+	if err != nil {
+		return d.failed("read", err)
+	}
+	for _, r := range d.controller.RecordsRead(records, end) {
+		d.logRecord(&r, "store")
+	}
+	return nil
+}
+
+// append appends a record. A conflict with another gateway's record is no failure.
+func (d *rolloutDriver) append(ctx context.Context, action *rollout.AppendRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, rolloutCallTimeout)
+	defer cancel()
+	r := action.Record
+	end, err := d.records.Append(ctx, action.ExpectedEnd, r)
+	var conflict *rollout.ConflictError
+	var otherEra *feed.EraError
+	switch {
+	case errors.As(err, &conflict):
+		d.controller.RequireReread()
+		_ = d.logger.Log("event", "rollout_record_lost", "service", r.Service, "state", r.State, "at", action.ExpectedEnd, "end", conflict.End)
+		return nil
+	case errors.As(err, &otherEra):
+		d.controller.RequireReread()
+		_ = d.logger.Log("event", "rollout_era", "from", otherEra.Expected, "to", otherEra.Actual)
+		return nil // the next view has the era
+	case err != nil:
+		d.controller.RequireReread()
+		return d.failed("append", err)
+	}
+	d.controller.RecordAppended(r, end)
+	metrics.GetOrRegisterCounter("rollout_recorded", d.registry).Inc(1)
+	detail := &action.Detail
+	_ = d.logger.Log("event", "rollout_recorded", "service", r.Service, "target", r.Target, "order", r.Order, "state", r.State, "reason", r.Reason, "again", detail.Repeated,
+		"after", detail.SinceStart.Round(time.Millisecond), "left", detail.UntilDeadline.Round(time.Millisecond), "answers", detail.Answers, "failures", detail.Failures,
+		"other_answers", detail.OtherAnswers, "other_failures", detail.OtherFailed, "upstreams", detail.Upstreams, "other_upstreams", detail.OtherUpstreams, "other_running", detail.OtherRunning)
+	return nil
+}
+
+// failed logs the error of a call and returns it.
+func (d *rolloutDriver) failed(call string, err error) error {
+	_ = d.logger.Log("event", "rollout_call_failed", "call", call, "err", err)
+	return err
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -44,6 +44,11 @@
 	LeaseMS      float64 `json:"lease_ms"`       // in which a duty must not go to another gateway and back
 	WindowS      float64 `json:"window_s"`       // length of a usage window
 	UsageLateS   float64 `json:"usage_late_s"`   // from the end of a window until its report is due
+	// What a new version that may be bad gets of the requests of its service, and beyond that, and how long
+	// after it is known to be bad it gets none; RollbackMS is zero: nobody orders roll-outs.
+	ExposeShare float64 `json:"expose_share"`
+	ExposeSlack float64 `json:"expose_slack"`
+	RollbackMS  float64 `json:"rollback_ms"`
 }
 
 // ReadSettings reads and checks a settings file. Its error names every invalid setting.
@@ -96,6 +101,9 @@
 	if s.DutyAddress != "" || b.WindowS != 0 {
 		c.Require(isTime(durationS(b.WindowS)), "bounds.window_s", fmt.Sprint(b.WindowS), seconds)
 	}
+	c.Require(b.ExposeShare >= 0 && b.ExposeShare <= 1, "bounds.expose_share", fmt.Sprint(b.ExposeShare), "a number from 0 to 1")
+	c.Require(b.ExposeSlack >= 0 && b.ExposeSlack <= maxExposeSlack, "bounds.expose_slack", fmt.Sprint(b.ExposeSlack), fmt.Sprintf("a number from 0 to %d", maxExposeSlack))
+	c.Require(b.RollbackMS == 0 || isTime(durationMS(b.RollbackMS)), "bounds.rollback_ms", fmt.Sprint(b.RollbackMS), "zero, or milliseconds, from one to those of a year")
 	if err := c.Err(); err != nil {
 		return nil, err
 	}
@@ -105,6 +113,8 @@
 const (
 	// maxTime bounds the times of the settings.
 	maxTime = 365 * 24 * time.Hour
+	// maxExposeSlack bounds the requests that a new version gets beyond its share.
+	maxExposeSlack = 1 << 20
 )
 
 // isTime reports whether a time of the settings is within bounds.
--- a/gateway/sinks.go
+++ b/gateway/sinks.go
@@ -20,7 +20,7 @@
 )
 
 // OperatorChange is a decoded record of the operators' topic: *CatalogChange,
-// *Evacuation or *UnknownChange.
+// *Evacuation, *RolloutChange or *UnknownChange.
 type OperatorChange interface{ change() }
 
 // CatalogChange puts a catalog in force.
@@ -50,6 +50,7 @@
 
 // operatorSink is the sink of the operators' topic.
 type operatorSink struct {
+	rollouts       *rolloutOrders // nil: there are none
 	decoder        RecordDecoder
 	currentCatalog *catalog.Latest
 	pool           *pool.Pool
@@ -78,6 +79,10 @@
 	for _, r := range records {
 		change := o.decode(r)
 		switch c := change.(type) {
+		case *RolloutChange:
+			if o.rollouts.hold(c) {
+				continue
+			}
 		case *CatalogChange:
 			if current := o.currentCatalog.Load(); current != nil && c.Catalog.Version < current.Version {
 				_ = o.logger.Log("event", "config_held", "config", current.Version, "store_has", c.Catalog.Version, "offset", r.Offset)
@@ -101,10 +106,13 @@
 
 // Replace implements feed.Sink. It ends the evacuations that no record names any more.
 func (o *operatorSink) Replace(now time.Time, records []feed.Record) {
-	evacuated := make(map[id.DataCentre]bool)
+	evacuated, ordered := make(map[id.DataCentre]bool), make(map[id.Service]bool)
 	for _, r := range records {
 		change := o.decode(r)
 		o.apply(now, r, change)
+		if c, ok := change.(*RolloutChange); ok {
+			ordered[c.Service] = c.Order != nil || c.Invalid != nil
+		}
 		if e, ok := change.(*Evacuation); ok && e.Active {
 			evacuated[e.DataCentre] = true
 		}
@@ -114,6 +122,7 @@
 			o.evacuate(now, &Evacuation{DataCentre: dc})
 		}
 	}
+	o.rollouts.withdrawOthers(ordered)
 }
 
 // Apply implements feed.Sink. Of the records with one key it decodes the newest only, as a series of
@@ -155,6 +164,13 @@
 	case *Evacuation:
 		o.evacuate(now, c)
 		return true
+	case *RolloutChange:
+		if c.Invalid != nil {
+			o.logUnreadable(r, c.Invalid)
+			return false
+		}
+		o.rollouts.apply(c)
+		return true
 	}
 	return false
 }
@@ -299,7 +315,7 @@
 	l.mu.Unlock()
 	if !known || previous != state {
 		_ = l.logger.Log("event", "upstream_listed", "upstream", listing.ID, "service", listing.Service, "address", listing.Address,
-			"data_centre", listing.DataCentre, "draining", listing.Draining, "cold_for", listing.ColdFor, "born", listing.StartUnixMS)
+			"data_centre", listing.DataCentre, "version", listing.Version, "draining", listing.Draining, "cold_for", listing.ColdFor, "born", listing.StartUnixMS)
 	}
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -47,11 +47,18 @@
 	// RunsOnce means that the request is lost if the upstream is no longer there: nobody can
 	// know that it has not run.
 	RunsOnce bool
+	// Allows reports whether an upstream may be chosen; nil: any may. Of those that may, and that accept the
+	// request, the first MaxUpstreams in an order that is the same at every gateway are considered; zero: all.
+	Allows       func(l *Listing) bool
+	MaxUpstreams int
 	// MaxWait is how long the request may be expected to wait for an engine to read its prompt; zero: without
 	// limit.
 	MaxWait time.Duration
 }
 
+// allows reports whether an upstream may be chosen.
+func (rq *Request) allows(l *Listing) bool { return rq.Allows == nil || rq.Allows(l) }
+
 // Decision is the result of Pool.Choose: *Assignment, *Throttled, *Overloaded or *NoUpstream.
 type Decision interface{ decision() }
 
@@ -227,7 +234,7 @@
 		switch {
 		case !u.removeAt.IsZero() && !now.Before(u.removeAt):
 			p.removeLocked(u)
-		case !p.acceptsWork(u), slices.Contains(rq.Avoid, u.ID):
+		case !p.acceptsWork(u), slices.Contains(rq.Avoid, u.ID), !rq.allows(&u.Listing):
 		case waits:
 			retry(waitUntil)
 		default:
@@ -242,6 +249,7 @@
 				retry(slot)
 			case now.Before(u.unreachableUntil):
 				backingOff = append(backingOff, u)
+			case rq.MaxUpstreams > 0 && len(found.upstreams) == rq.MaxUpstreams:
 			default:
 				found.upstreams = append(found.upstreams, u)
 				if paced {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -32,6 +32,7 @@
 	Service     id.Service
 	Address     string // IP and port
 	DataCentre  id.DataCentre
+	Version     id.Version    // of what it runs; empty: unknown
 	Draining    bool          // accepts no new requests
 	Slots       int           // most requests that it runs concurrently; zero: unknown
 	ColdFor     time.Duration // how much longer it is cold
--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -82,10 +82,10 @@
 		p.Filters = []Filter{target}
 	case r.record.State == Shifting:
 		p.Filters = []Filter{others, target}
-		if ramp := float64(now.Sub(r.record.At)) / float64(rampTime); !g.isolated && g.random() < ramp {
+		if ramp := float64(now.Sub(r.record.At)) / float64(rampTime); g.isInformed(now) && g.random() < ramp {
 			p.Filters = []Filter{target, others}
 		}
-	case r.record.State == Canary && !g.isolated && g.reserve(now, r, route):
+	case r.record.State == Canary && g.isInformed(now) && g.reserve(now, r, route):
 		p.Canary, p.reserved = true, true
 		target.Most = r.canaryUpstreams(&g.cfg)
 		p.Filters = []Filter{target, others}
@@ -97,6 +97,12 @@
 	return p
 }
 
+// isInformed reports whether this gateway would know of a verdict of its peers: it hears of most of them, and was not
+// frozen since its last round. The caller holds the lock.
+func (g *Register) isInformed(now time.Time) bool {
+	return !g.isolated && now.Sub(g.roundAt) <= g.cfg.Rollback/2
+}
+
 // runsTargetOnly reports whether all upstreams of the service are of the target.
 func (r *rollout) runsTargetOnly() bool {
 	target, others := r.loads()
--- a/rollout/choice_test.go
+++ b/rollout/choice_test.go
@@ -23,7 +23,9 @@
 // spend sends so many requests until a time, each of them to the target if it may go there. It returns how many did.
 func spend(r *Register, from, until time.Time, n int) (exposed int) {
 	for i := range n {
-		p := r.Plan(from.Add(until.Sub(from)*time.Duration(i)/time.Duration(n)), "ledger", "r")
+		now := from.Add(until.Sub(from) * time.Duration(i) / time.Duration(n))
+		r.Round(now, nil, 0)
+		p := r.Plan(now, "ledger", "r")
 		version := id.Version("v1")
 		if p.Filters[0].OnTarget {
 			version = "v2"
@@ -71,6 +73,7 @@
 func TestReservationIsGivenBack(t *testing.T) {
 	r := canaryRegister(1)
 	now := at(13 * time.Second)
+	r.Round(now, nil, 0)
 	p := r.Plan(now, "ledger", "r")
 	require.True(t, p.Canary)
 	r.Release(p)
@@ -89,7 +92,9 @@
 		if i%50 == 0 {
 			route = "rare"
 		}
-		p := r.Plan(start.Add(13*time.Second*time.Duration(i)/3000), "ledger", route)
+		now := start.Add(13 * time.Second * time.Duration(i) / 3000)
+		r.Round(now, nil, 0)
+		p := r.Plan(now, "ledger", route)
 		version := id.Version("v1")
 		if p.Canary {
 			version = "v2"
@@ -108,6 +113,15 @@
 	require.Zero(t, spend(r, start, at(13*time.Second), 1000))
 }
 
+// TestThawedGatewayStopsCanary answers a process that was frozen while others reached a verdict.
+func TestThawedGatewayStopsCanary(t *testing.T) {
+	r := canaryRegister(5)
+	r.Round(start, nil, 0)
+	require.False(t, r.Plan(at(10*time.Second), "ledger", "r").Canary)
+	r.Round(at(10*time.Second), nil, 0)
+	require.True(t, r.Plan(at(10*time.Second), "ledger", "r").Canary)
+}
+
 func TestNoOrderChangesNothing(t *testing.T) {
 	require.Nil(t, newRegister().Plan(start, "ledger", "r"))
 }
--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -107,6 +107,7 @@
 	g.answer(at(5*time.Second), 40, 0, 400, 2)
 	g.requireWait(at(12 * time.Second))
 	require.Equal(t, Shifting, g.append(at(13*time.Second)).State)
+	g.Round(at(14500*time.Millisecond), nil, 0)
 	require.Equal(t, []id.Version{"v2"}, allowed(g.Plan(at(14500*time.Millisecond), "ledger", "r"), "v1", "v2"))
 	g.requireWait(at(14 * time.Second))
 	final := g.append(at(15 * time.Second))
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -121,7 +121,8 @@
 	rollouts map[id.Service]*rollout
 	gateways int  // the most that were known at once
 	isolated bool // most peers were not heard of late
-	version  int  // rises when peers should know of something at once
+	roundAt  time.Time
+	version  int // rises when peers should know of something at once
 }
 
 // New returns a register without orders.
@@ -168,17 +169,33 @@
 	return true
 }
 
-// Orders returns the orders that stand, by service.
-func (g *Register) Orders() map[id.Service]Order {
+// Known returns the newest order of a service, and whether it stands; it does not if it was withdrawn or
+// there is none.
+func (g *Register) Known(service id.Service) (o Order, stands bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	orders := make(map[id.Service]Order, len(g.rollouts))
-	for s, r := range g.rollouts {
-		if !r.withdrawn {
-			orders[s] = r.order
-		}
+	if r := g.rollouts[service]; r != nil {
+		return r.order, !r.withdrawn
+	}
+	return Order{}, false
+}
+
+// Status is the state of an order, for metrics.
+type Status struct {
+	Order
+	State   State
+	Exposed int // requests that this gateway has sent to the target
+}
+
+// States returns the states of all orders, by service.
+func (g *Register) States() (states []Status) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(g.rollouts)) {
+		r := g.rollouts[service]
+		states = append(states, Status{Order: r.order, State: r.record.State, Exposed: r.exposure.target})
 	}
-	return orders
+	return states
 }
 
 // Services returns the services that have or had an order.
@@ -247,6 +264,7 @@
 func (g *Register) Round(now time.Time, reports []Report, livePeers int) (changes []Change) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.roundAt = now
 	for _, service := range slices.Sorted(maps.Keys(g.rollouts)) {
 		r := g.rollouts[service]
 		change := Change{Order: r.order}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -109,7 +109,7 @@
 type Config struct {
 	Share    float64       // of the service's requests
 	Slack    float64       // requests beyond the share
-	Rollback time.Duration // from the time at which a target is known to be bad until it gets nothing more
+	Rollback time.Duration // from the time at which a target has shown to be bad until it gets nothing more
 }
 
 const (
