--- a/gateway/program.go
+++ b/gateway/program.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -132,16 +131,8 @@
 		_ = logger.Log("event", "metrics_missing", "err", err)
 	}
 	if s.Bounds.RollbackMS > 0 && platform.Rollouts != nil {
-		cfg := rollout.Config{Share: s.Bounds.ExposeShare, Slack: s.Bounds.ExposeSlack, Rollback: durationMS(s.Bounds.RollbackMS)}
-		register := rollout.New(cfg, rand.Float64)
-		operatorSink.rollouts = &rolloutOrders{register: register, fleetTime: fleetTime, logger: logger, registry: registry}
-		p.rollouts = &rolloutDriver{
-			register: register, controller: rollout.NewController(s.Node, register), records: platform.Rollouts, pool: upstreamPool, catalog: currentCatalog, table: p.table,
-			fleetTime: fleetTime, leaving: func() bool { return p.gateway.ShuttingDown() }, tellPeers: func() { p.peers.Wake() }, logger: logger, registry: registry,
-			storeEra: func() feed.Era {
-				return max(platform.Rollouts.Era(), operators.View().Next.Era, listings.View().Next.Era)
-			},
-		}
+		p.rollouts = p.newRolloutDriver(platform.Rollouts, currentCatalog, fleetTime)
+		operatorSink.rollouts = p.rollouts.orders()
 	}
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/ragwortpass/ragwortpass/feed"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
@@ -19,6 +20,7 @@
 // RolloutChange orders a service to be moved to another version, or withdraws the order.
 type RolloutChange struct {
 	Service id.Service
+	Offset  feed.Offset
 	Order   *rollout.Order // nil: withdrawn, unless Invalid is set
 	Invalid error          // why the order cannot be used; the order before stands
 }
@@ -31,29 +33,32 @@
 	fleetTime func() time.Time
 	logger    log.Logger
 	registry  metrics.Registry
+	latest    map[id.Service]feed.Offset // of the record that was last applied; used under the follower's lock only
 }
 
 // apply takes up or withdraws an order.
 func (o *rolloutOrders) apply(c *RolloutChange) {
-	switch {
-	case o == nil:
-	case c.Order == nil:
+	if o == nil {
+		return
+	}
+	o.latest[c.Service] = c.Offset
+	if c.Order == nil {
 		if o.register.Withdraw(c.Service) {
 			metrics.GetOrRegisterCounter("rollout_withdrawn", o.registry).Inc(1)
 			_ = o.logger.Log("event", "rollout_withdrawn", "service", c.Service)
 		}
-	default:
-		isNew, superseded := o.register.Order(o.fleetTime(), *c.Order)
-		if !isNew {
-			return
-		}
-		metrics.GetOrRegisterCounter("rollout_ordered", o.registry).Inc(1)
-		fields := []any{"event", "rollout_ordered", "service", c.Service, "target", c.Order.Target, "duration", c.Order.Duration, "order", c.Order.Offset}
-		if superseded != nil {
-			fields = append(fields, "supersedes", superseded.Offset, "superseded_target", superseded.Target)
-		}
-		_ = o.logger.Log(fields...)
+		return
+	}
+	isNew, superseded := o.register.Order(o.fleetTime(), *c.Order)
+	if !isNew {
+		return
+	}
+	metrics.GetOrRegisterCounter("rollout_ordered", o.registry).Inc(1)
+	fields := []any{"event", "rollout_ordered", "service", c.Service, "target", c.Order.Target, "duration", c.Order.Duration, "order", c.Order.Offset}
+	if superseded != nil {
+		fields = append(fields, "supersedes", superseded.Offset, "superseded_target", superseded.Target)
 	}
+	_ = o.logger.Log(fields...)
 }
 
 // hold reports whether a change is left out that comes from a store that has come back older: an order
@@ -63,9 +68,9 @@
 		return false
 	}
 	known, stands := o.register.Known(c.Service)
-	held := known.Offset > c.Order.Offset || known == *c.Order && !stands
+	held := o.latest[c.Service] > c.Offset || known == *c.Order && !stands
 	if held {
-		_ = o.logger.Log("event", "rollout_held", "service", c.Service, "order", known.Offset, "store_has", c.Order.Offset)
+		_ = o.logger.Log("event", "rollout_held", "service", c.Service, "latest", o.latest[c.Service], "store_has", c.Offset)
 	}
 	return held
 }
@@ -77,7 +82,7 @@
 	}
 	for _, service := range o.register.Services() {
 		if !ordered[service] {
-			o.apply(&RolloutChange{Service: service})
+			o.apply(&RolloutChange{Service: service, Offset: o.latest[service]})
 		}
 	}
 }
--- a/gateway/rollout_driver.go
+++ b/gateway/rollout_driver.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -56,6 +57,29 @@
 	version     int       // of the register that peers were told of
 }
 
+// newRolloutDriver returns a driver without orders. The gateway, the exchanger and the followers of the program are
+// used once it runs.
+func (p *Program) newRolloutDriver(records RolloutLog, current *catalog.Latest, fleetTime func() time.Time) *rolloutDriver {
+	b := &p.settings.Bounds
+	register := rollout.New(rollout.Config{Share: b.ExposeShare, Slack: b.ExposeSlack, Rollback: durationMS(b.RollbackMS)}, rand.Float64)
+	return &rolloutDriver{
+		register: register, controller: rollout.NewController(p.settings.Node, register), records: records, pool: p.pool, catalog: current, table: p.table,
+		fleetTime: fleetTime, leaving: func() bool { return p.gateway.ShuttingDown() }, tellPeers: func() { p.peers.Wake() }, logger: p.logger, registry: p.registry,
+		storeEra: func() feed.Era {
+			era := records.Era()
+			for _, f := range p.followers {
+				era = max(era, f.View().Next.Era)
+			}
+			return era
+		},
+	}
+}
+
+// orders returns what passes the orders of the operators' topic on to the driver's register.
+func (d *rolloutDriver) orders() *rolloutOrders {
+	return &rolloutOrders{register: d.register, fleetTime: d.fleetTime, logger: d.logger, registry: d.registry, latest: make(map[id.Service]feed.Offset)}
+}
+
 // registerOrNil returns the register of a driver, also of none.
 func (d *rolloutDriver) registerOrNil() *rollout.Register {
 	if d == nil {
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -52,11 +52,31 @@
 	}
 }
 
+// TestRolloutBounds answers platforms on which nobody orders roll-outs, whose template leaves the bounds empty.
+func TestRolloutBounds(t *testing.T) {
+	with := func(bounds string) string {
+		return strings.Replace(goodSettings, `"bounds":{`, `"bounds":{`+bounds+`,`, 1)
+	}
+	s, err := gateway.ParseSettings([]byte(with(`"expose_share":null,"expose_slack":null,"rollback_ms":null`)))
+	require.NoError(t, err)
+	require.Zero(t, s.Bounds.RollbackMS)
+	s, err = gateway.ParseSettings([]byte(with(`"expose_share":0.1,"expose_slack":50,"rollback_ms":5000`)))
+	require.NoError(t, err)
+	require.InDelta(t, 0.1, s.Bounds.ExposeShare, 0)
+	for bounds, name := range map[string]string{
+		`"expose_share":1.1`: "expose_share", `"expose_share":-1`: "expose_share", `"expose_slack":-1`: "expose_slack", `"expose_slack":1e300`: "expose_slack",
+		`"rollback_ms":-1`: "rollback_ms", `"rollback_ms":1e300`: "rollback_ms", `"rollback_ms":1e-12`: "rollback_ms",
+	} {
+		_, err := gateway.ParseSettings([]byte(with(bounds)))
+		require.ErrorContains(t, err, "--bounds."+name+":", bounds)
+	}
+}
+
 // TestTemplateHasEverySetting checks that the deployment's template names every setting.
 func TestTemplateHasEverySetting(t *testing.T) {
 	text, err := os.ReadFile("../deploy/entry.json.tmpl")
 	require.NoError(t, err)
-	for _, name := range []string{"node", "data_centre", "callers", "ready", "peers", "seeds", "store_address", "duty_address", "duties", "memory_mb", "config_ms", "retry_ratio", "retry_slack", "retry_window_s", "grace_s", "lease_ms", "window_s", "usage_late_s"} {
+	for _, name := range []string{"node", "data_centre", "callers", "ready", "peers", "seeds", "store_address", "duty_address", "duties", "memory_mb", "config_ms", "retry_ratio", "retry_slack", "retry_window_s", "grace_s", "lease_ms", "window_s", "usage_late_s", "expose_share", "expose_slack", "rollback_ms"} {
 		require.Equal(t, 1, strings.Count(string(text), `"`+name+`"`), name)
 	}
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -74,18 +74,17 @@
 
 // The reasons of steps.
 const (
-	ReasonOrdered    Reason = "ordered"
-	ReasonGood       Reason = "good"
-	ReasonMoved      Reason = "moved"   // nothing runs on other versions any more
-	ReasonTime       Reason = "time"    // the deadline is near
-	ReasonRunning    Reason = "running" // the target is the only version
-	ReasonFailing    Reason = "failing"
-	ReasonSlow       Reason = "slow"
-	ReasonUndecided  Reason = "undecided" // there were not enough answers to call the target good
-	ReasonAbsent     Reason = "absent"    // no upstream of the target takes requests
-	ReasonNoService  Reason = "no_service"
-	ReasonWithdrawn  Reason = "withdrawn"
-	ReasonSuperseded Reason = "superseded"
+	ReasonOrdered   Reason = "ordered"
+	ReasonGood      Reason = "good"
+	ReasonMoved     Reason = "moved"   // nothing runs on other versions any more
+	ReasonTime      Reason = "time"    // the deadline is near
+	ReasonRunning   Reason = "running" // the target is the only version
+	ReasonFailing   Reason = "failing"
+	ReasonSlow      Reason = "slow"
+	ReasonUndecided Reason = "undecided" // there were not enough answers to call the target good
+	ReasonAbsent    Reason = "absent"    // no upstream of the target takes requests
+	ReasonNoService Reason = "no_service"
+	ReasonWithdrawn Reason = "withdrawn"
 )
 
 // Record is the state of an order as it lies on the store.
