--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -112,7 +112,10 @@
 		return nil, &UnsentError{err}
 	}
 	req.Close = newConn
-	x := &exchange{client: c, conn: conn, headMemory: c.responses.Share(memory.Holder(u.ID)), kept: kept, single: newConn, req: req, want: want, wrote: make(chan struct{})}
+	x := &exchange{client: c, conn: conn, headMemory: c.responses.Share(memory.Holder(u.ID)), kept: kept, req: req, want: want, wrote: make(chan struct{})}
+	if newConn {
+		x.closeAfterwards(closedDoubted)
+	}
 	observer.connected(x)
 	var headRead atomic.Bool
 	x.stopCancel = context.AfterFunc(ctx, func() {
@@ -129,13 +132,15 @@
 	headRead.Store(true)
 	if err != nil {
 		unsent := x.sealUnsent()
-		x.end(false)
+		x.end(closedBroken)
 		if unsent {
 			return nil, &UnsentError{err}
 		}
 		return nil, err
 	}
-	x.single = x.single || resp.Close
+	if resp.Close {
+		x.closeAfterwards(closedAsked)
+	}
 	own := &ownResponse{Response: resp, ResponseInfo: c.codec.ParseResponse(resp)}
 	if own.NotRun || own.Misdirected {
 		x.noteRefused()
@@ -180,11 +185,16 @@
 // closeIdle closes a connection whose read while it was idle has ended with err; nil: the upstream
 // has sent something that nobody asked for.
 func (c *UpstreamClient) closeIdle(conn *upstreamConn, err error) {
-	if err == nil {
+	reason := closedByUpstream
+	switch {
+	case err == nil:
+		reason = closedForeign
 		c.countForeign(conn.start.upstream)
 		_ = c.logger.Log("event", "foreign_response", "upstream", conn.start.upstream, "connection", "idle")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		reason = closedIdle
 	}
-	conn.Close()
+	c.closeConn(conn, reason)
 }
 
 // countForeign counts a response of an upstream that belongs to no request, or to another one
@@ -224,19 +234,24 @@
 		return
 	}
 	if conn.SetReadDeadline(time.Now().Add(upstreamIdleTimeout)) != nil {
-		conn.Close()
+		c.closeConn(conn, closedBroken)
 		return
 	}
 	conn.idle = make(chan error, 1)
 	c.mu.Lock()
 	conns := c.kept[conn.start]
-	full := len(conns) >= maxIdleConnsPerUpstream || conn.share.GrowTo(upstreamConnBytes) != nil
-	if !full {
+	var full closeReason
+	switch {
+	case len(conns) >= maxIdleConnsPerUpstream:
+		full = closedTooMany
+	case conn.share.GrowTo(upstreamConnBytes) != nil:
+		full = closedMemory
+	default:
 		c.kept[conn.start] = append(conns, conn)
 	}
 	c.mu.Unlock()
-	if full {
-		conn.Close()
+	if full != "" {
+		c.closeConn(conn, full)
 		return
 	}
 	go c.watchIdle(conn)
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -125,8 +125,8 @@
 	client     *UpstreamClient
 	conn       *upstreamConn
 	headMemory *memory.Share
-	kept       bool // the connection was opened for an earlier request
-	single     bool // the connection is closed afterwards
+	kept       bool        // the connection was opened for an earlier request
+	single     closeReason // why the connection is closed afterwards; empty: it may be kept
 	req        *http.Request
 	want       id.Request
 
@@ -227,7 +227,7 @@
 		if got == x.want && got != "" {
 			return resp, nil
 		}
-		x.single = true
+		x.closeAfterwards(closedForeign)
 		crossed := &CrossedError{Status: resp.StatusCode, Got: got, Want: x.want}
 		x.client.countForeign(x.conn.start.upstream)
 		foreign(crossed)
@@ -241,7 +241,16 @@
 // with the same id, a repetition of the refusal could not be told from a response to it.
 func (x *exchange) noteRefused() {
 	x.conn.refused = append(x.conn.refused, xxhash.Sum64String(string(x.want)))
-	x.single = x.single || len(x.conn.refused) >= maxRefusedPerConn
+	if len(x.conn.refused) >= maxRefusedPerConn {
+		x.closeAfterwards(closedRefusals)
+	}
+}
+
+// closeAfterwards has the connection closed after the exchange. The first reason counts.
+func (x *exchange) closeAfterwards(reason closeReason) {
+	if x.single == "" {
+		x.single = reason
+	}
 }
 
 // readHead reads the head of the next response that is not informational.
@@ -281,12 +290,19 @@
 }
 
 // end ends the exchange. The connection is kept for other requests if the response was read to
-// its end and nothing speaks against it.
-func (x *exchange) end(whole bool) {
+// its end and nothing speaks against it; otherwise failure is why the response was not.
+func (x *exchange) end(failure closeReason) {
 	x.ended.Do(func() {
 		x.headMemory.Release()
-		if !x.stopCancel() || !whole || x.single {
-			x.conn.Close()
+		switch {
+		case !x.stopCancel():
+			x.client.closeConn(x.conn, closedCancelled)
+			return
+		case x.single != "":
+			x.client.closeConn(x.conn, x.single)
+			return
+		case failure != "":
+			x.client.closeConn(x.conn, failure)
 			return
 		}
 		settled := time.NewTimer(writeSettleTime)
@@ -299,7 +315,7 @@
 			}
 		case <-settled.C: // the upstream has answered without reading the request
 		}
-		x.conn.Close()
+		x.client.closeConn(x.conn, closedUnwritten)
 	})
 }
 
@@ -314,7 +330,11 @@
 func (b *exchangeBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if err != nil {
-		b.exchange.end(errors.Is(err, io.EOF))
+		failure := closedBroken
+		if errors.Is(err, io.EOF) {
+			failure = ""
+		}
+		b.exchange.end(failure)
 		b.Reader = endedReader{err}
 	}
 	return n, err
@@ -330,7 +350,7 @@
 		_, err := io.Copy(io.Discard, b)
 		return err
 	}
-	b.exchange.end(false)
+	b.exchange.end(closedUnread)
 	b.Reader = endedReader{http.ErrBodyReadAfterClose}
 	return nil
 }
--- a/gateway/upstream_conn_test.go
+++ b/gateway/upstream_conn_test.go
@@ -108,15 +108,16 @@
 		unread    bool // the body of the response is closed before it is read
 		kept      int
 		foreign   int64
+		why       closeReason // why the connection was closed, if it was
 	}{
 		{name: "whole", raw: own, kept: 1},
-		{name: "request not written yet", raw: own, early: true},
-		{name: "connection close", raw: "HTTP/1.1 200 x\r\nId: q\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"},
-		{name: "HTTP/1.0", raw: "HTTP/1.0 200 x\r\nId: q\r\nContent-Length: 2\r\n\r\nok"},
-		{name: "after a response to another request", raw: "HTTP/1.1 503 x\r\nId: p\r\nContent-Length: 0\r\n\r\n" + own, foreign: 1},
-		{name: "bytes after the response", raw: own + "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 0\r\n\r\n", foreign: 1},
-		{name: "a connection of its own", raw: own, newConn: true},
-		{name: "body not read", raw: "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000), unread: true},
+		{name: "request not written yet", raw: own, early: true, why: closedUnwritten},
+		{name: "connection close", raw: "HTTP/1.1 200 x\r\nId: q\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", why: closedAsked},
+		{name: "HTTP/1.0", raw: "HTTP/1.0 200 x\r\nId: q\r\nContent-Length: 2\r\n\r\nok", why: closedAsked},
+		{name: "after a response to another request", raw: "HTTP/1.1 503 x\r\nId: p\r\nContent-Length: 0\r\n\r\n" + own, foreign: 1, why: closedForeign},
+		{name: "bytes after the response", raw: own + "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 0\r\n\r\n", foreign: 1, why: closedForeign},
+		{name: "a connection of its own", raw: own, newConn: true, why: closedDoubted},
+		{name: "body not read", raw: "HTTP/1.1 200 x\r\nId: q\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000), unread: true, why: closedUnread},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -156,6 +157,9 @@
 			}
 			resp.Body.Close()
 			require.Equal(t, tc.foreign, metrics.GetOrRegisterCounter("foreign_responses", registry).Count())
+			if tc.why != "" {
+				require.EqualValues(t, 1, metrics.GetOrRegisterCounter("upstream_closed_"+string(tc.why), registry).Count())
+			}
 			client.mu.Lock()
 			defer client.mu.Unlock()
 			kept := 0
