gateway: idle connections are kept for as long as their upstream states, within its bound

The stated time less a second, 4 s without; a connection is kept only while the gateway has no more open than its part of three quarters of MaxConns.

--- a/gateway/close_reason.go
+++ b/gateway/close_reason.go
@@ -26,6 +26,16 @@
 
 // closeConn closes a connection and counts why.
 func (c *UpstreamClient) closeConn(conn *upstreamConn, reason closeReason) {
-	metrics.GetOrRegisterCounter("upstream_closed_"+string(reason), c.registry).Inc(1)
+	c.mu.Lock()
+	c.noteClosed(conn, reason)
+	c.mu.Unlock()
 	conn.Close()
 }
+
+// noteClosed records that a connection is being closed. The caller holds c.mu.
+func (c *UpstreamClient) noteClosed(conn *upstreamConn, reason closeReason) {
+	metrics.GetOrRegisterCounter("upstream_closed_"+string(reason), c.registry).Inc(1)
+	if c.open[conn.start]--; c.open[conn.start] <= 0 {
+		delete(c.open, conn.start)
+	}
+}
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -134,9 +134,11 @@
 		p.rollouts = p.newRolloutDriver(platform.Rollouts, currentCatalog, fleetTime)
 		operatorSink.rollouts = p.rollouts.orders()
 	}
+	client := NewUpstreamClient(platform.Codec, budgets, registry, logger)
+	client.ShareConnections(upstreamPool.ConnectionPart)
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
-		CatalogStatus: operatorStatus{operators, durationMS(s.Bounds.ConfigMS)}, Client: NewUpstreamClient(platform.Codec, budgets, registry, logger), Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, Rollouts: p.rollouts.registerOrNil(), FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
+		CatalogStatus: operatorStatus{operators, durationMS(s.Bounds.ConfigMS)}, Client: client, Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, Rollouts: p.rollouts.registerOrNil(), FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
 	})
 	if platform.Holds != nil {
 		p.holdKeeper = &holdKeeper{
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -37,15 +37,10 @@
 	// dueHeadWait is how long the head of a response may still come after its caller has left. A refusal
 	// that is on its way says what the upstream takes next: it may ask for a wait.
 	dueHeadWait = 20 * time.Millisecond
-	// maxIdleConnsPerUpstream limits the idle connections kept open to one upstream.
-	maxIdleConnsPerUpstream = 64
 	// upstreamConnBytes is about what an idle connection to an upstream takes, and idleUpstreamLeaves the
 	// part of the memory for connections that those leave to callers.
 	upstreamConnBytes  = 12 << 10
 	idleUpstreamLeaves = 0.4
-	// upstreamIdleTimeout closes idle connections before upstreams do, which close them
-	// after some seconds.
-	upstreamIdleTimeout = 4 * time.Second
 )
 
 // upstreamStart identifies one start of an upstream at an address. Connections to an earlier
@@ -56,6 +51,9 @@
 	startUnixMS int64
 }
 
+// startOf returns the start of an upstream that is listed.
+func startOf(u *pool.Listing) upstreamStart { return upstreamStart{u.Address, u.ID, u.StartUnixMS} }
+
 // UpstreamClient sends requests to upstreams over connections that it keeps open, or over new
 // ones. It never sends a request a second time. It is safe for concurrent use.
 type UpstreamClient struct {
@@ -67,8 +65,11 @@
 	guard       *guard.Guard
 	logger      log.Logger
 
+	connectionPart func(id.Service) float64 // set by ShareConnections
+
 	mu   sync.Mutex
 	kept map[upstreamStart][]*upstreamConn // idle connections, the one used last at the end
+	open map[upstreamStart]int             // connections, idle ones included
 }
 
 // NewUpstreamClient returns a client without connections that keeps responses and idle connections within
@@ -80,10 +81,14 @@
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 		},
 		codec: codec, responses: budgets.Responses, connections: budgets.Connections, registry: registry, guard: guard.New(logger, registry), logger: logger,
-		kept: make(map[upstreamStart][]*upstreamConn),
+		connectionPart: func(id.Service) float64 { return 0 }, kept: make(map[upstreamStart][]*upstreamConn), open: make(map[upstreamStart]int),
 	}
 }
 
+// ShareConnections sets which part of the connections that an upstream of a service accepts is this gateway's; zero:
+// not known. It is called before the client is used.
+func (c *UpstreamClient) ShareConnections(part func(id.Service) float64) { c.connectionPart = part }
+
 // Connect opens a connection to an upstream.
 func (c *UpstreamClient) Connect(ctx context.Context, address string) (net.Conn, error) {
 	return c.dialer.DialContext(ctx, "tcp", address)
@@ -138,6 +143,7 @@
 		}
 		return nil, err
 	}
+	conn.idleTime = idleTime(resp.Header)
 	if resp.Close {
 		x.closeAfterwards(closedAsked)
 	}
@@ -152,7 +158,7 @@
 // connection returns a connection for a request to the present start of an upstream, a kept or a
 // new one.
 func (c *UpstreamClient) connection(ctx context.Context, want id.Request, u *pool.Listing, newConn bool) (conn *upstreamConn, kept bool, err error) {
-	start := upstreamStart{u.Address, u.ID, u.StartUnixMS}
+	start := startOf(u)
 	if !newConn {
 		if conn := c.take(start, want); conn != nil {
 			return conn, true, nil
@@ -162,7 +168,17 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return newUpstreamConn(opened, start, c.connections.ShareLeaving(memory.Holder(u.ID), idleUpstreamLeaves)), false, nil
+	return c.newConn(opened, u), false, nil
+}
+
+// newConn returns a connection that was opened to an upstream.
+func (c *UpstreamClient) newConn(opened net.Conn, u *pool.Listing) *upstreamConn {
+	conn := newUpstreamConn(opened, startOf(u), c.connections.ShareLeaving(memory.Holder(u.ID), idleUpstreamLeaves))
+	conn.service = u.Service
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[conn.start]++
+	return conn
 }
 
 // take takes a kept connection on which nothing has arrived since its last response and on which
@@ -233,25 +249,29 @@
 		c.closeIdle(conn, nil)
 		return
 	}
-	if conn.SetReadDeadline(time.Now().Add(upstreamIdleTimeout)) != nil {
+	if conn.SetReadDeadline(time.Now().Add(conn.idleTime)) != nil {
 		c.closeConn(conn, closedBroken)
 		return
 	}
 	conn.idle = make(chan error, 1)
+	part := c.connectionPart(conn.service)
 	c.mu.Lock()
 	conns := c.kept[conn.start]
 	var full closeReason
 	switch {
-	case len(conns) >= maxIdleConnsPerUpstream:
+	case !mayKeep(len(conns), c.open[conn.start], part):
 		full = closedTooMany
 	case conn.share.GrowTo(upstreamConnBytes) != nil:
 		full = closedMemory
 	default:
 		c.kept[conn.start] = append(conns, conn)
 	}
+	if full != "" {
+		c.noteClosed(conn, full)
+	}
 	c.mu.Unlock()
 	if full != "" {
-		c.closeConn(conn, full)
+		conn.Close()
 		return
 	}
 	go c.watchIdle(conn)
--- a/gateway/upstream_conn.go
+++ b/gateway/upstream_conn.go
@@ -86,6 +86,8 @@
 type upstreamConn struct {
 	net.Conn
 	start    upstreamStart
+	service  id.Service
+	idleTime time.Duration // for which it is kept without a request
 	share    *memory.Share // reserved while the connection is idle
 	in       *bufio.Reader
 	out      *bufio.Writer
@@ -115,7 +117,7 @@
 }
 
 func newUpstreamConn(conn net.Conn, start upstreamStart, share *memory.Share) *upstreamConn {
-	c := &upstreamConn{Conn: conn, start: start, share: share, headLeft: math.MaxInt64, out: bufio.NewWriter(nil)}
+	c := &upstreamConn{Conn: conn, start: start, idleTime: defaultIdleTime, share: share, headLeft: math.MaxInt64, out: bufio.NewWriter(nil)}
 	c.in = bufio.NewReader(headReader{c})
 	return c
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -108,6 +108,18 @@
 	p.rand = r
 }
 
+// ConnectionPart returns how many of the connections that an upstream of a service accepts are this gateway's, if
+// all have as many; zero: not known.
+func (p *Pool) ConnectionPart(service id.Service) float64 {
+	c := p.latest.Load()
+	if c == nil || c.Services[service] == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return float64(c.Services[service].MaxConns) / float64(p.gatewayCount)
+}
+
 // SetGatewayCount sets how many gateways share the capacity of the upstreams.
 func (p *Pool) SetGatewayCount(n int) {
 	p.mu.Lock()
