gateway: connections that were opened in doubt, or as a trial, are kept

Change: both are kept like others. The doubt is ended by a connection that is known to work; it was used last, so that the next request uses it.

--- a/gateway/close_reason.go
+++ b/gateway/close_reason.go
@@ -13,7 +13,6 @@
 	closedIdle       closeReason = "idle"      // it was idle for too long
 	closedByUpstream closeReason = "upstream"  // while it was idle
 	closedAsked      closeReason = "asked"     // the response asked for it, or could only end so
-	closedDoubted    closeReason = "doubted"   // it was opened to see whether the upstream is there
 	closedForeign    closeReason = "foreign"   // a response came that belongs to no request, or to another one
 	closedRefusals   closeReason = "refusals"  // many requests were refused on it
 	closedCancelled  closeReason = "cancelled" // the request was given up: its caller has left, or its time was over
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -35,7 +35,7 @@
 	conn, err := g.deps.Client.Connect(ctx, l.Address)
 	switch {
 	case err == nil:
-		conn.Close()
+		g.deps.Client.Adopt(conn, &l)
 		g.deps.Pool.MarkReachable(time.Now(), l.ID)
 	case ctx.Err() == nil:
 		g.incrementCounter("upstream_silent")
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -103,8 +103,11 @@
 	foreignResponse(x *exchange, crossed *CrossedError)
 }
 
-// do sends a request with an id to an assigned upstream, over a new connection that is not kept
-// if newConn is set, and returns the response that belongs to it. The response's body must be
+// Adopt keeps a connection that was opened to an upstream to see whether it is there.
+func (c *UpstreamClient) Adopt(opened net.Conn, u *pool.Listing) { c.keep(c.newConn(opened, u)) }
+
+// do sends a request with an id to an assigned upstream, over a new connection if newConn is
+// set, and returns the response that belongs to it. The response's body must be
 // closed. The error is an *UnsentError if nothing was sent, or a *CrossedError if the response
 // belongs to another request. After any other error the request may have been received.
 func (c *UpstreamClient) do(req *http.Request, want id.Request, u *pool.Listing, newConn bool, observer exchangeObserver) (*ownResponse, error) {
@@ -116,11 +119,7 @@
 	if err != nil {
 		return nil, &UnsentError{err}
 	}
-	req.Close = newConn
 	x := &exchange{client: c, conn: conn, headMemory: c.responses.Share(memory.Holder(u.ID)), kept: kept, req: req, want: want, wrote: make(chan struct{})}
-	if newConn {
-		x.closeAfterwards(closedDoubted)
-	}
 	observer.connected(x)
 	var headRead atomic.Bool
 	x.stopCancel = context.AfterFunc(ctx, func() {
