gateway: heads cost what they take parsed, and every door has bounds of its own

Cause: crowds at a gateway's addresses take memory that nothing counts. A head of very many short fields takes some twenty times its bytes once it is parsed, of which three were counted, and nothing below 4 kB. The servers of readiness, peers and metrics had the library's limits only: heads of 1 MB, no bound on connections, on the time of a request or on the body of a peer's call. A request that its head refuses kept its connection until its body was complete, for ever if it never is.

Change: each line of a head counts 200 bytes besides three a byte, before it is parsed, and each field of a request beyond 32 counts 400. All doors have the listener that callers have, with a budget and a number of connections of their own; bodies are not read where none belong, and the memory for a peer's call is taken before it is read. The rest of a body whose request is refused by its head is awaited for half a second.

Measured: TestShortFieldsTakeMemory and TestBodyOfRefusedRequestIsNotAwaited fail on (never counted; i/o timeout after 20 s) and pass. TestLargestRequestIsServed passes before and after.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -69,6 +69,20 @@
 // accept checks a caller's request and reads its body. It returns a problem if the
 // request is refused; the returned request is never nil.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*request, *problem.Problem) {
+	req, p := g.check(r, now)
+	if p != nil {
+		boundUnreadBody(w, r)
+		return req, p
+	}
+	if p := g.reserve(w, r, req); p != nil {
+		return req, p
+	}
+	return req, g.readBody(w, r, req)
+}
+
+// check checks the head of a request. It returns a problem if the request is refused; the returned request is never
+// nil.
+func (g *Gateway) check(r *http.Request, now time.Time) (*request, *problem.Problem) {
 	req := &request{
 		info: g.deps.Codec.ParseRequest(r.Header), arrived: now, method: r.Method, uri: requestTarget(r), host: r.Host, header: r.Header,
 	}
@@ -89,10 +103,7 @@
 	if g.exceedsShutdown(req.deadline) {
 		return req, g.leavingProblem(req)
 	}
-	if p := g.reserve(w, r, req); p != nil {
-		return req, p
-	}
-	return req, g.readBody(w, r, req)
+	return req, nil
 }
 
 // requestTarget returns the target of a request without the scheme and host that a caller may name.
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -22,11 +22,14 @@
 	// given up, so that its caller is told.
 	bodyShutdownMargin = 300 * time.Millisecond
 	// requestBytes is about what a request takes besides its head and body while it is served, with the
-	// connection to its upstream, and requestHeadFactor what its head takes, which is kept as received and
-	// as it is sent. There is memory for more connections than for requests, so that others than those
+	// connection to its upstream, and requestHeadFactor what each byte of its head takes and requestFieldBytes what
+	// each of its fields does besides: it is kept as received and as it is sent. There is memory for more connections than for requests, so that others than those
 	// that are in use can be closed for new ones.
 	requestBytes      = 24 << 10
 	requestHeadFactor = 3
+	requestFieldBytes = 2 * headLineBytes
+	// minFields is the number of fields that requestBytes includes.
+	minFields = 32
 	// A body that there is no memory for is read without keeping it, in pieces of discardBytes, so that its
 	// caller can read the refusal and keep the connection: for maxDiscardTime, or until nothing has come
 	// for discardStall.
@@ -89,7 +92,7 @@
 // reserve takes the memory for a request without its body. It returns a problem if there is none.
 func (g *Gateway) reserve(w http.ResponseWriter, r *http.Request, req *request) *problem.Problem {
 	req.share = g.deps.Memory.Requests.ShareLeaving(memory.Holder(req.workspace), memory.UrgencyReserve*float64(req.urgency))
-	err := req.share.GrowTo(requestBytes + requestHeadFactor*int64(headerSize(r)))
+	err := req.share.GrowTo(requestBytes + requestHeadCost(r))
 	if err == nil {
 		releaseHead(r.Context())
 		return nil
@@ -97,6 +100,15 @@
 	return memoryProblem(w, r, err)
 }
 
+// requestHeadCost returns the bytes that the head of a request takes while it is served.
+func requestHeadCost(r *http.Request) int64 {
+	fields := 0
+	for _, values := range r.Header {
+		fields += len(values)
+	}
+	return requestHeadFactor*int64(headerSize(r)) + requestFieldBytes*int64(max(0, fields-minFields))
+}
+
 // memoryProblem returns the problem of a request that there is no memory for.
 func memoryProblem(w http.ResponseWriter, r *http.Request, err error) *problem.Problem {
 	if discardErr := discardBody(w, r); discardErr != nil {
@@ -129,6 +141,16 @@
 	return errBodyUnread
 }
 
+// boundUnreadBody bounds the time for which the server waits for the body of a request that is refused by its head.
+func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body == http.NoBody {
+		return
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxDiscardTime)); err != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // bodyLimit returns the size in bytes that the body of a request may have.
 func (r *request) bodyLimit() int64 {
 	if limit := r.catalog.Limits.BodyBytes; limit > 0 {
--- a/gateway/caller_conns.go
+++ b/gateway/caller_conns.go
@@ -40,6 +40,7 @@
 // concurrent use.
 type CallerConns struct {
 	*process.DrainingListener
+	prefix      string               // of counters and log lines; empty: the server is that of callers
 	idleTimeout func() time.Duration // zero: no limit
 	memory      *memory.Budget
 	maxOpen     int64 // zero: no limit
@@ -61,11 +62,16 @@
 		DrainingListener: process.NewDrainingListener(l), idleTimeout: g.idleTimeout,
 		memory: g.deps.Memory.Connections, maxOpen: int64(g.deps.MaxCallers), registry: g.deps.Metrics, logger: g.deps.Logger, conns: make(map[*callerConn]struct{}),
 	}
+	c.bind(server)
+	return c
+}
+
+// bind makes a server tell of its connections, which it must accept from c.
+func (c *CallerConns) bind(server *http.Server) {
 	server.ConnState = c.connStateChanged
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, callerConnKey{}, conn)
 	}
-	return c
 }
 
 // callerConnKey is the key of a request's connection in its context.
@@ -190,7 +196,7 @@
 	headShare *memory.Share // for the head that is being read
 	idleSince time.Time     // no byte of a request was read since then; zero: a request has begun
 	begunAt   time.Time     // when the request began, if idleSince is zero
-	headBytes int64         // read of a head that is not complete
+	headCost  int64         // bytes that what was read of a head takes, while it is not complete
 	serving   bool          // the head of a request was read, and the request is being served
 	served    bool          // a request was served
 	readAhead bool          // a byte was read while the request before was being served
@@ -209,7 +215,7 @@
 		c.readAhead = true // the server reads single bytes only to notice that the caller disconnects
 	}
 	c.mu.Unlock()
-	if !c.beginRequest() || !c.growHead(n) {
+	if !c.beginRequest() || !c.growHead(b[:n]) {
 		return 0, net.ErrClosed
 	}
 	return n, err
@@ -219,7 +225,7 @@
 func (c *callerConn) endHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.served, c.headBytes = !c.closed, true, 0
+	c.serving, c.served, c.headCost = !c.closed, true, 0
 }
 
 // beginRequest records that a request has begun. It reports false if the connection was
--- a/gateway/caller_memory.go
+++ b/gateway/caller_memory.go
@@ -9,6 +9,7 @@
 // callers that only connect displace each other. Idle ones that have carried requests follow.
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"iter"
@@ -28,10 +29,12 @@
 	// the memory for connections that is left to heads.
 	callerConnBytes   = 10 << 10
 	callerHeadReserve = 0.2
-	// freeCallerHeadBytes is the size up to which the head of a request takes no memory of its own, and
-	// callerHeadFactor the memory that larger ones take: they are kept as read and as parsed.
-	freeCallerHeadBytes = 4 << 10
-	callerHeadFactor    = 3
+	// freeCallerHeadCost is the cost in bytes up to which the head of a request takes no memory of its own. Each byte
+	// of a head costs callerHeadFactor, as it is kept as read and as parsed, and each line headLineBytes, as the table
+	// of its fields is larger than short fields are.
+	freeCallerHeadCost = 12 << 10
+	callerHeadFactor   = 3
+	headLineBytes      = 200
 	// minHeadTime is how long the head of a request may take to arrive before its connection is closed for
 	// others. Callers send theirs at once.
 	minHeadTime = time.Second
@@ -46,8 +49,11 @@
 )
 
 // maxCallers returns how many connections of callers a process with a number of descriptors may have; zero: not known.
-func maxCallers(descriptors int) int {
-	return int(callerSocketFraction * float64(max(0, descriptors-otherDescriptors)))
+func maxCallers(descriptors int) int { return socketPart(callerSocketFraction, descriptors) }
+
+// socketPart returns a part of the sockets of a process with a number of descriptors; zero: not known.
+func socketPart(fraction float64, descriptors int) int {
+	return int(fraction * float64(max(0, descriptors-otherDescriptors)))
 }
 
 // callerPhase is what a connection of a caller is doing.
@@ -175,6 +181,7 @@
 // noteClosed counts a connection that was closed for want of memory, and logs it unless another one was
 // logged just before.
 func (c *CallerConns) noteClosed(now time.Time, counter string, err error) {
+	counter = c.prefix + counter
 	metrics.GetOrRegisterCounter(counter, c.registry).Inc(1)
 	c.mu.Lock()
 	quiet := now.Sub(c.closedLogged) < closedLogInterval
@@ -195,7 +202,7 @@
 	switch {
 	case c.closed || c.serving:
 		return callerState{phase: phaseServing}
-	case c.idleSince.IsZero() && c.headBytes > freeCallerHeadBytes:
+	case c.idleSince.IsZero() && c.headCost > freeCallerHeadCost:
 		return callerState{phaseHead, c.begunAt}
 	case c.idleSince.IsZero():
 		return callerState{phaseWaiting, c.begunAt}
@@ -235,7 +242,7 @@
 	if c.closed {
 		return nil
 	}
-	return c.headShare.GrowTo(c.headBytes * callerHeadFactor)
+	return c.headShare.GrowTo(c.headCost)
 }
 
 // release gives the memory of the connection back. The caller holds c.mu.
@@ -272,14 +279,35 @@
 	c.headShare.Release()
 }
 
-// growHead reserves the memory for a head of which n more bytes were read, and waits for it for a while. It
+// endServing records that the request of a connection was answered and nothing more is done for it, so that the
+// connection may be closed for others.
+func endServing(ctx context.Context, now time.Time) {
+	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.begunAt = false, now
+}
+
+// headCost returns the bytes that a head takes of which a part was read.
+func headCost(part []byte) int64 {
+	return callerHeadFactor*int64(len(part)) + headLineBytes*int64(bytes.Count(part, lineEnd))
+}
+
+var lineEnd = []byte{'\n'}
+
+// growHead reserves the memory for a head of which a further part was read, and waits for it for a while. It
 // closes the connection if there is none.
-func (c *callerConn) growHead(n int) bool {
+func (c *callerConn) growHead(part []byte) bool {
 	c.mu.Lock()
-	if !c.serving {
-		c.headBytes += int64(n)
+	if c.serving {
+		c.mu.Unlock()
+		return true
 	}
-	large := !c.serving && c.headBytes > freeCallerHeadBytes
+	c.headCost += headCost(part)
+	large := c.headCost > freeCallerHeadCost
 	c.mu.Unlock()
 	if !large {
 		return true
--- a/gateway/caller_memory_test.go
+++ b/gateway/caller_memory_test.go
@@ -90,6 +90,16 @@
 	require.Equal(t, "served", string(body))
 }
 
+// requireAnswer reads the status of an answer from a connection, for as long as a busy machine may take.
+func requireAnswer(t *testing.T, conn net.Conn, status int) {
+	t.Helper()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, status, resp.StatusCode)
+}
+
 const callerRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // TestSilentCallersMakeRoom has more callers connect than there is memory for: those that send nothing are
@@ -166,3 +176,23 @@
 	c.endRequest(time.Now(), 0)
 	require.True(t, c.closeForRoom())
 }
+
+// TestShortFieldsTakeMemory guards against heads of very many short fields that take many times their bytes: each
+// field of a head that is read is counted, before it is parsed.
+func TestShortFieldsTakeMemory(t *testing.T) {
+	const fields, leastFieldBytes = 500, 100
+	address, c := newSmallServer(t, 100)
+	dialCaller(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", fields))
+	require.Eventually(t, func() bool { return c.memory.Used() > fields*leastFieldBytes }, 5*time.Second, time.Millisecond)
+	c.memory = memory.NewBudget(0)
+	conn := dialCaller(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", fields))
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err := conn.Read(make([]byte, 1))
+	require.Error(t, err, "closed: there is no memory for it")
+}
+
+// TestOrdinaryHeadTakesNoMemory guards against heads that callers send being counted one by one.
+func TestOrdinaryHeadTakesNoMemory(t *testing.T) {
+	head := "POST /v1/x HTTP/1.1\r\n" + strings.Repeat("X-Some-Field: "+strings.Repeat("v", 60)+"\r\n", 20) + "\r\n"
+	require.LessOrEqual(t, headCost([]byte(head)), int64(freeCallerHeadCost))
+}
--- a/gateway/late_body_test.go
+++ b/gateway/late_body_test.go
@@ -169,3 +169,14 @@
 		require.Fail(t, "the request still waits")
 	}
 }
+
+// TestBodyOfRefusedRequestIsNotAwaited guards against connections that are kept for ever by requests that are refused
+// by their heads, and whose bodies never end.
+func TestBodyOfRefusedRequestIsNotAwaited(t *testing.T) {
+	f := newFixture(t)
+	conn := f.startBody("/nowhere/x")
+	status, _ := readAnswer(t, conn, 20*time.Second)
+	require.Equal(t, http.StatusNotFound, status)
+	_, err := io.Copy(io.Discard, conn)
+	require.NoError(t, err, "the connection is closed")
+}
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -87,6 +87,7 @@
 	rollouts     *rolloutDriver // nil: nobody orders roll-outs
 	bootNow      func() time.Time
 	freshness    freshness
+	budgets      *memory.Budgets
 	registry     metrics.Registry
 	guard        *guard.Guard
 	logger       log.Logger
@@ -127,6 +128,7 @@
 	p.usage = newUsageCounter(durationS(s.Bounds.WindowS), bootClock.Now, clockOffset)
 	p.quarantine = quarantine.New()
 	budgets := memory.NewBudgets(s.MemoryMB)
+	p.budgets = budgets
 	if err := budgets.Register(registry); err != nil {
 		_ = logger.Log("event", "metrics_missing", "err", err)
 	}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -49,15 +49,21 @@
 	p.servers.callers = p.servers.listen("callers", s.Callers, process.ListenPatience)
 	p.callers = p.gateway.TrackCallers(callers, p.servers.callers)
 	p.servers.start("callers", callers, p.callers)
-	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: readHeaderTimeout}
-	p.servers.start("ready", ready, p.servers.listen("ready", s.Ready, process.ListenPatience))
+	p.openDoor(&door{
+		name: "ready", address: s.Ready, patience: process.ListenPatience, sockets: readySocketFraction, requestTime: doorRequestTime,
+		memory: p.budgets.Ready, handler: withoutBodies(http.HandlerFunc(p.ready)),
+	})
 	if s.Peers != "" {
-		peers := &http.Server{Handler: p.peers.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-		p.servers.start("peers", peers, p.servers.listen("peers", s.Peers, 0))
+		p.openDoor(&door{
+			name: "peers", address: s.Peers, sockets: peerSocketFraction, requestTime: peerRequestTime,
+			memory: p.budgets.Peers, handler: withBodiesIn(p.budgets.Peers, &callRefusals{registry: p.registry, logger: p.logger}, p.peers.Handler()),
+		})
 	}
 	if p.settings.Metrics != "" {
-		pages := &http.Server{Handler: p.operatorPages(), ReadHeaderTimeout: readHeaderTimeout}
-		p.servers.start("metrics", pages, p.servers.listen("metrics", p.settings.Metrics, 0))
+		p.openDoor(&door{
+			name: "metrics", address: p.settings.Metrics, sockets: pageSocketFraction, requestTime: doorRequestTime,
+			memory: p.budgets.Pages, handler: withoutBodies(p.operatorPages()),
+		})
 	}
 }
 
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -26,6 +26,9 @@
 	connectionFraction = 0.25
 	requestFraction    = 0.35
 	responseFraction   = 0.15
+	readyFraction      = 0.02
+	peerFraction       = 0.04
+	pageFraction       = 0.02
 )
 
 // UrgencyReserve is the part of the memory for requests that those of each urgency leave to the more urgent
@@ -144,6 +147,10 @@
 	Connections *Budget // open connections and the heads that arrive on them, by connection
 	Requests    *Budget // requests that are being served, with their heads and bodies, by workspace
 	Responses   *Budget // what upstreams have sent and callers have not got yet, by upstream
+	// Connections to the servers that callers have no business with, with what is sent on them, by connection.
+	Ready *Budget // the check of readiness
+	Peers *Budget // calls of peers
+	Pages *Budget // metrics and other pages of operators
 }
 
 // NewBudgets returns the budgets of a process with the given memory in megabytes; zero: not known.
@@ -152,13 +159,18 @@
 		processMB = defaultProcessMB
 	}
 	part := func(fraction float64) *Budget { return NewBudget(int64(processMB * fraction * (1 << 20))) }
-	return &Budgets{Connections: part(connectionFraction), Requests: part(requestFraction), Responses: part(responseFraction)}
+	return &Budgets{
+		Connections: part(connectionFraction), Requests: part(requestFraction), Responses: part(responseFraction),
+		Ready: part(readyFraction), Peers: part(peerFraction), Pages: part(pageFraction),
+	}
 }
 
 // Register registers gauges of what is in use and of the limits, in bytes.
 func (b *Budgets) Register(r metrics.Registry) error {
 	var errs []error
-	for name, budget := range map[string]*Budget{"connections": b.Connections, "requests": b.Requests, "responses": b.Responses} {
+	for name, budget := range map[string]*Budget{
+		"connections": b.Connections, "requests": b.Requests, "responses": b.Responses, "ready": b.Ready, "peers": b.Peers, "pages": b.Pages,
+	} {
 		errs = append(errs,
 			r.Register("memory_used_bytes_"+name, metrics.NewFunctionalGauge(budget.Used)),
 			r.Register("memory_limit_bytes_"+name, metrics.NewFunctionalGauge(func() int64 { return budget.limit })))
