--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -99,7 +99,7 @@
 	var decision pool.Decision
 	for i := range plan.Filters {
 		filter := &plan.Filters[i]
-		query.Allows = func(l *pool.Listing) bool { return filter.Allows(l.Version, startOf(l)) }
+		query.Allows = func(l *pool.Listing) bool { return filter.Allows(l.Version, startTime(l)) }
 		query.MaxUpstreams = filter.Most
 		next := f.gateway.deps.Pool.Choose(now, query)
 		if assignment, ok := next.(*pool.Assignment); ok {
@@ -115,8 +115,8 @@
 	return decision
 }
 
-// startOf returns when an upstream started; zero: not known.
-func startOf(l *pool.Listing) time.Time {
+// startTime returns when an upstream started; zero: not known.
+func startTime(l *pool.Listing) time.Time {
 	if l.StartUnixMS == 0 {
 		return time.Time{}
 	}
@@ -155,7 +155,7 @@
 	default:
 		return
 	}
-	if start := startOf(&assignment.Upstream); !start.IsZero() {
+	if start := startTime(&assignment.Upstream); !start.IsZero() {
 		outcome.UpstreamAge = max(f.gateway.deps.FleetTime().Sub(start)-elapsed, 1)
 	}
 	f.gateway.deps.Rollouts.Ended(f.plan, assignment.Upstream.Version, outcome)
