pool, rollout: upstreams that tell no start count from their first listing; tests of rows, slow streams and first seconds

Cause: listings need not tell when an upstream started. Change: the pool keeps when it first had a listing.

--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -95,11 +95,14 @@
 	if rollouts == nil || !rollouts.Has(query.Service) {
 		return f.gateway.deps.Pool.Choose(now, query)
 	}
-	plan := rollouts.Plan(f.gateway.deps.FleetTime(), query.Service, f.req.route.Name)
+	fleetNow := f.gateway.deps.FleetTime()
+	plan := rollouts.Plan(fleetNow, query.Service, f.req.route.Name)
 	var decision pool.Decision
 	for i := range plan.Filters {
 		filter := &plan.Filters[i]
-		query.Allows = func(l *pool.Listing) bool { return filter.Allows(l.Version, startTime(l)) }
+		query.Allows = func(l *pool.Listing, added time.Time) bool {
+			return filter.Allows(l.Version, startTime(l, fleetNow.Add(-now.Sub(added))))
+		}
 		query.MaxUpstreams = filter.Most
 		next := f.gateway.deps.Pool.Choose(now, query)
 		if assignment, ok := next.(*pool.Assignment); ok {
@@ -115,10 +118,10 @@
 	return decision
 }
 
-// startTime returns when an upstream started; zero: not known.
-func startTime(l *pool.Listing) time.Time {
+// startTime returns when an upstream started, or if it does not tell, when it was first listed.
+func startTime(l *pool.Listing, added time.Time) time.Time {
 	if l.StartUnixMS == 0 {
-		return time.Time{}
+		return added
 	}
 	return time.UnixMilli(l.StartUnixMS)
 }
@@ -155,8 +158,7 @@
 	default:
 		return
 	}
-	if start := startTime(&assignment.Upstream); !start.IsZero() {
-		outcome.UpstreamAge = max(f.gateway.deps.FleetTime().Sub(start)-elapsed, 1)
-	}
+	sentAt := f.gateway.deps.FleetTime().Add(-elapsed)
+	outcome.UpstreamAge = sentAt.Sub(startTime(&assignment.Upstream, sentAt.Add(-assignment.ListedFor)))
 	f.gateway.deps.Rollouts.Ended(f.plan, assignment.Upstream.Version, outcome)
 }
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -47,9 +47,10 @@
 	// RunsOnce means that the request is lost if the upstream is no longer there: nobody can
 	// know that it has not run.
 	RunsOnce bool
-	// Allows reports whether an upstream may be chosen; nil: any may. Of those that may, and that accept the
-	// request, the first MaxUpstreams in an order that is the same at every gateway are considered; zero: all.
-	Allows       func(l *Listing) bool
+	// Allows reports whether an upstream, which was first listed at a time, may be chosen; nil: any may. Of those that may, and
+	// that accept the request, the first MaxUpstreams in an order that is the same at every gateway are
+	// considered; zero: all.
+	Allows       func(l *Listing, added time.Time) bool
 	MaxUpstreams int
 	// MaxWait is how long the request may be expected to wait for an engine to read its prompt; zero: without
 	// limit.
@@ -57,7 +58,9 @@
 }
 
 // allows reports whether an upstream may be chosen.
-func (rq *Request) allows(l *Listing) bool { return rq.Allows == nil || rq.Allows(l) }
+func (rq *Request) allows(u *upstreamState) bool {
+	return rq.Allows == nil || rq.Allows(&u.Listing, u.addedAt)
+}
 
 // Decision is the result of Pool.Choose: *Assignment, *Throttled, *Overloaded or *NoUpstream.
 type Decision interface{ decision() }
@@ -68,6 +71,7 @@
 	Upstream   Listing
 	Reason     string        // why this upstream was chosen, for the log
 	ListingAge time.Duration // since the upstream was last listed
+	ListedFor  time.Duration // since it was first listed from its start on
 	Running    int           // requests of this gateway that were already running there
 	// NewConnection means that open connections to the upstream may be dead, so that the request
 	// must be sent over a new one, which cannot be opened to an upstream that has gone.
@@ -169,7 +173,7 @@
 		ahead = admitted.ahead
 	}
 	a := &Assignment{
-		Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), Running: u.running, pool: p, state: u,
+		Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), ListedFor: now.Sub(u.addedAt), Running: u.running, pool: p, state: u,
 		promptTokens: rq.Prompt.Length, level: urgencyLevel(rq.Urgency), sentAt: now, ahead: ahead,
 		short: rq.Prompt.Length > 0 && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)),
 	}
@@ -234,7 +238,7 @@
 		switch {
 		case !u.removeAt.IsZero() && !now.Before(u.removeAt):
 			p.removeLocked(u)
-		case !p.acceptsWork(u), slices.Contains(rq.Avoid, u.ID), !rq.allows(&u.Listing):
+		case !p.acceptsWork(u), slices.Contains(rq.Avoid, u.ID), !rq.allows(u):
 		case waits:
 			retry(waitUntil)
 		default:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -51,6 +51,7 @@
 	coldUntil        time.Time
 	coldSlots        quota.Slots
 	listedAt         time.Time     // when its listing was last received
+	addedAt          time.Time     // when it was first listed from its start on
 	removeAt         time.Time     // when it is to be removed from the pool; zero: never
 	unreachableUntil time.Time     // until then it is used only if there is no other
 	connectFailures  int           // consecutive failed connections
@@ -154,7 +155,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = &upstreamState{hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[incarnation{l.ID, l.StartUnixMS}]}
+		u = &upstreamState{addedAt: now, hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[incarnation{l.ID, l.StartUnixMS}]}
 		p.upstreams[l.ID] = u
 		list := p.byService[l.Service]
 		at, _ := slices.BinarySearchFunc(list, u.hashOrder, func(x *upstreamState, order uint64) int { return cmp.Compare(x.hashOrder, order) })
--- a/pool/version_test.go
+++ b/pool/version_test.go
@@ -32,21 +32,21 @@
 	p := versionPool(now)
 	used := map[id.Upstream]bool{}
 	for range 100 {
-		rq := pool.Request{Service: "desk", Allows: func(l *pool.Listing) bool { return l.Version == "v2" }, MaxUpstreams: 2}
+		rq := pool.Request{Service: "desk", Allows: func(l *pool.Listing, _ time.Time) bool { return l.Version == "v2" }, MaxUpstreams: 2}
 		a, ok := p.Choose(now, &rq).(*pool.Assignment)
 		require.True(t, ok)
 		require.Equal(t, id.Version("v2"), a.Upstream.Version)
 		used[a.Upstream.ID] = true
 	}
 	require.Len(t, used, 2)
-	rq := pool.Request{Service: "desk", Allows: func(l *pool.Listing) bool { return l.Version == "v3" }}
+	rq := pool.Request{Service: "desk", Allows: func(l *pool.Listing, _ time.Time) bool { return l.Version == "v3" }}
 	require.IsType(t, &pool.NoUpstream{}, p.Choose(now, &rq))
 }
 
 func TestVersionsCountUpstreamsThatTakeRequests(t *testing.T) {
 	now := time.Now()
 	p := versionPool(now)
-	rq := pool.Request{Service: "desk", Allows: func(l *pool.Listing) bool { return l.ID == "i-0" }}
+	rq := pool.Request{Service: "desk", Allows: func(l *pool.Listing, _ time.Time) bool { return l.ID == "i-0" }}
 	_, ok := p.Choose(now, &rq).(*pool.Assignment)
 	require.True(t, ok)
 	p.Put(now, pool.Listing{ID: "i-0", Service: "desk", Version: "v1", Slots: 4, Draining: true})
--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -31,7 +31,7 @@
 	Most         int                 // upstreams, the first of those that take requests; zero: all
 }
 
-// Allows reports whether an upstream is in the set, by its version and its start; zero: not known.
+// Allows reports whether an upstream is in the set, by its version and its start.
 func (f *Filter) Allows(v id.Version, started time.Time) bool {
 	switch {
 	case v == f.Target:
@@ -177,11 +177,10 @@
 
 // Outcome is what came of one request to an upstream.
 type Outcome struct {
-	Failed   bool          // a failure of the upstream
-	Duration time.Duration // until the first event or the whole answer; zero: it does not count for the pace
-	Stream   time.Duration // until the end of a stream; zero: it is none, or has not come to its end
-	// UpstreamAge is how long ago the upstream started; zero: not known.
-	UpstreamAge time.Duration
+	Failed      bool          // a failure of the upstream
+	Duration    time.Duration // until the first event or the whole answer; zero: it does not count for the pace
+	Stream      time.Duration // until the end of a stream; zero: it is none, or has not come to its end
+	UpstreamAge time.Duration // how long before the request the upstream had started
 }
 
 // Ended counts an answer, or that there was none.
@@ -198,8 +197,7 @@
 	if o.Failed {
 		tally.Failures++
 	}
-	isWarm := o.UpstreamAge == 0 || o.UpstreamAge >= min(warmUp, time.Duration(warmUpFraction*float64(r.order.Duration)))
-	if !isWarm {
+	if o.UpstreamAge < min(warmUp, time.Duration(warmUpFraction*float64(r.order.Duration))) {
 		return
 	}
 	if o.Duration > 0 {
--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -83,7 +83,7 @@
 		for i := range n {
 			p := g.Plan(now, "ledger", "r")
 			g.Sent(p, v)
-			g.Ended(p, v, Outcome{Failed: i < failed, Duration: 50 * time.Millisecond})
+			g.Ended(p, v, Outcome{Failed: i < failed, Duration: 50 * time.Millisecond, UpstreamAge: time.Hour})
 		}
 	}
 	send("v1", others, othersFailed)
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -104,3 +104,34 @@
 	require.Equal(t, *report.Counts["r"], *r.rollouts["ledger"].whole["r"])
 	require.Zero(t, r.rollouts["ledger"].recent.answers())
 }
+
+// TestFirstSecondsOfUpstreamsAreNotSlow answers upstreams of the target that are slow because they have just started.
+func TestFirstSecondsOfUpstreamsAreNotSlow(t *testing.T) {
+	for _, age := range []time.Duration{time.Second, 6 * time.Second} {
+		r := canaryRegister(1)
+		p := r.Plan(start, "ledger", "r")
+		for range 100 {
+			r.Ended(p, "v1", Outcome{Duration: 50 * time.Millisecond, UpstreamAge: time.Hour})
+		}
+		for range 20 {
+			r.Ended(p, "v2", Outcome{Duration: 500 * time.Millisecond, UpstreamAge: age})
+		}
+		changes := r.Round(at(time.Second), nil, 0)
+		require.Equal(t, age > warmUp, len(changes) == 1, age)
+	}
+}
+
+// TestSlowStreamsAreSlow answers a version whose first events are in time and whose events then are not.
+func TestSlowStreamsAreSlow(t *testing.T) {
+	r := canaryRegister(1)
+	p := r.Plan(start, "ledger", "r")
+	for range 100 {
+		r.Ended(p, "v1", Outcome{Duration: 50 * time.Millisecond, Stream: time.Second, UpstreamAge: time.Hour})
+	}
+	for range 20 {
+		r.Ended(p, "v2", Outcome{Duration: 50 * time.Millisecond, Stream: 4 * time.Second, UpstreamAge: time.Hour})
+	}
+	changes := r.Round(at(time.Second), nil, 0)
+	require.Len(t, changes, 1)
+	require.Equal(t, ReasonSlow, changes[0].Verdict.Reason)
+}
