--- /dev/null
+++ b/standin/rollout.go
@@ -0,0 +1,238 @@
+package standin
+
+// This file defines how operators order roll-outs on the users' platform, and how the platform carries
+// them out: it starts replicas of the target version, reads the status that the router writes, and ends
+// the replicas that are no longer wanted.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ragwortpass/ragwortpass/id"
+)
+
+// StatusTopic is the topic in which the router reports to operators. See Store.Len.
+const StatusTopic = "keyed.status"
+
+// Version names the version of a replica's software.
+type Version string
+
+// RolloutState is how far a roll-out is, as the router reports it.
+type RolloutState string
+
+// The states of a roll-out.
+const (
+	RolloutRunning    RolloutState = "running"
+	RolloutDone       RolloutState = "done"
+	RolloutRolledBack RolloutState = "rolled_back"
+)
+
+// RolloutStatus is the status of a roll-out, with the platform's names of its fields.
+type RolloutStatus struct {
+	State  RolloutState
+	Target Version
+}
+
+// RolloutKey returns the key of the order for a service and of its status.
+func RolloutKey(service id.Service) string { return "rollout/" + string(service) }
+
+// OrderRollout writes an order to move the traffic of a service to a version within a time. An order
+// replaces the one before.
+func (s *Store) OrderRollout(service id.Service, target Version, within time.Duration) error {
+	text, err := json.Marshal(map[string]any{"Service": service, "Target": target, "DurationS": within.Seconds()})
+	if err != nil {
+		return err
+	}
+	s.Put(OperatorsTopic, RolloutKey(service), text)
+	return nil
+}
+
+// WithdrawRollout deletes the order for a service.
+func (s *Store) WithdrawRollout(service id.Service) { s.Put(OperatorsTopic, RolloutKey(service), nil) }
+
+// RolloutStatus returns the newest status of a service's roll-out, if it was written at an offset of
+// StatusTopic from at least from on. The error names a status that cannot be read.
+func (s *Store) RolloutStatus(service id.Service, from uint64) (status RolloutStatus, known bool, err error) {
+	s.mu.Lock()
+	record, known := s.partition(StatusTopic).newest[RolloutKey(service)]
+	s.mu.Unlock()
+	if !known || record.offset < from {
+		return RolloutStatus{}, false, nil
+	}
+	if err := json.Unmarshal(record.value, &status); err != nil {
+		return RolloutStatus{}, false, fmt.Errorf("status of %s: %q: %w", service, record.value, err)
+	}
+	switch status.State {
+	case RolloutRunning, RolloutDone, RolloutRolledBack:
+		return status, true, nil
+	}
+	return RolloutStatus{}, false, fmt.Errorf("status of %s: State: %q: expected running, done or rolled_back", service, status.State)
+}
+
+// End returns the offset of the next record of a partition.
+func (s *Store) End(name string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.partition(name).end()
+}
+
+// appendTopic returns the topic to which a call appends; it is empty for any other call.
+func appendTopic(r *http.Request) string {
+	if r.URL.Path != "/api/log-append" {
+		return ""
+	}
+	return r.URL.Query().Get("Topic")
+}
+
+// RecordAppends returns a handler that calls record with the topic of each append before next handles it.
+// A test puts it in front of a store to learn which process writes.
+func RecordAppends(next http.Handler, record func(topic string)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if topic := appendTopic(r); topic != "" {
+			record(topic)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// The times of the platform in a roll-out.
+const (
+	startDelay    = 600 * time.Millisecond // from an order to the start of replicas of the target
+	rollbackDelay = 3 * time.Second        // from rolled_back until the target's replicas drain
+	statusPoll    = 20 * time.Millisecond
+)
+
+// RolloutOrder is an order for a roll-out, and the replicas of the target that the platform starts for it.
+type RolloutOrder struct {
+	Service  id.Service
+	Target   Version
+	Within   time.Duration
+	Replicas []ReplicaConfig
+}
+
+// StatusChange is a status as the platform first saw it.
+type StatusChange struct {
+	At time.Time
+	RolloutStatus
+}
+
+// Rollout is an order that the platform carries out. It is safe for concurrent use.
+type Rollout struct {
+	Order     RolloutOrder
+	OrderedAt time.Time
+
+	replicas *Replicas
+	mu       sync.Mutex
+	statuses []StatusChange
+	problems []string // statuses that cannot be read, or are not allowed after those before
+}
+
+// Order writes an order and carries it out until ctx ends.
+func (rs *Replicas) Order(ctx context.Context, o RolloutOrder) (*Rollout, error) {
+	r := &Rollout{Order: o, OrderedAt: time.Now(), replicas: rs}
+	from := rs.store.End(StatusTopic)
+	if err := rs.store.OrderRollout(o.Service, o.Target, o.Within); err != nil {
+		return nil, err
+	}
+	rs.tasks.Go(func() { r.carryOut(ctx, from) })
+	return r, nil
+}
+
+// Deadline returns when a good version must be in use alone.
+func (r *Rollout) Deadline() time.Time { return r.OrderedAt.Add(r.Order.Within) }
+
+// Statuses returns the statuses that the platform has seen, in their order.
+func (r *Rollout) Statuses() []StatusChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]StatusChange(nil), r.statuses...)
+}
+
+// Problems returns a line for each status that could not be read or was not allowed.
+func (r *Rollout) Problems() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.problems...)
+}
+
+// End returns how the roll-out ended. It reports false while it goes on.
+func (r *Rollout) End() (StatusChange, bool) {
+	for _, c := range r.Statuses() {
+		if c.Target == r.Order.Target && c.State != RolloutRunning {
+			return c, true
+		}
+	}
+	return StatusChange{}, false
+}
+
+// carryOut starts replicas of the target and acts on each new status.
+func (r *Rollout) carryOut(ctx context.Context, from uint64) {
+	started, drainAt := false, time.Time{}
+	for ticker := time.NewTicker(statusPoll); ; {
+		select {
+		case <-ctx.Done():
+			ticker.Stop()
+			return
+		case now := <-ticker.C:
+			if !started && now.Sub(r.OrderedAt) >= startDelay {
+				started = true
+				r.startTarget()
+			}
+			if c, changed := r.readStatus(now, from); changed {
+				switch {
+				case c.Target != r.Order.Target || c.State == RolloutRolledBack: // another order has replaced this one
+					drainAt = now.Add(rollbackDelay)
+				case c.State == RolloutDone:
+					r.replicas.stopOthers(r.Order.Service, r.Order.Target)
+				}
+			}
+			if !drainAt.IsZero() && now.After(drainAt) {
+				drainAt = time.Time{}
+				r.replicas.drainVersion(ctx, r.Order.Service, r.Order.Target)
+			}
+		}
+	}
+}
+
+func (r *Rollout) startTarget() {
+	if end, ended := r.End(); ended && end.State == RolloutRolledBack {
+		return
+	}
+	for _, cfg := range r.Order.Replicas {
+		if _, err := r.replicas.Start(cfg); err != nil {
+			r.addProblem("start a replica of %s: %v", cfg.Version, err)
+		}
+	}
+}
+
+// readStatus reports whether the status differs from the last one seen.
+func (r *Rollout) readStatus(now time.Time, from uint64) (StatusChange, bool) {
+	status, known, err := r.replicas.store.RolloutStatus(r.Order.Service, from)
+	if err != nil {
+		r.addProblem("%v", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.statuses)
+	if !known || n > 0 && r.statuses[n-1].RolloutStatus == status {
+		return StatusChange{}, false
+	}
+	if n > 0 && r.statuses[n-1].State != RolloutRunning && r.statuses[n-1].Target == status.Target {
+		r.problems = append(r.problems, fmt.Sprintf("status of %s went from %s to %s", r.Order.Service, r.statuses[n-1].State, status.State))
+	}
+	c := StatusChange{now, status}
+	r.statuses = append(r.statuses, c)
+	return c, true
+}
+
+func (r *Rollout) addProblem(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if text := fmt.Sprintf(format, args...); len(r.problems) == 0 || r.problems[len(r.problems)-1] != text {
+		r.problems = append(r.problems, text)
+	}
+}
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -99,7 +99,10 @@
 }
 
 // PutListing writes the listing of a replica, as the replica does at each heartbeat.
-func (s *Store) PutListing(l pool.Listing) error {
+func (s *Store) PutListing(l pool.Listing) error { return s.PutVersionListing(l, "") }
+
+// PutVersionListing is PutListing for a replica that names its version, unless that is empty.
+func (s *Store) PutVersionListing(l pool.Listing, version Version) error {
 	state := "ready"
 	if l.Draining {
 		state = "draining"
@@ -108,10 +111,14 @@
 	s.listingSeq++
 	seq := s.listingSeq
 	s.mu.Unlock()
-	text, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"Service": l.Service, "Addr": l.Address, "Zone": l.DataCentre, "State": state, "Slots": l.Slots,
 		"ColdLeftMs": l.ColdFor.Milliseconds(), "born": l.StartUnixMS, "Seq": seq,
-	})
+	}
+	if version != "" {
+		fields["Version"] = version
+	}
+	text, err := json.Marshal(fields)
 	if err != nil {
 		return err
 	}
@@ -194,6 +201,11 @@
 	h.Set("Authorization", "Bearer "+key)
 }
 
+// SetExpectedReplica names the replica that a request is meant for.
+func SetExpectedReplica(h http.Header, replica id.Upstream) {
+	h.Set("X-Expect-Replica", string(replica))
+}
+
 // ResponseRequestID returns the ID of the request that a response answers.
 func ResponseRequestID(h http.Header) id.Request { return id.Request(h.Get("X-Request-Id")) }
 
