--- a/standin/replica.go
+++ b/standin/replica.go
@@ -330,7 +330,7 @@
 	SignResponse(w.Header(), head.Request)
 	if !strings.HasPrefix(rq.URL.Path, streamPath) {
 		if complete = sleepFor(rq.Context(), work); complete {
-			_, _ = io.WriteString(w, ReplicaAnswer(head.Request))
+			_, _ = io.WriteString(w, replicaAnswer(head.Request))
 		}
 		return
 	}
@@ -339,7 +339,7 @@
 		if !sleepFor(rq.Context(), work/streamEvents) {
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", n, head.Request, n)
+		_, _ = io.WriteString(w, replicaEvent(head.Request, n))
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
@@ -347,8 +347,25 @@
 	complete = true
 }
 
-// ReplicaAnswer returns the sound answer of a replica to a request that is not a stream.
-func ReplicaAnswer(rq id.Request) string { return "answer to " + string(rq) }
+// replicaAnswer returns the sound answer to a request that is not a stream.
+func replicaAnswer(rq id.Request) string { return "answer to " + string(rq) }
+
+// replicaEvent returns an event of the answer to a request that is a stream.
+func replicaEvent(rq id.Request, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, rq, n)
+}
+
+// IsWholeAnswer reports whether body is the sound answer of a Replica to a request.
+func IsWholeAnswer(path string, rq id.Request, body []byte) bool {
+	if !strings.HasPrefix(path, streamPath) {
+		return string(body) == replicaAnswer(rq)
+	}
+	var want strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		want.WriteString(replicaEvent(rq, n))
+	}
+	return string(body) == want.String()
+}
 
 // begin records that a request runs. It reports true if the replica is full.
 func (r *Replica) begin(rq id.Request, path string) (run *ReplicaRun, full bool) {
--- a/standin/rollout.go
+++ b/standin/rollout.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,20 +121,39 @@
 	RolloutStatus
 }
 
-// Rollout is an order that the platform carries out. It is safe for concurrent use.
-type Rollout struct {
-	Order     RolloutOrder
+// RolloutRecord is what the platform has seen of a roll-out.
+type RolloutRecord struct {
+	Service   id.Service
+	Target    Version
 	OrderedAt time.Time
+	Deadline  time.Time      // by which a good version must be in use alone
+	Statuses  []StatusChange // in their order
+	Problems  []string       // statuses that cannot be read, or are not allowed after those before
+}
 
+// End returns how the roll-out ended. It reports false while it goes on.
+func (r *RolloutRecord) End() (StatusChange, bool) {
+	for _, c := range r.Statuses {
+		if c.Target == r.Target && c.State != RolloutRunning {
+			return c, true
+		}
+	}
+	return StatusChange{}, false
+}
+
+// Rollout is an order that the platform carries out. It is safe for concurrent use.
+type Rollout struct {
 	replicas *Replicas
-	mu       sync.Mutex
-	statuses []StatusChange
-	problems []string // statuses that cannot be read, or are not allowed after those before
+	configs  []ReplicaConfig
+
+	mu     sync.Mutex
+	record RolloutRecord
 }
 
 // Order writes an order and carries it out until ctx ends.
 func (rs *Replicas) Order(ctx context.Context, o RolloutOrder) (*Rollout, error) {
-	r := &Rollout{Order: o, OrderedAt: time.Now(), replicas: rs}
+	now := time.Now()
+	r := &Rollout{replicas: rs, configs: o.Replicas, record: RolloutRecord{Service: o.Service, Target: o.Target, OrderedAt: now, Deadline: now.Add(o.Within)}}
 	from := rs.store.End(StatusTopic)
 	if err := rs.store.OrderRollout(o.Service, o.Target, o.Within); err != nil {
 		return nil, err
@@ -142,35 +162,18 @@
 	return r, nil
 }
 
-// Deadline returns when a good version must be in use alone.
-func (r *Rollout) Deadline() time.Time { return r.OrderedAt.Add(r.Order.Within) }
-
-// Statuses returns the statuses that the platform has seen, in their order.
-func (r *Rollout) Statuses() []StatusChange {
+// Record returns what the platform has seen so far.
+func (r *Rollout) Record() RolloutRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]StatusChange(nil), r.statuses...)
-}
-
-// Problems returns a line for each status that could not be read or was not allowed.
-func (r *Rollout) Problems() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]string(nil), r.problems...)
-}
-
-// End returns how the roll-out ended. It reports false while it goes on.
-func (r *Rollout) End() (StatusChange, bool) {
-	for _, c := range r.Statuses() {
-		if c.Target == r.Order.Target && c.State != RolloutRunning {
-			return c, true
-		}
-	}
-	return StatusChange{}, false
+	c := r.record
+	c.Statuses, c.Problems = slices.Clone(c.Statuses), slices.Clone(c.Problems)
+	return c
 }
 
 // carryOut starts replicas of the target and acts on each new status.
 func (r *Rollout) carryOut(ctx context.Context, from uint64) {
+	o := r.Record()
 	started, drainAt := false, time.Time{}
 	for ticker := time.NewTicker(statusPoll); ; {
 		select {
@@ -178,31 +181,33 @@
 			ticker.Stop()
 			return
 		case now := <-ticker.C:
-			if !started && now.Sub(r.OrderedAt) >= startDelay {
+			if !started && now.Sub(o.OrderedAt) >= startDelay {
 				started = true
 				r.startTarget()
 			}
 			if c, changed := r.readStatus(now, from); changed {
 				switch {
-				case c.Target != r.Order.Target || c.State == RolloutRolledBack: // another order has replaced this one
+				case c.Target != o.Target || c.State == RolloutRolledBack: // another order has replaced this one
 					drainAt = now.Add(rollbackDelay)
 				case c.State == RolloutDone:
-					r.replicas.stopOthers(r.Order.Service, r.Order.Target)
+					r.replicas.stopOthers(o.Service, o.Target)
 				}
 			}
 			if !drainAt.IsZero() && now.After(drainAt) {
 				drainAt = time.Time{}
-				r.replicas.drainVersion(ctx, r.Order.Service, r.Order.Target)
+				r.replicas.drainVersion(ctx, o.Service, o.Target)
 			}
 		}
 	}
 }
 
+// startTarget starts the replicas of the target unless the roll-out has ended.
 func (r *Rollout) startTarget() {
-	if end, ended := r.End(); ended && end.State == RolloutRolledBack {
+	record := r.Record()
+	if _, ended := record.End(); ended {
 		return
 	}
-	for _, cfg := range r.Order.Replicas {
+	for _, cfg := range r.configs {
 		if _, err := r.replicas.Start(cfg); err != nil {
 			r.addProblem("start a replica of %s: %v", cfg.Version, err)
 		}
@@ -211,28 +216,31 @@
 
 // readStatus reports whether the status differs from the last one seen.
 func (r *Rollout) readStatus(now time.Time, from uint64) (StatusChange, bool) {
-	status, known, err := r.replicas.store.RolloutStatus(r.Order.Service, from)
+	status, known, err := r.replicas.store.RolloutStatus(r.record.Service, from)
 	if err != nil {
 		r.addProblem("%v", err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := len(r.statuses)
-	if !known || n > 0 && r.statuses[n-1].RolloutStatus == status {
+	last := StatusChange{}
+	if n := len(r.record.Statuses); n > 0 {
+		last = r.record.Statuses[n-1]
+	}
+	if !known || last.RolloutStatus == status {
 		return StatusChange{}, false
 	}
-	if n > 0 && r.statuses[n-1].State != RolloutRunning && r.statuses[n-1].Target == status.Target {
-		r.problems = append(r.problems, fmt.Sprintf("status of %s went from %s to %s", r.Order.Service, r.statuses[n-1].State, status.State))
+	if last.State != "" && last.State != RolloutRunning && last.Target == status.Target {
+		r.record.Problems = append(r.record.Problems, fmt.Sprintf("the status of %s went from %s to %s", r.record.Service, last.State, status.State))
 	}
 	c := StatusChange{now, status}
-	r.statuses = append(r.statuses, c)
+	r.record.Statuses = append(r.record.Statuses, c)
 	return c, true
 }
 
 func (r *Rollout) addProblem(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if text := fmt.Sprintf(format, args...); len(r.problems) == 0 || r.problems[len(r.problems)-1] != text {
-		r.problems = append(r.problems, text)
+	if text := fmt.Sprintf(format, args...); !slices.Contains(r.record.Problems, text) {
+		r.record.Problems = append(r.record.Problems, text)
 	}
 }
--- a/standin/rollout_test.go
+++ b/standin/rollout_test.go
@@ -78,20 +78,22 @@
 			r, err := rs.Order(ctx, standin.RolloutOrder{Service: "desk", Target: "v2", Within: time.Minute, Replicas: []standin.ReplicaConfig{{Service: "desk", Version: "v2"}}})
 			require.NoError(t, err)
 			require.Eventually(t, func() bool { return len(rs.Listed()) == 2 }, 10*time.Second, time.Millisecond)
-			_, ended := r.End()
+			record := r.Record()
+			_, ended := record.End()
 			require.False(t, ended)
 			putStatus(s, `{"State":"running","Target":"v2"}`)
-			require.Eventually(t, func() bool { return len(r.Statuses()) == 1 }, 10*time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return len(r.Record().Statuses) == 1 }, 10*time.Second, time.Millisecond)
 			require.Len(t, rs.Listed(), 2)
 			putStatus(s, c.status)
 			require.Eventually(t, func() bool {
 				left := versions(rs)
 				return len(left) == 1 && left[0] == c.left
 			}, 20*time.Second, 10*time.Millisecond)
-			end, ended := r.End()
+			record = r.Record()
+			end, ended := record.End()
 			require.True(t, ended)
 			require.Equal(t, c.end, end.State)
-			require.Empty(t, r.Problems())
+			require.Empty(t, record.Problems)
 		})
 	}
 }
@@ -102,11 +104,11 @@
 	r, err := rs.Order(ctx, standin.RolloutOrder{Service: "desk", Target: "v2", Within: time.Minute})
 	require.NoError(t, err)
 	putStatus(s, `{"State":"rolled_back","Target":"v2"}`)
-	require.Eventually(t, func() bool { return len(r.Statuses()) == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return len(r.Record().Statuses) == 1 }, 10*time.Second, time.Millisecond)
 	putStatus(s, `{"State":"running","Target":"v2"}`)
-	require.Eventually(t, func() bool { return len(r.Problems()) == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return len(r.Record().Problems) == 1 }, 10*time.Second, time.Millisecond)
 	putStatus(s, `{"State":"paused","Target":"v2"}`)
-	require.Eventually(t, func() bool { return len(r.Problems()) == 2 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return len(r.Record().Problems) == 2 }, 10*time.Second, time.Millisecond)
 	require.ErrorContains(t, statusError(s), "expected running, done or rolled_back")
 }
 
