--- a/cmd/ragwortctl/main.go
+++ b/cmd/ragwortctl/main.go
@@ -38,6 +38,7 @@
 	Status  statusCommand  `cmd:"" help:"Show every process and upstream."`
 	Explain explainCommand `cmd:"" help:"Show the decisions taken about a request."`
 	Holds   holdsCommand   `cmd:"" help:"Show and release parts of prompts that are held back."`
+	Rollout rolloutCommand `cmd:"" help:"Order, show and withdraw roll-outs of services (relay)."`
 	Usage   usageCommand   `cmd:"" help:"Show what workspaces have used."`
 	Drain   drainCommand   `cmd:"" help:"Take a data centre out of service: publish the rules with a drain rule."`
 	Undrain undrainCommand `cmd:"" help:"Put a data centre back into service."`
@@ -73,11 +74,12 @@
 func exitCode(err error) int {
 	var rulesErrors rule.Errors
 	var conflict *operator.ConflictError
+	var running *operator.RolloutRunningError
 	switch {
 	case errors.As(err, &rulesErrors):
 		return exitInvalidRules
-	case errors.As(err, &conflict):
+	case errors.As(err, &conflict), errors.As(err, &running):
 		return exitConflict
 	}
-	return setting.ExitFailure
+	return setting.ExitCode(err)
 }
--- a/ragworttest/rollouttest/fleet.go
+++ b/ragworttest/rollouttest/fleet.go
@@ -101,7 +101,7 @@
 }
 
 // ReplicaConfigs returns the replicas that a service has of a version.
-func ReplicaConfigs(service id.Service, version standin.Version, d standin.Defect) (configs []standin.ReplicaConfig) {
+func ReplicaConfigs(service id.Service, version id.Version, d standin.Defect) (configs []standin.ReplicaConfig) {
 	for range replicaCount {
 		configs = append(configs, standin.ReplicaConfig{Service: service, Version: version, DataCentre: "th-a", Work: replicaWork, Defect: d})
 	}
@@ -109,7 +109,7 @@
 }
 
 // Order orders a roll-out whose replicas are as many as those of the old version.
-func (f *Fleet) Order(service id.Service, target standin.Version, within time.Duration, d standin.Defect) *standin.Rollout {
+func (f *Fleet) Order(service id.Service, target id.Version, within time.Duration, d standin.Defect) *standin.Rollout {
 	f.t.Helper()
 	r, err := f.Replicas.Order(f.ctx, standin.RolloutOrder{Service: service, Target: target, Within: within, Replicas: ReplicaConfigs(service, target, d)})
 	require.NoError(f.t, err)
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -59,7 +59,7 @@
 // ReplicaConfig configures a replica.
 type ReplicaConfig struct {
 	Service    id.Service
-	Version    Version
+	Version    id.Version
 	DataCentre id.DataCentre
 	Address    string        // empty: any
 	Work       time.Duration // that a sound answer takes
@@ -70,7 +70,7 @@
 type ReplicaRun struct {
 	Request   id.Request
 	Service   id.Service
-	Version   Version
+	Version   id.Version
 	Replica   id.Upstream
 	Path      string
 	At, Ended time.Time // Ended is zero while it runs
@@ -266,7 +266,7 @@
 }
 
 // stopOthers ends the replicas of a service that are of another version than the one to keep, at once.
-func (rs *Replicas) stopOthers(service id.Service, keep Version) {
+func (rs *Replicas) stopOthers(service id.Service, keep id.Version) {
 	for _, r := range rs.Listed() {
 		if r.Config.Service == service && r.Config.Version != keep {
 			r.Stop()
@@ -275,7 +275,7 @@
 }
 
 // drainVersion drains the replicas of a version.
-func (rs *Replicas) drainVersion(ctx context.Context, service id.Service, version Version) {
+func (rs *Replicas) drainVersion(ctx context.Context, service id.Service, version id.Version) {
 	for _, r := range rs.Listed() {
 		if r.Config.Service == service && r.Config.Version == version {
 			rs.tasks.Go(func() { r.drain(ctx) })
--- a/standin/rollout.go
+++ b/standin/rollout.go
@@ -19,9 +19,6 @@
 // StatusTopic is the topic in which the router reports to operators. See Store.Len.
 const StatusTopic = "keyed.status"
 
-// Version names the version of a replica's software.
-type Version string
-
 // RolloutState is how far a roll-out is, as the router reports it.
 type RolloutState string
 
@@ -35,7 +32,7 @@
 // RolloutStatus is the status of a roll-out, with the platform's names of its fields.
 type RolloutStatus struct {
 	State  RolloutState
-	Target Version
+	Target id.Version
 }
 
 // RolloutKey returns the key of the order for a service and of its status.
@@ -43,7 +40,7 @@
 
 // OrderRollout writes an order to move the traffic of a service to a version within a time. An order
 // replaces the one before.
-func (s *Store) OrderRollout(service id.Service, target Version, within time.Duration) error {
+func (s *Store) OrderRollout(service id.Service, target id.Version, within time.Duration) error {
 	text, err := json.Marshal(map[string]any{"Service": service, "Target": target, "DurationS": within.Seconds()})
 	if err != nil {
 		return err
@@ -110,7 +107,7 @@
 // RolloutOrder is an order for a roll-out, and the replicas of the target that the platform starts for it.
 type RolloutOrder struct {
 	Service  id.Service
-	Target   Version
+	Target   id.Version
 	Within   time.Duration
 	Replicas []ReplicaConfig
 }
@@ -124,7 +121,7 @@
 // RolloutRecord is what the platform has seen of a roll-out.
 type RolloutRecord struct {
 	Service   id.Service
-	Target    Version
+	Target    id.Version
 	OrderedAt time.Time
 	Deadline  time.Time      // by which a good version must be in use alone
 	Statuses  []StatusChange // in their order
--- a/standin/rollout_test.go
+++ b/standin/rollout_test.go
@@ -37,7 +37,7 @@
 	s.Put(standin.StatusTopic, standin.RolloutKey("desk"), []byte(text))
 }
 
-func versions(rs *standin.Replicas) (all []standin.Version) {
+func versions(rs *standin.Replicas) (all []id.Version) {
 	for _, r := range rs.Listed() {
 		all = append(all, r.Config.Version)
 	}
@@ -66,7 +66,7 @@
 	for _, c := range []struct {
 		status string
 		end    standin.RolloutState
-		left   standin.Version
+		left   id.Version
 	}{
 		{`{"State":"done","Target":"v2"}`, standin.RolloutDone, "v2"},
 		{`{"State":"rolled_back","Target":"v2"}`, standin.RolloutRolledBack, "v1"},
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -102,7 +102,7 @@
 func (s *Store) PutListing(l pool.Listing) error { return s.PutVersionListing(l, "") }
 
 // PutVersionListing is PutListing for a replica that names its version, unless that is empty.
-func (s *Store) PutVersionListing(l pool.Listing, version Version) error {
+func (s *Store) PutVersionListing(l pool.Listing, version id.Version) error {
 	state := "ready"
 	if l.Draining {
 		state = "draining"
