--- a/cmd/ragwortctl/rollout_test.go
+++ b/cmd/ragwortctl/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -32,7 +33,7 @@
 	t.Cleanup(server.Close)
 	b.flag.Store = strings.TrimPrefix(server.URL, "http://")
 	require.NoError(t, b.store.PutCatalog(&catalog.Catalog{Version: 1, Services: map[id.Service]*catalog.Service{"desk": {Name: "desk"}}}))
-	require.NoError(t, b.store.PutVersionListing(pool.Listing{ID: "i-1", Service: "desk", Address: "127.0.0.1:1", DataCentre: "th-a"}, "v1"))
+	require.NoError(t, b.store.PutListing(pool.Listing{ID: "i-1", Service: "desk", Address: "127.0.0.1:1", DataCentre: "th-a", Version: "v1"}))
 	return b
 }
 
@@ -74,6 +75,25 @@
 	require.EqualError(t, (&rolloutWithdraw{storeFlag: b.flag, Service: "desk"}).Run(b.env), `service "desk" has no order of a roll-out`)
 }
 
+// TestRolloutStep shows what gateways have recorded of the order, but not of an order before.
+func TestRolloutStep(t *testing.T) {
+	b := newRolloutBench(t)
+	require.NoError(t, b.order("v2", false))
+	record := func(state, reason string) {
+		b.store.Put(standin.StatusTopic, "rollout-record/desk", fmt.Appendf(nil,
+			`{"service":"desk","target":"v2","order":1,"state":%q,"reason":%q,"started":"2026-12-07T04:00:00Z","at":"2026-12-07T04:00:07Z","by":"entry-1"}`, state, reason))
+	}
+	record("canary", "ordered")
+	require.Contains(t, b.show(""), " step=canary reason=ordered by=entry-1 at=2026-12-07T04:00:07Z")
+	require.Error(t, b.order("v3", false))
+	record("rolled_back", "failing")
+	require.Contains(t, b.show(""), " step=rolled_back reason=failing")
+	require.NoError(t, b.order("v2", false)) // again
+	require.NotContains(t, b.show(""), "step=")
+	b.store.Put(standin.StatusTopic, "rollout-record/desk", []byte("no record"))
+	require.Contains(t, b.show(""), "status_fault=")
+}
+
 // TestOrderOfLostAnswer orders a roll-out while answers of the store are lost: it is there in the end, once.
 func TestOrderOfLostAnswer(t *testing.T) {
 	b := newRolloutBench(t)
@@ -120,7 +140,7 @@
 		`no order`:                         "expected a JSON object",
 		`{"Service":"desk","Target":"v2"}`: "DurationS",
 		`{"Service":"other","Target":"v2","DurationS":1}`: "Service",
-		`{"Service":"desk","Target":5,"DurationS":1}`:     "Target: 5",
+		`{"Service":"desk","Target":{},"DurationS":1}`:    "Target: {}",
 	} {
 		b.store.Put(standin.OperatorsTopic, standin.RolloutKey("desk"), []byte(text))
 		shown := b.show("")
--- a/operator/rollout.go
+++ b/operator/rollout.go
@@ -24,6 +24,15 @@
 	Within  time.Duration `json:"within"`
 }
 
+// RolloutStep is how far the gateways have got with an order.
+type RolloutStep struct {
+	Name   string    `json:"name"`
+	Final  bool      `json:"final"`
+	Reason string    `json:"reason"`
+	By     id.Node   `json:"by"`
+	At     time.Time `json:"at"`
+}
+
 // Rollout is what the store holds about the roll-out of a service.
 type Rollout struct {
 	Service     id.Service         `json:"service"`
@@ -32,11 +41,15 @@
 	State       string             `json:"state,omitempty"`        // as the router reports it; empty: not yet
 	Target      id.Version         `json:"state_target,omitempty"` // of the state
 	StatusFault string             `json:"status_fault,omitempty"` // why the status cannot be read
+	Step        *RolloutStep       `json:"step,omitempty"`         // of this order; nil: none is known
 	Upstreams   map[id.Version]int `json:"upstreams"`              // that are listed, by version
 }
 
 // Running reports whether the order is being carried out, or is still to be taken up.
 func (r *Rollout) Running() bool {
+	if r.Step != nil {
+		return !r.Step.Final
+	}
 	return r.Order != nil && (r.Target != r.Order.Target || r.State == rolloutRunning)
 }
 
@@ -53,6 +66,9 @@
 	if r.State != "" {
 		fmt.Fprintf(&b, " state=%s state_target=%s", r.State, r.Target)
 	}
+	if r.Step != nil {
+		fmt.Fprintf(&b, " step=%s reason=%s by=%s at=%s", r.Step.Name, r.Step.Reason, r.Step.By, r.Step.At.UTC().Format(time.RFC3339))
+	}
 	if r.OrderFault != "" {
 		fmt.Fprintf(&b, " order_fault=%q", r.OrderFault)
 	}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -191,10 +191,10 @@
 	if r.gone {
 		return
 	}
-	err := r.set.store.PutVersionListing(pool.Listing{
+	err := r.set.store.PutListing(pool.Listing{
 		ID: r.ID, Service: r.Config.Service, Address: r.Address, DataCentre: r.Config.DataCentre, Draining: r.draining,
-		Slots: replicaSlots, StartUnixMS: r.born.UnixMilli(),
-	}, r.Config.Version)
+		Slots: replicaSlots, StartUnixMS: r.born.UnixMilli(), Version: r.Config.Version,
+	})
 	if err != nil {
 		panic("encoding a listing: " + err.Error())
 	}
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -99,10 +99,8 @@
 }
 
 // PutListing writes the listing of a replica, as the replica does at each heartbeat.
-func (s *Store) PutListing(l pool.Listing) error { return s.PutVersionListing(l, "") }
-
-// PutVersionListing is PutListing for a replica that names its version, unless that is empty.
-func (s *Store) PutVersionListing(l pool.Listing, version id.Version) error {
+// It leaves out a version that is empty.
+func (s *Store) PutListing(l pool.Listing) error {
 	state := "ready"
 	if l.Draining {
 		state = "draining"
@@ -115,8 +113,8 @@
 		"Service": l.Service, "Addr": l.Address, "Zone": l.DataCentre, "State": state, "Slots": l.Slots,
 		"ColdLeftMs": l.ColdFor.Milliseconds(), "born": l.StartUnixMS, "Seq": seq,
 	}
-	if version != "" {
-		fields["Version"] = version
+	if l.Version != "" {
+		fields["Version"] = l.Version
 	}
 	text, err := json.Marshal(fields)
 	if err != nil {
