--- a/ragworttest/rollouttest/fleet.go
+++ b/ragworttest/rollouttest/fleet.go
@@ -50,6 +50,7 @@
 
 	mu      sync.Mutex
 	process *ragworttest.Process
+	ended   []*ragworttest.Process // that were killed
 	down    bool // it is not to get requests
 	cut     bool // it does not reach the store
 }
@@ -79,6 +80,11 @@
 	t.Cleanup(func() {
 		cancel()
 		running.Wait()
+		if t.Failed() {
+			for _, g := range f.Gateways {
+				g.logRollouts()
+			}
+		}
 	})
 	for _, service := range services {
 		for _, cfg := range ReplicaConfigs(service, "v1", standin.Defect{}) {
@@ -253,16 +259,28 @@
 	p := g.process
 	g.mu.Unlock()
 	p.Kill(g.fleet.t)
+	g.mu.Lock()
+	g.ended = append(g.ended, p)
+	g.mu.Unlock()
 	time.Sleep(d)
 	g.Start()
 	g.WaitReady()
 }
 
-// Log returns the output of the gateway's present process.
-func (g *Gateway) Log() string {
+// logRollouts logs what the gateway has logged of roll-outs.
+func (g *Gateway) logRollouts() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.process.Log.String()
+	for _, p := range append(g.ended, g.process) {
+		if p == nil {
+			continue // it was not started
+		}
+		for line := range strings.Lines(p.Log.String()) {
+			if strings.Contains(line, "event=rollout") {
+				g.fleet.t.Logf("%s: %s", g.Name, strings.TrimSpace(line))
+			}
+		}
+	}
 }
 
 // pick returns a random gateway that is up, and its address.
