--- a/soak/main.go
+++ b/soak/main.go
@@ -133,7 +133,7 @@
 	return true
 }
 
-// summary returns the numbers of faults, requests, arrivals and usage reports.
+// summary returns the numbers of faults, requests, arrivals and usage reports, and the roll-outs.
 func (tb *testbed) summary(faults []scheduledFault) string {
 	served, refused, abandoned := 0, 0, 0
 	for _, r := range tb.results {
@@ -146,8 +146,8 @@
 			abandoned++
 		}
 	}
-	return fmt.Sprintf("%d faults; %d requests, %d served, %d refused, %d abandoned; %d arrivals, %d usage reports",
-		len(faults), len(tb.results), served, refused, abandoned, len(tb.arrivals), len(tb.reports))
+	return fmt.Sprintf("%d faults; %d requests, %d served, %d refused, %d abandoned; %d arrivals, %d usage reports%s",
+		len(faults), len(tb.results), served, refused, abandoned, len(tb.arrivals), len(tb.reports), tb.rolloutSummary())
 }
 
 // saveFailure writes the report and the logs of a failed seed into a folder.
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -47,6 +49,17 @@
 	{defect: standin.Defect{Way: standin.BadCrashes, Share: 0.2}},
 }
 
+// String describes the plan.
+func (p rolloutPlan) String() string {
+	switch {
+	case p.withdrawn:
+		return "withdrawn"
+	case p.defect.Way == "":
+		return "good"
+	}
+	return fmt.Sprintf("%s (%.1f after %v from %d running on %s/)", p.defect.Way, p.defect.Share, p.defect.After, p.defect.AtRunning, strings.TrimSuffix(p.defect.PathPrefix, "/"))
+}
+
 // rolledOut is a roll-out, and what replicas of its service have run.
 type rolledOut struct {
 	plan    rolloutPlan
@@ -55,13 +68,13 @@
 	senders map[id.Request]id.Node
 }
 
-// drawRollout draws a roll-out, if it fits into the run. It is called last, so that the schedules of
-// seeds that once failed stay as they were.
+// drawRollout draws a roll-out, if it fits into the run: in half of the runs one that begins as the other faults
+// end. It is called last, so that the schedules of seeds that once failed stay as they were.
 func (tb *testbed) drawRollout(total time.Duration) []scheduledFault {
 	if total < rolloutTime {
 		return nil
 	}
-	return []scheduledFault{{name: "rollout", start: time.Duration(tb.rng.Int64N(int64(total))), duration: rolloutLead + rolloutTime, variant: tb.rng.IntN(1 << 16)}}
+	return []scheduledFault{{name: "rollout", start: min(total, time.Duration(tb.rng.Int64N(2*int64(total)))), duration: rolloutLead + rolloutTime, variant: tb.rng.IntN(1 << 16)}}
 }
 
 // rolloutRoutes returns the routes of the service that is rolled out.
@@ -122,12 +135,7 @@
 // disturbed all entries at once while it went on.
 func checkRollout(h *history) (v checkResult) {
 	for _, r := range h.rolled {
-		went := span{r.record.OrderedAt.Sub(h.start), r.record.Deadline.Sub(h.start)}
-		excuse := func(run standin.ReplicaRun, from time.Time) bool {
-			return !h.inContact(r.senders[run.Request], span{from.Sub(h.start), run.At.Sub(h.start)})
-		}
-		e := rollouttest.Count(r.runs, &r.record, rollouttest.TestedBounds, excuse)
-		disturbed := slices.ContainsFunc(h.disturbances, func(d disturbance) bool { return !d.maintenance && d.node == "" && d.overlaps(went) })
+		e, disturbed := h.exposure(&r)
 		isBad := r.plan.defect.Way != ""
 		var lines []string
 		switch {
@@ -146,8 +154,28 @@
 		}
 		v.checked++
 		for _, line := range lines {
-			v.violation("%s to %s, ordered at %v, %+v: %s (%v)", r.record.Service, r.record.Target, went.from, r.plan, line, e)
+			v.violation("%v version, ordered at %v: %s (%v)", r.plan, r.record.OrderedAt.Sub(h.start), line, e)
 		}
 	}
 	return v
 }
+
+// exposure returns what the target of a roll-out got from entries in contact, and whether something disturbed all
+// entries at once meanwhile.
+func (h *history) exposure(r *rolledOut) (e rollouttest.Exposure, disturbed bool) {
+	went := span{r.record.OrderedAt.Sub(h.start), r.record.Deadline.Sub(h.start)}
+	disturbed = slices.ContainsFunc(h.disturbances, func(d disturbance) bool { return !d.maintenance && d.node == "" && d.overlaps(went) })
+	return rollouttest.Count(r.runs, &r.record, rollouttest.TestedBounds, func(run standin.ReplicaRun, from time.Time) bool {
+		return !h.inContact(r.senders[run.Request], span{from.Sub(h.start), run.At.Sub(h.start)})
+	}), disturbed
+}
+
+// rolloutSummary describes the roll-outs of a run.
+func (h *history) rolloutSummary() string {
+	var b strings.Builder
+	for _, r := range h.rolled {
+		e, disturbed := h.exposure(&r)
+		fmt.Fprintf(&b, "; %v version (disturbed %t): %v", r.plan, disturbed, e)
+	}
+	return b.String()
+}
