--- a/ragworttest/rollouttest/fleet.go
+++ b/ragworttest/rollouttest/fleet.go
@@ -51,8 +51,8 @@
 	mu      sync.Mutex
 	process *ragworttest.Process
 	ended   []*ragworttest.Process // that were killed
-	down    bool // it is not to get requests
-	cut     bool // it does not reach the store
+	down    bool                   // it is not to get requests
+	cut     bool                   // it does not reach the store
 }
 
 // Fleet is a store, replicas, and gateways as processes of their own.
