--- a/gateway/kept_conns_test.go
+++ b/gateway/kept_conns_test.go
@@ -103,6 +103,33 @@
 	}
 }
 
+// TestTrialConnectionIsKept has a connection that was opened to see whether an upstream is there be kept for as long as
+// the upstream has stated on another one.
+func TestTrialConnectionIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := metrics.NewRegistry()
+		client := NewUpstreamClient(idCodec{}, memory.NewBudgets(0), registry, log.NewNopLogger())
+		l := &pool.Listing{ID: "i-1"}
+		closed := metrics.GetOrRegisterCounter("upstream_closed_idle", registry)
+		for _, stated := range []time.Duration{defaultIdleTime, 9 * time.Second} {
+			first, _ := net.Pipe()
+			conn := client.newConn(first, l)
+			conn.idleTime = stated
+			client.keep(conn)
+			trial, _ := net.Pipe()
+			client.Adopt(trial, l)
+			before := closed.Count()
+			time.Sleep(stated - time.Millisecond)
+			synctest.Wait()
+			require.Equal(t, before, closed.Count())
+			time.Sleep(2 * time.Millisecond)
+			synctest.Wait()
+			require.Equal(t, before+2, closed.Count())
+			require.Empty(t, client.open)
+		}
+	})
+}
+
 // TestKeptConnectionsFitTheUpstream has many gateways keep what a peak has opened, in turn: together they keep no
 // more to an upstream than it accepts, and each keeps one.
 func TestKeptConnectionsFitTheUpstream(t *testing.T) {
--- a/gateway/upstream_client.go
+++ b/gateway/upstream_client.go
@@ -177,6 +177,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[conn.start]++
+	if others := c.kept[conn.start]; len(others) > 0 {
+		conn.idleTime = others[len(others)-1].idleTime // until a response on this one states it
+	}
 	return conn
 }
 
