rollout: little exposure in an upstream's first seconds, no bursts, a larger margin before the deadline

Change: until its upstreams are warm, the target gets the slack's part at most; canary requests are a part of requests at any time; final steps are due at 18 % of the time before the deadline.

--- a/gateway/rollout_driver.go
+++ b/gateway/rollout_driver.go
@@ -113,13 +113,13 @@
 
 // round tells the register what this gateway knows of services and peers.
 func (d *rolloutDriver) round(now time.Time) {
-	current := d.catalog.Load()
+	current, fleetNow := d.catalog.Load(), d.fleetTime()
 	for _, name := range d.register.Services() {
 		versions := make(map[id.Version]rollout.Load)
 		for v, l := range d.pool.Versions(name) {
 			versions[v] = rollout.Load{Upstreams: l.Upstreams, Slots: l.Slots, Running: l.Running}
 		}
-		d.register.SetService(name, rollout.Service{Known: current == nil || current.Services[name] != nil || len(versions) > 0, Versions: versions})
+		d.register.SetService(fleetNow, name, rollout.Service{Known: current == nil || current.Services[name] != nil || len(versions) > 0, Versions: versions})
 	}
 	live, members := d.table.Live(now), len(d.table.Members(now))
 	d.register.SetFleet(max(len(live), members), 2*len(live) <= members)
@@ -138,7 +138,7 @@
 			reports = append(reports, r)
 		}
 	}
-	for _, c := range d.register.Round(d.fleetTime(), reports, len(live)-1) {
+	for _, c := range d.register.Round(fleetNow, reports, len(live)-1) {
 		d.logChange(&c)
 	}
 	for _, s := range d.register.States() {
--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -125,17 +125,22 @@
 	e, times := &r.exposure, r.schedule()
 	elapsed := min(max(float64(now.Sub(r.knownSince))/float64(times.Shift.Sub(times.Started)), 0), 1)
 	ofShare := shareFraction * g.cfg.Share * float64(e.sends+1)
-	allowed := ofShare + slackFraction*g.cfg.Slack*elapsed/float64(g.gateways)
+	ofSlack := slackFraction * g.cfg.Slack / float64(g.gateways)
+	allowed := ofShare + ofSlack*elapsed
 	left := allowed - float64(e.target)
+	if now.Sub(r.targetSince) < r.warmUp() {
+		left = min(left, ofSlack+1-float64(e.target)) // as it cannot be told to be slow yet
+	}
 	e.routes[route] += 0
 	density := float64(r.canaryUpstreams(&g.cfg)) / float64(target.Upstreams)
 	isRare := e.routes[route]*len(e.routes) <= e.target
-	part := density * allowed / ofShare // of the requests in a pulse; more if most of the exposure is slack
+	inPulse := now.Sub(now.Truncate(pulsePeriod)) < time.Duration(shareFraction*g.cfg.Share/density*float64(pulsePeriod))
+	part := max(density, shareFraction*g.cfg.Share) * allowed / ofShare // of the requests in a pulse; more if most of the exposure is slack
 	switch {
 	case left < 1, !isRare && left < 2:
 		return false
-	case isRare, density <= shareFraction*g.cfg.Share:
-	case now.Sub(now.Truncate(pulsePeriod)) >= time.Duration(shareFraction*g.cfg.Share/density*float64(pulsePeriod)), g.random() >= part:
+	case isRare:
+	case !inPulse, g.random() >= part:
 		return false
 	}
 	e.target++
@@ -197,7 +202,7 @@
 	if o.Failed {
 		tally.Failures++
 	}
-	if o.UpstreamAge < min(warmUp, time.Duration(warmUpFraction*float64(r.order.Duration))) {
+	if o.UpstreamAge < r.warmUp() {
 		return
 	}
 	if o.Duration > 0 {
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -65,13 +65,14 @@
 	withdrawn bool
 	started   time.Time
 	// knownSince is when this gateway learned of the order: it has used no slack before.
-	knownSince time.Time
-	record     Record // zero: none is known
-	condemned  Reason // empty: the target is not condemned
-	rejected   map[id.Version]bool
-	service    Service
-	own        Counts
-	exposure   exposure
+	knownSince  time.Time
+	targetSince time.Time // when this gateway first had upstreams of the target; zero: never
+	record      Record    // zero: none is known
+	condemned   Reason    // empty: the target is not condemned
+	rejected    map[id.Version]bool
+	service     Service
+	own         Counts
+	exposure    exposure
 	// Of all gateways, as of the last round. Counts of a run that has ended stay, so that they never get less.
 	told          map[Source]Counts
 	whole, recent Counts
@@ -86,6 +87,11 @@
 // schedule returns the times of the order.
 func (r *rollout) schedule() Schedule { return NewSchedule(r.started, r.order.Duration) }
 
+// warmUp returns how long after its start an upstream may be slow.
+func (r *rollout) warmUp() time.Duration {
+	return min(warmUp, time.Duration(warmUpFraction*float64(r.order.Duration)))
+}
+
 // stopped reports whether the target gets nothing, whatever the record says.
 func (r *rollout) stopped() bool {
 	switch r.record.State {
@@ -206,11 +212,16 @@
 }
 
 // SetService sets what is known of the service of an order.
-func (g *Register) SetService(service id.Service, s Service) {
+func (g *Register) SetService(now time.Time, service id.Service, s Service) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r := g.rollouts[service]; r != nil {
-		r.service = s
+	r := g.rollouts[service]
+	if r == nil {
+		return
+	}
+	r.service = s
+	if r.targetSince.IsZero() && s.Versions[r.order.Target].Upstreams > 0 {
+		r.targetSince = now
 	}
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -121,10 +121,10 @@
 // The times of an order are fractions of its duration, within bounds.
 const (
 	// The shift takes shiftFraction of the time: long streams on other versions end meanwhile.
-	shiftFraction        = 0.35
+	shiftFraction        = 0.4
 	minShift, maxShift   = 2 * time.Second, 20 * time.Second
-	marginFraction       = 0.1 // of the time, by which a final state is recorded before the deadline
-	minMargin, maxMargin = 500 * time.Millisecond, 3 * time.Second
+	marginFraction       = 0.18 // of the time, by which a final state is recorded before the deadline
+	minMargin, maxMargin = 500 * time.Millisecond, 4 * time.Second
 	// warmUp is how long an upstream may be slow after its start, at most warmUpFraction of the time.
 	warmUp         = 5 * time.Second
 	warmUpFraction = 0.25
