--- a/ragworttest/rollouttest/fleet.go
+++ b/ragworttest/rollouttest/fleet.go
@@ -106,6 +106,11 @@
 	return f
 }
 
+// StoreAddress returns the address at which operators reach the store.
+func (f *Fleet) StoreAddress() string {
+	return strings.TrimPrefix(f.Gateways[0].storeServer.URL, "http://")
+}
+
 // ReplicaConfigs returns the replicas that a service has of a version.
 func ReplicaConfigs(service id.Service, version id.Version, d standin.Defect) (configs []standin.ReplicaConfig) {
 	for range replicaCount {
--- a/ragworttest/rollouttest/rollout_test.go
+++ b/ragworttest/rollouttest/rollout_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/operator"
+	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/ragworttest/rollouttest"
 	"github.com/ragwortpass/ragwortpass/standin"
 )
@@ -291,12 +293,24 @@
 	assert.Zero(t, exposedAfter(f, first, second.Record().OrderedAt.Add(configTime+waitSlack)), "requests of the version that was replaced")
 }
 
+// requireStep requires that the operator is shown how the roll-out of a service ended, and why.
+func requireStep(t *testing.T, f *rollouttest.Fleet, service id.Service, step, reason string) {
+	t.Helper()
+	shown, err := operator.NewRollouts(platform.NewOperatorStore(f.StoreAddress())).Show(t.Context(), service)
+	require.NoError(t, err)
+	require.Len(t, shown, 1)
+	require.NotNil(t, shown[0].Step, shown[0].String())
+	assert.Equal(t, []string{step, reason}, []string{shown[0].Step.Name, shown[0].Step.Reason})
+	assert.False(t, shown[0].Running())
+}
+
 // checkSameVersion orders the version that all replicas run.
 func checkSameVersion(t *testing.T, f *rollouttest.Fleet, l *rollouttest.Load) {
 	r, err := f.Replicas.Order(t.Context(), standin.RolloutOrder{Service: "same", Target: "v1", Within: within / 2})
 	require.NoError(t, err)
 	sleepUntil(r.Record().Deadline)
 	assert.Empty(t, f.Exposure(r).GoodViolations())
+	requireStep(t, f, "same", "done", "running")
 	requireAllServed(t, l.Results())
 }
 
@@ -306,6 +320,7 @@
 	require.NoError(t, err)
 	sleepUntil(r.Record().Deadline.Add(time.Second))
 	assert.Empty(t, f.Exposure(r).BadViolations(rollouttest.TestedBounds))
+	requireStep(t, f, "none", "rolled_back", "absent")
 	requireAllServed(t, l.Results())
 }
 
