soak, rollouttest: a bad version's share is checked whatever disturbs the entries

Faults of the store excused all entries for three seconds, so that the share was hardly checked under faults.

--- a/ragworttest/rollouttest/check.go
+++ b/ragworttest/rollouttest/check.go
@@ -46,13 +46,14 @@
 // NoExcuse excuses nothing.
 func NoExcuse(standin.ReplicaRun, time.Time) bool { return false }
 
-// Count returns the exposure of a roll-out, without what is excused.
+// Count returns the exposure of a roll-out. Only requests that came too late are excused: a gateway keeps to
+// its share by itself.
 func Count(runs []standin.ReplicaRun, r *standin.RolloutRecord, b Bounds, excuse Excuse) Exposure {
 	e := Exposure{Deadline: r.Deadline, Problems: r.Problems}
 	e.End, e.Ended = r.End()
 	for _, run := range runs {
 		target := run.Version == r.Target
-		if run.Service != r.Service || run.At.Before(r.OrderedAt) || target && excuse(run, run.At) {
+		if run.Service != r.Service || run.At.Before(r.OrderedAt) {
 			continue
 		}
 		if !run.At.After(e.Deadline) {
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -130,8 +130,8 @@
 	tb.add(func() { tb.rolled = append(tb.rolled, rolled) })
 }
 
-// checkRollout checks that a bad version gets no more than its share from entries in contact, and nothing from
-// them once it should be rolled back; and that every roll-out ends as it should by its deadline, if nothing
+// checkRollout checks that a bad version gets no more than its share, and nothing from entries in contact once
+// it should be rolled back; and that every roll-out ends as it should by its deadline, if nothing
 // disturbed all entries at once while it went on.
 func checkRollout(h *history) (v checkResult) {
 	for _, r := range h.rolled {
@@ -160,14 +160,15 @@
 	return v
 }
 
-// exposure returns what the target of a roll-out got from entries in contact, and whether something disturbed all
-// entries at once meanwhile.
+// exposure returns what the target of a roll-out got, without what came too late from entries out of contact, and
+// whether something disturbed all entries at once meanwhile.
 func (h *history) exposure(r *rolledOut) (e rollouttest.Exposure, disturbed bool) {
 	went := span{r.record.OrderedAt.Sub(h.start), r.record.Deadline.Sub(h.start)}
 	disturbed = slices.ContainsFunc(h.disturbances, func(d disturbance) bool { return !d.maintenance && d.node == "" && d.overlaps(went) })
-	return rollouttest.Count(r.runs, &r.record, rollouttest.TestedBounds, func(run standin.ReplicaRun, from time.Time) bool {
+	excuse := func(run standin.ReplicaRun, from time.Time) bool {
 		return !h.inContact(r.senders[run.Request], span{from.Sub(h.start), run.At.Sub(h.start)})
-	}), disturbed
+	}
+	return rollouttest.Count(r.runs, &r.record, rollouttest.TestedBounds, excuse), disturbed
 }
 
 // rolloutSummary describes the roll-outs of a run.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -115,7 +115,7 @@
 }
 
 // TestRolloutExcuses checks what excuses a roll-out: a disturbance of all entries how it ends, one of an entry
-// what the target gets from it.
+// what the target gets from it too late, and nothing that it gets too much.
 func TestRolloutExcuses(t *testing.T) {
 	bad := rolloutPlan{defect: standin.Defect{Way: standin.BadFails}}
 	for _, tc := range []struct {
@@ -127,8 +127,8 @@
 	}{
 		{"not rolled back, all disturbed", 60, standin.RolloutRunning, "", 0},
 		{"not rolled back, one disturbed", 60, standin.RolloutRunning, "entry-0", 1},
-		{"exposed, all disturbed", 400, standin.RolloutRolledBack, "", 0},
-		{"exposed, the entry disturbed", 400, standin.RolloutRolledBack, "entry-0", 0},
+		{"exposed, all disturbed", 400, standin.RolloutRolledBack, "", 1},
+		{"exposed, the entry disturbed", 400, standin.RolloutRolledBack, "entry-0", 1},
 		{"exposed, another one disturbed", 400, standin.RolloutRolledBack, "entry-1", 2}, // and too long
 	} {
 		t.Run(tc.name, func(t *testing.T) {
