--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/response"
 )
 
 // String returns what the log says of the head of a response.
@@ -83,7 +84,17 @@
 	if errors.As(err, &crossed) {
 		return &responseLost{problem.AnswerCrossed, err}
 	}
-	return &responseLost{problem.UpstreamCut, err}
+	return &responseLost{lossReason(err), err}
+}
+
+// lossReason returns the reason for a response that was not read to its end. An upstream that sends a line that HTTP
+// does not allow has not broken off.
+func lossReason(err error) problem.Reason {
+	var invalid *response.HeadError
+	if errors.As(err, &invalid) {
+		return problem.UpstreamFailed
+	}
+	return problem.UpstreamCut
 }
 
 // isOwnShortage reports whether a connection failed for want of what this process or its VM has, which says nothing of the
--- a/gateway/invalid_head_test.go
+++ b/gateway/invalid_head_test.go
@@ -79,7 +79,7 @@
 				f := newFixture(t)
 				f.answerAll(func(r *http.Request) string { return signedHead(r, field+"\r\n"+rest) })
 				f.requireNoAnswer(t, framing)
-				require.NotEmpty(t, f.logged("invalid response head"), framing)
+				require.NotEmpty(t, f.logged("attempt_failed", "reason upstream_failed", "invalid response head"), framing)
 			}
 			first := newFixture(t)
 			first.answerAll(func(r *http.Request) string {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -77,7 +77,7 @@
 	case errors.Is(err, memory.ErrTooLarge), errors.Is(err, memory.ErrFull):
 		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.Len(), err)}
 	case err != nil:
-		return &responseLost{problem.UpstreamCut, err}
+		return &responseLost{lossReason(err), err}
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
 		f.noteSurvived()
@@ -156,7 +156,7 @@
 	case ctx.Err() != nil:
 		return interrupted(ctx)
 	}
-	return &responseLost{problem.UpstreamCut, err}
+	return &responseLost{lossReason(err), err}
 }
 
 // startStream sends the status and the headers of a stream, unless the caller has them
