standin: a status of an order before does not end the replicas of the next

A second order for a service took a status about the target before as its own end, and drained the new replicas 3 s later.

--- a/standin/rollout.go
+++ b/standin/rollout.go
@@ -178,7 +178,8 @@
 			}
 			if c, changed := r.readStatus(now, before); changed {
 				switch {
-				case c.Target != o.Target || c.State == RolloutRolledBack: // another order has replaced this one
+				case c.Target != o.Target && !r.isReplaced(): // still of the order before
+				case c.Target != o.Target, c.State == RolloutRolledBack:
 					drainAt = now.Add(rollbackDelay)
 				case c.State == RolloutDone:
 					r.replicas.stopOthers(o.Service, o.Target)
@@ -192,6 +193,16 @@
 	}
 }
 
+// isReplaced reports whether a newer order names another target.
+func (r *Rollout) isReplaced() bool {
+	s := r.replicas.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var order struct{ Target id.Version }
+	newest := s.partition(OperatorsTopic).newest[RolloutKey(r.record.Service)]
+	return json.Unmarshal(newest.value, &order) == nil && order.Target != r.record.Target
+}
+
 // startTarget starts the replicas of the target unless the roll-out has ended.
 func (r *Rollout) startTarget() {
 	record := r.Record()
--- a/standin/rollout_test.go
+++ b/standin/rollout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -98,6 +99,23 @@
 	}
 }
 
+// TestReplacedOrder has the platform keep the replicas of the newest target, whatever is still reported of
+// the order before, and drain those of the target that was replaced.
+func TestReplacedOrder(t *testing.T) {
+	ctx, s, rs := startReplicas(t, standin.ReplicaConfig{Service: "desk", Version: "v1"})
+	for _, target := range []id.Version{"v2", "v3"} {
+		_, err := rs.Order(ctx, standin.RolloutOrder{Service: "desk", Target: target, Within: time.Minute, Replicas: []standin.ReplicaConfig{{Service: "desk", Version: target}}})
+		require.NoError(t, err)
+		putStatus(s, `{"State":"running","Target":"v2"}`)
+	}
+	require.Eventually(t, func() bool { return len(rs.Listed()) == 3 }, 10*time.Second, time.Millisecond)
+	putStatus(s, `{"State":"rolled_back","Target":"v2"}`)
+	time.Sleep(100 * time.Millisecond)
+	putStatus(s, `{"State":"running","Target":"v3"}`)
+	require.Eventually(t, func() bool { return !slices.Contains(versions(rs), "v2") }, 20*time.Second, 10*time.Millisecond)
+	require.Never(t, func() bool { return !slices.Contains(versions(rs), "v3") }, 3*time.Second, 100*time.Millisecond)
+}
+
 // TestStatusThatIsNotAllowedIsReported writes statuses that no router may write.
 func TestStatusThatIsNotAllowedIsReported(t *testing.T) {
 	ctx, s, rs := startReplicas(t)
