rollout: failures of one upstream are not held against its version

Change: rows tell answers and failures by upstream of the target; a verdict of failing needs the others to be in doubt too, or 15 failures while they have too few answers; a canary uses two upstreams at least.

--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -160,5 +160,5 @@
 	}
 	sentAt := f.gateway.deps.FleetTime().Add(-elapsed)
 	outcome.UpstreamAge = sentAt.Sub(startTime(&assignment.Upstream, sentAt.Add(-assignment.ListedFor)))
-	f.gateway.deps.Rollouts.Ended(f.plan, assignment.Upstream.Version, outcome)
+	f.gateway.deps.Rollouts.Ended(f.plan, assignment.Upstream.Version, assignment.Upstream.ID, outcome)
 }
--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -22,6 +22,10 @@
 // the target as busy as all will be, where the share is too small to do so all the time.
 const pulsePeriod = 2 * time.Second
 
+// minCanaryUpstreams is how many upstreams a canary uses at least: with one, a fault of that upstream cannot be
+// told from one of its version.
+const minCanaryUpstreams = 2
+
 // Filter is a set of upstreams, by their versions.
 type Filter struct {
 	Target       id.Version
@@ -112,7 +116,7 @@
 // canaryUpstreams returns how many upstreams of the target canary requests go to.
 func (r *rollout) canaryUpstreams(cfg *Config) int {
 	target, _ := r.loads()
-	return max(1, int(shareFraction*cfg.Share*float64(target.Upstreams)))
+	return max(minCanaryUpstreams, int(shareFraction*cfg.Share*float64(target.Upstreams)))
 }
 
 // reserve reports whether the next request goes to the target, and counts it if so. The caller holds the
@@ -132,7 +136,7 @@
 		left = min(left, ofSlack+1-float64(e.target)) // as it cannot be told to be slow yet
 	}
 	e.routes[route] += 0
-	density := float64(r.canaryUpstreams(&g.cfg)) / float64(target.Upstreams)
+	density := min(float64(r.canaryUpstreams(&g.cfg))/float64(target.Upstreams), 1)
 	isRare := e.routes[route]*len(e.routes) <= e.target
 	inPulse := now.Sub(now.Truncate(pulsePeriod)) < time.Duration(shareFraction*g.cfg.Share/density*float64(pulsePeriod))
 	part := max(density, shareFraction*g.cfg.Share) * allowed / ofShare // of the requests in a pulse; more if most of the exposure is slack
@@ -188,8 +192,8 @@
 	UpstreamAge time.Duration // how long before the request the upstream had started
 }
 
-// Ended counts an answer, or that there was none.
-func (g *Register) Ended(p *Plan, v id.Version, o Outcome) {
+// Ended counts an answer of an upstream of a version, or that there was none.
+func (g *Register) Ended(p *Plan, v id.Version, u id.Upstream, o Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := p.rollout
@@ -197,6 +201,11 @@
 	tally := &counts.Other
 	if r.isTarget(v) {
 		tally = &counts.Target
+		ofUpstream := UpstreamTally{Answers: 1}
+		if o.Failed {
+			ofUpstream.Failures = 1
+		}
+		r.ownUpstreams.add(Upstreams{KeyOf(u): ofUpstream})
 	}
 	tally.Answers++
 	if o.Failed {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -142,7 +142,7 @@
 		}
 		return RolledBack, ReasonUndecided
 	case r.record.State == Canary:
-		if isGood(r.whole, r.recent) && float64(target.size()) >= minCapacity*float64(others.size()) {
+		if r.isGood() && float64(target.size()) >= minCapacity*float64(others.size()) {
 			return Shifting, ReasonGood
 		}
 		return Canary, ""
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -7,6 +7,8 @@
 	"math/bits"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ragwortpass/ragwortpass/id"
 )
 
@@ -58,6 +60,47 @@
 // RouteCounts holds the tallies of one route.
 type RouteCounts struct{ Other, Target Tally }
 
+// UpstreamKey stands for an upstream: the low 32 bits of the XXH64 hash of its id.
+type UpstreamKey uint32
+
+// KeyOf returns the key of an upstream.
+func KeyOf(u id.Upstream) UpstreamKey { return UpstreamKey(xxhash.Sum64String(string(u))) }
+
+// UpstreamTally counts the answers of one upstream.
+type UpstreamTally struct{ Answers, Failures uint32 }
+
+// Upstreams holds the tallies of the target's upstreams.
+type Upstreams map[UpstreamKey]UpstreamTally
+
+// add adds other tallies.
+func (u Upstreams) add(other Upstreams) {
+	for key, t := range other {
+		u[key] = UpstreamTally{u[key].Answers + t.Answers, u[key].Failures + t.Failures}
+	}
+}
+
+// since returns the tallies without earlier ones, of which none is greater.
+func (u Upstreams) since(earlier Upstreams) Upstreams {
+	out := make(Upstreams, len(u))
+	for key, t := range u {
+		out[key] = UpstreamTally{t.Answers - earlier[key].Answers, t.Failures - earlier[key].Failures}
+	}
+	return out
+}
+
+// withoutWorst returns the sum of all tallies but that with the most failures.
+func (u Upstreams) withoutWorst() (rest UpstreamTally) {
+	var worst UpstreamTally
+	for _, t := range u {
+		rest.Answers += t.Answers
+		rest.Failures += t.Failures
+		if t.Failures > worst.Failures {
+			worst = t
+		}
+	}
+	return UpstreamTally{rest.Answers - worst.Answers, rest.Failures - worst.Failures}
+}
+
 // Counts holds the counts of a service by route.
 type Counts map[id.Route]*RouteCounts
 
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -51,12 +51,20 @@
 	// OtherRunning is how many of its requests run at upstreams of other versions.
 	OtherRunning int
 	Counts       Counts
+	Upstreams    Upstreams
+}
+
+// toldCounts is what one run of a gateway has counted.
+type toldCounts struct {
+	counts    Counts
+	upstreams Upstreams
 }
 
 // snapshot holds the counts of all gateways at a time.
 type snapshot struct {
-	at     time.Time
-	counts Counts
+	at        time.Time
+	counts    Counts
+	upstreams Upstreams
 }
 
 // rollout is an order with all that is known of it.
@@ -65,20 +73,22 @@
 	withdrawn bool
 	started   time.Time
 	// knownSince is when this gateway learned of the order: it has used no slack before.
-	knownSince  time.Time
-	targetSince time.Time // when this gateway first had upstreams of the target; zero: never
-	record      Record    // zero: none is known
-	condemned   Reason    // empty: the target is not condemned
-	rejected    map[id.Version]bool
-	service     Service
-	own         Counts
-	exposure    exposure
+	knownSince   time.Time
+	targetSince  time.Time // when this gateway first had upstreams of the target; zero: never
+	record       Record    // zero: none is known
+	condemned    Reason    // empty: the target is not condemned
+	rejected     map[id.Version]bool
+	service      Service
+	own          Counts
+	ownUpstreams Upstreams
+	exposure     exposure
 	// Of all gateways, as of the last round. Counts of a run that has ended stay, so that they never get less.
-	told          map[Source]Counts
-	whole, recent Counts
-	snapshots     []snapshot
-	otherRunning  int
-	allShifting   bool // every live gateway knows that the target goes first
+	told                       map[Source]toldCounts
+	upstreams, recentUpstreams Upstreams
+	whole, recent              Counts
+	snapshots                  []snapshot
+	otherRunning               int
+	allShifting                bool // every live gateway knows that the target goes first
 }
 
 // target returns whether a request for a version is one for the target.
@@ -155,7 +165,7 @@
 	}
 	delete(rejected, o.Target)
 	g.rollouts[o.Service] = &rollout{
-		order: o, started: now, knownSince: now, rejected: rejected, own: make(Counts), told: make(map[Source]Counts), whole: make(Counts), recent: make(Counts), service: Service{Known: true},
+		order: o, started: now, knownSince: now, rejected: rejected, own: make(Counts), ownUpstreams: make(Upstreams), told: make(map[Source]toldCounts), whole: make(Counts), recent: make(Counts), service: Service{Known: true},
 		exposure: exposure{routes: make(map[id.Route]int)},
 	}
 	g.version++
@@ -287,8 +297,8 @@
 				continue
 			}
 			g.takeOver(r, report, &change)
-			if report.Counts.answers() >= r.told[report.From].answers() {
-				r.told[report.From] = report.Counts
+			if report.Counts.answers() >= r.told[report.From].counts.answers() {
+				r.told[report.From] = toldCounts{report.Counts, report.Upstreams}
 			}
 			if report.Live {
 				running += report.OtherRunning
@@ -297,18 +307,17 @@
 				}
 			}
 		}
-		r.whole = make(Counts)
+		r.whole, r.upstreams = make(Counts), make(Upstreams)
 		r.whole.add(r.own)
-		for _, counts := range r.told {
-			r.whole.add(counts)
+		r.upstreams.add(r.ownUpstreams)
+		for _, told := range r.told {
+			r.whole.add(told.counts)
+			r.upstreams.add(told.upstreams)
 		}
 		r.otherRunning, r.allShifting = running, shifting >= livePeers
 		r.takeSnapshot(now)
 		if !r.record.State.Final() && r.condemned == "" {
-			change.Verdict = judge(r.whole, false, condemned)
-			if change.Verdict == nil {
-				change.Verdict = judge(r.recent, true, condemned)
-			}
+			change.Verdict = r.judge(condemned)
 			if change.Verdict != nil {
 				r.condemned = change.Verdict.Reason
 				g.version++
@@ -350,12 +359,12 @@
 	for len(r.snapshots) > 1 && now.Sub(r.snapshots[1].at) >= recentTime {
 		r.snapshots = r.snapshots[1:]
 	}
-	r.recent = r.whole
+	r.recent, r.recentUpstreams = r.whole, r.upstreams
 	if len(r.snapshots) > 0 {
-		r.recent = r.whole.since(r.snapshots[0].counts)
+		r.recent, r.recentUpstreams = r.whole.since(r.snapshots[0].counts), r.upstreams.since(r.snapshots[0].upstreams)
 	}
 	if n := len(r.snapshots); n == 0 || n < 2*maxSnapshots && now.Sub(r.snapshots[n-1].at) >= snapshotInterval {
-		r.snapshots = append(r.snapshots, snapshot{now, r.whole})
+		r.snapshots = append(r.snapshots, snapshot{now, r.whole, r.upstreams})
 	}
 }
 
@@ -371,8 +380,9 @@
 			Started: r.started, At: r.record.At, By: r.record.By, Condemned: r.condemned, OtherRunning: others.Running,
 		}
 		if !r.record.State.Final() {
-			report.Counts = make(Counts)
+			report.Counts, report.Upstreams = make(Counts), make(Upstreams)
 			report.Counts.add(r.own)
+			report.Upstreams.add(r.ownUpstreams)
 		}
 		reports = append(reports, report)
 	}
--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -23,6 +23,9 @@
 		for route, c := range r.Counts {
 			report.Routes = append(report.Routes, &ragwortv1.RolloutRoute{Route: string(route), Other: encodeTally(&c.Other), Target: encodeTally(&c.Target)})
 		}
+		for key, t := range r.Upstreams {
+			report.Upstreams = append(report.Upstreams, &ragwortv1.RolloutUpstream{Upstream: uint32(key), Answers: t.Answers, Failures: t.Failures})
+		}
 		out = append(out, report)
 	}
 	return out
@@ -67,7 +70,10 @@
 		r := Report{
 			Service: id.Service(row.GetService()), Target: id.Version(row.GetTarget()), Order: row.GetOrder(), State: state, Reason: Reason(row.GetReason()),
 			Started: timeOf(row.GetStartedUnixMs()), At: timeOf(row.GetAtUnixMs()), By: id.Node(row.GetBy()), Condemned: Reason(row.GetCondemned()),
-			OtherRunning: int(min(row.GetOtherRunning(), maxPeerRunning)), Counts: make(Counts),
+			OtherRunning: int(min(row.GetOtherRunning(), maxPeerRunning)), Counts: make(Counts), Upstreams: make(Upstreams),
+		}
+		for _, t := range row.GetUpstreams() {
+			r.Upstreams[UpstreamKey(t.GetUpstream())] = UpstreamTally{Answers: t.GetAnswers(), Failures: min(t.GetFailures(), t.GetAnswers())}
 		}
 		for _, c := range row.GetRoutes() {
 			counts := r.Counts.route(id.Route(c.GetRoute()))
