rollout: a gateway that has just started decides nothing that it cannot know yet

Change: without any listing nothing is decided before the deadline; done for moved waits until rows of peers have come.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -130,6 +130,8 @@
 		return RolledBack, r.condemned
 	case !r.service.Known:
 		return RolledBack, ReasonNoService
+	case target.Upstreams+others.Upstreams == 0 && now.Before(times.Deadline) && r.record.State != Unknown:
+		return r.record.State, "" // the listings have not been read, or nothing can be done
 	case r.record.State == Unknown && r.runsTargetOnly():
 		return Done, ReasonRunning
 	case r.record.State == Unknown:
@@ -151,7 +153,7 @@
 			return Shifting, ""
 		}
 		return RolledBack, ReasonAbsent
-	case r.otherRunning == 0 && r.allShifting && now.Sub(r.record.At) >= settleTime:
+	case r.otherRunning == 0 && r.allShifting && now.Sub(r.record.At) >= settleTime && now.Sub(r.knownSince) >= settleTime:
 		return Done, ReasonMoved
 	case !now.Before(times.Finish):
 		return Done, ReasonTime
--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -211,6 +211,33 @@
 	require.Equal(t, Shifting, g.append(at(14*time.Second)).State)
 }
 
+// TestGatewayWithoutListingsDoesNotDecide answers a gateway that has started anew and acts before it has read which upstreams
+// there are.
+func TestGatewayWithoutListingsDoesNotDecide(t *testing.T) {
+	for _, state := range []State{Canary, Shifting} {
+		g := newTestGateway(t)
+		g.Adopt(Record{Service: "ledger", Target: "v2", Order: 7, State: state, Started: start, At: at(time.Second)})
+		g.append(at(time.Second)) // the store has lost the record
+		g.SetService(start, "ledger", Service{Known: true})
+		g.requireWait(at(18 * time.Second))
+		require.Equal(t, ReasonAbsent, g.append(at(21*time.Second)).Reason)
+	}
+}
+
+// TestRestartedGatewayLearnsOfPeersBeforeDone answers a gateway that takes up a shift and does not know yet what runs at
+// other gateways.
+func TestRestartedGatewayLearnsOfPeersBeforeDone(t *testing.T) {
+	r := newRegister()
+	g := &testGateway{Register: r, Controller: NewController("gw-0", r), t: t}
+	g.Order(at(14*time.Second), testOrder)
+	g.SetService(at(14*time.Second), "ledger", bothVersions)
+	record := Record{Service: "ledger", Target: "v2", Order: 7, State: Shifting, Started: start, At: at(12 * time.Second)}
+	g.RecordsRead([]Record{record}, g.end)
+	g.Round(at(14*time.Second), nil, 0)
+	g.requireWait(at(15400 * time.Millisecond))
+	require.Equal(t, ReasonMoved, g.append(at(15500*time.Millisecond)).Reason)
+}
+
 func TestTargetThatRunsAlreadyIsDoneAtOnce(t *testing.T) {
 	g := newTestGateway(t)
 	g.SetService(start, "ledger", upstreams(map[id.Version]int{"v2": 5}))
