process: one listener bounds the connections of every server, with HTTP/2 and bodies

Cause: an entry and a sidecar had the library's limits for connections, and read a call of a peer whatever its size. Requests whose bodies stop short kept their connections, and the memory of their heads, for as long as they might take: with 32 connections and 300 such callers at an entry's route, no other caller was served for 30 s (TestEntryDescriptors/route/body_cut).

Change: the connections of callers move from gateway to process.Conns, which process.Serve uses where it is told the memory. A connection of HTTP/2 is closed for others only between its streams. A connection whose body has not come for a second may be closed for others; heads leave a quarter of the memory for connections to connections. CallBounds reads the calls of peers, and takes the memory first.

Tests: moved with the code; TestRefusedHeadIsServed and TestRequestOfClosedConnectionIsNotPassedOn use the handler abortRefused, which NewConns now puts before every server's, in place of the gateway's. TestFramesAreNoHead, TestHeadsLeaveRoomForConnections fail without the preface and the reserve. TestUnfinishedBodiesMakeRoom, TestUnreadBodyIsNotAwaited.

--- a/entry/body.go
+++ b/entry/body.go
@@ -7,12 +7,14 @@
 	"errors"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/process"
 )
 
 const (
@@ -40,11 +42,15 @@
 	controller := http.NewResponseController(w)
 	err := controller.SetReadDeadline(until)
 	var body []byte
+	endWait := process.AwaitBody(r.Context(), time.Now())
 	if err == nil {
 		if body, err = e.readAll(rq.share, r); err == nil {
 			err = controller.SetReadDeadline(time.Time{})
 		}
 	}
+	if !endWait() && err == nil {
+		err = net.ErrClosed
+	}
 	var tooLarge *http.MaxBytesError
 	if err != nil {
 		w.Header().Set("Connection", "close")
@@ -73,9 +79,11 @@
 	if r.ContentLength > e.cfg.MaxBodyBytes {
 		return nil, &http.MaxBytesError{Limit: e.cfg.MaxBodyBytes}
 	}
-	if err := share.GrowTo(requestBytes + (bodyFactor-1)*max(0, r.ContentLength)); err != nil {
+	own := requestBytes + process.RequestHeadCost(r)
+	if err := share.GrowTo(own + (bodyFactor-1)*max(0, r.ContentLength)); err != nil {
 		return nil, err
 	}
+	process.ReleaseHead(r.Context())
 	if r.ContentLength >= 0 {
 		buffer, err := share.ReadLength(r.Body, int(r.ContentLength))
 		return buffer.Bytes(), err
@@ -84,5 +92,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return buffer.Bytes(), share.GrowTo(requestBytes + bodyFactor*int64(buffer.Len()))
+	return buffer.Bytes(), share.GrowTo(own + bodyFactor*int64(buffer.Len()))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/ragwortpass/ragwortpass/logbook"
 	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/retry"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
@@ -135,7 +136,8 @@
 func (e *Entry) Handler() http.Handler {
 	chain := alice.New(e.accept, e.identify)
 	mux := http.NewServeMux()
-	mux.Handle(ragwortv1connect.NewNodeServiceHandler(&node{e: e}))
+	calls := process.NewCallBounds(e.deps.Memory, process.CallTime, e.deps.Metrics, e.deps.Logger)
+	mux.Handle(calls.Handler(ragwortv1connect.NewNodeServiceHandler(&node{e: e})))
 	mux.Handle("POST /v1/chat/completions", chain.ThenFunc(e.completions))
 	mux.Handle("POST /v1/completions", chain.ThenFunc(e.completions))
 	mux.Handle("GET /v1/models", chain.ThenFunc(e.models))
--- a/entry/program.go
+++ b/entry/program.go
@@ -33,6 +33,7 @@
 	Seeds      []string      `help:"Addresses of other entries and sidecars, besides the platform's VM list."`
 	MaxBody    int64         `help:"Most bytes of a request body." default:"8388608"`
 	MemoryMB   float64       `help:"Memory of the process in megabytes, of which a part holds answers that are not complete; zero: not known." name:"memory-mb" default:"0"`
+	MaxFDs     int           `help:"Descriptors that the process may have open, of which a part is for connections to it; zero: not known." name:"max-descriptors" default:"0"`
 	Traces     int           `help:"Requests whose decisions are kept for explain." default:"20000"`
 	Linger     time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
 
@@ -67,6 +68,7 @@
 	}
 	c.Require(s.MaxBody > 0, "max-body", fmt.Sprint(s.MaxBody), "a number above zero")
 	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= memory.MaxProcessMB, "memory-mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", memory.MaxProcessMB))
+	c.Require(s.MaxFDs == 0 || s.MaxFDs > process.OtherDescriptors, "max-descriptors", fmt.Sprint(s.MaxFDs), fmt.Sprintf("zero, or more than %d", process.OtherDescriptors))
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
 	c.Require(s.CheckpointDelay >= 0, "checkpoint-delay", s.CheckpointDelay.String(), "a duration from zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
@@ -104,6 +106,7 @@
 	usageStream := open(platform.Stream(hosting.StreamUsage), 2, "usage_")
 	peers := process.NewPeerClient()
 	budgets := memory.NewBudgets(s.MemoryMB)
+	process.LimitHeap(s.MemoryMB)
 	if err := budgets.Register(registry); err != nil {
 		_ = logger.Log("event", "metrics_missing", "err", err)
 	}
@@ -123,6 +126,7 @@
 		Deps: deps,
 		Server: process.Server{
 			Address: s.Listen, Handler: e.Handler(), Ready: e.Ready, Metrics: registry, Logger: logger,
+			Memory: budgets, MaxDescriptors: s.MaxFDs,
 			OnShutdown: e.BeginShutdown, ShutdownDelay: s.Linger,
 			OnDrained: e.Finish,
 			Tasks:     []func(context.Context){e.Run, e.RunLeases}, JournalTasks: []func(context.Context){control.Run, bookings.Run},
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -13,6 +13,7 @@
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/process"
 )
 
 const (
@@ -94,7 +95,7 @@
 		return req, problem.New(problem.NotReady, problem.NotRun, http.StatusServiceUnavailable,
 			"no configuration is known yet").WithRetryAfter(noCatalogRetryAfter(g.deps.CatalogStatus.Failing(now)))
 	}
-	if limit := req.catalog.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
+	if limit := req.catalog.Limits.HeaderBytes; limit > 0 && process.HeadSize(r) > limit {
 		return req, problem.New(problem.HeaderTooLarge, problem.NotRun, http.StatusRequestHeaderFieldsTooLarge, "the head exceeds %d bytes", limit)
 	}
 	if p := g.resolve(req, r, now); p != nil {
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/process"
 )
 
 const (
@@ -22,14 +24,9 @@
 	// given up, so that its caller is told.
 	bodyShutdownMargin = 300 * time.Millisecond
 	// requestBytes is about what a request takes besides its head and body while it is served, with the
-	// connection to its upstream, and requestHeadFactor what each byte of its head takes and requestFieldBytes what
-	// each of its fields does besides: it is kept as received and as it is sent. There is memory for more connections than for requests, so that others than those
+	// connection to its upstream. There is memory for more connections than for requests, so that others than those
 	// that are in use can be closed for new ones.
-	requestBytes      = 24 << 10
-	requestHeadFactor = 3
-	requestFieldBytes = 2 * headLineBytes
-	// minFields is the number of fields that requestBytes includes.
-	minFields = 32
+	requestBytes = 24 << 10
 	// A body that there is no memory for is read without keeping it, in pieces of discardBytes, so that its
 	// caller can read the refusal and keep the connection: for maxDiscardTime, or until nothing has come
 	// for discardStall.
@@ -92,23 +89,14 @@
 // reserve takes the memory for a request without its body. It returns a problem if there is none.
 func (g *Gateway) reserve(w http.ResponseWriter, r *http.Request, req *request) *problem.Problem {
 	req.share = g.deps.Memory.Requests.ShareLeaving(memory.Holder(req.workspace), memory.UrgencyReserve*float64(req.urgency))
-	err := req.share.GrowTo(requestBytes + requestHeadCost(r))
+	err := req.share.GrowTo(requestBytes + process.RequestHeadCost(r))
 	if err == nil {
-		releaseHead(r.Context())
+		process.ReleaseHead(r.Context())
 		return nil
 	}
 	return memoryProblem(w, r, err)
 }
 
-// requestHeadCost returns the bytes that the head of a request takes while it is served.
-func requestHeadCost(r *http.Request) int64 {
-	fields := 0
-	for _, values := range r.Header {
-		fields += len(values)
-	}
-	return requestHeadFactor*int64(headerSize(r)) + requestFieldBytes*int64(max(0, fields-minFields))
-}
-
 // memoryProblem returns the problem of a request that there is no memory for.
 func memoryProblem(w http.ResponseWriter, r *http.Request, err error) *problem.Problem {
 	if discardErr := discardBody(w, r); discardErr != nil {
@@ -171,6 +159,7 @@
 	if earliest := req.arrived.Add(minBodyTime); until.Before(earliest) {
 		until = earliest
 	}
+	endWait := process.AwaitBody(r.Context(), time.Now())
 	err := g.bodies.begin(controller, until)
 	switch {
 	case err != nil:
@@ -184,6 +173,9 @@
 	if finishErr := g.bodies.finish(controller, err == nil); err == nil {
 		err = finishErr
 	}
+	if !endWait() && err == nil {
+		err = net.ErrClosed
+	}
 	if err != nil && !errors.Is(err, memory.ErrFull) {
 		w.Header().Set("Connection", "close")
 	}
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -3,16 +3,12 @@
 // This file defines the doors of a gateway that callers have no business with: the check of readiness, the calls
 // of peers and the pages of operators. Whoever reaches the VM may come to them all the same, and must
 // neither take the memory and the descriptors that callers need nor keep those away that a door is for. Each door
-// has memory and connections of its own, which CallerConns gives out, and a bound on the time of a request.
+// has memory and connections of its own, which process.Conns gives out, and a bound on the time of a request.
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/process"
 )
@@ -31,9 +27,6 @@
 	peerSocketFraction  = 1.0 / 8
 	pageSocketFraction  = 1.0 / 32
 	minDoorConns        = 16
-	// peerBodyFactor is the memory that the body of a peer's call takes, which is kept as received, in a buffer that
-	// doubles, and as parsed.
-	peerBodyFactor = 4
 )
 
 // door is a server with bounds of its own.
@@ -51,7 +44,7 @@
 	if descriptors == 0 {
 		return 0
 	}
-	return max(minDoorConns, socketPart(d.sockets, descriptors))
+	return max(minDoorConns, process.SocketPart(d.sockets, descriptors))
 }
 
 // openDoor starts the server of a door.
@@ -60,86 +53,9 @@
 		Handler: d.handler, ReadHeaderTimeout: d.requestTime, ReadTimeout: d.requestTime, WriteTimeout: doorWriteTime,
 		IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: doorHeaderBytes,
 	}
-	conns := &CallerConns{
-		DrainingListener: process.NewDrainingListener(p.servers.listen(d.name, d.address, d.patience)), prefix: d.name + "_",
-		idleTimeout: func() time.Duration { return defaultIdleTimeout }, memory: d.memory, maxOpen: int64(d.maxConns(p.settings.MaxDescriptors)),
-		registry: p.registry, logger: p.logger, conns: make(map[*callerConn]struct{}),
-	}
-	conns.bind(server)
+	conns := process.NewConns(process.ConnsConfig{
+		Prefix: d.name + "_", IdleTimeout: func() time.Duration { return defaultIdleTimeout }, Memory: d.memory, MaxOpen: d.maxConns(p.settings.MaxDescriptors),
+		Registry: p.registry, Logger: p.logger,
+	}, server, p.servers.listen(d.name, d.address, d.patience))
 	p.servers.start(d.name, server, conns)
 }
-
-// withoutBodies returns a handler that answers requests without reading their bodies, and closes the connections of
-// those that have one.
-func withoutBodies(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == http.NoBody {
-			next.ServeHTTP(w, r)
-			return
-		}
-		controller := http.NewResponseController(w)
-		_ = controller.SetReadDeadline(time.Now()) // fails only if the connection is closed
-		w.Header().Set("Connection", "close")
-		next.ServeHTTP(w, r)
-		if controller.Flush() == nil {
-			endServing(r.Context(), time.Now())
-		}
-	})
-}
-
-// callRefusal is why the call of a peer is not read.
-type callRefusal struct {
-	reason string // of the counter and the log line
-	status int
-}
-
-// refusalOfCall returns why a call is not read, for whose body the memory is taken first; nil: it is read. Peers send
-// what they call with as it is, and say how long it is.
-func refusalOfCall(r *http.Request, share *memory.Share) *callRefusal {
-	switch {
-	case r.Body == http.NoBody:
-	case r.Header.Get("Content-Encoding") != "":
-		return &callRefusal{"encoding", http.StatusUnsupportedMediaType}
-	case r.ContentLength < 0:
-		return &callRefusal{"length", http.StatusLengthRequired}
-	case share.GrowTo(peerBodyFactor*r.ContentLength) != nil:
-		return &callRefusal{"memory", http.StatusServiceUnavailable}
-	}
-	return nil
-}
-
-// withBodiesIn returns a handler that takes the memory for the body of a request before it reads it.
-func withBodiesIn(budget *memory.Budget, refusals *callRefusals, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		share := budget.Share(memory.Holder(r.RemoteAddr))
-		defer share.Release()
-		refusal := refusalOfCall(r, share)
-		if refusal == nil {
-			next.ServeHTTP(w, r)
-			return
-		}
-		refusals.note(refusal, r)
-		withoutBodies(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(refusal.status) })).ServeHTTP(w, r)
-	})
-}
-
-// callRefusals counts the calls of peers that were not read, and logs one in closedLogInterval. It is safe for concurrent use.
-type callRefusals struct {
-	registry metrics.Registry
-	logger   log.Logger
-
-	mu     sync.Mutex
-	logged time.Time
-}
-
-func (c *callRefusals) note(refusal *callRefusal, r *http.Request) {
-	metrics.GetOrRegisterCounter("peer_calls_refused_"+refusal.reason, c.registry).Inc(1)
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if now.Sub(c.logged) < closedLogInterval {
-		return
-	}
-	c.logged = now
-	_ = c.logger.Log("event", "peer_call_refused", "reason", refusal.reason, "status", refusal.status, "address", r.RemoteAddr, "length", r.ContentLength)
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,9 +153,6 @@
 // close their connections.
 func (g *Gateway) trackActivity(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !mayServe(r.Context()) {
-			panic(http.ErrAbortHandler) // refused, or its connection closed for others, while its head was being read
-		}
 		g.inFlight.Add(1)
 		g.lastActivity.Store(clock.InstantOf(time.Now()))
 		defer func() {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -26,6 +26,7 @@
 	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/platform"
 	"github.com/ragwortpass/ragwortpass/pool"
+	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/quarantine"
 )
 
@@ -39,7 +40,7 @@
 	gateway        *gateway.Gateway
 	memory         *memory.Budgets
 	server         *httptest.Server
-	callerConns    *gateway.CallerConns
+	callerConns    *process.Conns
 	stale          atomic.Bool  // whether the catalog may be out of date
 	failing        atomic.Int64 // how long reads of the catalog have failed, in nanoseconds
 	counts         sync.Map     // id.Workspace to *atomic.Int64
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"os"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -64,9 +63,6 @@
 	upstreamCopyInterval = 5 * time.Second
 	// maxPeerLoad bounds what a peer can say of its load.
 	maxPeerLoad = 1 << 20
-	// memoryLimitFraction is the part of the process's memory that is set as the soft
-	// limit of the garbage collector.
-	memoryLimitFraction = 0.7
 )
 
 // Program runs a gateway as a process.
@@ -92,8 +88,8 @@
 	guard        *guard.Guard
 	logger       log.Logger
 
-	servers servers      // set by Run
-	callers *CallerConns // connections of callers; set by Run
+	servers servers        // set by Run
+	callers *process.Conns // connections of callers; set by Run
 }
 
 // NewProgram returns a program that has not started yet. ReadSettings rereads its
@@ -140,7 +136,7 @@
 	client.ShareConnections(upstreamPool.ConnectionPart)
 	p.gateway = New(Deps{
 		Codec: platform.Codec, Catalog: currentCatalog, Pool: upstreamPool, RetryBudgets: p.retryBudgets, Meter: p.usage,
-		CatalogStatus: operatorStatus{operators, durationMS(s.Bounds.ConfigMS)}, Client: client, Memory: budgets, MaxCallers: maxCallers(s.MaxDescriptors), Quarantine: p.quarantine, Rollouts: p.rollouts.registerOrNil(), FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
+		CatalogStatus: operatorStatus{operators, durationMS(s.Bounds.ConfigMS)}, Client: client, Memory: budgets, MaxCallers: process.MaxCallers(s.MaxDescriptors), Quarantine: p.quarantine, Rollouts: p.rollouts.registerOrNil(), FleetTime: fleetTime, TellPeers: func() { p.peers.Wake() }, Metrics: registry, Logger: logger,
 	})
 	if platform.Holds != nil {
 		p.holdKeeper = &holdKeeper{
@@ -287,9 +283,7 @@
 	s := p.settings
 	process.LogStart(p.logger, "callers", s.Listen.Callers, "ready", s.Listen.Ready, "peers", s.Listen.Peers, "metrics", s.Metrics,
 		"data_centre", s.DataCentre, "memory_mb", s.MemoryMB)
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryMB * memoryLimitFraction * (1 << 20)))
-	}
+	process.LimitHeap(s.MemoryMB)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var tasks sync.WaitGroup
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -51,22 +51,31 @@
 	p.servers.start("callers", callers, p.callers)
 	p.openDoor(&door{
 		name: "ready", address: s.Ready, patience: process.ListenPatience, sockets: readySocketFraction, requestTime: doorRequestTime,
-		memory: p.budgets.Ready, handler: withoutBodies(http.HandlerFunc(p.ready)),
+		memory: p.budgets.Ready, handler: process.WithoutBodies(http.HandlerFunc(p.ready)),
 	})
 	if s.Peers != "" {
+		_, calls := process.NewCallBounds(p.budgets, peerRequestTime, p.registry, p.logger).Handler("/", p.peers.Handler())
 		p.openDoor(&door{
 			name: "peers", address: s.Peers, sockets: peerSocketFraction, requestTime: peerRequestTime,
-			memory: p.budgets.Peers, handler: withBodiesIn(p.budgets.Peers, &callRefusals{registry: p.registry, logger: p.logger}, p.peers.Handler()),
+			memory: p.budgets.Peers, handler: calls,
 		})
 	}
 	if p.settings.Metrics != "" {
 		p.openDoor(&door{
 			name: "metrics", address: p.settings.Metrics, sockets: pageSocketFraction, requestTime: doorRequestTime,
-			memory: p.budgets.Pages, handler: withoutBodies(p.operatorPages()),
+			memory: p.budgets.Pages, handler: process.WithoutBodies(p.operatorPages()),
 		})
 	}
 }
 
+// TrackCallers makes the server of callers close idle connections after the timeout of the catalog in force. The server
+// must accept its connections from the returned listener.
+func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) *process.Conns {
+	return process.NewConns(process.ConnsConfig{
+		IdleTimeout: g.idleTimeout, Memory: g.deps.Memory.Connections, MaxOpen: g.deps.MaxCallers, Registry: g.deps.Metrics, Logger: g.deps.Logger,
+	}, server, l)
+}
+
 // listen returns a listener on an address of the settings, which have been checked.
 func (s *servers) listen(name, address string, patience time.Duration) *process.Listener {
 	return process.NewListener(time.Now(), name, netip.MustParseAddrPort(address), patience, s.logger)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/memory"
+	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 )
 
@@ -87,7 +88,7 @@
 	}
 	b := s.Bounds
 	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= memory.MaxProcessMB, "memory_mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", memory.MaxProcessMB))
-	c.Require(s.MaxDescriptors == 0 || s.MaxDescriptors > otherDescriptors, "max_descriptors", fmt.Sprint(s.MaxDescriptors), fmt.Sprintf("zero, or more than %d", otherDescriptors))
+	c.Require(s.MaxDescriptors == 0 || s.MaxDescriptors > process.OtherDescriptors, "max_descriptors", fmt.Sprint(s.MaxDescriptors), fmt.Sprintf("zero, or more than %d", process.OtherDescriptors))
 	c.Require(isTime(durationMS(b.ConfigMS)), "bounds.config_ms", fmt.Sprint(b.ConfigMS), "milliseconds, from one to those of a year")
 	c.Require(b.RetryRatio >= 0, "bounds.retry_ratio", fmt.Sprint(b.RetryRatio), "a number from zero")
 	c.Require(b.RetrySlack >= 0, "bounds.retry_slack", fmt.Sprint(b.RetrySlack), "a number from zero")
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -169,7 +169,7 @@
 		s.counts.idle += p.callers.CloseIdle(now, shutdownIdlePeriod)
 	}
 	if s.phase >= stopAnswering {
-		s.counts.heads += p.callers.refuseHeads(now.Add(-shutdownPollInterval), p.gateway.incompleteHeadAnswer())
+		s.counts.heads += p.callers.RefuseHeads(now.Add(-shutdownPollInterval), p.gateway.incompleteHeadAnswer())
 		s.counts.interrupted += p.gateway.attempts.endUnanswered()
 	}
 }
@@ -187,10 +187,10 @@
 // they are being read, wait for an upstream, or were passed on to one.
 func (s *plannedStop) logEnd(err error) {
 	g := s.program.gateway
-	open, bodies, passedOn := s.program.callers.states(), g.bodies.count(), g.attempts.endAll()
+	open, bodies, passedOn := s.program.callers.States(), g.bodies.count(), g.attempts.endAll()
 	_ = s.program.logger.Log("event", "left", "after", s.elapsed(),
 		"closed_idle", s.counts.idle, "refused_reading", s.counts.heads, "interrupted", s.counts.interrupted,
-		"cut_idle", open.idle, "cut_reading", open.reading+bodies, "cut_waiting", max(0, open.serving-bodies-passedOn), "cut_passed_on", passedOn, "err", err)
+		"cut_idle", open.Idle, "cut_reading", open.Reading+bodies, "cut_waiting", max(0, open.Serving-bodies-passedOn), "cut_passed_on", passedOn, "err", err)
 }
 
 // incompleteHeadAnswer returns the response to a request of which the process will not read the whole head.
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -142,27 +142,3 @@
 		})
 	}
 }
-
-// TestAcceptedConnectionIsForgotten guards against a stop that ends while a connection was accepted and the server
-// has not seen it yet.
-func TestAcceptedConnectionIsForgotten(t *testing.T) {
-	callers, _ := listenForCallers(t)
-	caller, err := net.Dial("tcp", callers.Addr().String())
-	require.NoError(t, err)
-	defer caller.Close()
-	accepted := make(chan net.Conn, 1)
-	stopped := make(chan error, 1)
-	go func() {
-		time.Sleep(10 * time.Millisecond) // the kernel holds the connection while the listener is about to close
-		conn, _ := callers.Accept()
-		accepted <- conn
-		_, err := callers.Accept()
-		stopped <- err
-	}()
-	require.NoError(t, callers.Stop())
-	require.Equal(t, 1, callers.Len())
-	conn := <-accepted
-	require.NotNil(t, conn)
-	require.ErrorIs(t, <-stopped, net.ErrClosed)
-	require.NoError(t, conn.Close())
-}
--- a/gateway/caller_conns.go
+++ b/process/conns.go
@@ -1,15 +1,16 @@
-package gateway
+package process
 
-// This file defines CallerConns, which closes idle connections of callers without losing a
+// This file defines Conns, which bounds what the connections of a server take, closes idle ones without losing a
 // request that is just arriving, and refuses what arrives too late for the end of the process.
 //
 // An http.Server takes a connection for idle until it has read the whole head of a request.
 // Closing it by that state may cut off a request whose head is being read, or one that is
-// already on its way to an upstream. CallerConns therefore decides by the bytes received: a
+// already on its way to an upstream. Conns therefore decides by the bytes received: a
 // connection is closed only if no byte of a further request has arrived, and nothing is read
 // from it any more once that is decided.
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -24,7 +25,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/ragwortpass/ragwortpass/memory"
-	"github.com/ragwortpass/ragwortpass/process"
 )
 
 // unreadGrace is how much longer than the idle timeout a connection is kept, so that a
@@ -36,10 +36,10 @@
 	maxRefusalWrite = 10 * time.Millisecond
 )
 
-// CallerConns is the listener of one http.Server and tracks its connections. It is safe for
+// Conns is the listener of one http.Server and tracks its connections. It is safe for
 // concurrent use.
-type CallerConns struct {
-	*process.DrainingListener
+type Conns struct {
+	*DrainingListener
 	prefix      string               // of counters and log lines; empty: the server is that of callers
 	idleTimeout func() time.Duration // zero: no limit
 	memory      *memory.Budget
@@ -51,43 +51,69 @@
 	waitedInVain time.Time // when Accept last waited for memory and got none
 
 	mu           sync.Mutex
-	conns        map[*callerConn]struct{}
+	conns        map[*trackedConn]struct{}
 	closedLogged time.Time // when a connection that was closed for want of memory was last logged
 }
 
-// TrackCallers makes a server close idle connections after the timeout of the catalog in
-// force. The server must accept its connections from the returned listener.
-func (g *Gateway) TrackCallers(server *http.Server, l net.Listener) *CallerConns {
-	c := &CallerConns{
-		DrainingListener: process.NewDrainingListener(l), idleTimeout: g.idleTimeout,
-		memory: g.deps.Memory.Connections, maxOpen: int64(g.deps.MaxCallers), registry: g.deps.Metrics, logger: g.deps.Logger, conns: make(map[*callerConn]struct{}),
-	}
-	c.bind(server)
-	return c
+// ConnsConfig configures Conns.
+type ConnsConfig struct {
+	Prefix      string               // of counters and log lines; empty: the server is that of callers
+	IdleTimeout func() time.Duration // after which an idle connection is closed; zero: only the server closes it
+	Memory      *memory.Budget
+	MaxOpen     int // most connections; zero: as many as there is memory for
+	Registry    metrics.Registry
+	Logger      log.Logger
 }
 
-// bind makes a server tell of its connections, which it must accept from c.
-func (c *CallerConns) bind(server *http.Server) {
-	server.ConnState = c.connStateChanged
+// NewConns makes a server, whose handler is set, tell of its connections. The server must accept them from the returned
+// listener.
+func NewConns(cfg ConnsConfig, server *http.Server, l net.Listener) *Conns {
+	c := &Conns{
+		DrainingListener: NewDrainingListener(l), prefix: cfg.Prefix, idleTimeout: cfg.IdleTimeout, memory: cfg.Memory, maxOpen: int64(cfg.MaxOpen),
+		registry: cfg.Registry, logger: cfg.Logger, conns: make(map[*trackedConn]struct{}),
+	}
+	server.Handler = abortRefused(server.Handler)
+	nextState, nextContext := server.ConnState, server.ConnContext
+	server.ConnState = func(conn net.Conn, s http.ConnState) {
+		c.connStateChanged(conn, s)
+		if nextState != nil {
+			nextState(conn, s)
+		}
+	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, callerConnKey{}, conn)
+		if nextContext != nil {
+			ctx = nextContext(ctx, conn)
+		}
+		return context.WithValue(ctx, connKey{}, conn)
 	}
+	return c
+}
+
+// abortRefused returns a handler that drops the requests that were refused, or whose connections were closed for others,
+// while their heads were being read: their callers may have sent them again already.
+func abortRefused(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !mayServe(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
-// callerConnKey is the key of a request's connection in its context.
-type callerConnKey struct{}
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
 
 // Accept implements net.Listener. It tracks the connection at once, so that a stop never misses one, and makes
 // room for it by closing others that no request is being served on.
-func (c *CallerConns) Accept() (net.Conn, error) {
+func (c *Conns) Accept() (net.Conn, error) {
 	for {
 		conn, err := c.DrainingListener.Accept()
 		if err != nil {
 			return nil, err
 		}
 		holder := memory.Holder(conn.RemoteAddr().String())
-		tracked := &callerConn{
-			Conn: conn, conns: c, share: c.memory.ShareLeaving(holder, callerHeadReserve), headShare: c.memory.Share(holder), idleSince: time.Now(),
+		tracked := &trackedConn{
+			Conn: conn, conns: c, share: c.memory.ShareLeaving(holder, headReserve), headShare: c.memory.ShareLeaving(holder, connReserve), idleSince: time.Now(),
 		}
 		c.track(tracked)
 		if c.admit(tracked) == nil {
@@ -98,14 +124,14 @@
 	}
 }
 
-func (c *CallerConns) track(conn *callerConn) {
+func (c *Conns) track(conn *trackedConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[conn] = struct{}{}
 }
 
 // forget gives back what a connection that is closed has.
-func (c *CallerConns) forget(conn *callerConn) {
+func (c *Conns) forget(conn *trackedConn) {
 	c.mu.Lock()
 	delete(c.conns, conn)
 	c.mu.Unlock()
@@ -115,40 +141,40 @@
 }
 
 // Len returns the number of open connections.
-func (c *CallerConns) Len() int {
+func (c *Conns) Len() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.conns)
 }
 
-// connStates counts connections by what they are doing.
-type connStates struct{ idle, reading, serving int }
+// ConnStates counts connections by what they are doing.
+type ConnStates struct{ Idle, Reading, Serving int }
 
-// states returns how many connections are idle, have a head that is being read, and have a request.
-func (c *CallerConns) states() (n connStates) {
+// States returns how many connections are idle, have a head that is being read, and have a request.
+func (c *Conns) States() (n ConnStates) {
 	for _, conn := range c.all() {
 		conn.mu.Lock()
 		switch {
 		case conn.serving:
-			n.serving++
+			n.Serving++
 		case conn.idleSince.IsZero():
-			n.reading++
+			n.Reading++
 		default:
-			n.idle++
+			n.Idle++
 		}
 		conn.mu.Unlock()
 	}
 	return n
 }
 
-func (c *CallerConns) all() []*callerConn {
+func (c *Conns) all() []*trackedConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.Collect(maps.Keys(c.conns))
 }
 
 // CloseIdle closes the connections that have been idle for at least a period and returns their number.
-func (c *CallerConns) CloseIdle(now time.Time, period time.Duration) (n int) {
+func (c *Conns) CloseIdle(now time.Time, period time.Duration) (n int) {
 	for _, conn := range c.all() {
 		if conn.closeIfIdleSince(now.Add(-period)) {
 			n++
@@ -157,9 +183,9 @@
 	return n
 }
 
-// refuseHeads answers the requests whose heads have been incomplete since t or longer, and returns their number.
+// RefuseHeads answers the requests whose heads have been incomplete since t or longer, and returns their number.
 // Their connections are closed.
-func (c *CallerConns) refuseHeads(t time.Time, answer []byte) (n int) {
+func (c *Conns) RefuseHeads(t time.Time, answer []byte) (n int) {
 	for _, conn := range c.all() {
 		if conn.refuseHead(t, answer) {
 			n++
@@ -169,8 +195,8 @@
 }
 
 // connStateChanged is the ConnState hook of the server.
-func (c *CallerConns) connStateChanged(conn net.Conn, s http.ConnState) {
-	tracked, ok := conn.(*callerConn)
+func (c *Conns) connStateChanged(conn net.Conn, s http.ConnState) {
+	tracked, ok := conn.(*trackedConn)
 	if !ok {
 		return
 	}
@@ -185,13 +211,13 @@
 	}
 }
 
-// callerConn is a connection of a caller.
-type callerConn struct {
+// trackedConn is a connection of a caller.
+type trackedConn struct {
 	net.Conn
-	conns *CallerConns
+	conns *Conns
 
 	mu        sync.Mutex
-	counted   bool          // in CallerConns.open
+	counted   bool          // in Conns.open
 	share     *memory.Share // for the connection
 	headShare *memory.Share // for the head that is being read
 	idleSince time.Time     // no byte of a request was read since then; zero: a request has begun
@@ -199,18 +225,41 @@
 	headCost  int64         // bytes that what was read of a head takes, while it is not complete
 	serving   bool          // the head of a request was read, and the request is being served
 	served    bool          // a request was served
-	readAhead bool          // a byte was read while the request before was being served
-	closed    bool          // closed as idle or for others, or refused: what is read now is discarded
-	idleTimer *time.Timer
+	bodyBegan time.Time     // when the server began to wait for the body of the request; zero: it does not
+	bodyBytes int64         // read since then
+	// bodyReadAt is when the last of them were read.
+	bodyReadAt time.Time
+	readAhead  bool // a byte was read while the request before was being served
+	// multiplexed says that the connection carries HTTP/2: what is read is no head, and the server tells when requests
+	// begin and end.
+	multiplexed bool
+	closed      bool // closed as idle or for others, or refused: what is read now is discarded
+	idleTimer   *time.Timer
 }
 
+// http2Preface begins the preface of a connection of HTTP/2, and no request of HTTP/1.1.
+var http2Preface = []byte("PRI * ")
+
 // Read implements net.Conn. It fails if the connection was closed as idle.
-func (c *callerConn) Read(b []byte) (int, error) {
+func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
 	}
 	c.mu.Lock()
+	if !c.served && bytes.HasPrefix(b[:n], http2Preface) {
+		c.multiplexed, c.served = true, true
+	}
+	if c.multiplexed {
+		defer c.mu.Unlock()
+		if c.closed {
+			return 0, net.ErrClosed
+		}
+		return n, err
+	}
+	if !c.bodyBegan.IsZero() {
+		c.bodyBytes, c.bodyReadAt = c.bodyBytes+int64(n), time.Now()
+	}
 	if c.idleSince.IsZero() && len(b) == 1 {
 		c.readAhead = true // the server reads single bytes only to notice that the caller disconnects
 	}
@@ -222,7 +271,7 @@
 }
 
 // endHead records that a head was read, unless the connection was closed or refused before.
-func (c *callerConn) endHead() {
+func (c *trackedConn) endHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving, c.served, c.headCost = !c.closed, true, 0
@@ -230,7 +279,7 @@
 
 // beginRequest records that a request has begun. It reports false if the connection was
 // closed before.
-func (c *callerConn) beginRequest() bool {
+func (c *trackedConn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.idleSince.IsZero() {
@@ -246,7 +295,7 @@
 // mayServe reports whether a handler may serve a request. If the request was refused as its head became complete, or
 // its connection closed for others, the caller may have sent it again already.
 func mayServe(ctx context.Context) bool {
-	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	c, ok := ctx.Value(connKey{}).(*trackedConn)
 	if !ok {
 		return true
 	}
@@ -257,10 +306,10 @@
 
 // endRequest records that a request was answered, and closes the connection after the
 // timeout unless another one begins. A timeout of zero means never.
-func (c *callerConn) endRequest(now time.Time, timeout time.Duration) {
+func (c *trackedConn) endRequest(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving = false
+	c.serving, c.bodyBegan = false, time.Time{}
 	c.headShare.Release()
 	if c.readAhead {
 		c.readAhead, c.begunAt = false, now // the first byte of the next request
@@ -273,10 +322,10 @@
 }
 
 // closeIfIdleSince closes the connection if it has been idle since t or longer, and reports whether it did.
-func (c *callerConn) closeIfIdleSince(t time.Time) bool {
+func (c *trackedConn) closeIfIdleSince(t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.idleSince.IsZero() || c.idleSince.After(t) || process.Readable(c.Conn) {
+	if c.closed || c.idleSince.IsZero() || c.idleSince.After(t) || Readable(c.Conn) {
 		return false
 	}
 	c.closed = true
@@ -286,7 +335,7 @@
 
 // refuseHead answers a request whose head has been incomplete since t or longer, and reports whether it did.
 // The server's read then fails, and it closes the connection.
-func (c *callerConn) refuseHead(t time.Time, answer []byte) bool {
+func (c *trackedConn) refuseHead(t time.Time, answer []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.serving || !c.idleSince.IsZero() || c.begunAt.After(t) {
@@ -301,7 +350,7 @@
 }
 
 // Write implements net.Conn. It fails if the connection was closed as idle or its request refused.
-func (c *callerConn) Write(b []byte) (int, error) {
+func (c *trackedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
--- a/gateway/caller_conns_test.go
+++ b/process/conns_test.go
@@ -1,4 +1,4 @@
-package gateway
+package process
 
 import (
 	"bufio"
@@ -12,16 +12,17 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/memory"
 )
 
+func noIdleTimeout() time.Duration { return 0 }
+
 // listenForCallers returns the tracked listener of a server that is not started.
-func listenForCallers(t *testing.T) (*CallerConns, *http.Server) {
+func listenForCallers(t *testing.T) (*Conns, *http.Server) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{Handler: http.NotFoundHandler()}
-	callers := (&Gateway{deps: Deps{Catalog: new(catalog.Latest), Memory: memory.NewBudgets(0)}}).TrackCallers(server, listener)
+	callers := NewConns(ConnsConfig{IdleTimeout: noIdleTimeout, Memory: memory.NewBudgets(0).Connections}, server, listener)
 	t.Cleanup(func() { _ = callers.Close() })
 	return callers, server
 }
@@ -46,7 +47,7 @@
 	conn, err := callers.Accept()
 	require.NoError(t, err)
 	defer conn.Close()
-	tracked := conn.(*callerConn)
+	tracked := conn.(*trackedConn)
 	request := "GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n"
 	_, err = io.WriteString(caller, request)
 	require.NoError(t, err)
@@ -75,7 +76,7 @@
 	)
 	callers, server := listenForCallers(t)
 	var served atomic.Int64
-	server.Handler = (&Gateway{}).trackActivity(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	server.Handler = abortRefused(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
 	go func() { _ = server.Serve(callers) }()
 	t.Cleanup(func() { _ = server.Close() })
 	for i := range tries {
@@ -84,10 +85,10 @@
 		require.NoError(t, err)
 		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: d")
 		require.NoError(t, err)
-		require.Eventually(t, func() bool { return callers.states().reading == 1 }, time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return callers.States().Reading == 1 }, time.Second, time.Millisecond)
 		refused := make(chan int, 1)
 		rest := func() { _, _ = io.WriteString(conn, "esk.example\r\n\r\n") }
-		refuse := func() { refused <- callers.refuseHeads(time.Now(), []byte(refusal)) }
+		refuse := func() { refused <- callers.RefuseHeads(time.Now(), []byte(refusal)) }
 		if i == 0 {
 			refuse()
 		} else {
@@ -109,3 +110,27 @@
 	}
 	require.Less(t, served.Load(), int64(tries))
 }
+
+// TestAcceptedConnectionIsForgotten guards against a stop that ends while a connection was accepted and the server
+// has not seen it yet.
+func TestAcceptedConnectionIsForgotten(t *testing.T) {
+	callers, _ := listenForCallers(t)
+	caller, err := net.Dial("tcp", callers.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	accepted := make(chan net.Conn, 1)
+	stopped := make(chan error, 1)
+	go func() {
+		time.Sleep(10 * time.Millisecond) // the kernel holds the connection while the listener is about to close
+		conn, _ := callers.Accept()
+		accepted <- conn
+		_, err := callers.Accept()
+		stopped <- err
+	}()
+	require.NoError(t, callers.Stop())
+	require.Equal(t, 1, callers.Len())
+	conn := <-accepted
+	require.NotNil(t, conn)
+	require.ErrorIs(t, <-stopped, net.ErrClosed)
+	require.NoError(t, conn.Close())
+}
--- a/process/server.go
+++ b/process/server.go
@@ -21,6 +21,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/ragwortpass/ragwortpass/guard"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/response"
 )
 
@@ -59,18 +60,21 @@
 
 // Server configures a program's HTTP server, its background tasks and its shutdown.
 type Server struct {
-	Address       string
-	Listener      net.Listener // replaces Address if not nil
-	Handler       http.Handler
-	Ready         func() error // nil error: ready for requests
-	Metrics       metrics.Registry
-	Logger        log.Logger
-	OnShutdown    func()                  // called once when the shutdown begins; nil: nothing to do
-	ShutdownDelay time.Duration           // from OnShutdown until new connections are refused
-	DrainTimeout  time.Duration           // limits the wait for running requests; zero: no limit
-	OnDrained     func(context.Context)   // called once after the last request, while the tasks still run; nil: nothing to do
-	Abort         <-chan struct{}         // when closed, requests are aborted, and Serve returns without a shutdown unless it has begun; nil: never
-	Tasks         []func(context.Context) // run until their context is done, which is after OnDrained; start again after a panic
+	Address  string
+	Listener net.Listener // replaces Address if not nil
+	Handler  http.Handler
+	Ready    func() error // nil error: ready for requests
+	Metrics  metrics.Registry
+	Logger   log.Logger
+	// Memory bounds what connections take, and MaxDescriptors is how many descriptors the process may have; nil, or zero: not known.
+	Memory         *memory.Budgets
+	MaxDescriptors int
+	OnShutdown     func()                  // called once when the shutdown begins; nil: nothing to do
+	ShutdownDelay  time.Duration           // from OnShutdown until new connections are refused
+	DrainTimeout   time.Duration           // limits the wait for running requests; zero: no limit
+	OnDrained      func(context.Context)   // called once after the last request, while the tasks still run; nil: nothing to do
+	Abort          <-chan struct{}         // when closed, requests are aborted, and Serve returns without a shutdown unless it has begun; nil: never
+	Tasks          []func(context.Context) // run until their context is done, which is after OnDrained; start again after a panic
 	// JournalTasks are like Tasks, but a panic ends the process: a record of the log that was applied in
 	// part would leave it with another state than all others, and a start reads the log again.
 	JournalTasks []func(context.Context)
@@ -99,7 +103,7 @@
 		l = NewListener(time.Now(), apiServer, address, ListenPatience, s.Logger)
 	}
 	leaving, unread := new(atomic.Bool), newUnreadConns()
-	server := NewHTTPServer(closeWhenLeaving(leaving, s.handler()))
+	server := NewHTTPServer(closeWhenLeaving(leaving, boundUnreadBodies(s.handler())))
 	server.ErrorLog = stdlog.New(log.NewStdlibAdapter(log.With(s.Logger, "event", "http_server_error", "server", apiServer)), "", 0)
 	unread.track(server)
 	defer s.startTasks(ctx)()
@@ -113,7 +117,7 @@
 		}
 	}()
 	serveErr := make(chan error, 1)
-	listener := NewDrainingListener(l)
+	listener := s.listener(server, l)
 	go func() { serveErr <- server.Serve(listener) }()
 	select {
 	case err := <-serveErr:
@@ -137,6 +141,22 @@
 	})
 }
 
+// acceptor is a listener that can be stopped without resetting connections.
+type acceptor interface {
+	net.Listener
+	Stop() error
+}
+
+// listener returns the listener that the server accepts connections from.
+func (s Server) listener(server *http.Server, l net.Listener) acceptor {
+	if s.Memory == nil {
+		return NewDrainingListener(l)
+	}
+	return NewConns(ConnsConfig{
+		IdleTimeout: func() time.Duration { return 0 }, Memory: s.Memory.Connections, MaxOpen: MaxCallers(s.MaxDescriptors), Registry: s.Metrics, Logger: s.Logger,
+	}, server, l)
+}
+
 // closeWhenLeaving makes each response of a process that is leaving the last one on its connection: a connection that is
 // closed as idle may have a request on its way. HTTP/2 announces the close by itself.
 func closeWhenLeaving(leaving *atomic.Bool, next http.Handler) http.Handler {
@@ -284,12 +304,12 @@
 
 func (s Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+	mux.Handle("GET /healthz", WithoutBodies(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
-	})
-	mux.HandleFunc("GET /readyz", s.serveReadiness)
-	mux.Handle("GET /metrics", MetricsHandler(s.Metrics))
-	mux.Handle("GET /metrics.json", MetricsHandler(s.Metrics))
+	})))
+	mux.Handle("GET /readyz", WithoutBodies(http.HandlerFunc(s.serveReadiness)))
+	mux.Handle("GET /metrics", WithoutBodies(MetricsHandler(s.Metrics)))
+	mux.Handle("GET /metrics.json", WithoutBodies(MetricsHandler(s.Metrics)))
 	mux.Handle("/", s.Handler)
 	return mux
 }
--- a/process/vitals.go
+++ b/process/vitals.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -41,6 +42,16 @@
 	_ = log.With(logger, "event", "start", "version", Version(), "pid", os.Getpid(), "after_exec", afterExec).Log(fields...)
 }
 
+// heapFraction is the part of the memory of a process that is set as the soft limit of the garbage collector.
+const heapFraction = 0.7
+
+// LimitHeap sets the soft limit of the garbage collector for a process with the given memory in megabytes; zero: not known.
+func LimitHeap(processMB float64) {
+	if processMB > 0 {
+		debug.SetMemoryLimit(int64(processMB * heapFraction * (1 << 20)))
+	}
+}
+
 // RegisterVitals adds the gauges of this process, and the counter of its lost log lines, to a registry.
 func RegisterVitals(r metrics.Registry) {
 	always := func(read func() int64) func() (int64, bool) {
--- a/sidecar/program.go
+++ b/sidecar/program.go
@@ -14,6 +14,7 @@
 	"github.com/ragwortpass/ragwortpass/hosting"
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/setting"
 	"github.com/ragwortpass/ragwortpass/trace"
@@ -30,6 +31,8 @@
 	UpstreamURL string        `help:"URL of the upstream." required:""`
 	Models      []string      `help:"Models that the upstream serves."`
 	Service     string        `help:"Plain service that the upstream is."`
+	MemoryMB    float64       `help:"Memory of the process in megabytes, of which a part is for connections to it; zero: not known." name:"memory-mb" default:"0"`
+	MaxFDs      int           `help:"Descriptors that the process may have open, of which a part is for connections to it; zero: not known." name:"max-descriptors" default:"0"`
 	Traces      int           `help:"Requests whose decisions are kept for explain." default:"5000"`
 	Linger      time.Duration `help:"Time between becoming unready and closing the listener at shutdown." default:"1s"`
 }
@@ -48,6 +51,8 @@
 	c.URL("platform", s.Platform)
 	c.URL("upstream-url", s.UpstreamURL)
 	c.Require((len(s.Models) > 0) != (s.Service != ""), "models", fmt.Sprint(s.Models), "either models or a service")
+	c.Require(s.MemoryMB >= 0 && s.MemoryMB <= memory.MaxProcessMB, "memory-mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("a number from 0 to %d", memory.MaxProcessMB))
+	c.Require(s.MaxFDs == 0 || s.MaxFDs > process.OtherDescriptors, "max-descriptors", fmt.Sprint(s.MaxFDs), fmt.Sprintf("zero, or more than %d", process.OtherDescriptors))
 	c.Require(s.Traces > 0, "traces", fmt.Sprint(s.Traces), "a number above zero")
 	c.Require(s.Linger >= 0, "linger", s.Linger.String(), "a duration from zero")
 	return c.Err()
@@ -72,16 +77,22 @@
 	for _, m := range s.Models {
 		cfg.Models = append(cfg.Models, id.Model(m))
 	}
+	budgets := memory.NewBudgets(s.MemoryMB)
+	process.LimitHeap(s.MemoryMB)
+	if err := budgets.Register(registry); err != nil {
+		_ = logger.Log("event", "metrics_missing", "err", err)
+	}
 	deps := Deps{
 		State: state, PeerFetcher: logbook.NewPeerFetcher(state, process.NewPeerClient(), logger, registry),
 		UpstreamClient: process.NewExternalClient(), OnceClient: process.NewNoResendClient(),
-		Traces: trace.New(cfg.Node, s.Traces), Metrics: registry, Logger: logger,
+		Traces: trace.New(cfg.Node, s.Traces), Memory: budgets, Metrics: registry, Logger: logger,
 	}
 	sidecar := New(cfg, deps)
 	return &Program{
 		Deps: deps,
 		Server: process.Server{
 			Address: s.Listen, Handler: sidecar.Handler(), Ready: sidecar.Ready, Metrics: registry, Logger: logger,
+			Memory: budgets, MaxDescriptors: s.MaxFDs,
 			OnShutdown: sidecar.BeginShutdown, ShutdownDelay: s.Linger,
 			Tasks: []func(context.Context){sidecar.Run}, JournalTasks: []func(context.Context){follower.Run},
 		},
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -15,6 +15,8 @@
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/key"
 	"github.com/ragwortpass/ragwortpass/logbook"
+	"github.com/ragwortpass/ragwortpass/memory"
+	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/trace"
 	"github.com/ragwortpass/ragwortpass/upstream"
 	"github.com/ragwortpass/ragwortpass/wire"
@@ -45,6 +47,7 @@
 	UpstreamClient *http.Client // for requests to the upstream
 	OnceClient     *http.Client // for orders, and requests to the upstream that must not be repeated
 	Traces         *trace.Log
+	Memory         *memory.Budgets // nil: calls are not bounded
 	Metrics        metrics.Registry
 	Logger         log.Logger
 }
@@ -101,8 +104,9 @@
 // Handler returns the handler for requests of entries and for control calls.
 func (s *Sidecar) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(ragwortv1connect.NewNodeServiceHandler(&node{s: s}))
-	mux.Handle(ragwortv1connect.NewOrderServiceHandler(s.orders))
+	calls := process.NewCallBounds(s.deps.Memory, process.CallTime, s.deps.Metrics, s.deps.Logger)
+	mux.Handle(calls.Handler(ragwortv1connect.NewNodeServiceHandler(&node{s: s})))
+	mux.Handle(calls.Handler(ragwortv1connect.NewOrderServiceHandler(s.orders)))
 	mux.Handle("/", alice.New(s.validate).ThenFunc(s.serve))
 	return mux
 }
