pace: the speed of upstreams is learned from their answers and told to peers

Change: package pace learns in simulated time; pool gives it the times of events, first events and whole answers; rows carry each gateway's figures. No decision uses them yet. Result: go test ./pace ./pool ./gateway ./emulator ./peer passes.

--- a/gateway/peer_load.go
+++ b/gateway/peer_load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pace"
 	"github.com/ragwortpass/ragwortpass/pool"
 	ragwortv1 "github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
@@ -39,7 +40,8 @@
 			})
 		}
 		encodeUpstreams(row, load.Upstreams)
-		if row.GetRunning() > 0 || len(row.GetLevels()) > 0 {
+		encodePaces(row, load.Paces)
+		if row.GetRunning() > 0 || len(row.GetLevels()) > 0 || len(row.GetPaced()) > 0 {
 			rows = append(rows, row)
 		}
 	}
@@ -55,6 +57,35 @@
 	}
 }
 
+// encodePaces adds what the gateway has seen of the pace of upstreams to a row.
+func encodePaces(row *ragwortv1.ServiceLoad, paces map[pool.PaceKey][]pace.Report) {
+	for _, key := range slices.Sorted(maps.Keys(paces)) {
+		for _, r := range paces[key] {
+			step, stepSamples := r.Step.Encode()
+			read, readSamples := r.Read.Encode()
+			row.Paced = append(row.Paced, uint32(key))
+			row.PaceStep, row.PaceStepSamples = append(row.PaceStep, step), append(row.PaceStepSamples, stepSamples)
+			row.PaceRead, row.PaceReadSamples = append(row.PaceRead, read), append(row.PaceReadSamples, readSamples)
+		}
+	}
+}
+
+// decodePaces returns what a peer has seen of the pace of upstreams, or nil if its row has nothing of it.
+func decodePaces(row *ragwortv1.ServiceLoad) map[pool.PaceKey][]pace.Report {
+	figures := min(len(row.GetPaced()), len(row.GetPaceStep()), len(row.GetPaceStepSamples()), len(row.GetPaceRead()), len(row.GetPaceReadSamples()), maxPeerUpstreams)
+	if figures == 0 {
+		return nil
+	}
+	paces := make(map[pool.PaceKey][]pace.Report, figures)
+	for i, key := range row.GetPaced()[:figures] {
+		paces[pool.PaceKey(key)] = []pace.Report{{
+			Step: pace.DecodeFigure(row.GetPaceStep()[i], row.GetPaceStepSamples()[i]),
+			Read: pace.DecodeFigure(row.GetPaceRead()[i], row.GetPaceReadSamples()[i]),
+		}}
+	}
+	return paces
+}
+
 // decodeUpstreams returns the loads of engines in a row, or nil if it has none.
 func decodeUpstreams(row *ragwortv1.ServiceLoad) map[pool.UpstreamKey]pool.UpstreamLoad {
 	running, unread := row.GetUpstreamRunning(), row.GetUpstreamUnread()
@@ -86,7 +117,7 @@
 func decodeLoads(rows []*ragwortv1.ServiceLoad) map[id.Service]pool.Load {
 	loads := make(map[id.Service]pool.Load, len(rows))
 	for _, row := range rows {
-		load := pool.Load{Running: int(min(row.GetRunning(), maxPeerLoad)), Short: int(min(row.GetShortRunning(), maxPeerLoad)), Upstreams: decodeUpstreams(row)}
+		load := pool.Load{Running: int(min(row.GetRunning(), maxPeerLoad)), Short: int(min(row.GetShortRunning(), maxPeerLoad)), Upstreams: decodeUpstreams(row), Paces: decodePaces(row)}
 		for _, l := range row.GetLevels() {
 			if l.GetUrgency() < pool.UrgencyLevels {
 				load.Levels[l.GetUrgency()] = pool.LevelLoad{
--- a/gateway/peer_load_test.go
+++ b/gateway/peer_load_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pace"
 	"github.com/ragwortpass/ragwortpass/peer"
 	"github.com/ragwortpass/ragwortpass/pool"
 	ragwortv1 "github.com/ragwortpass/ragwortpass/wire/ragwortv1"
@@ -63,4 +64,30 @@
 	}
 	withUpstreams := proto.Size(&peer.Row{Loads: encodeLoads(map[id.Service]pool.Load{"zipu76a": load})})
 	require.LessOrEqual(t, withUpstreams-withLevel, 715, "100 engines")
+	load.Paces = make(map[pool.PaceKey][]pace.Report)
+	for i := range pool.PaceKey(100) {
+		load.Paces[i<<25] = []pace.Report{{Step: pace.Figure{Relative: 2, Samples: 50}, Read: pace.Figure{Relative: 2, Samples: 5}}}
+	}
+	withPaces := proto.Size(&peer.Row{Loads: encodeLoads(map[id.Service]pool.Load{"zipu76a": load})})
+	require.LessOrEqual(t, withPaces-withUpstreams, 820, "the pace of 100 engines")
+}
+
+// TestPeerPacesAddUp has two peers tell what they have seen of the pace of an upstream, and one that says nonsense.
+func TestPeerPacesAddUp(t *testing.T) {
+	seen := func(relative pace.Relative, samples float64) map[id.Service]pool.Load {
+		figure := pace.Figure{Relative: relative, Samples: samples}
+		return map[id.Service]pool.Load{"llm": {Paces: map[pool.PaceKey][]pace.Report{1<<32 - 1: {{Step: figure, Read: figure}}}}}
+	}
+	sum := pool.SumLoads(decodeLoads(encodeLoads(seen(2, 7))), decodeLoads(encodeLoads(seen(0.5, 3))), decodeLoads([]*ragwortv1.ServiceLoad{
+		{Service: "llm", Paced: []uint32{1, 2}, PaceStep: []uint32{1 << 31}, PaceStepSamples: []uint32{1 << 31}, PaceRead: []uint32{0, 5}, PaceReadSamples: []uint32{9}},
+		{Service: "desk", Paced: []uint32{1, 2}},
+	}))
+	require.Nil(t, sum["desk"].Paces)
+	require.Len(t, sum["llm"].Paces, 2)
+	reports := sum["llm"].Paces[1<<32-1]
+	require.Len(t, reports, 2)
+	require.InDelta(t, 2, float64(reports[0].Step.Relative), 0.01)
+	require.InDelta(t, 0.5, float64(reports[1].Read.Relative), 0.01)
+	require.InDelta(t, 3, reports[1].Read.Samples, 0.3)
+	require.InDelta(t, 4, float64(sum["llm"].Paces[1][0].Step.Relative), 0.01, "the largest that can be told")
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -81,6 +81,7 @@
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
 		f.noteSurvived()
+		assignment.Answered(time.Now())
 	}
 	f.copyResponseHeaders(resp)
 	f.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -94,6 +94,11 @@
 	level        int       // of its urgency
 	sentAt       time.Time // to the upstream
 	ahead        float64   // tokens that the upstream was expected to read before the answer; zero: not known
+
+	unread         float64   // tokens that the upstream had not read when the request was sent, this one's included
+	runningAtStart float64   // requests at the upstream, this one included
+	lastEvent      time.Time // zero: none yet
+	wasReading     bool      // the upstream had prompts to read when it sent the last event
 }
 
 // Throttled means that every remaining upstream is cold and has reached its rate limit, has named a
@@ -152,6 +157,7 @@
 func (p *Pool) Choose(now time.Time, rq *Request) Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.mergePaces(now, rq.Service)
 	found := p.eligible(now, rq)
 	if throttled := p.waitInLine(now, rq, &found); throttled != nil {
 		return throttled
@@ -191,6 +197,7 @@
 	u.running++
 	a.countRunning(1)
 	u.backlog[a.level] += a.promptTokens
+	a.noteStart()
 	return a
 }
 
@@ -398,6 +405,7 @@
 	defer a.pool.mu.Unlock()
 	a.state.heard(now)
 	a.finishPrefill(now, true)
+	a.recordEvent(now)
 }
 
 // finishPrefill subtracts the prompt from the load of the upstream once. The caller
--- a/pool/load.go
+++ b/pool/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pace"
 )
 
 // UrgencyLevels is how many urgencies there are; the first is the most urgent.
@@ -19,6 +20,7 @@
 	Short     int // of these, those with prompts that are not long
 	Levels    [UrgencyLevels]LevelLoad
 	Upstreams map[UpstreamKey]UpstreamLoad // model engines at which requests run; nil: not known
+	Paces     map[PaceKey][]pace.Report    // what the gateways have seen of the pace of upstreams
 }
 
 // LevelLoad is the part of a Load that requests of one urgency for model engines make up.
@@ -95,6 +97,7 @@
 			sum := sums[service]
 			sum.add(&l)
 			sum.addUpstreams(l.Upstreams)
+			sum.addPaces(l.Paces)
 			sums[service] = sum
 		}
 	}
@@ -109,6 +112,7 @@
 	for service := range p.byService {
 		l := p.load(now, service)
 		l.Upstreams = p.upstreamLoads(service)
+		l.Paces = p.reports(now, service)
 		loads[service] = l
 	}
 	return loads
--- /dev/null
+++ b/pool/pace.go
@@ -0,0 +1,134 @@
+package pool
+
+// This file defines how the pool learns the pace of upstreams from their answers, by package pace, and merges what
+// gateways have learned (docs/design/pace.md).
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pace"
+)
+
+const (
+	// paceInterval is how often the pace of upstreams is derived from new samples.
+	paceInterval = 250 * time.Millisecond
+	// capacityThreshold is by which factor the capacity for which an upstream is known must differ from what its pace
+	// calls for to change. Each change moves shared prefixes to engines that have not cached them.
+	capacityThreshold = 1.3
+)
+
+// PaceKey identifies one start of an upstream among those of a service.
+type PaceKey uint32
+
+// paces is what is known of the pace of the upstreams of a service.
+type paces struct {
+	common   pace.Service
+	mergedAt time.Time
+}
+
+// paceKey returns the key of the present start of an upstream, which is the same at all gateways.
+func (l *Listing) paceKey() PaceKey {
+	return PaceKey(xxhash.Sum64String(fmt.Sprintf("%s,%d", l.ID, l.StartUnixMS)))
+}
+
+// pacesOf returns what is known of the upstreams of a service. The caller holds the lock.
+func (p *Pool) pacesOf(s id.Service) *paces {
+	known := p.paces[s]
+	if known == nil {
+		known = new(paces)
+		p.paces[s] = known
+	}
+	return known
+}
+
+// mergePaces brings the pace of the upstreams of a service up to date, if that is due. The caller holds the lock.
+func (p *Pool) mergePaces(now time.Time, s id.Service) {
+	known := p.pacesOf(s)
+	if now.Sub(known.mergedAt) < paceInterval {
+		return
+	}
+	known.mergedAt = now
+	peers := p.peerLoads[s].Paces
+	all := make([]*pace.Pace, 0, len(p.byService[s]))
+	for _, u := range p.byService[s] {
+		u.pace = pace.Merge(append([]pace.Report{u.samples.Report(now)}, peers[u.paceKey]...))
+		all = append(all, &u.pace)
+	}
+	pace.Normalise(all)
+	for _, u := range p.byService[s] {
+		capacity := 1 / float64(u.pace.Read)
+		if capacity > u.capacity*capacityThreshold || capacity < u.capacity/capacityThreshold {
+			u.capacity = capacity
+		}
+	}
+}
+
+// reports returns what this gateway has seen of the pace of the upstreams of a service. The caller holds the lock.
+func (p *Pool) reports(now time.Time, s id.Service) (reports map[PaceKey][]pace.Report) {
+	for _, u := range p.byService[s] {
+		if r := u.samples.Report(now); r.Step.Samples >= minToldSamples || r.Read.Samples >= minToldSamples {
+			if reports == nil {
+				reports = make(map[PaceKey][]pace.Report)
+			}
+			reports[u.paceKey] = []pace.Report{r}
+		}
+	}
+	return reports
+}
+
+// addPaces adds what another gateway has seen.
+func (l *Load) addPaces(other map[PaceKey][]pace.Report) {
+	if l.Paces == nil && len(other) > 0 {
+		l.Paces = make(map[PaceKey][]pace.Report, len(other))
+	}
+	for key, more := range other {
+		l.Paces[key] = append(l.Paces[key], more...)
+	}
+}
+
+// minToldSamples is the number of samples below which peers are not told.
+const minToldSamples = 0.5
+
+// conditions returns what runs at an upstream, for all gateways as far as that is known. The caller holds the lock.
+func (p *Pool) conditions(u *upstreamState) pace.Conditions {
+	running, _ := p.fleetRunning(u)
+	peers := p.peerLoads[u.Service].Upstreams[u.key()]
+	return pace.Conditions{Running: running, Reading: u.backlog.before(UrgencyLevels-1)+peers.Unread > 0}
+}
+
+// noteStart notes what the upstream has to do when the request is sent. The caller holds the lock.
+func (a *Assignment) noteStart() {
+	u := a.state
+	peers := a.pool.peerLoads[u.Service].Upstreams[u.key()]
+	a.unread = float64(u.backlog.before(a.level) + peers.Unread)
+	a.runningAtStart, _ = a.pool.fleetRunning(u)
+}
+
+// recordEvent records the time since the event before, or until the first one, as a sample of the upstream's pace. The
+// caller holds the lock.
+func (a *Assignment) recordEvent(now time.Time) {
+	u, known, conditions := a.state, a.pool.pacesOf(a.Upstream.Service), a.pool.conditions(a.state)
+	switch {
+	case a.promptTokens == 0:
+	case a.lastEvent.IsZero():
+		u.samples.AddRead(now, &known.common, u.pace, a.unread, conditions.Running, now.Sub(a.sentAt))
+	default:
+		conditions.Reading = conditions.Reading || a.wasReading
+		u.samples.AddStep(now, &known.common, u.pace, conditions, now.Sub(a.lastEvent))
+	}
+	a.lastEvent, a.wasReading = now, conditions.Reading
+}
+
+// Answered records that the upstream has sent a whole answer that has no events.
+func (a *Assignment) Answered(now time.Time) {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	if a.promptTokens == 0 {
+		known := a.pool.pacesOf(a.Upstream.Service)
+		a.state.samples.AddStep(now, &known.common, a.state.pace, pace.Conditions{Running: a.runningAtStart}, now.Sub(a.sentAt))
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,7 +4,8 @@
 // A Pool records which upstreams exist, which accept new requests, which are cold, and
 // what this gateway has running on each of them. choose.go defines how an upstream is
 // chosen, admission.go which requests are refused because engines are too far behind, shed.go which of
-// them for the sake of more urgent ones, load.go and upstream_load.go the loads that this depends on, split.go the separation of long prompts from short
+// them for the sake of more urgent ones, load.go and upstream_load.go the loads and pace.go the
+// speeds that this depends on, split.go the separation of long prompts from short
 // ones, cold.go the rate limit of cold
 // upstreams, remark.go what upstreams say of themselves in responses, limit.go the
 // limits that they name, slot.go and line.go how requests use the slots of both and wait for them,
@@ -22,6 +23,7 @@
 
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pace"
 	"github.com/ragwortpass/ragwortpass/quota"
 )
 
@@ -63,6 +65,10 @@
 	remark           *remark       // nil: it has said nothing
 	running          int           // requests of this gateway that it runs
 	backlog          backlog       // prompt tokens of these requests that it has not processed yet
+	samples          pace.Upstream // of its pace, by this gateway
+	paceKey          PaceKey
+	pace             pace.Pace // as all gateways have found it
+	capacity         float64   // relative to that of the others, by its pace; changes by steps
 }
 
 // Pool holds the upstreams that a gateway knows. It is safe for concurrent use.
@@ -82,6 +88,7 @@
 	splits            map[id.Service]*engineSplit
 	admissions        map[id.Service]*[UrgencyLevels]admission
 	shortRunning      map[id.Service]int // requests of this gateway with prompts that are not long
+	paces             map[id.Service]*paces
 	remarks           map[incarnation]*remark
 	rand              *rand.Rand
 }
@@ -97,7 +104,7 @@
 	return &Pool{
 		upstreams: make(map[id.Upstream]*upstreamState), byService: make(map[id.Service][]*upstreamState),
 		evacuated: make(map[id.DataCentre]bool), evacuationEndedAt: make(map[id.DataCentre]time.Time),
-		splits: make(map[id.Service]*engineSplit), admissions: make(map[id.Service]*[UrgencyLevels]admission), remarks: make(map[incarnation]*remark), lines: make(map[id.Service]*line), shortRunning: make(map[id.Service]int), latest: latest, gatewayCount: 1,
+		splits: make(map[id.Service]*engineSplit), admissions: make(map[id.Service]*[UrgencyLevels]admission), remarks: make(map[incarnation]*remark), lines: make(map[id.Service]*line), shortRunning: make(map[id.Service]int), paces: make(map[id.Service]*paces), latest: latest, gatewayCount: 1,
 		rand: rand.New(globalSource{}),
 	}
 }
@@ -155,7 +162,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = &upstreamState{addedAt: now, hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[incarnation{l.ID, l.StartUnixMS}]}
+		u = &upstreamState{addedAt: now, hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[incarnation{l.ID, l.StartUnixMS}], paceKey: l.paceKey(), pace: pace.Even, capacity: 1}
 		p.upstreams[l.ID] = u
 		list := p.byService[l.Service]
 		at, _ := slices.BinarySearchFunc(list, u.hashOrder, func(x *upstreamState, order uint64) int { return cmp.Compare(x.hashOrder, order) })
