pool: placement asks for the pace of upstreams

Change: they count by the pace that package pace has learned; prefixes rank engines by their capacity. Gauges by upstream.

--- a/gateway/peer_load.go
+++ b/gateway/peer_load.go
@@ -54,6 +54,13 @@
 		row.Upstreams = append(row.Upstreams, uint32(key))
 		row.UpstreamRunning = append(row.UpstreamRunning, uint32(loads[key].Running))
 		row.UpstreamUnread = append(row.UpstreamUnread, uint32(min(loads[key].Unread, maxPeerUnread)))
+		for urgency, tokens := range loads[key].Levels {
+			if tokens > 0 {
+				row.UnreadUpstream = append(row.UnreadUpstream, uint32(len(row.GetUpstreams())-1))
+				row.UnreadUrgency = append(row.UnreadUrgency, uint32(urgency))
+				row.UnreadTokens = append(row.UnreadTokens, uint32(min(tokens, maxPeerUnread)))
+			}
+		}
 	}
 }
 
@@ -100,9 +107,25 @@
 			}
 		}
 	}
+	addUnreadByUrgency(loads, row)
 	return loads
 }
 
+// addUnreadByUrgency adds what a row tells of the urgency of unread tokens. What names no engine or urgency is ignored.
+func addUnreadByUrgency(loads map[pool.UpstreamKey]pool.UpstreamLoad, row *ragwortv1.ServiceLoad) {
+	upstreams, urgencies, tokens := row.GetUpstreams(), row.GetUnreadUrgency(), row.GetUnreadTokens()
+	for i, index := range row.GetUnreadUpstream()[:min(len(row.GetUnreadUpstream()), len(urgencies), len(tokens), maxPeerUpstreams*pool.UrgencyLevels)] {
+		if index >= uint32(len(upstreams)) || urgencies[i] >= pool.UrgencyLevels {
+			continue
+		}
+		key := pool.UpstreamKey(upstreams[index])
+		if load, known := loads[key]; known {
+			load.Levels[urgencies[i]] = id.Tokens(min(tokens[i], maxPeerUnread))
+			loads[key] = load
+		}
+	}
+}
+
 const (
 	// maxPeerUnread and maxPeerUpstreams bound what a peer can say of engines.
 	maxPeerUnread    = 1 << 30
--- a/gateway/peer_load_test.go
+++ b/gateway/peer_load_test.go
@@ -27,14 +27,15 @@
 	require.Empty(t, p.peerLoads(now), "no peers")
 	busy := running(7)
 	busy.Levels[2] = pool.LevelLoad{Running: 5, Arrived: 2.5, Refused: 0.5, RefusedLong: 0.25, SlotSeconds: 20, Started: 8, Ended: 4}
-	busy.Short, busy.Upstreams = 4, map[pool.UpstreamKey]pool.UpstreamLoad{1<<32 - 1: {Running: 5, Unread: 70_000}, 7: {Running: 2}}
+	busy.Short, busy.Upstreams = 4, map[pool.UpstreamKey]pool.UpstreamLoad{1<<32 - 1: {Running: 5, Unread: 70_000, Levels: [pool.UrgencyLevels]id.Tokens{1: 20_000, 9: 50_000}}, 7: {Running: 2}}
 	busy.Levels[9] = pool.LevelLoad{Running: 2, Arrived: 1, SlotSeconds: 2, Started: 2, Ended: 2}
 	other := running(5)
 	other.Levels[2] = pool.LevelLoad{Running: 5, Arrived: 1, SlotSeconds: 4, Started: 1, Ended: 1}
-	other.Short, other.Upstreams = 1, map[pool.UpstreamKey]pool.UpstreamLoad{7: {Running: 5, Unread: 400}}
+	other.Short, other.Upstreams = 1, map[pool.UpstreamKey]pool.UpstreamLoad{7: {Running: 5, Unread: 400, Levels: [pool.UrgencyLevels]id.Tokens{400}}}
 	foreign := row("d", nil)
 	foreign.Loads = []*ragwortv1.ServiceLoad{{Service: "llm", Running: 1 << 31, ShortRunning: 1 << 31,
-		Upstreams: []uint32{8, 9, 10}, UpstreamRunning: []uint32{1 << 31, 1}, UpstreamUnread: []uint32{1 << 31}, Levels: []*ragwortv1.LevelLoad{
+		Upstreams: []uint32{8, 9, 10}, UpstreamRunning: []uint32{1 << 31, 1}, UpstreamUnread: []uint32{1 << 31},
+		UnreadUpstream: []uint32{0, 0, 2, 9, 1}, UnreadUrgency: []uint32{3, pool.UrgencyLevels, 0, 0}, UnreadTokens: []uint32{1 << 31, 1, 1, 1}, Levels: []*ragwortv1.LevelLoad{
 			{Urgency: pool.UrgencyLevels, Running: 1}, {Urgency: 1 << 31, Running: 1},
 			{Urgency: 0, Running: 1 << 31, Arrived: float32(math.NaN()), Refused: -1, SlotSeconds: float32(math.Inf(1)), Started: float32(math.Inf(-1)), Ended: 1},
 		}}}
@@ -42,7 +43,8 @@
 	llm := running(12 + maxPeerLoad)
 	llm.Short = 5 + maxPeerLoad
 	llm.Upstreams = map[pool.UpstreamKey]pool.UpstreamLoad{
-		1<<32 - 1: {Running: 5, Unread: 70_000}, 7: {Running: 7, Unread: 400}, 8: {Running: maxPeerLoad, Unread: maxPeerUnread},
+		1<<32 - 1: busy.Upstreams[1<<32-1], 7: {Running: 7, Unread: 400, Levels: [pool.UrgencyLevels]id.Tokens{400}},
+		8: {Running: maxPeerLoad, Unread: maxPeerUnread, Levels: [pool.UrgencyLevels]id.Tokens{3: maxPeerUnread}},
 	}
 	llm.Levels[0] = pool.LevelLoad{Running: maxPeerLoad, SlotSeconds: maxPeerLoad, Ended: 1}
 	llm.Levels[2] = pool.LevelLoad{Running: 10, Arrived: 3.5, Refused: 0.5, RefusedLong: 0.25, SlotSeconds: 24, Started: 9, Ended: 5}
--- a/gateway/program.go
+++ b/gateway/program.go
@@ -227,7 +227,7 @@
 // the store is in a new era, as peers then need to know what this gateway has claimed, and when
 // this gateway has found something about the parts of prompts or the limit of an upstream.
 // The function also updates which gateways share the limits of the pool and of the retry
-// budgets, and logs views that are outdated.
+// budgets, and the gauges of the pace of upstreams, and logs views that are outdated.
 func (p *Program) ownRow(fleetTime func() time.Time) func(time.Time) (*peer.Row, bool) {
 	var last struct {
 		window  duty.Window
@@ -236,6 +236,7 @@
 		prompts uint64
 		limits  time.Time
 	}
+	gauges := newPaceGauges(p.registry)
 	return func(now time.Time) (row *peer.Row, urgent bool) {
 		fleet := quota.NewFleet(p.settings.Node, p.table.Members(now), now, fleetTime())
 		p.pool.SetGatewayCount(len(p.table.Live(now)))
@@ -243,6 +244,7 @@
 		p.pool.SetViewsOutdated(p.viewsOutdated(now))
 		p.pool.SetPeerLoads(p.peerLoads(now))
 		p.retryBudgets.SetFleet(fleet)
+		gauges.update(p.pool.Paces(now))
 		for _, f := range p.followers {
 			f.LogIfOutdated(now, durationMS(p.settings.Bounds.ConfigMS))
 		}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -25,15 +25,16 @@
 // Conditions are what the time between two events of an answer depends on.
 type Conditions struct {
 	Running float64 // requests at the upstream, of all gateways
-	Reading bool    // it has prompts to read
+	Unread  float64 // tokens of prompts that it has to read
 }
 
+// maxUnread is how many unread tokens lengthen the time between two events: an upstream reads a part of a prompt in each
+// step, and an event holds some steps.
+const maxUnread = 32_000
+
 // features returns what the time between two events is a linear function of.
 func (c Conditions) features() features {
-	if c.Reading {
-		return features{1, c.Running, 1}
-	}
-	return features{1, c.Running, 0}
+	return features{1, c.Running, min(c.Unread, maxUnread)}
 }
 
 // Service is what the upstreams of a service have in common. The zero value knows nothing.
@@ -56,8 +57,8 @@
 
 // MostRunning returns how many requests an upstream can run so that the time between their events is not expected to
 // exceed a pause, and false if nothing limits them as far as is known.
-func (s *Service) MostRunning(p Pace, pause time.Duration, reading bool) (most float64, limited bool) {
-	idle := s.steps.value(Conditions{Reading: reading}.features())
+func (s *Service) MostRunning(p Pace, pause time.Duration, unread float64) (most float64, limited bool) {
+	idle := s.steps.value(Conditions{Unread: unread}.features())
 	slope := s.steps.coefficients[1]
 	if idle == 0 || slope <= 0 {
 		return 0, false
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -17,6 +17,7 @@
 	slowness float64
 	running  float64 // on average; it varies by half of it within five seconds
 	reading  float64 // share of its steps beside which it reads prompts
+	prompts  float64 // most tokens of these
 	noise    bool    // it is 2.5 times slower in every seventh span of 600 ms
 	slowFor  time.Duration
 }
@@ -75,15 +76,15 @@
 	}
 }
 
-// sample has a gateway see an event of an engine: an event takes 24 ms, 0.5 ms for each request and 60 ms beside
-// prompts, and a prompt of 1,000 to 10,000 tokens is read at 100 tokens a ms.
+// sample has a gateway see an event of an engine: an event takes 24 ms, 0.5 ms for each request and a ms
+// for 100 unread tokens, up to 24,000; a prompt of 1,000 to 10,000 tokens is read at 100 tokens a ms.
 func (f *fleet) sample(n int, g *gateway, i int, e *engine, slowness float64) {
 	swing := 1 + 0.5*math.Sin(2*math.Pi*f.elapsed.Seconds()/5+float64(i))
-	c := pace.Conditions{Running: e.running * swing, Reading: f.rand.Float64() < e.reading}
-	took := 24 + 0.5*c.Running
-	if c.Reading {
-		took += 60
+	c := pace.Conditions{Running: e.running * swing}
+	if f.rand.Float64() < e.reading {
+		c.Unread = 1000 + e.prompts*f.rand.Float64()
 	}
+	took := 24 + 0.5*c.Running + min(c.Unread, 24_000)/100
 	tokens := 1000 + 9000*f.rand.Float64()
 	if n == f.odd {
 		slowness *= 8
@@ -125,7 +126,7 @@
 // mixed returns a third of fast engines, and slow ones that take 2.4 times as long.
 func mixed(n int) (engines []*engine) {
 	for i := range n {
-		e := &engine{slowness: 2.4, running: 20, reading: 0.2}
+		e := &engine{slowness: 2.4, running: 20, reading: 0.2, prompts: 2000}
 		if i%3 == 2 {
 			e.slowness = 1
 		}
@@ -155,7 +156,7 @@
 	f.play(6 * time.Second)
 	for _, e := range engines {
 		if e.slowness == 1 {
-			e.running, e.reading = 60, 0.8
+			e.running, e.reading, e.prompts = 60, 0.8, 10_000
 		}
 	}
 	for range 12 {
@@ -271,18 +272,15 @@
 	f.play(20 * time.Second)
 	s, fast := &f.gateways[0].service, f.paces[2]
 	for _, running := range []float64{25, 50} {
-		for _, reading := range []bool{false, true} {
-			t.Run(fmt.Sprint(running, reading), func(t *testing.T) {
-				want := 24 + 0.5*running
-				if reading {
-					want += 60
-				}
-				require.InEpsilon(t, want, float64(s.StepTime(fast, pace.Conditions{Running: running, Reading: reading}).Milliseconds()), 1.0/3)
+		for _, unread := range []float64{0, 2000} {
+			t.Run(fmt.Sprint(running, unread), func(t *testing.T) {
+				want := 24 + 0.5*running + unread/100
+				require.InEpsilon(t, want, float64(s.StepTime(fast, pace.Conditions{Running: running, Unread: unread}).Milliseconds()), 1.0/3)
 			})
 		}
 	}
 	require.InEpsilon(t, 130, float64(s.ReadTime(fast, 10_000, 40).Milliseconds()), 1.0/3)
-	most, limited := s.MostRunning(fast, 44*time.Millisecond, false)
+	most, limited := s.MostRunning(fast, 44*time.Millisecond, 0)
 	require.True(t, limited)
 	require.InDelta(t, 40, most, 15)
 }
@@ -290,9 +288,9 @@
 // TestNothingIsKnown asks a service without samples.
 func TestNothingIsKnown(t *testing.T) {
 	var s pace.Service
-	require.Zero(t, s.StepTime(pace.Even, pace.Conditions{Running: 9, Reading: true}))
+	require.Zero(t, s.StepTime(pace.Even, pace.Conditions{Running: 9, Unread: 1000}))
 	require.Zero(t, s.ReadTime(pace.Even, 1000, 1))
-	_, limited := s.MostRunning(pace.Even, time.Second, true)
+	_, limited := s.MostRunning(pace.Even, time.Second, 1000)
 	require.False(t, limited)
 	require.Equal(t, pace.Even, pace.Merge([]pace.Report{{}, {}}))
 	pace.Normalise(nil)
@@ -307,7 +305,7 @@
 		u.AddStep(at.Add(time.Duration(i)*time.Millisecond), &s, pace.Even, pace.Conditions{}, 30*time.Millisecond)
 	}
 	require.InEpsilon(t, 30, float64(s.StepTime(pace.Even, pace.Conditions{}).Milliseconds()), 0.05)
-	require.InEpsilon(t, 30, float64(s.StepTime(pace.Even, pace.Conditions{Running: 50, Reading: true}).Milliseconds()), 0.05)
+	require.InEpsilon(t, 30, float64(s.StepTime(pace.Even, pace.Conditions{Running: 50, Unread: 1000}).Milliseconds()), 0.05)
 }
 
 // TestToldFigures sends figures to peers, sensible ones and those that are out of range.
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -139,15 +139,16 @@
 }
 
 // fleetBacklog estimates how many tokens an upstream reads for all gateways before a new request of a
-// level. Where each gateway has many requests at each engine, the own ones tell how many the others have
-// there; where it has few, only the average over the engines is known. The caller holds the lock.
+// level, as those that one of average pace reads in that time. Where each gateway has many requests at each engine, the
+// own ones tell how many the others have there; where it has few, only the average over the engines is known. The
+// caller holds the lock.
 func (p *Pool) fleetBacklog(u *upstreamState, among []*upstreamState, level int) float64 {
 	mean := 0.0
 	for _, other := range among {
 		mean += float64(other.backlog.before(level)) / float64(len(among))
 	}
 	own := float64(u.backlog.before(level))
-	return float64(p.gatewayCount) * mean * (backlogPriorTokens + own) / (backlogPriorTokens + mean)
+	return float64(u.pace.Read) * float64(p.gatewayCount) * mean * (backlogPriorTokens + own) / (backlogPriorTokens + mean)
 }
 
 // candidate is an upstream that may get a request, and the tokens that it reads before that.
@@ -225,7 +226,7 @@
 			return candidate{}, p.refuse(now, own, &Overloaded{Wait: own.wait(now, best.ahead), Shed: shed}, rq, engines)
 		}
 	}
-	best.ahead += float64(rq.Prompt.Length)
+	best.ahead += float64(best.upstream.pace.Read) * float64(rq.Prompt.Length)
 	return best, nil
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -4,6 +4,7 @@
 // affinity and load.
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
+	"github.com/ragwortpass/ragwortpass/pace"
 	"github.com/ragwortpass/ragwortpass/quota"
 )
 
@@ -95,10 +97,10 @@
 	sentAt       time.Time // to the upstream
 	ahead        float64   // tokens that the upstream was expected to read before the answer; zero: not known
 
-	unread         float64   // tokens that the upstream had not read when the request was sent, this one's included
-	runningAtStart float64   // requests at the upstream, this one included
-	lastEvent      time.Time // zero: none yet
-	wasReading     bool      // the upstream had prompts to read when it sent the last event
+	unread         float64 // tokens that the upstream had not read when the request was sent, this one's included
+	runningAtStart float64 // requests at the upstream, this one included
+	lastEvent      time.Time
+	atLastEvent    pace.Conditions
 }
 
 // Throttled means that every remaining upstream is cold and has reached its rate limit, has named a
@@ -353,15 +355,17 @@
 }
 
 // rendezvousCandidates returns up to affinityCandidates upstreams that a prefix hash
-// prefers by rendezvous hashing, the best first. Every gateway with the same upstreams gets the same result.
+// prefers by rendezvous hashing, the best first. Each upstream is preferred by as many prefixes as its capacity calls
+// for. Every gateway with the same upstreams and capacities gets the same result.
 func rendezvousCandidates(eligible []*upstreamState, prefixHash uint64) []*upstreamState {
 	type scored struct {
 		u     *upstreamState
-		score uint64
+		score float64
 	}
 	best := make([]scored, 0, affinityCandidates+1)
 	for _, u := range eligible {
-		score := quota.Mix(xxhash.Sum64String(string(u.ID)) ^ prefixHash)
+		uniform := (float64(quota.Mix(xxhash.Sum64String(string(u.ID))^prefixHash)>>11) + 0.5) / (1 << 53)
+		score := u.capacity / -math.Log(uniform)
 		at := slices.IndexFunc(best, func(b scored) bool { return score > b.score })
 		if at < 0 {
 			at = len(best)
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -18,7 +18,7 @@
 	paceInterval = 250 * time.Millisecond
 	// capacityThreshold is by which factor the capacity for which an upstream is known must differ from what its pace
 	// calls for to change. Each change moves shared prefixes to engines that have not cached them.
-	capacityThreshold = 1.3
+	capacityThreshold = 1.5
 )
 
 // PaceKey identifies one start of an upstream among those of a service.
@@ -60,8 +60,7 @@
 	}
 	pace.Normalise(all)
 	for _, u := range p.byService[s] {
-		capacity := 1 / float64(u.pace.Read)
-		if capacity > u.capacity*capacityThreshold || capacity < u.capacity/capacityThreshold {
+		if capacity := 1 / float64(u.pace.Read); capacity > u.capacity*capacityThreshold || capacity < u.capacity/capacityThreshold {
 			u.capacity = capacity
 		}
 	}
@@ -80,6 +79,27 @@
 	return reports
 }
 
+// KnownPace is the pace of an upstream and how many samples of this gateway it rests on.
+type KnownPace struct {
+	Pace    pace.Pace
+	Samples float64
+}
+
+// Paces returns what is known of the pace of all upstreams.
+func (p *Pool) Paces(now time.Time) map[id.Upstream]KnownPace {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[id.Upstream]KnownPace, len(p.upstreams))
+	for s := range p.byService {
+		p.mergePaces(now, s)
+	}
+	for _, u := range p.upstreams {
+		r := u.samples.Report(now)
+		known[u.ID] = KnownPace{u.pace, r.Step.Samples + r.Read.Samples}
+	}
+	return known
+}
+
 // addPaces adds what another gateway has seen.
 func (l *Load) addPaces(other map[PaceKey][]pace.Report) {
 	if l.Paces == nil && len(other) > 0 {
@@ -97,14 +117,14 @@
 func (p *Pool) conditions(u *upstreamState) pace.Conditions {
 	running, _ := p.fleetRunning(u)
 	peers := p.peerLoads[u.Service].Upstreams[u.key()]
-	return pace.Conditions{Running: running, Reading: u.backlog.before(UrgencyLevels-1)+peers.Unread > 0}
+	return pace.Conditions{Running: running, Unread: float64(u.backlog.before(UrgencyLevels-1) + peers.Unread)}
 }
 
 // noteStart notes what the upstream has to do when the request is sent. The caller holds the lock.
 func (a *Assignment) noteStart() {
 	u := a.state
 	peers := a.pool.peerLoads[u.Service].Upstreams[u.key()]
-	a.unread = float64(u.backlog.before(a.level) + peers.Unread)
+	a.unread = float64(u.backlog.before(a.level) + peers.before(a.level))
 	a.runningAtStart, _ = a.pool.fleetRunning(u)
 }
 
@@ -117,10 +137,10 @@
 	case a.lastEvent.IsZero():
 		u.samples.AddRead(now, &known.common, u.pace, a.unread, conditions.Running, now.Sub(a.sentAt))
 	default:
-		conditions.Reading = conditions.Reading || a.wasReading
-		u.samples.AddStep(now, &known.common, u.pace, conditions, now.Sub(a.lastEvent))
+		mean := pace.Conditions{Running: (conditions.Running + a.atLastEvent.Running) / 2, Unread: (conditions.Unread + a.atLastEvent.Unread) / 2}
+		u.samples.AddStep(now, &known.common, u.pace, mean, now.Sub(a.lastEvent))
 	}
-	a.lastEvent, a.wasReading = now, conditions.Reading
+	a.lastEvent, a.atLastEvent = now, conditions
 }
 
 // Answered records that the upstream has sent a whole answer that has no events.
--- a/pool/upstream_load.go
+++ b/pool/upstream_load.go
@@ -11,7 +11,17 @@
 // UpstreamLoad is the part of a Load that runs at one model engine.
 type UpstreamLoad struct {
 	Running int
-	Unread  id.Tokens // of prompts
+	Unread  id.Tokens                // of prompts
+	Levels  [UrgencyLevels]id.Tokens // parts of Unread, by urgency; the rest may be of any
+}
+
+// before returns the unread tokens that are read before a new request of a level, as far as is known.
+func (l *UpstreamLoad) before(level int) id.Tokens {
+	later := id.Tokens(0)
+	for _, n := range l.Levels[level+1:] {
+		later += n
+	}
+	return max(0, l.Unread-later)
 }
 
 // key returns the key of an upstream, which is the same at all gateways.
@@ -26,7 +36,7 @@
 	loads := make(map[UpstreamKey]UpstreamLoad)
 	for _, u := range p.byService[s] {
 		if u.running > 0 {
-			loads[u.key()] = UpstreamLoad{Running: u.running, Unread: u.backlog.before(UrgencyLevels - 1)}
+			loads[u.key()] = UpstreamLoad{Running: u.running, Unread: u.backlog.before(UrgencyLevels - 1), Levels: u.backlog}
 		}
 	}
 	return loads
@@ -41,15 +51,19 @@
 		sum := l.Upstreams[key]
 		sum.Running += more.Running
 		sum.Unread += more.Unread
+		for i, n := range more.Levels {
+			sum.Levels[i] += n
+		}
 		l.Upstreams[key] = sum
 	}
 }
 
-// work returns the work that an upstream has, in prompt tokens: for this gateway, and for its peers as far as they
-// tell. The caller holds the lock.
+// work returns the work that an upstream has, as the prompt tokens that one of average pace reads in the time that it
+// takes: for this gateway, and for its peers as far as they tell. The caller holds the lock.
 func (p *Pool) work(u *upstreamState) float64 {
 	peers := p.peerLoads[u.Service].Upstreams[u.key()]
-	return float64(u.backlog.before(UrgencyLevels-1)+peers.Unread) + runningLoadTokens*float64(u.running+peers.Running)
+	unread, running := float64(u.backlog.before(UrgencyLevels-1)+peers.Unread), float64(u.running+peers.Running)
+	return float64(u.pace.Read)*unread + float64(u.pace.Step)*runningLoadTokens*running
 }
 
 // fleetRunning estimates how many requests of all gateways an engine has, queued ones included. Where peers do not
