pace: one figure, by the shortest of four times between events

Change: the shortest of four times in a row counts; the pace is one figure; decisions take upstreams within 1.2 times for alike.

--- a/gateway/pace_gauges.go
+++ b/gateway/pace_gauges.go
@@ -11,7 +11,7 @@
 	"github.com/ragwortpass/ragwortpass/pool"
 )
 
-// paceGauges keeps three gauges for each upstream that is known.
+// paceGauges keeps two gauges for each upstream that is known.
 type paceGauges struct {
 	registry metrics.Registry
 	shown    map[id.Upstream][]string // names of gauges
@@ -26,10 +26,10 @@
 	for u, p := range paces {
 		names := g.shown[u]
 		if names == nil {
-			names = []string{"upstream_pace_step_" + string(u), "upstream_pace_read_" + string(u), "upstream_pace_samples_" + string(u)}
+			names = []string{"upstream_pace_" + string(u), "upstream_pace_samples_" + string(u)}
 			g.shown[u] = names
 		}
-		for i, value := range []float64{float64(p.Pace.Step), float64(p.Pace.Read), p.Samples} {
+		for i, value := range []float64{float64(p.Pace), p.Samples} {
 			metrics.GetOrRegisterGaugeFloat64(names[i], g.registry).Update(value)
 		}
 	}
--- a/gateway/peer_load.go
+++ b/gateway/peer_load.go
@@ -65,30 +65,24 @@
 }
 
 // encodePaces adds what the gateway has seen of the pace of upstreams to a row.
-func encodePaces(row *ragwortv1.ServiceLoad, paces map[pool.PaceKey][]pace.Report) {
+func encodePaces(row *ragwortv1.ServiceLoad, paces map[pool.PaceKey][]pace.Figure) {
 	for _, key := range slices.Sorted(maps.Keys(paces)) {
-		for _, r := range paces[key] {
-			step, stepSamples := r.Step.Encode()
-			read, readSamples := r.Read.Encode()
-			row.Paced = append(row.Paced, uint32(key))
-			row.PaceStep, row.PaceStepSamples = append(row.PaceStep, step), append(row.PaceStepSamples, stepSamples)
-			row.PaceRead, row.PaceReadSamples = append(row.PaceRead, read), append(row.PaceReadSamples, readSamples)
+		for _, f := range paces[key] {
+			found, samples := f.Encode()
+			row.Paced, row.Pace, row.PaceSamples = append(row.Paced, uint32(key)), append(row.Pace, found), append(row.PaceSamples, samples)
 		}
 	}
 }
 
 // decodePaces returns what a peer has seen of the pace of upstreams, or nil if its row has nothing of it.
-func decodePaces(row *ragwortv1.ServiceLoad) map[pool.PaceKey][]pace.Report {
-	figures := min(len(row.GetPaced()), len(row.GetPaceStep()), len(row.GetPaceStepSamples()), len(row.GetPaceRead()), len(row.GetPaceReadSamples()), maxPeerUpstreams)
+func decodePaces(row *ragwortv1.ServiceLoad) map[pool.PaceKey][]pace.Figure {
+	figures := min(len(row.GetPaced()), len(row.GetPace()), len(row.GetPaceSamples()), maxPeerUpstreams)
 	if figures == 0 {
 		return nil
 	}
-	paces := make(map[pool.PaceKey][]pace.Report, figures)
+	paces := make(map[pool.PaceKey][]pace.Figure, figures)
 	for i, key := range row.GetPaced()[:figures] {
-		paces[pool.PaceKey(key)] = []pace.Report{{
-			Step: pace.DecodeFigure(row.GetPaceStep()[i], row.GetPaceStepSamples()[i]),
-			Read: pace.DecodeFigure(row.GetPaceRead()[i], row.GetPaceReadSamples()[i]),
-		}}
+		paces[pool.PaceKey(key)] = []pace.Figure{pace.DecodeFigure(row.GetPace()[i], row.GetPaceSamples()[i])}
 	}
 	return paces
 }
--- a/pace/linear.go
+++ b/pace/linear.go
@@ -11,7 +11,7 @@
 	// commonTimeConstant is the time constant of the exponential decay of what the upstreams of a service have in common.
 	commonTimeConstant = 15 * time.Second
 	// minCommonSamples is how many samples are needed for a first estimate, and samplesPerFit how many until the next.
-	minCommonSamples, samplesPerFit = 10, 8
+	minCommonSamples, samplesPerFit = 6, 4
 	// ridge keeps the coefficients of quantities small that hardly vary.
 	ridge = 1e-3
 	// minShareOfMean is the smallest expected time, as a share of the mean of the samples.
--- a/pace/merge.go
+++ b/pace/merge.go
@@ -12,33 +12,25 @@
 	// maxCountedSamples is how many samples of one gateway count at most beside those of others, so that one that sees
 	// much more than they do doesn't decide alone.
 	maxCountedSamples = 16
-	// priorStepSamples and priorReadSamples are how many samples weigh as much as what is assumed without any. Reading
-	// times vary more, with what an engine has cached of prompts.
-	priorStepSamples, priorReadSamples = 4, 16
+	// priorSamples is how many samples weigh as much as the assumption that an upstream is like the others.
+	priorSamples = 1
 	// maxFromMedian is how many times the median a gateway's figure counts at most, and its inverse at least.
 	maxFromMedian = 1.5
 )
 
-// Merge returns the pace of an upstream by the reports of gateways. An upstream is assumed to be like the others
-// until samples tell, and to read prompts as fast as it makes steps.
-func Merge(reports []Report) Pace {
-	steps, reads := make([]Figure, 0, len(reports)), make([]Figure, 0, len(reports))
-	for _, r := range reports {
-		steps, reads = append(steps, r.Step), append(reads, r.Read)
-	}
-	step := mergeFigures(steps, 1, priorStepSamples)
-	return Pace{Step: step, Read: mergeFigures(reads, step, priorReadSamples)}
-}
+// alikeWithin is the logarithm of the factor within which upstreams count as alike. Beyond twice that a pace counts in
+// full: loads that gateways don't know make alike upstreams differ by as much.
+var alikeWithin = math.Log(1.2)
 
-// mergeFigures returns the mean of figures, each weighted by its samples and held near their median, drawn towards what
-// is assumed by the samples that this weighs as much as. The median keeps a single gateway from moving the result
-// much, and the mean tells more than the median where each gateway has few samples.
-func mergeFigures(figures []Figure, assumed Relative, priorSamples float64) Relative {
+// Merge returns the pace of an upstream by the figures of gateways: their mean, each weighted by its samples and held
+// near their median, drawn towards that of the others by priorSamples. The median keeps a single gateway from moving the
+// result much, and the mean tells more than the median where each gateway has few samples.
+func Merge(figures []Figure) Pace {
 	figures = slices.DeleteFunc(figures, func(f Figure) bool { return f.Samples <= 0 })
 	if len(figures) == 0 {
-		return assumed
+		return Even
 	}
-	slices.SortFunc(figures, func(a, b Figure) int { return cmp.Compare(a.Relative, b.Relative) })
+	slices.SortFunc(figures, func(a, b Figure) int { return cmp.Compare(a.Pace, b.Pace) })
 	total, samples := 0.0, 0.0
 	for _, f := range figures {
 		total += f.weight()
@@ -46,34 +38,43 @@
 	}
 	median, mean := medianOf(figures, total), 0.0
 	for _, f := range figures {
-		mean += f.weight() / total * float64(min(max(f.Relative, median/maxFromMedian), median*maxFromMedian))
+		mean += f.weight() / total * float64(min(max(f.Pace, median/maxFromMedian), median*maxFromMedian))
 	}
-	return bounded(assumed * Relative(math.Pow(mean/float64(assumed), samples/(samples+priorSamples))))
+	return bounded(Pace(math.Pow(mean, samples/(samples+priorSamples))))
 }
 
 // weight returns the samples that count.
 func (f Figure) weight() float64 { return min(f.Samples, maxCountedSamples) }
 
 // medianOf returns the weighted median of figures in order.
-func medianOf(figures []Figure, total float64) Relative {
+func medianOf(figures []Figure, total float64) Pace {
 	below := 0.0
 	for _, f := range figures {
 		if below += f.weight(); below >= total/2 {
-			return f.Relative
+			return f.Pace
 		}
 	}
-	return figures[len(figures)-1].Relative
+	return figures[len(figures)-1].Pace
 }
 
-// Normalise scales paces so that their geometric means are one.
+// Normalise scales paces so that their geometric mean is one.
 func Normalise(paces []*Pace) {
-	step, read := 0.0, 0.0
+	mean := 0.0
 	for _, p := range paces {
-		step += math.Log(float64(p.Step)) / float64(len(paces))
-		read += math.Log(float64(p.Read)) / float64(len(paces))
+		mean += math.Log(float64(*p)) / float64(len(paces))
 	}
 	for _, p := range paces {
-		p.Step *= Relative(math.Exp(-step))
-		p.Read *= Relative(math.Exp(-read))
+		*p *= Pace(math.Exp(-mean))
+	}
+}
+
+// Distinct returns the pace that decisions go by, in which upstreams that hardly differ are alike.
+func (p Pace) Distinct() Pace {
+	switch factor := math.Log(float64(p)); {
+	case math.Abs(factor) <= alikeWithin:
+		return Even
+	case math.Abs(factor) < 2*alikeWithin:
+		return Pace(math.Exp(2 * (factor - math.Copysign(alikeWithin, factor))))
 	}
+	return p
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -9,18 +9,12 @@
 
 import "time"
 
-// Relative is the time that an upstream takes for something, relative to what the upstreams of its service take on
-// average.
-type Relative float64
-
-// Pace is what is known of the speed of an upstream.
-type Pace struct {
-	Step Relative // time between two events of an answer, or for a whole answer that has none
-	Read Relative // time until a prompt is read
-}
+// Pace is the time that an upstream takes for the same work, relative to what the upstreams of its service take on
+// average: two is half as fast.
+type Pace float64
 
 // Even is the pace of an upstream of which nothing is known.
-var Even = Pace{Step: 1, Read: 1}
+const Even Pace = 1
 
 // Conditions are what the time between two events of an answer depends on.
 type Conditions struct {
@@ -39,20 +33,20 @@
 
 // Service is what the upstreams of a service have in common. The zero value knows nothing.
 type Service struct {
-	steps linear
-	reads linear
+	steps    linear // times between events
+	shortest linear // shortest of stepsPerSample such times in a row, or whole answers without events
+	reads    linear // times until the first event
 }
 
-// StepTime returns the expected time between two events of an answer, or of a whole answer that has none, and zero if
-// nothing is known.
+// StepTime returns the expected time between two events of an answer, and zero if nothing is known.
 func (s *Service) StepTime(p Pace, c Conditions) time.Duration {
-	return seconds(float64(p.Step) * s.steps.value(c.features()))
+	return seconds(float64(p) * s.steps.value(c.features()))
 }
 
 // ReadTime returns how long an upstream with a number of requests is expected to take until it has read some tokens of
 // prompts and sent the first event of the last one's answer, and zero if nothing is known.
 func (s *Service) ReadTime(p Pace, tokens, running float64) time.Duration {
-	return seconds(float64(p.Read) * s.reads.value(features{1, tokens, running}))
+	return seconds(float64(p) * s.reads.value(features{1, tokens, running}))
 }
 
 // MostRunning returns how many requests an upstream can run so that the time between their events is not expected to
@@ -63,40 +57,69 @@
 	if idle == 0 || slope <= 0 {
 		return 0, false
 	}
-	return max(0, (pause.Seconds()/float64(p.Step)-idle)/slope), true
+	return max(0, (pause.Seconds()/float64(p)-idle)/slope), true
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// AddRead records the time until the first event of an answer, before which an upstream of a known pace has read a number of
+// tokens and beside which it ran a number of requests.
+func (s *Service) AddRead(now time.Time, p Pace, tokens, running float64, took time.Duration) {
+	s.reads.add(now, features{1, tokens, running}, took.Seconds()/float64(p))
+}
+
 // Upstream is what the answers of an upstream to one gateway have shown of late. The zero value has seen none.
 type Upstream struct {
-	step, read measure
+	shortest measure
+}
+
+// stepsPerSample is of how many times between events the shortest counts. Longer ones are those beside which the upstream
+// reads prompts that no gateway has told of yet.
+const stepsPerSample = 4
+
+// Steps are the latest times between events of an answer. The zero value has none.
+type Steps struct {
+	counted  int
+	shortest time.Duration
+	beside   Conditions // of the shortest
 }
 
-// AddStep records the time between two events of an answer, or of a whole answer that has none. P is the pace that the
+// add adds a time. It reports whether there are as many as count as a sample.
+func (a *Steps) add(c Conditions, took time.Duration) bool {
+	if a.counted == stepsPerSample {
+		*a = Steps{}
+	}
+	if a.counted == 0 || took < a.shortest {
+		a.shortest, a.beside = took, c
+	}
+	a.counted++
+	return a.counted == stepsPerSample
+}
+
+// AddStep records the time between two events of an answer, which has had some steps before. P is the pace that the
 // upstream is known to have.
-func (u *Upstream) AddStep(now time.Time, s *Service, p Pace, c Conditions, took time.Duration) {
-	add(now, &s.steps, &u.step, p.Step, c.features(), took)
+func (u *Upstream) AddStep(now time.Time, s *Service, p Pace, before *Steps, c Conditions, took time.Duration) {
+	s.steps.add(now, c.features(), took.Seconds()/float64(p))
+	if before.add(c, took) {
+		u.add(now, s, p, before.beside.features(), before.shortest)
+	}
 }
 
-// AddRead records the time until the first event of an answer, before which the upstream has read a number of tokens and
-// beside which it ran a number of requests.
-func (u *Upstream) AddRead(now time.Time, s *Service, p Pace, tokens, running float64, took time.Duration) {
-	add(now, &s.reads, &u.read, p.Read, features{1, tokens, running}, took)
+// AddWhole records the time of a whole answer that has no events, beside which the upstream ran a number of requests.
+func (u *Upstream) AddWhole(now time.Time, s *Service, p Pace, running float64, took time.Duration) {
+	u.add(now, s, p, features{1, running, 0}, took)
 }
 
 // add records a time at an upstream of a known pace. Times far above what is expected have other causes, and count as
 // maxSampleRatio times that.
-func add(now time.Time, common *linear, own *measure, pace Relative, x features, took time.Duration) {
-	expected, sample := common.value(x), took.Seconds()
+func (u *Upstream) add(now time.Time, s *Service, p Pace, x features, took time.Duration) {
+	expected, sample := s.shortest.value(x), took.Seconds()
 	if expected > 0 {
-		sample = min(sample, maxSampleRatio*float64(pace)*expected)
-		own.add(now, sample, expected)
+		sample = min(sample, maxSampleRatio*float64(p)*expected)
+		u.shortest.add(now, sample, expected)
 	}
-	common.add(now, x, sample/float64(pace))
+	s.shortest.add(now, x, sample/float64(p))
 }
 
-// Report returns what the upstream's answers have shown.
-func (u *Upstream) Report(now time.Time) Report {
-	return Report{Step: u.step.figure(now), Read: u.read.figure(now)}
-}
+// Figure returns what the upstream's answers have shown.
+func (u *Upstream) Figure(now time.Time) Figure { return u.shortest.figure(now) }
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -148,7 +148,7 @@
 		mean += float64(other.backlog.before(level)) / float64(len(among))
 	}
 	own := float64(u.backlog.before(level))
-	return float64(u.pace.Read) * float64(p.gatewayCount) * mean * (backlogPriorTokens + own) / (backlogPriorTokens + mean)
+	return float64(u.distinct) * float64(p.gatewayCount) * mean * (backlogPriorTokens + own) / (backlogPriorTokens + mean)
 }
 
 // candidate is an upstream that may get a request, and the tokens that it reads before that.
@@ -226,7 +226,7 @@
 			return candidate{}, p.refuse(now, own, &Overloaded{Wait: own.wait(now, best.ahead), Shed: shed}, rq, engines)
 		}
 	}
-	best.ahead += float64(best.upstream.pace.Read) * float64(rq.Prompt.Length)
+	best.ahead += float64(best.upstream.distinct) * float64(rq.Prompt.Length)
 	return best, nil
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -30,6 +30,7 @@
 	Parts  []PromptPart // in order; the last is private to the request or its session
 	Length id.Tokens    // of the whole prompt
 	Output id.Tokens    // most tokens that the answer may have
+	Hint   id.Tokens    // tokens that the caller expects it to have; zero: not told
 }
 
 // SharedParts returns the parts that other requests may have as well: all but the last.
@@ -100,6 +101,7 @@
 	unread         float64 // tokens that the upstream had not read when the request was sent, this one's included
 	runningAtStart float64 // requests at the upstream, this one included
 	lastEvent      time.Time
+	steps          pace.Steps
 	atLastEvent    pace.Conditions
 }
 
--- a/pool/load.go
+++ b/pool/load.go
@@ -20,7 +20,7 @@
 	Short     int // of these, those with prompts that are not long
 	Levels    [UrgencyLevels]LevelLoad
 	Upstreams map[UpstreamKey]UpstreamLoad // model engines at which requests run; nil: not known
-	Paces     map[PaceKey][]pace.Report    // what the gateways have seen of the pace of upstreams
+	Paces     map[PaceKey][]pace.Figure    // what the gateways have seen of the pace of upstreams
 }
 
 // LevelLoad is the part of a Load that requests of one urgency for model engines make up.
@@ -112,7 +112,7 @@
 	for service := range p.byService {
 		l := p.load(now, service)
 		l.Upstreams = p.upstreamLoads(service)
-		l.Paces = p.reports(now, service)
+		l.Paces = p.figures(now, service)
 		loads[service] = l
 	}
 	return loads
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -55,28 +55,29 @@
 	peers := p.peerLoads[s].Paces
 	all := make([]*pace.Pace, 0, len(p.byService[s]))
 	for _, u := range p.byService[s] {
-		u.pace = pace.Merge(append([]pace.Report{u.samples.Report(now)}, peers[u.paceKey]...))
+		u.pace = pace.Merge(append([]pace.Figure{u.samples.Figure(now)}, peers[u.paceKey]...))
 		all = append(all, &u.pace)
 	}
 	pace.Normalise(all)
 	for _, u := range p.byService[s] {
-		if capacity := 1 / float64(u.pace.Read); capacity > u.capacity*capacityThreshold || capacity < u.capacity/capacityThreshold {
+		u.distinct = u.pace.Distinct()
+		if capacity := 1 / float64(u.distinct); capacity > u.capacity*capacityThreshold || capacity < u.capacity/capacityThreshold {
 			u.capacity = capacity
 		}
 	}
 }
 
-// reports returns what this gateway has seen of the pace of the upstreams of a service. The caller holds the lock.
-func (p *Pool) reports(now time.Time, s id.Service) (reports map[PaceKey][]pace.Report) {
+// figures returns what this gateway has seen of the pace of the upstreams of a service. The caller holds the lock.
+func (p *Pool) figures(now time.Time, s id.Service) (figures map[PaceKey][]pace.Figure) {
 	for _, u := range p.byService[s] {
-		if r := u.samples.Report(now); r.Step.Samples >= minToldSamples || r.Read.Samples >= minToldSamples {
-			if reports == nil {
-				reports = make(map[PaceKey][]pace.Report)
+		if f := u.samples.Figure(now); f.Samples >= minToldSamples {
+			if figures == nil {
+				figures = make(map[PaceKey][]pace.Figure)
 			}
-			reports[u.paceKey] = []pace.Report{r}
+			figures[u.paceKey] = []pace.Figure{f}
 		}
 	}
-	return reports
+	return figures
 }
 
 // KnownPace is the pace of an upstream and how many samples of this gateway it rests on.
@@ -94,16 +95,15 @@
 		p.mergePaces(now, s)
 	}
 	for _, u := range p.upstreams {
-		r := u.samples.Report(now)
-		known[u.ID] = KnownPace{u.pace, r.Step.Samples + r.Read.Samples}
+		known[u.ID] = KnownPace{u.pace, u.samples.Figure(now).Samples}
 	}
 	return known
 }
 
 // addPaces adds what another gateway has seen.
-func (l *Load) addPaces(other map[PaceKey][]pace.Report) {
+func (l *Load) addPaces(other map[PaceKey][]pace.Figure) {
 	if l.Paces == nil && len(other) > 0 {
-		l.Paces = make(map[PaceKey][]pace.Report, len(other))
+		l.Paces = make(map[PaceKey][]pace.Figure, len(other))
 	}
 	for key, more := range other {
 		l.Paces[key] = append(l.Paces[key], more...)
@@ -116,6 +116,9 @@
 // conditions returns what runs at an upstream, for all gateways as far as that is known. The caller holds the lock.
 func (p *Pool) conditions(u *upstreamState) pace.Conditions {
 	running, _ := p.fleetRunning(u)
+	if u.Slots > 0 {
+		running = min(running, float64(u.Slots)) // the others wait
+	}
 	peers := p.peerLoads[u.Service].Upstreams[u.key()]
 	return pace.Conditions{Running: running, Unread: float64(u.backlog.before(UrgencyLevels-1) + peers.Unread)}
 }
@@ -134,11 +137,12 @@
 	u, known, conditions := a.state, a.pool.pacesOf(a.Upstream.Service), a.pool.conditions(a.state)
 	switch {
 	case a.promptTokens == 0:
+	case a.lastEvent.IsZero() && u.Slots > 0 && a.runningAtStart >= float64(u.Slots): // it may have waited for a slot
 	case a.lastEvent.IsZero():
-		u.samples.AddRead(now, &known.common, u.pace, a.unread, conditions.Running, now.Sub(a.sentAt))
+		known.common.AddRead(now, u.pace, a.unread, conditions.Running, now.Sub(a.sentAt))
 	default:
 		mean := pace.Conditions{Running: (conditions.Running + a.atLastEvent.Running) / 2, Unread: (conditions.Unread + a.atLastEvent.Unread) / 2}
-		u.samples.AddStep(now, &known.common, u.pace, mean, now.Sub(a.lastEvent))
+		u.samples.AddStep(now, &known.common, u.pace, &a.steps, mean, now.Sub(a.lastEvent))
 	}
 	a.lastEvent, a.atLastEvent = now, conditions
 }
@@ -149,6 +153,6 @@
 	defer a.pool.mu.Unlock()
 	if a.promptTokens == 0 {
 		known := a.pool.pacesOf(a.Upstream.Service)
-		a.state.samples.AddStep(now, &known.common, a.state.pace, pace.Conditions{Running: a.runningAtStart}, now.Sub(a.sentAt))
+		a.state.samples.AddWhole(now, &known.common, a.state.pace, a.runningAtStart, now.Sub(a.sentAt))
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -68,6 +68,7 @@
 	samples          pace.Upstream // of its pace, by this gateway
 	paceKey          PaceKey
 	pace             pace.Pace // as all gateways have found it
+	distinct         pace.Pace // that decisions go by
 	capacity         float64   // relative to that of the others, by its pace; changes by steps
 }
 
@@ -162,7 +163,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = &upstreamState{addedAt: now, hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[incarnation{l.ID, l.StartUnixMS}], paceKey: l.paceKey(), pace: pace.Even, capacity: 1}
+		u = &upstreamState{addedAt: now, hashOrder: xxhash.Sum64String(string(l.ID)), remark: p.remarks[incarnation{l.ID, l.StartUnixMS}], paceKey: l.paceKey(), pace: pace.Even, distinct: pace.Even, capacity: 1}
 		p.upstreams[l.ID] = u
 		list := p.byService[l.Service]
 		at, _ := slices.BinarySearchFunc(list, u.hashOrder, func(x *upstreamState, order uint64) int { return cmp.Compare(x.hashOrder, order) })
--- a/pool/upstream_load.go
+++ b/pool/upstream_load.go
@@ -63,7 +63,7 @@
 func (p *Pool) work(u *upstreamState) float64 {
 	peers := p.peerLoads[u.Service].Upstreams[u.key()]
 	unread, running := float64(u.backlog.before(UrgencyLevels-1)+peers.Unread), float64(u.running+peers.Running)
-	return float64(u.pace.Read)*unread + float64(u.pace.Step)*runningLoadTokens*running
+	return float64(u.distinct) * (unread + runningLoadTokens*running)
 }
 
 // fleetRunning estimates how many requests of all gateways an engine has, queued ones included. Where peers do not
