process: doors cost less for each call of a peer

Change: no idle timer besides the server's at doors; a peer's call is passed on unread where the server bounds its time; connections of doors that become idle have no deadline to write by, whose timer would wake the process.

--- a/gateway/door.go
+++ b/gateway/door.go
@@ -54,7 +54,7 @@
 		IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: doorHeaderBytes,
 	}
 	conns := process.NewConns(process.ConnsConfig{
-		Prefix: d.name + "_", IdleTimeout: func() time.Duration { return defaultIdleTimeout }, Memory: d.memory, MaxOpen: d.maxConns(p.settings.MaxDescriptors),
+		Prefix: d.name + "_", IdleTimeout: func() time.Duration { return 0 }, Memory: d.memory, MaxOpen: d.maxConns(p.settings.MaxDescriptors),
 		Registry: p.registry, Logger: p.logger,
 	}, server, p.servers.listen(d.name, d.address, d.patience))
 	p.servers.start(d.name, server, conns)
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -54,7 +54,7 @@
 		memory: p.budgets.Ready, handler: process.WithoutBodies(http.HandlerFunc(p.ready)),
 	})
 	if s.Peers != "" {
-		_, calls := process.NewCallBounds(p.budgets, peerRequestTime, p.registry, p.logger).Handler("/", p.peers.Handler())
+		_, calls := process.NewCallBounds(p.budgets, 0, p.registry, p.logger).Handler("/", p.peers.Handler())
 		p.openDoor(&door{
 			name: "peers", address: s.Peers, sockets: peerSocketFraction, requestTime: peerRequestTime,
 			memory: p.budgets.Peers, handler: calls,
--- a/process/bodies.go
+++ b/process/bodies.go
@@ -65,8 +65,8 @@
 	status int
 }
 
-// CallBounds reads the bodies of calls of peers before it passes them on, and takes the memory for them first. It counts the
-// calls that it refuses, and logs one in closedLogInterval. It is safe for concurrent use.
+// CallBounds takes the memory for the bodies of calls of peers before it reads them, or passes them on to be read where the
+// server bounds the time for that. It counts the calls that it refuses, and logs one in closedLogInterval. It is safe for concurrent use.
 type CallBounds struct {
 	memory   *memory.Budget // nil: not bounded
 	bodyTime time.Duration
@@ -77,7 +77,8 @@
 	logged time.Time
 }
 
-// NewCallBounds returns bounds within the memory for peers, whose bodies may take bodyTime to arrive; nil: there are none.
+// NewCallBounds returns bounds within the memory for peers, whose bodies may take bodyTime to arrive, or as long as the
+// server allows if that is zero; nil: there are none.
 func NewCallBounds(m *memory.Budgets, bodyTime time.Duration, registry metrics.Registry, logger log.Logger) *CallBounds {
 	c := &CallBounds{bodyTime: bodyTime, registry: registry, logger: logger}
 	if m != nil {
@@ -116,6 +117,8 @@
 		return &callRefusal{"length", http.StatusLengthRequired}
 	case r.ContentLength > maxCallBytes || share.GrowTo(callBodyFactor*r.ContentLength) != nil:
 		return &callRefusal{"memory", http.StatusServiceUnavailable}
+	case c.bodyTime == 0:
+		return nil
 	}
 	endWait := AwaitBody(r.Context(), time.Now())
 	controller := http.NewResponseController(w)
--- a/process/conns.go
+++ b/process/conns.go
@@ -44,9 +44,11 @@
 	idleTimeout func() time.Duration // zero: no limit
 	memory      *memory.Budget
 	maxOpen     int64 // zero: no limit
-	open        atomic.Int64
-	registry    metrics.Registry
-	logger      log.Logger
+	// writesBounded says that the server sets deadlines for its answers.
+	writesBounded bool
+	open          atomic.Int64
+	registry      metrics.Registry
+	logger        log.Logger
 
 	waitedInVain time.Time // when Accept last waited for memory and got none
 
@@ -70,7 +72,7 @@
 func NewConns(cfg ConnsConfig, server *http.Server, l net.Listener) *Conns {
 	c := &Conns{
 		DrainingListener: NewDrainingListener(l), prefix: cfg.Prefix, idleTimeout: cfg.IdleTimeout, memory: cfg.Memory, maxOpen: int64(cfg.MaxOpen),
-		registry: cfg.Registry, logger: cfg.Logger, conns: make(map[*trackedConn]struct{}),
+		registry: cfg.Registry, logger: cfg.Logger, conns: make(map[*trackedConn]struct{}), writesBounded: server.WriteTimeout > 0,
 	}
 	server.Handler = abortRefused(server.Handler)
 	nextState, nextContext := server.ConnState, server.ConnContext
@@ -205,6 +207,9 @@
 		tracked.beginRequest()
 		tracked.endHead()
 	case http.StateIdle:
+		if c.writesBounded {
+			_ = tracked.SetWriteDeadline(time.Time{}) // its timer would wake an idle process; fails only if the connection is closed
+		}
 		tracked.endRequest(time.Now(), c.idleTimeout())
 	case http.StateClosed, http.StateHijacked:
 		c.forget(tracked)
