--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -1,20 +1,16 @@
 package rollout
 
-// This file defines a fleet of gateways in simulated time that plays roll-outs of good and bad
-// versions, with faults of gateways and of the store.
+// This file defines a fleet of gateways in simulated time, with its upstreams and its store, and the
+// versions, good and bad, that are rolled out in it.
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/ragwortpass/ragwortpass/feed"
 	"github.com/ragwortpass/ragwortpass/id"
 )
@@ -402,128 +398,3 @@
 	a.at = s.now.Add(time.Duration(d))
 	return a
 }
-
-// tick plays ten milliseconds.
-func (s *simulation) tick(i int) {
-	for len(s.running) > 0 && !s.running[0].at.After(s.now) {
-		a := heap.Pop(&s.running).(*simAnswer)
-		a.up.running--
-		*s.counter(a.gateway, a.up)--
-		a.run.Ended(a.plan, a.up.version, a.up.id, a.outcome)
-		if a.isBad && !a.gateway.cut {
-			if s.bad++; s.bad == 50 {
-				s.badAt = s.now
-			}
-		}
-		if a.retry != nil && !a.gateway.dead {
-			s.request(a.gateway, a.retry, false)
-		}
-	}
-	for n, g := range s.gateways {
-		if g.dead {
-			if s.now.Before(g.startAt) {
-				continue
-			}
-			g = s.newGateway(g.node)
-			s.gateways[n] = g
-			g.register.Order(s.now, s.order)
-		}
-		if (i+7*n)%25 == 0 {
-			s.round(g)
-		}
-		if (i+3*n)%10 == 0 {
-			s.control(g)
-		}
-	}
-	for arrivals := s.rate * simTick.Seconds(); arrivals > 0; arrivals-- {
-		if s.Float64() >= arrivals {
-			continue
-		}
-		g := s.gateways[s.IntN(len(s.gateways))]
-		x := s.Float64()
-		at := slices.IndexFunc(simRoutes, func(r simRoute) bool { x -= r.part; return x < 0 })
-		if !g.dead {
-			s.request(g, &simRoutes[max(at, 0)], true)
-		}
-	}
-	if r := s.store.records[simService]; r.State.Final() && s.finalAt.IsZero() {
-		s.finalAt = s.now
-		if r.State == Done {
-			s.old = nil
-		}
-	}
-	s.now = s.now.Add(simTick)
-}
-
-// run plays the order until some seconds after its deadline.
-func (s *simulation) run() {
-	s.ordered = s.now
-	listed := time.Duration(300+s.IntN(700)) * time.Millisecond
-	known := make(map[*simGateway]time.Duration)
-	for _, g := range s.gateways {
-		known[g] = time.Duration(s.IntN(400)) * time.Millisecond
-	}
-	n := len(s.old)
-	for i := 0; s.now.Sub(s.ordered) < s.order.Duration+8*time.Second; i++ {
-		since := s.now.Sub(s.ordered)
-		for g, delay := range known {
-			if since >= delay {
-				g.register.Order(s.now, s.order)
-				delete(known, g)
-			}
-		}
-		if since >= listed && s.new == nil {
-			for range n {
-				s.new = append(s.new, &simUpstream{id: id.Upstream(fmt.Sprint("i-", len(s.new))), version: simNew, started: s.now})
-			}
-		}
-		s.tick(i)
-	}
-}
-
-// TestFleetKeepsExposureAndFinishesInTime answers versions that are bad in each of the ways, while the gateway that
-// acts is killed at its steps, gateways are cut off, and the store is away or loses answers.
-func TestFleetKeepsExposureAndFinishesInTime(t *testing.T) {
-	const seeds = 40
-	worst, done, rolledBack := 0.0, 0, 0
-	for seed := range uint64(seeds) {
-		s := newSimulation(seed, simKinds[seed%uint64(len(simKinds))])
-		switch seed / uint64(len(simKinds)) % 4 {
-		case 1:
-			s.store.lossy = 0.4
-		case 2:
-			from := time.Duration(s.Float64() * 0.4 * float64(s.order.Duration))
-			s.store.downFor = [2]time.Duration{from, from + 2*time.Second}
-		case 3:
-			g := s.gateways[s.IntN(len(s.gateways))]
-			g.cut, g.cutAt = true, s.now.Add(time.Duration(s.IntN(5))*time.Second)
-		}
-		s.run()
-		final := s.store.records[simService]
-		bound := s.cfg.Share*float64(s.total) + s.cfg.Slack
-		name := fmt.Sprintf("seed %d, %s, rate %.0f, %v, %d gateways: %s for %s at %v, exposed %d of %d (bound %.0f), bad %d, late %d",
-			seed, s.kind.name, s.rate, s.order.Duration, len(s.gateways), final.State, final.Reason, s.finalAt.Sub(s.ordered).Round(10*time.Millisecond), s.exposed, s.total, bound, s.bad, s.late)
-		t.Log(name)
-		states := make([]State, 0, len(s.store.history))
-		for _, r := range s.store.history {
-			states = append(states, r.State)
-		}
-		require.True(t, slices.IsSortedFunc(states, func(a, b State) int { return cmp.Compare(a, b) }), name)
-		if !s.finalAt.IsZero() && s.finalAt.After(s.ordered.Add(s.order.Duration)) || !final.State.Final() {
-			t.Errorf("not in time: %s", name)
-		}
-		if s.kind.isGood() {
-			if final.State != Done {
-				t.Errorf("good version: %s", name)
-			}
-			done++
-			continue
-		}
-		rolledBack++
-		worst = max(worst, float64(s.exposed)/bound)
-		if final.State != RolledBack || float64(s.exposed) > bound || s.late > 0 {
-			t.Errorf("bad version: %s", name)
-		}
-	}
-	t.Logf("%d good, %d bad; the most exposure is %.2f of the bound", done, rolledBack, worst)
-}
