pool: capacities follow the mean pace, sent lines say when answers are expected to end

Change: a capacity follows the mean pace of 4 s, by 1.3 times first and 1.2 then. Whole answers tell how many events the expected tokens make; expected_end in the log.

--- a/emulator/relay.go
+++ b/emulator/relay.go
@@ -205,6 +205,7 @@
 	d := x.relay.day
 	a.assignment.PrefillDone(d.clock.Now())
 	if last {
+		a.assignment.Answered(d.clock.Now())
 		a.end()
 		x.over = true
 		d.result.addCost(x.call, a.work.Cost, true)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -197,6 +197,9 @@
 	if f.plan != nil {
 		fields = append(fields, "version", assignment.Upstream.Version, "rollout", f.plan.State, "canary", f.plan.Canary)
 	}
+	if assignment.ExpectedEnd > 0 {
+		fields = append(fields, "expected_end", assignment.ExpectedEnd.Round(time.Millisecond))
+	}
 	if f.waited > 0 {
 		f.gateway.incrementCounter("waited_for_slot")
 		fields = append(fields, "waited", f.waited.Round(time.Millisecond))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -108,7 +108,11 @@
 	for {
 		event, err := events.next()
 		if err != nil {
-			return f.endStream(ctx, resp, stream, events, err)
+			end := f.endStream(ctx, resp, stream, events, err)
+			if _, whole := end.(*answered); whole && !stream.isRest {
+				assignment.Answered(time.Now())
+			}
+			return end
 		}
 		relay, err := stream.accept(&event)
 		if err != nil {
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -36,6 +36,20 @@
 	steps    linear // times between events
 	shortest linear // shortest of stepsPerSample such times in a row, or whole answers without events
 	reads    linear // times until the first event
+	answers  measure
+}
+
+// AddAnswer records how many events a whole answer has had that was expected to have a number of tokens.
+func (s *Service) AddAnswer(now time.Time, expectedTokens float64, events int) {
+	s.answers.add(now, float64(events), expectedTokens)
+}
+
+// Events returns how many events an answer is expected to have, and zero if nothing is known.
+func (s *Service) Events(expectedTokens float64) float64 {
+	if s.answers.expected <= 0 {
+		return 0
+	}
+	return s.answers.took / s.answers.expected * expectedTokens
 }
 
 // StepTime returns the expected time between two events of an answer, and zero if nothing is known.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -12,7 +12,6 @@
 
 	"github.com/ragwortpass/ragwortpass/catalog"
 	"github.com/ragwortpass/ragwortpass/id"
-	"github.com/ragwortpass/ragwortpass/pace"
 	"github.com/ragwortpass/ragwortpass/quota"
 )
 
@@ -85,6 +84,8 @@
 	// Expected is how long the upstream is expected to take until it has read the prompt; zero: there is
 	// none.
 	Expected time.Duration
+	// ExpectedEnd is how long the whole answer is expected to take; zero: not known.
+	ExpectedEnd time.Duration
 
 	taken []takenSlot
 
@@ -98,11 +99,7 @@
 	sentAt       time.Time // to the upstream
 	ahead        float64   // tokens that the upstream was expected to read before the answer; zero: not known
 
-	unread         float64 // tokens that the upstream had not read when the request was sent, this one's included
-	runningAtStart float64 // requests at the upstream, this one included
-	lastEvent      time.Time
-	steps          pace.Steps
-	atLastEvent    pace.Conditions
+	progress answerProgress
 }
 
 // Throttled means that every remaining upstream is cold and has reached its rate limit, has named a
@@ -184,7 +181,7 @@
 	}
 	a := &Assignment{
 		Upstream: u.Listing, Reason: reason, ListingAge: now.Sub(u.listedAt), ListedFor: now.Sub(u.addedAt), Running: u.running, pool: p, state: u,
-		promptTokens: rq.Prompt.Length, level: urgencyLevel(rq.Urgency), sentAt: now, ahead: ahead,
+		promptTokens: rq.Prompt.Length, level: urgencyLevel(rq.Urgency), sentAt: now, ahead: ahead, progress: answerProgress{expectedTokens: rq.Prompt.expectedTokens()},
 		short: rq.Prompt.Length > 0 && !isLong(&rq.Prompt, p.longPromptThreshold(rq.Service)),
 	}
 	p.takeSlots(now, a)
@@ -194,6 +191,7 @@
 	}
 	if ahead > 0 {
 		a.Expected = p.admissionsOf(rq.Service)[a.level].wait(now, ahead)
+		a.ExpectedEnd = p.timeToEnd(u, a.Expected, &rq.Prompt)
 	}
 	if u.running == 0 {
 		u.busySince = now
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,9 +17,12 @@
 const (
 	// paceInterval is how often the pace of upstreams is derived from new samples.
 	paceInterval = 250 * time.Millisecond
-	// capacityThreshold is by which factor the capacity for which an upstream is known must differ from what its pace
-	// calls for to change. Each change moves shared prefixes to engines that have not cached them.
-	capacityThreshold = 1.5
+	// capacityTime is the time over which the mean pace of an upstream decides on its capacity. Each change of a capacity
+	// moves shared prefixes to engines that have not cached them.
+	capacityTime = 4 * time.Second
+	// firstCapacityFactor is by which factor the capacity of an upstream that counts as like the others must differ from
+	// what its mean pace calls for to change, and capacityFactor the same for one that is known to differ.
+	firstCapacityFactor, capacityFactor = 1.3, 1.2
 )
 
 // PaceKey identifies one start of an upstream among those of a service.
@@ -61,9 +65,27 @@
 	pace.Normalise(all)
 	for _, u := range p.byService[s] {
 		u.distinct = u.pace.Distinct()
-		if capacity := 1 / float64(u.distinct); capacity > u.capacity*capacityThreshold || capacity < u.capacity/capacityThreshold {
-			u.capacity = capacity
-		}
+		p.followLoad(u)
+		u.followPace(now)
+	}
+}
+
+// followPace updates the mean pace of an upstream, which counts from the first sample on, and its capacity.
+func (u *upstreamState) followPace(now time.Time) {
+	switch {
+	case u.pacedSince.IsZero() && u.pace == pace.Even:
+		return
+	case u.pacedSince.IsZero():
+		u.pacedSince = now.Add(-paceInterval)
+	}
+	weight := float64(paceInterval) / float64(min(now.Sub(u.pacedSince), capacityTime))
+	u.meanPace += weight * (math.Log(float64(u.pace)) - u.meanPace)
+	factor := capacityFactor
+	if u.capacity == 1 {
+		factor = firstCapacityFactor
+	}
+	if capacity := math.Exp(-u.meanPace); capacity > u.capacity*factor || capacity < u.capacity/factor {
+		u.capacity = capacity
 	}
 }
 
@@ -123,12 +145,23 @@
 	return pace.Conditions{Running: running, Unread: float64(u.backlog.before(UrgencyLevels-1) + peers.Unread)}
 }
 
+// answerProgress is what an assignment keeps to learn from its answer.
+type answerProgress struct {
+	expectedTokens float64 // of the answer
+	unread         float64 // tokens that the upstream had not read when the request was sent, this one's included
+	runningAtStart float64 // requests at the upstream, this one included
+	events         int
+	lastEvent      time.Time
+	atLastEvent    pace.Conditions
+	steps          pace.Steps
+}
+
 // noteStart notes what the upstream has to do when the request is sent. The caller holds the lock.
 func (a *Assignment) noteStart() {
 	u := a.state
 	peers := a.pool.peerLoads[u.Service].Upstreams[u.key()]
-	a.unread = float64(u.backlog.before(a.level) + peers.before(a.level))
-	a.runningAtStart, _ = a.pool.fleetRunning(u)
+	a.progress.unread = float64(u.backlog.before(a.level) + peers.before(a.level))
+	a.progress.runningAtStart, _ = a.pool.fleetRunning(u)
 }
 
 // recordEvent records the time since the event before, or until the first one, as a sample of the upstream's pace. The
@@ -137,22 +170,26 @@
 	u, known, conditions := a.state, a.pool.pacesOf(a.Upstream.Service), a.pool.conditions(a.state)
 	switch {
 	case a.promptTokens == 0:
-	case a.lastEvent.IsZero() && u.Slots > 0 && a.runningAtStart >= float64(u.Slots): // it may have waited for a slot
-	case a.lastEvent.IsZero():
-		known.common.AddRead(now, u.pace, a.unread, conditions.Running, now.Sub(a.sentAt))
+	case a.progress.lastEvent.IsZero() && u.Slots > 0 && a.progress.runningAtStart >= float64(u.Slots): // it may have waited for a slot
+	case a.progress.lastEvent.IsZero():
+		known.common.AddRead(now, u.pace, a.progress.unread, conditions.Running, now.Sub(a.sentAt))
 	default:
-		mean := pace.Conditions{Running: (conditions.Running + a.atLastEvent.Running) / 2, Unread: (conditions.Unread + a.atLastEvent.Unread) / 2}
-		u.samples.AddStep(now, &known.common, u.pace, &a.steps, mean, now.Sub(a.lastEvent))
+		mean := pace.Conditions{Running: (conditions.Running + a.progress.atLastEvent.Running) / 2, Unread: (conditions.Unread + a.progress.atLastEvent.Unread) / 2}
+		u.samples.AddStep(now, &known.common, u.pace, &a.progress.steps, mean, now.Sub(a.progress.lastEvent))
 	}
-	a.lastEvent, a.atLastEvent = now, conditions
+	a.progress.lastEvent, a.progress.atLastEvent = now, conditions
+	a.progress.events++
 }
 
-// Answered records that the upstream has sent a whole answer that has no events.
+// Answered records that the upstream has sent the whole answer.
 func (a *Assignment) Answered(now time.Time) {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
+	known := a.pool.pacesOf(a.Upstream.Service)
+	if a.progress.events > 0 {
+		known.common.AddAnswer(now, a.progress.expectedTokens, a.progress.events)
+	}
 	if a.promptTokens == 0 {
-		known := a.pool.pacesOf(a.Upstream.Service)
-		a.state.samples.AddWhole(now, &known.common, a.state.pace, a.runningAtStart, now.Sub(a.sentAt))
+		a.state.samples.AddWhole(now, &known.common, a.state.pace, a.progress.runningAtStart, now.Sub(a.sentAt))
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -69,7 +69,10 @@
 	paceKey          PaceKey
 	pace             pace.Pace // as all gateways have found it
 	distinct         pace.Pace // that decisions go by
-	capacity         float64   // relative to that of the others, by its pace; changes by steps
+	meanLoad         pace.Conditions
+	pacedSince       time.Time // when its pace was first known; zero: not yet
+	meanPace         float64   // logarithm, over capacityTime
+	capacity         float64   // relative to that of the others, by its mean pace; changes by steps
 }
 
 // Pool holds the upstreams that a gateway knows. It is safe for concurrent use.
