rollout: an isolated gateway neither shifts nor calls a service moved

Cause: with no live peer, a gateway had heard of all it knew: cut off from peers but not from the store, or started anew, it recorded done 1.5 s after shifting, while requests of peers ran on the old upstreams. Found by a review. Change: while it hears half of the fleet or fewer, or none although others may run, it does not begin a shift or find the service moved. The time before the deadline, and roll-backs, go on. A peer with a row that is silent and not leaving counts as one that runs requests. A fleet of one without seeds decides at once; with seeds that nobody answers, 20 s after its start.

--- a/gateway/rollout_driver.go
+++ b/gateway/rollout_driver.go
@@ -53,6 +53,8 @@
 	tellPeers   func()
 	logger      log.Logger
 	registry    metrics.Registry
+	hasSeeds    bool      // there are addresses of peers
+	startedAt   time.Time
 	pausedUntil time.Time // end of the delay after a failed call
 	version     int       // of the register that peers were told of
 }
@@ -65,6 +67,7 @@
 	return &rolloutDriver{
 		register: register, controller: rollout.NewController(p.settings.Node, register), records: records, pool: p.pool, catalog: current, table: p.table,
 		fleetTime: fleetTime, leaving: func() bool { return p.gateway.ShuttingDown() }, tellPeers: func() { p.peers.Wake() }, logger: p.logger, registry: p.registry,
+		hasSeeds: len(p.settings.Seeds) > 0, startedAt: time.Now(),
 		storeEra: func() feed.Era {
 			era := records.Era()
 			for _, f := range p.followers {
@@ -122,10 +125,11 @@
 		d.register.SetService(fleetNow, name, rollout.Service{Known: current == nil || current.Services[name] != nil || len(versions) > 0, Versions: versions})
 	}
 	live, members := d.table.Live(now), len(d.table.Members(now))
-	d.register.SetFleet(max(len(live), members), 2*len(live) <= members)
+	rows := d.table.Rows()
+	d.register.SetFleet(max(len(live), members), d.isIsolated(now, rows, live, members))
 	var reports []rollout.Report
 	self := d.table.Self()
-	for _, row := range d.table.Rows() {
+	for _, row := range rows {
 		from := rollout.Source{Node: id.Node(row.GetNode()), Incarnation: id.Incarnation(row.GetIncarnation())}
 		if from == (rollout.Source{Node: self.Node, Incarnation: self.Incarnation}) {
 			continue
@@ -138,7 +142,7 @@
 			reports = append(reports, r)
 		}
 	}
-	for _, c := range d.register.Round(fleetNow, reports, len(live)-1) {
+	for _, c := range d.register.Round(fleetNow, reports, len(live)-1+missing(rows, live)) {
 		d.logChange(&c)
 	}
 	for _, s := range d.register.States() {
@@ -147,6 +151,37 @@
 	}
 }
 
+// isIsolated reports whether this gateway hears too few peers to learn of a verdict or of what runs at others: of half of
+// the members or fewer, or of none while some may run, as it has just started or their rows are still kept.
+func (d *rolloutDriver) isIsolated(now time.Time, rows, live []*peer.Row, members int) bool {
+	if 2*len(live) <= members {
+		return true
+	}
+	if len(live) > 1 {
+		return false
+	}
+	hasStarted := d.hasSeeds && len(rows) <= 1 && now.Sub(d.startedAt) < peer.RowRetention
+	return hasStarted || missing(rows, live) > 0
+}
+
+// missing returns how many nodes with a row are neither alive nor have said that they are leaving.
+func missing(rows, live []*peer.Row) int {
+	nodes := make(map[string]bool)
+	for _, row := range rows {
+		nodes[row.GetNode()] = nodes[row.GetNode()] || !row.GetLeaving()
+	}
+	for _, row := range live {
+		delete(nodes, row.GetNode())
+	}
+	n := 0
+	for _, isMissing := range nodes {
+		if isMissing {
+			n++
+		}
+	}
+	return n
+}
+
 // logChange logs and counts what a round has changed.
 func (d *rolloutDriver) logChange(c *rollout.Change) {
 	service, target, order := c.Order.Service, c.Order.Target, c.Order.Offset
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -107,7 +107,7 @@
 	if r.record.State != Unknown && leads && !isStored {
 		return r.record, true
 	}
-	state, reason := r.next(now)
+	state, reason := r.next(now, c.register.isolated)
 	if state <= r.record.State {
 		return Record{}, false
 	}
@@ -117,8 +117,9 @@
 	}, true
 }
 
-// next returns the state that the order should be in now.
-func (r *rollout) next(now time.Time) (State, Reason) {
+// next returns the state that the order should be in now. A gateway that is isolated neither begins a shift nor finds that
+// nothing runs on other versions.
+func (r *rollout) next(now time.Time, isolated bool) (State, Reason) {
 	target, others := r.loads()
 	times := r.schedule()
 	switch {
@@ -144,7 +145,7 @@
 		}
 		return RolledBack, ReasonUndecided
 	case r.record.State == Canary:
-		if r.isGood() && float64(target.size()) >= minCapacity*float64(others.size()) {
+		if !isolated && r.isGood() && float64(target.size()) >= minCapacity*float64(others.size()) {
 			return Shifting, ReasonGood
 		}
 		return Canary, ""
@@ -153,7 +154,7 @@
 			return Shifting, ""
 		}
 		return RolledBack, ReasonAbsent
-	case r.otherRunning == 0 && r.allShifting && now.Sub(r.record.At) >= settleTime && now.Sub(r.knownSince) >= settleTime:
+	case !isolated && r.otherRunning == 0 && r.allShifting && now.Sub(r.record.At) >= settleTime && now.Sub(r.knownSince) >= settleTime:
 		return Done, ReasonMoved
 	case !now.Before(times.Finish):
 		return Done, ReasonTime
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -88,7 +88,7 @@
 	whole, recent              Counts
 	snapshots                  []snapshot
 	otherRunning               int
-	allShifting                bool // every live gateway knows that the target goes first
+	allShifting                bool // every gateway that may be alive knows that the target goes first
 }
 
 // target returns whether a request for a version is one for the target.
@@ -136,7 +136,7 @@
 	mu       sync.Mutex
 	rollouts map[id.Service]*rollout
 	gateways int  // the most that were known at once
-	isolated bool // most peers were not heard of late
+	isolated bool // most peers were not heard of late, or none since the start
 	roundAt  time.Time
 	version  int // rises when peers should know of something at once
 }
@@ -281,8 +281,9 @@
 }
 
 // Round takes over the reports of all other gateways and judges the targets. The reports are those of
-// the gateways that are known, also of those that ended of late. They must not be changed afterwards.
-func (g *Register) Round(now time.Time, reports []Report, livePeers int) (changes []Change) {
+// the gateways that are known, also of those that ended of late. They must not be changed afterwards. Peers is the number of
+// other gateways that are alive, or may be.
+func (g *Register) Round(now time.Time, reports []Report, peers int) (changes []Change) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.roundAt = now
@@ -314,7 +315,7 @@
 			r.whole.add(told.counts)
 			r.upstreams.add(told.upstreams)
 		}
-		r.otherRunning, r.allShifting = running, shifting >= livePeers
+		r.otherRunning, r.allShifting = running, shifting >= peers
 		r.takeSnapshot(now)
 		if !r.record.State.Final() && r.condemned == "" {
 			change.Verdict = r.judge(condemned)
