rollout: rejected versions outlive a restart; calls to the store are made beside the rounds

Change: records and rows have the rejected versions; the records are read once at the start; an order of which only a record or a live peer tells keeps its target out, or stays done, until it is read, and nothing is recorded of it; one call at a time is made in a goroutine of its own; a read of an older era is a failure, with its delay. TestNewestOrderWins and TestReportsTravelWhole expect the new field too.

--- a/gateway/rollout_driver.go
+++ b/gateway/rollout_driver.go
@@ -53,10 +53,13 @@
 	tellPeers   func()
 	logger      log.Logger
 	registry    metrics.Registry
-	hasSeeds    bool      // there are addresses of peers
+	hasSeeds    bool // there are addresses of peers
 	startedAt   time.Time
-	pausedUntil time.Time // end of the delay after a failed call
-	version     int       // of the register that peers were told of
+	hasRead     bool // the records, since the start
+	isCalling   bool
+	answers     chan func() error // of the call that is on its way
+	pausedUntil time.Time         // end of the delay after a failed call
+	version     int               // of the register that peers were told of
 }
 
 // newRolloutDriver returns a driver without orders. The gateway, the exchanger and the followers of the program are
@@ -67,7 +70,7 @@
 	return &rolloutDriver{
 		register: register, controller: rollout.NewController(p.settings.Node, register), records: records, pool: p.pool, catalog: current, table: p.table,
 		fleetTime: fleetTime, leaving: func() bool { return p.gateway.ShuttingDown() }, tellPeers: func() { p.peers.Wake() }, logger: p.logger, registry: p.registry,
-		hasSeeds: len(p.settings.Seeds) > 0, startedAt: time.Now(),
+		hasSeeds: len(p.settings.Seeds) > 0, startedAt: time.Now(), answers: make(chan func() error, 1),
 		storeEra: func() feed.Era {
 			era := records.Era()
 			for _, f := range p.followers {
@@ -98,15 +101,16 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if d.isCalling {
+				<-d.answers
+			}
 			return
 		case <-tick.C:
+			d.round(time.Now())
+		case take := <-d.answers:
+			d.take(take)
 		}
-		if len(d.register.Services()) == 0 {
-			continue
-		}
-		d.round(time.Now())
-		for d.step(ctx) {
-		}
+		d.step(ctx)
 		if version := d.register.Version(); version != d.version {
 			d.version = version
 			d.tellPeers()
@@ -202,26 +206,41 @@
 	_ = d.logger.Log("event", "rollout_state", "service", r.Service, "target", r.Target, "order", r.Order, "state", r.State, "reason", r.Reason, "by", r.By, "from", from)
 }
 
-// step makes the next call, if one is due. It reports whether another call may follow at once.
-func (d *rolloutDriver) step(ctx context.Context) bool {
+// step makes the next call, if one is due and none is on its way. Rounds go on meanwhile. The records are read once at
+// the start, as they may be about orders that have been withdrawn.
+func (d *rolloutDriver) step(ctx context.Context) {
 	now := time.Now()
-	if now.Before(d.pausedUntil) {
-		return false
+	if d.isCalling || now.Before(d.pausedUntil) {
+		return
 	}
-	var err error
-	switch action := d.controller.Step(d.fleetTime(), d.view(now)).(type) {
+	var action rollout.Action = &rollout.ReadRecords{}
+	if d.hasRead {
+		action = d.controller.Step(d.fleetTime(), d.view(now))
+	}
+	var call func(context.Context) func() error
+	switch action := action.(type) {
 	case *rollout.Wait:
-		return false
+		return
 	case *rollout.ReadRecords:
-		err = d.read(ctx)
+		call = d.read
 	case *rollout.AppendRecord:
-		err = d.append(ctx, action)
+		call = func(ctx context.Context) func() error { return d.append(ctx, action) }
 	}
-	if err != nil {
+	d.isCalling = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, rolloutCallTimeout)
+		defer cancel()
+		d.answers <- call(ctx)
+	}()
+}
+
+// take takes over the answer of a call. After a failure, there is a delay until the next one.
+func (d *rolloutDriver) take(answer func() error) {
+	d.isCalling = false
+	if answer() != nil {
 		d.pausedUntil = time.Now().Add(failureDelay)
 		metrics.GetOrRegisterCounter("rollout_call_failed", d.registry).Inc(1)
 	}
-	return err == nil && ctx.Err() == nil
 }
 
 // view returns what is known of the fleet, for the decision.
@@ -247,26 +266,34 @@
 	return v
 }
 
-// read reads the records. Another era of the store is no failure, as the next view has it.
-func (d *rolloutDriver) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, rolloutCallTimeout)
-	defer cancel()
+// read reads the records and returns what takes them over. A newer era of the store is no failure, as the next view has it;
+// an older one than the fleet's is.
+func (d *rolloutDriver) read(ctx context.Context) func() error {
 	records, end, err := d.records.Read(ctx)
-	if err != nil {
-		return d.failed("read", err)
-	}
-	for _, r := range d.controller.RecordsRead(records, end) {
-		d.logRecord(&r, "store")
+	return func() error {
+		if newest := d.storeEra(); err == nil && end.Era < newest {
+			err = &feed.EraError{Expected: newest, Actual: end.Era}
+		}
+		if err != nil {
+			return d.failed("read", err)
+		}
+		d.hasRead = true
+		for _, r := range d.controller.RecordsRead(records, end) {
+			d.logRecord(&r, "store")
+		}
+		return nil
 	}
-	return nil
 }
 
-// append appends a record. A conflict with another gateway's record is no failure.
-func (d *rolloutDriver) append(ctx context.Context, action *rollout.AppendRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, rolloutCallTimeout)
-	defer cancel()
+// append appends a record and returns what takes over that it did.
+func (d *rolloutDriver) append(ctx context.Context, action *rollout.AppendRecord) func() error {
+	end, err := d.records.Append(ctx, action.ExpectedEnd, action.Record)
+	return func() error { return d.appended(action, end, err) }
+}
+
+// appended takes over the answer of an append. A conflict with another gateway's record is no failure.
+func (d *rolloutDriver) appended(action *rollout.AppendRecord, end feed.Position, err error) error {
 	r := action.Record
-	end, err := d.records.Append(ctx, action.ExpectedEnd, r)
 	var conflict *rollout.ConflictError
 	var otherEra *feed.EraError
 	switch {
--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -84,6 +84,8 @@
 	case r.record.State == Done:
 		target.StartedAfter = r.record.At
 		p.Filters = []Filter{target}
+	case r.unread:
+		p.Filters = []Filter{others}
 	case r.record.State == Shifting:
 		p.Filters = []Filter{others, target}
 		if ramp := float64(now.Sub(r.record.At)) / float64(rampTime); g.isInformed(now) && g.random() < ramp {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -75,6 +75,9 @@
 	c.register.mu.Lock()
 	defer c.register.mu.Unlock()
 	for service, r := range c.register.rollouts {
+		if r.unread {
+			continue
+		}
 		next, due := c.next(now, r, v.Leader)
 		if !due {
 			delete(c.dueSince, service)
@@ -105,7 +108,9 @@
 	stored := c.stored[r.order.Service]
 	isStored := c.isRead && stored.of(&r.order) && stored.State >= r.record.State
 	if r.record.State != Unknown && leads && !isStored {
-		return r.record, true
+		again := r.record
+		again.Rejected = r.rejectedVersions()
+		return again, true
 	}
 	state, reason := r.next(now, c.register.isolated)
 	if state <= r.record.State {
@@ -113,7 +118,7 @@
 	}
 	return Record{
 		Service: r.order.Service, Target: r.order.Target, Order: r.order.Offset, State: state, Reason: reason,
-		Started: r.started, At: now, By: c.node,
+		Started: r.started, At: now, By: c.node, Rejected: r.rejectedVersions(),
 	}, true
 }
 
@@ -176,12 +181,14 @@
 // RequireReread records that an append has failed, or may have failed.
 func (c *Controller) RequireReread() { c.isRead = false }
 
-// RecordsRead takes over the newest records and the end of the topic.
+// RecordsRead takes over the newest records and the end of the topic. A record of a service without a known order holds for as long as
+// none is read.
 func (c *Controller) RecordsRead(records []Record, end feed.Position) (adopted []Record) {
 	c.isRead, c.end = true, end
 	clear(c.stored)
 	for _, r := range records {
 		c.stored[r.Service] = r
+		c.register.noteRecord(r)
 		if c.register.Adopt(r) {
 			adopted = append(adopted, r)
 		}
--- a/rollout/controller_test.go
+++ b/rollout/controller_test.go
@@ -261,7 +261,7 @@
 	g.SetService(start, "ledger", upstreams(map[id.Version]int{"v1": 5, "v2": 5, "v3": 5}))
 	require.Equal(t, []id.Version{"v1"}, allowed(g.Plan(at(2*time.Second), "ledger", "r"), "v1", "v2", "v3"), "the superseded target gets nothing")
 	r := g.append(at(2 * time.Second))
-	require.Equal(t, Record{Service: "ledger", Target: "v3", Order: 9, State: Canary, Reason: ReasonOrdered, Started: at(2 * time.Second), At: at(2 * time.Second), By: "gw-0"}, r)
+	require.Equal(t, Record{Service: "ledger", Target: "v3", Order: 9, State: Canary, Reason: ReasonOrdered, Started: at(2 * time.Second), At: at(2 * time.Second), By: "gw-0", Rejected: []id.Version{"v2"}}, r)
 	require.False(t, g.Adopt(Record{Service: "ledger", Target: "v2", Order: 7, State: Done}), "of the superseded order")
 }
 
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/ragwortpass/ragwortpass/feed"
 	"github.com/ragwortpass/ragwortpass/id"
 )
 
@@ -47,7 +48,8 @@
 	Started   time.Time // zero: not known
 	At        time.Time // of that record
 	By        id.Node   // of that record
-	Condemned Reason    // why the target is condemned; empty: it is not
+	Rejected  []id.Version
+	Condemned Reason // why the target is condemned; empty: it is not
 	// OtherRunning is how many of its requests run at upstreams of other versions.
 	OtherRunning int
 	Counts       Counts
@@ -71,6 +73,7 @@
 type rollout struct {
 	order     Order
 	withdrawn bool
+	unread    bool // only its record or a peer tells of the order: its duration is not known
 	started   time.Time
 	// knownSince is when this gateway learned of the order: it has used no slack before.
 	knownSince   time.Time
@@ -156,6 +159,11 @@
 		if known.order == o && !known.withdrawn {
 			return false, nil
 		}
+		if known.unread && known.order.Offset == o.Offset && known.order.Target == o.Target {
+			known.order, known.unread = o, false
+			g.version++
+			return true, nil
+		}
 		if known.record.State != Done {
 			rejected = maps.Clone(known.rejected)
 			rejected[known.order.Target] = true
@@ -164,20 +172,41 @@
 		superseded = &before
 	}
 	delete(rejected, o.Target)
-	g.rollouts[o.Service] = &rollout{
-		order: o, started: now, knownSince: now, rejected: rejected, own: make(Counts), ownUpstreams: make(Upstreams), told: make(map[Source]toldCounts), whole: make(Counts), recent: make(Counts), service: Service{Known: true},
-		exposure: exposure{routes: make(map[id.Route]int)},
-	}
+	g.rollouts[o.Service] = newRollout(now, o, rejected)
 	g.version++
 	return true, superseded
 }
 
-// Withdraw records that the order of a service was deleted. It reports whether one was known.
+func newRollout(now time.Time, o Order, rejected map[id.Version]bool) *rollout {
+	return &rollout{
+		order: o, started: now, knownSince: now, rejected: rejected, service: Service{Known: true},
+		own: make(Counts), ownUpstreams: make(Upstreams), told: make(map[Source]toldCounts), whole: make(Counts), recent: make(Counts),
+		exposure: exposure{routes: make(map[id.Route]int)},
+	}
+}
+
+// noteUnread keeps an order that this gateway has not read, if it knows none of the service. The caller holds the lock.
+func (g *Register) noteUnread(now time.Time, o Order) {
+	if g.rollouts[o.Service] == nil && o.Service != "" && o.Target != "" {
+		r := newRollout(now, o, make(map[id.Version]bool))
+		r.unread = true
+		g.rollouts[o.Service] = r
+	}
+}
+
+// noteRecord is noteUnread for the order of a record.
+func (g *Register) noteRecord(record Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noteUnread(record.Started, Order{Service: record.Service, Target: record.Target, Offset: record.Order})
+}
+
+// Withdraw records that the order of a service was deleted. It reports whether one was known that this gateway has read.
 func (g *Register) Withdraw(service id.Service) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.rollouts[service]
-	if r == nil || r.withdrawn {
+	if r == nil || r.withdrawn || r.unread {
 		return false
 	}
 	r.withdrawn = true
@@ -261,7 +290,11 @@
 // adopt is Adopt for a caller that holds the lock.
 func (g *Register) adopt(record Record) bool {
 	r := g.rollouts[record.Service]
-	if r == nil || !record.of(&r.order) || record.State <= r.record.State {
+	if r == nil {
+		return false
+	}
+	r.reject(&record)
+	if !record.of(&r.order) || record.State <= r.record.State {
 		return false
 	}
 	r.record = record
@@ -272,6 +305,26 @@
 	return true
 }
 
+// reject takes over the versions that get nothing by a record of the order, or of one that it supersedes.
+func (r *rollout) reject(record *Record) {
+	versions := record.Rejected
+	switch {
+	case record.of(&r.order):
+	case record.Order >= r.order.Offset || record.State == Done:
+		return
+	default:
+		versions = append([]id.Version{record.Target}, versions...)
+	}
+	for _, v := range versions {
+		if !r.isTarget(v) {
+			r.rejected[v] = true
+		}
+	}
+}
+
+// rejectedVersions returns the versions that get nothing, for a record.
+func (r *rollout) rejectedVersions() []id.Version { return slices.Sorted(maps.Keys(r.rejected)) }
+
 // Change is what a round has changed: a verdict of this gateway, one of a peer, or a record that a peer told of.
 type Change struct {
 	Order   Order
@@ -287,6 +340,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.roundAt = now
+	for i := range reports {
+		if report := &reports[i]; report.Live {
+			g.noteUnread(now, Order{Service: report.Service, Target: report.Target, Offset: feed.Offset(report.Order)})
+		}
+	}
 	for _, service := range slices.Sorted(maps.Keys(g.rollouts)) {
 		r := g.rollouts[service]
 		change := Change{Order: r.order}
@@ -317,7 +375,7 @@
 		}
 		r.otherRunning, r.allShifting = running, shifting >= peers
 		r.takeSnapshot(now)
-		if !r.record.State.Final() && r.condemned == "" {
+		if !r.record.State.Final() && r.condemned == "" && !r.unread {
 			change.Verdict = r.judge(condemned)
 			if change.Verdict != nil {
 				r.condemned = change.Verdict.Reason
@@ -335,7 +393,7 @@
 func (g *Register) takeOver(r *rollout, report *Report, change *Change) {
 	record := Record{
 		Service: r.order.Service, Target: r.order.Target, Order: r.order.Offset, State: report.State, Reason: report.Reason,
-		Started: report.Started, At: report.At, By: report.By,
+		Started: report.Started, At: report.At, By: report.By, Rejected: report.Rejected,
 	}
 	if g.adopt(record) {
 		change.Record = &record
@@ -379,6 +437,7 @@
 		report := Report{
 			Service: service, Target: r.order.Target, Order: uint64(r.order.Offset), State: r.record.State, Reason: r.record.Reason,
 			Started: r.started, At: r.record.At, By: r.record.By, Condemned: r.condemned, OtherRunning: others.Running,
+			Rejected: r.rejectedVersions(),
 		}
 		if !r.record.State.Final() {
 			report.Counts, report.Upstreams = make(Counts), make(Upstreams)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -97,6 +97,8 @@
 	Started time.Time   `json:"started"` // when the order was first known
 	At      time.Time   `json:"at"`      // when the step was requested
 	By      id.Node     `json:"by"`
+	// Rejected holds the targets of earlier orders that get nothing.
+	Rejected []id.Version `json:"rejected,omitempty"`
 }
 
 // of reports whether the record is about an order.
--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -20,6 +20,9 @@
 			Service: string(r.Service), Target: string(r.Target), Order: r.Order, State: ragwortv1.RolloutState(r.State), Reason: string(r.Reason),
 			StartedUnixMs: unixMS(r.Started), AtUnixMs: unixMS(r.At), By: string(r.By), Condemned: string(r.Condemned), OtherRunning: uint32(r.OtherRunning),
 		}
+		for _, v := range r.Rejected {
+			report.Rejected = append(report.Rejected, string(v))
+		}
 		for route, c := range r.Counts {
 			report.Routes = append(report.Routes, &ragwortv1.RolloutRoute{Route: string(route), Other: encodeTally(&c.Other), Target: encodeTally(&c.Target)})
 		}
@@ -72,6 +75,9 @@
 			Started: timeOf(row.GetStartedUnixMs()), At: timeOf(row.GetAtUnixMs()), By: id.Node(row.GetBy()), Condemned: Reason(row.GetCondemned()),
 			OtherRunning: int(min(row.GetOtherRunning(), maxPeerRunning)), Counts: make(Counts), Upstreams: make(Upstreams),
 		}
+		for _, v := range row.GetRejected() {
+			r.Rejected = append(r.Rejected, id.Version(v))
+		}
 		for _, t := range row.GetUpstreams() {
 			r.Upstreams[UpstreamKey(t.GetUpstream())] = UpstreamTally{Answers: t.GetAnswers(), Failures: min(t.GetFailures(), t.GetAnswers())}
 		}
--- a/rollout/wire_test.go
+++ b/rollout/wire_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/wire/ragwortv1"
 )
 
@@ -16,7 +17,7 @@
 		{
 			Service: "ledger", Target: "v2", Order: 7, State: Shifting, Reason: ReasonGood, Started: time.UnixMilli(5), At: time.UnixMilli(9), By: "gw-1",
 			Condemned: ReasonSlow, OtherRunning: 4, Counts: Counts{"r": {full, tally(10, 1, 0)}, "s": {Tally{}, Tally{}}},
-			Upstreams: Upstreams{KeyOf("i-1"): {10, 1}},
+			Upstreams: Upstreams{KeyOf("i-1"): {10, 1}}, Rejected: []id.Version{"v0", "v3"},
 		},
 		{Service: "desk", Target: "v1", Counts: Counts{}, Upstreams: Upstreams{}},
 	}
