rollout: an order with a smaller offset is recorded, good needs durations, ended orders keep no counts

Change: a gateway that has taken up an order in place of another one goes on whatever the offsets are; a good target has 30 durations that count, or as many as the others, and on each route a part as with answers; differences stop at zero; an order that has ended is not summed. TestFailuresOfOneUpstreamAreNotOfItsVersion gives its answers a duration, which real ones have: without, the target is not good any more, by intent; what it expects is unchanged.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -94,7 +94,7 @@
 		if !c.isRead || c.verified[service] != r.record.State {
 			return &ReadRecords{}
 		}
-		if stored := c.stored[service]; stored.Order > r.order.Offset {
+		if stored := c.stored[service]; stored.Order > max(r.order.Offset, r.superseded) {
 			continue // an order that this gateway has not read yet
 		}
 		return &AppendRecord{ExpectedEnd: c.end, Record: next, Detail: r.detail(now, next.State == r.record.State)}
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -79,11 +79,12 @@
 	}
 }
 
-// since returns the tallies without earlier ones, of which none is greater.
+// since returns the tallies without earlier ones, down to zero.
 func (u Upstreams) since(earlier Upstreams) Upstreams {
 	out := make(Upstreams, len(u))
 	for key, t := range u {
-		out[key] = UpstreamTally{t.Answers - earlier[key].Answers, t.Failures - earlier[key].Failures}
+		before := earlier[key]
+		out[key] = UpstreamTally{t.Answers - min(t.Answers, before.Answers), t.Failures - min(t.Failures, before.Failures)}
 	}
 	return out
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -36,7 +36,7 @@
 
 	// A target is good with minAnswers answers in all, and on each route that has traffic with
 	// minRouteAnswers or one for each routeAnswersEach of other versions, of which
-	// maxFailing have failed at most. Its upstreams have minCapacity of the slots of the others.
+	// maxFailing have failed at most, and as many durations that count, unless others have none. Its upstreams have minCapacity of the slots of the others.
 	minAnswers       = 30
 	minRouteAnswers  = 8
 	routeAnswersEach = 20
@@ -217,12 +217,16 @@
 	if r.whole.all().Target.Answers < minAnswers || r.judge(inDoubt) != nil || failsOftenIn(r.whole, r.upstreams) || failsOftenIn(r.recent, r.recentUpstreams) {
 		return false
 	}
+	durations, otherDurations := uint32(0), uint32(0)
 	for _, c := range r.whole {
-		if c.Target.Answers < min(minRouteAnswers, c.Other.Answers/routeAnswersEach) {
+		n, others := c.Target.Durations.sum(0), c.Other.Durations.sum(0)
+		if c.Target.Answers < min(minRouteAnswers, c.Other.Answers/routeAnswersEach) || n < min(minRouteAnswers, others/routeAnswersEach) {
 			return false
 		}
+		durations += n
+		otherDurations += others
 	}
-	return true
+	return durations >= min(minAnswers, otherDurations)
 }
 
 // failsOftenIn reports whether too many answers of the target have failed, and not only those of one upstream.
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -154,10 +154,10 @@
 			g.answer(at(time.Second), 0, 0, 300, 1)
 			p := g.Plan(at(time.Second), "ledger", "r")
 			for i := range 20 {
-				g.Ended(p, "v2", "i-bad", Outcome{Failed: i < 10})
+				g.Ended(p, "v2", "i-bad", Outcome{Failed: i < 10, Duration: 50 * time.Millisecond, UpstreamAge: time.Hour})
 			}
 			for i := range test.rest {
-				g.Ended(p, "v2", "i-good", Outcome{Failed: i < test.fail})
+				g.Ended(p, "v2", "i-good", Outcome{Failed: i < test.fail, Duration: 50 * time.Millisecond, UpstreamAge: time.Hour})
 			}
 			require.Equal(t, test.condemned, len(g.Round(at(time.Second), nil, 0)) == 1)
 			if test.rest == 30 && !test.condemned {
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -81,6 +81,7 @@
 	record       Record    // zero: none is known
 	condemned    Reason    // empty: the target is not condemned
 	rejected     map[id.Version]bool
+	superseded   feed.Offset // the largest of the orders that this gateway knows it to supersede
 	service      Service
 	own          Counts
 	ownUpstreams Upstreams
@@ -154,7 +155,7 @@
 func (g *Register) Order(now time.Time, o Order) (isNew bool, superseded *Order) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	rejected := make(map[id.Version]bool)
+	rejected, newest := make(map[id.Version]bool), feed.Offset(0)
 	if known := g.rollouts[o.Service]; known != nil {
 		if known.order == o && !known.withdrawn {
 			return false, nil
@@ -169,10 +170,12 @@
 			rejected[known.order.Target] = true
 		}
 		before := known.order
-		superseded = &before
+		superseded, newest = &before, max(before.Offset, known.superseded)
 	}
 	delete(rejected, o.Target)
-	g.rollouts[o.Service] = newRollout(now, o, rejected)
+	r := newRollout(now, o, rejected)
+	r.superseded = newest
+	g.rollouts[o.Service] = r
 	g.version++
 	return true, superseded
 }
@@ -366,15 +369,8 @@
 				}
 			}
 		}
-		r.whole, r.upstreams = make(Counts), make(Upstreams)
-		r.whole.add(r.own)
-		r.upstreams.add(r.ownUpstreams)
-		for _, told := range r.told {
-			r.whole.add(told.counts)
-			r.upstreams.add(told.upstreams)
-		}
 		r.otherRunning, r.allShifting = running, shifting >= peers
-		r.takeSnapshot(now)
+		r.sum(now)
 		if !r.record.State.Final() && r.condemned == "" && !r.unread {
 			change.Verdict = r.judge(condemned)
 			if change.Verdict != nil {
@@ -389,6 +385,23 @@
 	return changes
 }
 
+// sum sums the counts of all gateways, until the order has ended.
+func (r *rollout) sum(now time.Time) {
+	if r.record.State.Final() {
+		clear(r.told)
+		r.snapshots = nil
+		return
+	}
+	r.whole, r.upstreams = make(Counts), make(Upstreams)
+	r.whole.add(r.own)
+	r.upstreams.add(r.ownUpstreams)
+	for _, told := range r.told {
+		r.whole.add(told.counts)
+		r.upstreams.add(told.upstreams)
+	}
+	r.takeSnapshot(now)
+}
+
 // takeOver takes over what a peer reports of an order, but its counts. The caller holds the lock.
 func (g *Register) takeOver(r *rollout, report *Report, change *Change) {
 	record := Record{
