--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -101,7 +101,7 @@
 	for i := range plan.Filters {
 		filter := &plan.Filters[i]
 		query.Allows = func(l *pool.Listing, added time.Time) bool {
-			return filter.Allows(l.Version, startTime(l, fleetNow.Add(-now.Sub(added))))
+			return filter.Allows(l.Version, startTime(l, fleetNow.Add(-now.Sub(added)), fleetNow))
 		}
 		query.MaxUpstreams = filter.Most
 		next := f.gateway.deps.Pool.Choose(now, query)
@@ -118,9 +118,9 @@
 	return decision
 }
 
-// startTime returns when an upstream started, or if it does not tell, when it was first listed.
-func startTime(l *pool.Listing, added time.Time) time.Time {
-	if l.StartUnixMS == 0 {
+// startTime returns when an upstream started, or when it was first listed if it does not tell or tells a time to come.
+func startTime(l *pool.Listing, added, now time.Time) time.Time {
+	if l.StartUnixMS == 0 || l.StartUnixMS > now.UnixMilli() {
 		return added
 	}
 	return time.UnixMilli(l.StartUnixMS)
@@ -159,6 +159,6 @@
 		return
 	}
 	sentAt := f.gateway.deps.FleetTime().Add(-elapsed)
-	outcome.UpstreamAge = sentAt.Sub(startTime(&assignment.Upstream, sentAt.Add(-assignment.ListedFor)))
+	outcome.UpstreamAge = sentAt.Sub(startTime(&assignment.Upstream, sentAt.Add(-assignment.ListedFor), sentAt))
 	f.gateway.deps.Rollouts.Ended(f.plan, assignment.Upstream.Version, assignment.Upstream.ID, outcome)
 }
--- a/gateway/rollout_driver_test.go
+++ b/gateway/rollout_driver_test.go
@@ -121,3 +121,12 @@
 	rows := []*peer.Row{self, cut, leaving, again, {Node: "gw-3", Incarnation: 2}}
 	require.Equal(t, 1, missing(rows, []*peer.Row{self, again}))
 }
+
+// TestStartInTheFutureIsNotUsed answers an upstream whose clock is ahead: it would count as one that has just started for ever.
+func TestStartInTheFutureIsNotUsed(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	listed := now.Add(-time.Minute)
+	require.Equal(t, listed, startTime(&pool.Listing{StartUnixMS: now.Add(time.Hour).UnixMilli()}, listed, now))
+	require.Equal(t, now.Add(-time.Hour), startTime(&pool.Listing{StartUnixMS: now.Add(-time.Hour).UnixMilli()}, listed, now))
+	require.Equal(t, listed, startTime(&pool.Listing{}, listed, now))
+}
