rollout: an order that was known by its record has no slack for the time before it was read

Cause: since rejected versions outlive a restart, a gateway that read the record before the order took the start of the order as the time since when it knows it, and so all slack of a canary at once. Change: it knows the order since it has read it. Result: TestRestartKeepsRejectionWithoutOrder failed with the new line before and passes.

--- a/rollout/register.go
+++ b/rollout/register.go
@@ -161,7 +161,7 @@
 			return false, nil
 		}
 		if known.unread && known.order.Offset == o.Offset && known.order.Target == o.Target {
-			known.order, known.unread = o, false
+			known.order, known.unread, known.knownSince = o, false, now
 			g.version++
 			return true, nil
 		}
--- a/rollout/restart_test.go
+++ b/rollout/restart_test.go
@@ -58,6 +58,8 @@
 		require.True(t, isNew)
 		require.Nil(t, superseded)
 		require.Equal(t, state, r.States()[0].State)
+		require.Equal(t, at(time.Second), r.rollouts["ledger"].knownSince, "no slack for the time before")
+		require.Equal(t, start, r.rollouts["ledger"].started)
 	}
 }
 
