process: a connection carries HTTP/2 once its whole preface was read

Cause: any first read that begins with "PRI * " made a connection one of HTTP/2, also at servers that do not speak it. A preface that came in pieces of fewer than six bytes was not seen at all. Change: only a server that speaks HTTP/2 looks for the preface, and only all 24 bytes of it, over as many reads as they take, end the head. A crowd of short_fields_pri is added. TestFramesAreNoHead says that its connection is of a server with HTTP/2, has the preface come in two pieces and checks the phase after each.

--- a/process/conns.go
+++ b/process/conns.go
@@ -44,8 +44,9 @@
 	idleTimeout func() time.Duration // zero: no limit
 	memory      *memory.Budget
 	maxOpen     int64 // zero: no limit
-	// writesBounded says that the server sets deadlines for its answers.
+	// writesBounded says that the server sets deadlines for its answers, multiplexes that it speaks HTTP/2.
 	writesBounded bool
+	multiplexes   bool
 	open          atomic.Int64
 	registry      metrics.Registry
 	logger        log.Logger
@@ -73,6 +74,7 @@
 	c := &Conns{
 		DrainingListener: NewDrainingListener(l), prefix: cfg.Prefix, idleTimeout: cfg.IdleTimeout, memory: cfg.Memory, maxOpen: int64(cfg.MaxOpen),
 		registry: cfg.Registry, logger: cfg.Logger, conns: make(map[*trackedConn]struct{}), writesBounded: server.WriteTimeout > 0,
+		multiplexes: server.Protocols != nil && server.Protocols.UnencryptedHTTP2(),
 	}
 	server.Handler = abortRefused(server.Handler)
 	nextState, nextContext := server.ConnState, server.ConnContext
@@ -117,6 +119,9 @@
 		tracked := &trackedConn{
 			Conn: conn, conns: c, share: c.memory.ShareLeaving(holder, headReserve), headShare: c.memory.ShareLeaving(holder, connReserve), idleSince: time.Now(),
 		}
+		if c.multiplexes {
+			tracked.prefaceLeft = http2Preface
+		}
 		c.track(tracked)
 		if c.admit(tracked) == nil {
 			return tracked, nil
@@ -235,6 +240,9 @@
 	// bodyReadAt is when the last of them were read.
 	bodyReadAt time.Time
 	readAhead  bool // a byte was read while the request before was being served
+	// prefaceLeft is what has to come for a connection of HTTP/2 to begin, if nothing else has come. Until then it is
+	// read as a head.
+	prefaceLeft []byte
 	// multiplexed says that the connection carries HTTP/2: what is read is no head, and the server tells when requests
 	// begin and end.
 	multiplexed bool
@@ -242,8 +250,8 @@
 	idleTimer   *time.Timer
 }
 
-// http2Preface begins the preface of a connection of HTTP/2, and no request of HTTP/1.1.
-var http2Preface = []byte("PRI * ")
+// http2Preface is what a connection of HTTP/2 begins with. Only the whole of it is no request of HTTP/1.1.
+var http2Preface = []byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
 
 // Read implements net.Conn. It fails if the connection was closed as idle.
 func (c *trackedConn) Read(b []byte) (int, error) {
@@ -252,9 +260,7 @@
 		return n, err
 	}
 	c.mu.Lock()
-	if !c.served && bytes.HasPrefix(b[:n], http2Preface) {
-		c.multiplexed, c.served = true, true
-	}
+	c.readPreface(time.Now(), b[:n])
 	if c.multiplexed {
 		defer c.mu.Unlock()
 		if c.closed {
@@ -275,6 +281,23 @@
 	return n, err
 }
 
+// readPreface records that a part of the connection was read, which may complete the preface of HTTP/2. The caller holds
+// c.mu.
+func (c *trackedConn) readPreface(now time.Time, part []byte) {
+	if len(c.prefaceLeft) == 0 {
+		return
+	}
+	n := min(len(part), len(c.prefaceLeft))
+	if !bytes.Equal(part[:n], c.prefaceLeft[:n]) {
+		c.prefaceLeft = nil
+		return
+	}
+	c.prefaceLeft = c.prefaceLeft[n:]
+	if len(c.prefaceLeft) == 0 {
+		c.multiplexed, c.served, c.idleSince, c.headCost = true, true, now, 0
+	}
+}
+
 // endHead records that a head was read, unless the connection was closed or refused before.
 func (c *trackedConn) endHead() {
 	c.mu.Lock()
--- a/process/conns_memory_test.go
+++ b/process/conns_memory_test.go
@@ -57,9 +57,17 @@
 
 // newSmallServer returns the address of a server that has memory for a number of connections.
 func newSmallServer(t *testing.T, conns int) (address string, c *Conns) {
+	return newSmallServerOf(t, conns, false)
+}
+
+// newSmallServerOf is newSmallServer of a server that speaks HTTP/2 or does not.
+func newSmallServerOf(t *testing.T, conns int, multiplexes bool) (address string, c *Conns) {
 	budgets := memory.NewBudgets(0)
 	budgets.Connections = memory.NewBudget(int64((float64(conns) + 1) * connBytes / (1 - headReserve))) // a holder may have as much as is free
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
+	if multiplexes {
+		server.Config.Protocols = NewHTTPServer(nil).Protocols
+	}
 	c = NewConns(ConnsConfig{IdleTimeout: noIdleTimeout, Memory: budgets.Connections, Registry: metrics.NewRegistry(), Logger: log.NewNopLogger()}, server.Config, server.Listener)
 	server.Listener = c
 	server.Start()
@@ -193,13 +201,16 @@
 	defer theirs.Close()
 	defer ours.Close()
 	now := time.Now()
-	c := &trackedConn{Conn: ours, share: budget.Share("c"), headShare: budget.Share("c"), idleSince: now}
+	c := &trackedConn{Conn: ours, share: budget.Share("c"), headShare: budget.Share("c"), idleSince: now, prefaceLeft: http2Preface}
 	read := func(text string) {
 		go func() { _, _ = io.WriteString(theirs, text) }()
 		_, err := io.ReadFull(c, make([]byte, len(text)))
 		require.NoError(t, err)
 	}
-	read("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+	read("PRI * HTTP")
+	require.Equal(t, phaseWaiting, c.state().phase)
+	read("/2.0\r\n\r\nSM\r\n\r\n")
+	require.Equal(t, phaseIdle, c.state().phase)
 	c.beginRequest()
 	c.endHead()
 	require.Equal(t, phaseServing, c.state().phase)
--- a/ragworttest/crowd/crowd_test.go
+++ b/ragworttest/crowd/crowd_test.go
@@ -75,6 +75,9 @@
 		send(c, d.requestLine("GET")+shortFields(headBytes)+"\r\n")
 	},
 	"short_fields_cut": func(_ context.Context, c net.Conn, d door) { send(c, d.requestLine("GET")+shortFields(headBytes)) },
+	"short_fields_pri": func(_ context.Context, c net.Conn, _ door) {
+		send(c, "PRI * HTTP/1.1\r\nHost: h\r\n"+shortFields(headBytes))
+	},
 	"same_fields": func(_ context.Context, c net.Conn, d door) {
 		send(c, d.requestLine("GET")+strings.Repeat("a:\r\n", headBytes/4)+"\r\n")
 	},
