process: a body that is arriving is closed after idle connections

Cause: a connection on which the body of a request was arriving counted as one that keeps the process waiting from its first moment on, and went before idle ones: with descriptors for two, an idle connection and an upload at 500 kB/s, the upload was cut for a third one. Change: it counts so only once nothing of it has come for minHeadTime, or too little; until then it goes after all others, and only if a new connection finds nothing else. It isn't kept altogether, as the review proposed: TestUnfinishedBodiesMakeRoom fails with that (tried; the caller beside bodies that stopped less than a second ago is reset). After: go test ./process -count=2 -run 'TestBodyThat|TestUpload|TestUnf|TestLeast' ok.

--- a/process/conns_memory.go
+++ b/process/conns_memory.go
@@ -90,20 +90,31 @@
 }
 
 // closable returns whether a connection may be closed for another one if it has been in its state for at
-// least a period.
+// least a period, or for minHeadTime if that is longer and the body of its request is arriving.
 func closable(now time.Time, period time.Duration) func(connState) bool {
-	return func(s connState) bool { return s.phase != phaseServing && now.Sub(s.since) >= period }
+	return func(s connState) bool {
+		if s.phase == phaseBody {
+			return now.Sub(s.since) >= max(period, minHeadTime)
+		}
+		return s.phase != phaseServing && now.Sub(s.since) >= period
+	}
+}
+
+// unpassed returns whether the body of a connection's request has not come whole, so that nothing was passed on.
+func (s connState) unpassed() bool { return s.phase == phaseBody }
+
+// waits returns whether a connection keeps the process waiting. The body of a request that is arriving does not.
+func waits(now time.Time) func(connState) bool {
+	return func(s connState) bool {
+		return s.phase == phaseWaiting || s.phase == phaseHead || s.phase == phaseBody && now.Sub(s.since) >= minHeadTime
+	}
 }
 
 // stalled returns whether a connection may be closed for another one since it has kept the process waiting for at
 // least minHeadTime.
 func stalled(now time.Time) func(connState) bool {
-	return func(s connState) bool { return s.waits() && now.Sub(s.since) >= minHeadTime }
-}
-
-// waits reports whether the connection keeps the process waiting.
-func (s connState) waits() bool {
-	return s.phase == phaseWaiting || s.phase == phaseHead || s.phase == phaseBody
+	kept := waits(now)
+	return func(s connState) bool { return kept(s) && now.Sub(s.since) >= minHeadTime }
 }
 
 // headLate returns whether a connection may be closed for the head that arrives on another one.
@@ -153,7 +164,8 @@
 
 // admit reserves the descriptor and the memory for a new connection. If no other has kept the process waiting for long,
 // it waits for a while, but not again at once, as more connections may have come; then it closes any that no
-// request is being served on. Idle ones that have carried requests are closed only if no other keeps the process waiting.
+// request is being served on. Idle ones that have carried requests are closed only if no other keeps the process waiting,
+// and those on which the body of a request is arriving only if nothing else is left.
 func (c *Conns) admit(conn *trackedConn) error {
 	if conn.reserve() == nil {
 		return nil
@@ -163,7 +175,7 @@
 		longest = 0
 	}
 	mayClose := stalled(now)
-	if _, waits := c.leastNeeded(conn, connState.waits); !waits {
+	if _, kept := c.leastNeeded(conn, waits(now)); !kept {
 		mayClose = closable(now, minHeadTime)
 	}
 	err := c.waitForRoom(conn, conn.reserve, mayClose, longest)
@@ -171,6 +183,9 @@
 		c.waitedInVain = time.Now()
 		err = c.makeRoom(conn, conn.reserve, closable(c.waitedInVain, 0))
 	}
+	if err != nil {
+		err = c.makeRoom(conn, conn.reserve, connState.unpassed)
+	}
 	if err != nil {
 		c.noteClosed(time.Now(), "callers_turned_away", err)
 	}
--- a/process/conns_memory_test.go
+++ b/process/conns_memory_test.go
@@ -323,6 +323,32 @@
 		t.Run(name, func(t *testing.T) {
 			c := &trackedConn{serving: true, served: true, bodyBegan: now, bodyBytes: tc.bytes, bodyReadAt: now.Add(tc.readAt)}
 			require.Equal(t, tc.want, stalled(now.Add(tc.after))(c.state()))
+			require.Equal(t, tc.want, closable(now.Add(tc.after), 0)(c.state()))
 		})
 	}
 }
+
+// TestUploadIsKeptBesideIdle has a caller come while a body is arriving fast and another connection is idle, and there
+// are descriptors for these two only: the idle connection is closed for it.
+func TestUploadIsKeptBesideIdle(t *testing.T) {
+	const pieces, pieceBytes, piecePause = 100, 10_000, 20 * time.Millisecond
+	address, _ := newBodyServer(t, 2, func() {})
+	requireServed(t, dialCaller(t, address, callerRequest))
+	time.Sleep(minHeadTime)
+	upload := dialCaller(t, address, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", pieces*pieceBytes))
+	sent := make(chan error, 1)
+	go func() {
+		for range pieces {
+			if _, err := upload.Write(make([]byte, pieceBytes)); err != nil {
+				sent <- err
+				return
+			}
+			time.Sleep(piecePause)
+		}
+		sent <- nil
+	}()
+	time.Sleep(10 * piecePause)
+	requireServed(t, dialCaller(t, address, callerRequest))
+	require.NoError(t, <-sent)
+	requireServed(t, upload)
+}
