process: an answer that its caller reads late does not cancel the next request

Cause: the time for what is left of a body was also bounded after a body that was read whole, at entries and sidecars. The server reads then only to notice that the caller disconnects; that failed while the end of the answer was on its way, and cancelled the context of the connection, so that its next request began cancelled. Change: the bound is set only if neither the handler nor the server, as the answer began, has read the body to its end.

--- a/process/bodies.go
+++ b/process/bodies.go
@@ -5,9 +5,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -30,12 +32,44 @@
 	maxUnreadTime = 500 * time.Millisecond
 )
 
+// endedBody is a body that tells whether it was read to its end.
+type endedBody struct {
+	io.ReadCloser
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *endedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// discarded reports whether the server has read a body as the answer began. It does so with HTTP/1.1 only, and not for callers
+// that wait to be told to send.
+func discarded(r *http.Request, body io.Reader) bool {
+	if r.ProtoMajor != 1 || r.Header.Get("Expect") != "" {
+		return false
+	}
+	_, err := body.Read(nil)
+	return err != nil
+}
+
 // boundUnreadBodies returns a handler that bounds the time for which the server waits for what a handler has not read of a
-// body.
+// body. Once all was read, the server reads to notice that the caller disconnects: a deadline would look like that, and cancel
+// the next request.
 func boundUnreadBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &endedBody{ReadCloser: r.Body}
+		r.Body = body
 		next.ServeHTTP(w, r)
-		if r.Body != http.NoBody {
+		if !body.ended.Load() && !discarded(r, body) {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxUnreadTime)) // fails only if the connection is closed
 		}
 	})
