process: heads of calls take memory, and a connection carries 100 streams

Cause: the heads of streams of HTTP/2 took no memory of any budget until a handler took it, and a connection carried 250 of them. Change: the memory for a peer's call covers its head, taken before its body is read, and a connection of HTTP/2 carries 100 requests at once, as many as RFC 9113 names as the least and clients open before they are told. After: go test ./process -race -count=5 -run 'TestHeadsOfS|TestStreams' ok. Heads of streams that stop at the mux, or wait for a handler, are not counted.

--- a/process/bodies.go
+++ b/process/bodies.go
@@ -99,7 +99,7 @@
 	status int
 }
 
-// CallBounds takes the memory for the bodies of calls of peers before it reads them, or passes them on to be read where the
+// CallBounds takes the memory for the heads and bodies of calls of peers before it reads the bodies, or passes them on to be read where the
 // server bounds the time for that. It counts the calls that it refuses, and logs one in closedLogInterval. It is safe for concurrent use.
 type CallBounds struct {
 	memory   *memory.Budget // nil: not bounded
@@ -142,14 +142,17 @@
 // readBody replaces the body of a call by what was read of it. Peers send what they call with as it is, and say how long
 // it is.
 func (c *CallBounds) readBody(w http.ResponseWriter, r *http.Request, share *memory.Share) *callRefusal {
+	head := RequestHeadCost(r) // of a stream of HTTP/2, nothing else counts it
 	switch {
+	case share.GrowTo(head) != nil:
+		return &callRefusal{"memory", http.StatusServiceUnavailable}
 	case r.Body == http.NoBody:
 		return nil
 	case r.Header.Get("Content-Encoding") != "":
 		return &callRefusal{"encoding", http.StatusUnsupportedMediaType}
 	case r.ContentLength < 0:
 		return &callRefusal{"length", http.StatusLengthRequired}
-	case r.ContentLength > maxCallBytes || share.GrowTo(callBodyFactor*r.ContentLength) != nil:
+	case r.ContentLength > maxCallBytes || share.GrowTo(head+callBodyFactor*r.ContentLength) != nil:
 		return &callRefusal{"memory", http.StatusServiceUnavailable}
 	case c.bodyTime == 0:
 		return nil
--- a/process/http2_test.go
+++ b/process/http2_test.go
@@ -3,11 +3,20 @@
 // This file tests connections of HTTP/2, and those that only look like it.
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+
+	"github.com/ragwortpass/ragwortpass/memory"
 )
 
 // TestHeadOfPRITakesMemory guards against heads that begin as HTTP/2 does being taken for it, so that they take no memory of
@@ -30,3 +39,71 @@
 		})
 	}
 }
+
+// keptBody is a body that does not come.
+type keptBody struct{ ctx context.Context }
+
+// Read implements io.Reader.
+func (b keptBody) Read([]byte) (int, error) {
+	<-b.ctx.Done()
+	return 0, io.EOF
+}
+
+// keepCalls begins calls with a number of short fields that keep their bodies back until the test ends, at a server with a
+// budget for peers. It returns the connections of the server and the statuses of the calls that are answered.
+func keepCalls(t *testing.T, calls, fields int, budget *memory.Budget) (*Conns, <-chan int) {
+	budgets := memory.NewBudgets(0)
+	budgets.Peers = budget
+	bounds := NewCallBounds(budgets, CallTime, metrics.NewRegistry(), log.NewNopLogger())
+	_, handler := bounds.Handler("/", http.NotFoundHandler())
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewHTTPServer(handler)
+	conns := NewConns(ConnsConfig{IdleTimeout: noIdleTimeout, Memory: budgets.Connections, Registry: metrics.NewRegistry(), Logger: log.NewNopLogger()}, server.Config, server.Listener)
+	server.Listener = conns
+	server.Start()
+	t.Cleanup(server.Close)
+	header := make(http.Header)
+	for i := range fields {
+		header.Set(fmt.Sprintf("X%d", i), "a")
+	}
+	client := NewPeerClient()
+	resp, err := client.Get("http://" + server.Listener.Addr().String()) // tells the client what a connection may carry
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	statuses := make(chan int, calls)
+	for range calls {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.Listener.Addr().String(), keptBody{t.Context()})
+		require.NoError(t, err)
+		r.ContentLength, r.Header = int64(len("kept")), header
+		go func() {
+			resp, err := client.Do(r)
+			if err != nil {
+				return // the test has ended
+			}
+			statuses <- resp.StatusCode
+			_ = resp.Body.Close()
+		}()
+	}
+	return conns, statuses
+}
+
+// TestHeadsOfStreamsTakeMemory has more calls with many short fields keep their bodies back than there is memory for their
+// heads: those beyond it are refused.
+func TestHeadsOfStreamsTakeMemory(t *testing.T) {
+	const calls, fields, leastFieldBytes = 100, 1000, 100
+	budget := memory.NewBudget(calls / 2 * fields * requestFieldBytes)
+	_, statuses := keepCalls(t, calls, fields, budget)
+	require.Eventually(t, func() bool { return budget.Used() > calls/4*fields*leastFieldBytes }, CallTime/2, time.Millisecond)
+	select {
+	case status := <-statuses:
+		require.Equal(t, http.StatusServiceUnavailable, status)
+	case <-time.After(CallTime / 2):
+		require.Fail(t, "all calls are kept")
+	}
+}
+
+// TestStreamsOfConnection has a peer make more calls at once than a connection may carry.
+func TestStreamsOfConnection(t *testing.T) {
+	conns, _ := keepCalls(t, 2*maxStreams, 1, memory.NewBudgets(0).Peers)
+	require.Eventually(t, func() bool { return conns.Len() == 2 }, CallTime/2, time.Millisecond)
+}
--- a/process/server.go
+++ b/process/server.go
@@ -29,8 +29,10 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
-	onDrainedTimeout  = 10 * time.Second
-	dialTimeout       = time.Second
+	// maxStreams is how many requests a connection of HTTP/2 carries at once: as many as clients open before they are told.
+	maxStreams       = 100
+	onDrainedTimeout = 10 * time.Second
+	dialTimeout      = time.Second
 
 	// unreadTimeout is how long a server that is shutting down waits for the request of a connection that it
 	// has accepted.
@@ -231,6 +233,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 }
 
