process: a connection of HTTP/2 on which a request arrives is not closed for others

Cause: it counted as idle since its last answer whatever had arrived on it since, so that it could be closed with a request unread, or read and not yet told of by the server; connections of HTTP/1.1 are kept then. Change: one with unread bytes is kept, and one is idle since the last frames were read. After: go test ./process -race -count=3 -run 'TestFrames|TestArrivingS' ok.

--- a/process/conns.go
+++ b/process/conns.go
@@ -245,9 +245,10 @@
 	prefaceLeft []byte
 	// multiplexed says that the connection carries HTTP/2: what is read is no head, and the server tells when requests
 	// begin and end.
-	multiplexed bool
-	closed      bool // closed as idle or for others, or refused: what is read now is discarded
-	idleTimer   *time.Timer
+	multiplexed  bool
+	framesReadAt time.Time // when the last frames were read, which may begin a request that the server has not told of
+	closed       bool      // closed as idle or for others, or refused: what is read now is discarded
+	idleTimer    *time.Timer
 }
 
 // http2Preface is what a connection of HTTP/2 begins with. Only the whole of it is no request of HTTP/1.1.
@@ -263,6 +264,7 @@
 	c.readPreface(time.Now(), b[:n])
 	if c.multiplexed {
 		defer c.mu.Unlock()
+		c.framesReadAt = time.Now()
 		if c.closed {
 			return 0, net.ErrClosed
 		}
--- a/process/conns_memory.go
+++ b/process/conns_memory.go
@@ -235,6 +235,10 @@
 		return connState{phaseBody, since}
 	case c.closed || c.serving:
 		return connState{phase: phaseServing}
+	case c.multiplexed && Readable(c.Conn):
+		return connState{phase: phaseServing}
+	case c.multiplexed && c.framesReadAt.After(c.idleSince):
+		return connState{phaseIdle, c.framesReadAt}
 	case c.multiplexed:
 		return connState{phaseIdle, c.idleSince}
 	case c.idleSince.IsZero() && c.headCost > freeHeadCost:
--- a/process/http2_test.go
+++ b/process/http2_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -40,6 +41,26 @@
 	}
 }
 
+// TestArrivingStreamIsKept guards against a connection of HTTP/2 being closed for others while a request has arrived on it that
+// was not read.
+func TestArrivingStreamIsKept(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	theirs, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer theirs.Close()
+	ours, err := listener.Accept()
+	require.NoError(t, err)
+	defer ours.Close()
+	c := &trackedConn{Conn: ours, served: true, multiplexed: true, idleSince: time.Now()}
+	mayClose := func() bool { return closable(time.Now(), 0)(c.state()) }
+	require.True(t, mayClose())
+	_, err = io.WriteString(theirs, "frames")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !mayClose() }, 5*time.Second, time.Millisecond)
+}
+
 // keptBody is a body that does not come.
 type keptBody struct{ ctx context.Context }
 
