process: a check of readiness over HTTP/2 keeps the connection

Cause: a request of HTTP/2 has a reader of its body also if it has none, so that GET /healthz, /readyz and /metrics were answered with the close of their connection, which peers use for their calls. Change: a request whose length is zero has no body. Before, with bodies.go of: TestReadinessKeepsConnection fails, with 5 connections for 5 checks. TestNextRequestIsNotCancelled closes the bodies of its answers, for the linter.

--- a/process/bodies.go
+++ b/process/bodies.go
@@ -62,7 +62,7 @@
 // the next request.
 func boundUnreadBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == http.NoBody {
+		if !hasBody(r) {
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -75,11 +75,14 @@
 	})
 }
 
+// hasBody reports whether a request may have a body. One of HTTP/2 has a reader of it in any case.
+func hasBody(r *http.Request) bool { return r.Body != http.NoBody && r.ContentLength != 0 }
+
 // WithoutBodies returns a handler that answers requests without reading their bodies, and closes the connections of
 // those that have one.
 func WithoutBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == http.NoBody {
+		if !hasBody(r) {
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -146,7 +149,7 @@
 	switch {
 	case share.GrowTo(head) != nil:
 		return &callRefusal{"memory", http.StatusServiceUnavailable}
-	case r.Body == http.NoBody:
+	case !hasBody(r):
 		return nil
 	case r.Header.Get("Content-Encoding") != "":
 		return &callRefusal{"encoding", http.StatusUnsupportedMediaType}
--- a/process/bodies_test.go
+++ b/process/bodies_test.go
@@ -67,6 +67,7 @@
 					return
 				}
 				body, _ := io.ReadAll(resp.Body) // an error leaves an answer that is not wanted
+				_ = resp.Body.Close()
 				answers[i] = string(body)
 				_, _ = io.WriteString(conn, callerRequest)
 			}
--- a/process/http2_test.go
+++ b/process/http2_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +62,31 @@
 	require.Eventually(t, func() bool { return !mayClose() }, 5*time.Second, time.Millisecond)
 }
 
+// TestReadinessKeepsConnection guards against a check of readiness over HTTP/2 giving up the connection, which peers use for
+// their calls.
+func TestReadinessKeepsConnection(t *testing.T) {
+	var opened atomic.Int64
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewHTTPServer(WithoutBodies(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Proto) })))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	client := NewPeerClient()
+	for range 5 {
+		resp, err := client.Get("http://" + server.Listener.Addr().String())
+		require.NoError(t, err)
+		proto, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, "HTTP/2.0", string(proto))
+	}
+	require.Equal(t, int64(1), opened.Load())
+}
+
 // keptBody is a body that does not come.
 type keptBody struct{ ctx context.Context }
 
