rollout: less exposure in the canary, a longer ramp of the shift

Change: the canary uses 0.7 of the share and 0.45 of the slack (0.75, 0.6), and the shift reaches all new requests after 1.5 s (1 s). A parameter of the crowd that had one value only is gone.

--- a/ragworttest/crowd/crowd_test.go
+++ b/ragworttest/crowd/crowd_test.go
@@ -72,11 +72,11 @@
 	"body_in_chunks": sendBodyInChunks,
 	"body_too_large": func(_ context.Context, c net.Conn, d door) { sendBody(c, d, hugeBodyBytes, hugeBodyBytes-1) },
 	"short_fields": func(_ context.Context, c net.Conn, d door) {
-		send(c, d.requestLine("GET")+shortFields(headBytes)+"\r\n")
+		send(c, d.requestLine("GET")+shortFields()+"\r\n")
 	},
-	"short_fields_cut": func(_ context.Context, c net.Conn, d door) { send(c, d.requestLine("GET")+shortFields(headBytes)) },
+	"short_fields_cut": func(_ context.Context, c net.Conn, d door) { send(c, d.requestLine("GET")+shortFields()) },
 	"short_fields_pri": func(_ context.Context, c net.Conn, _ door) {
-		send(c, "PRI * HTTP/1.1\r\nHost: h\r\n"+shortFields(headBytes))
+		send(c, "PRI * HTTP/1.1\r\nHost: h\r\n"+shortFields())
 	},
 	"same_fields": func(_ context.Context, c net.Conn, d door) {
 		send(c, d.requestLine("GET")+strings.Repeat("a:\r\n", headBytes/4)+"\r\n")
@@ -88,7 +88,7 @@
 		send(c, strings.Repeat(d.requestLine("GET")+"\r\n", aheadCount))
 	},
 	"short_fields_body": func(_ context.Context, c net.Conn, d door) {
-		d.headers += shortFields(headBytes)
+		d.headers += shortFields()
 		sendBody(c, d, bodyBytes, bodyBytes-1)
 	},
 	"slow_sender": sendSlowly,
@@ -97,10 +97,10 @@
 
 func send(c net.Conn, text string) { _, _ = io.WriteString(c, text) } // fails if the process refuses it
 
-// shortFields returns fields of a head with different names, as short as can be.
-func shortFields(bytes int) string {
+// shortFields returns headBytes of fields with different names, as short as can be.
+func shortFields() string {
 	var b strings.Builder
-	for n := 0; b.Len() < bytes; n++ {
+	for n := 0; b.Len() < headBytes; n++ {
 		b.WriteString(strconv.FormatInt(int64(n), 36) + ":\r\n")
 	}
 	return b.String()
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -116,8 +116,8 @@
 const (
 	// shareFraction is the part of Share that gateways use, and slackFraction that of Slack. The
 	// rest is for requests that are sent while the verdict spreads, and for errors of the counts.
-	shareFraction = 0.75
-	slackFraction = 0.6
+	shareFraction = 0.7
+	slackFraction = 0.45
 )
 
 // The times of an order are fractions of its duration, within bounds.
@@ -131,8 +131,8 @@
 	warmUp         = 5 * time.Second
 	warmUpFraction = 0.25
 	// rampTime is how long the shift takes to send the target all new requests.
-	rampTime = time.Second
-	// settleTime is how long a shift takes at least: rows of all gateways know of it by then.
+	rampTime = 1500 * time.Millisecond
+	// settleTime is how long a shift takes at least: all new requests go to the target, and rows of all gateways know of it by then.
 	settleTime = 1500 * time.Millisecond
 )
 
