--- a/pool/pace_test.go
+++ b/pool/pace_test.go
@@ -114,8 +114,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	f := newPacedFleet(16, 24, func(int) float64 { return 1 })
 	places := make(map[int]map[id.Upstream]bool)
-	const settled = 20 // rounds until the engines are divided for prompts that are not long
-	for round := range settled + 40 {
+	for range 40 {
 		for u := range f.slowness {
 			f.slowness[u] = 0.8 + 0.4*random.Float64()
 		}
@@ -123,7 +122,7 @@
 			for u := range f.play(t, 1, func(int) pool.Request {
 				return pool.Request{Prompt: prompt(fmt.Sprint("topic-", topic), 100, 200)}
 			}) {
-				if places[topic] == nil || round < settled {
+				if places[topic] == nil {
 					places[topic] = make(map[id.Upstream]bool)
 				}
 				places[topic][u] = true
