--- a/gateway/peer_load.go
+++ b/gateway/peer_load.go
@@ -28,7 +28,7 @@
 // encodeLoads returns the wire form of the own loads, without services and levels that have none.
 func encodeLoads(loads map[id.Service]pool.Load) (rows []*ragwortv1.ServiceLoad) {
 	for service, load := range loads {
-		row := &ragwortv1.ServiceLoad{Service: string(service), Running: uint32(load.Running), ShortRunning: uint32(load.Short), LongWork: float32(load.Work.Long), ShortWork: float32(load.Work.Short)}
+		row := &ragwortv1.ServiceLoad{Service: string(service), Running: uint32(load.Running), ShortRunning: uint32(load.Short)}
 		for urgency := range load.Levels {
 			l := &load.Levels[urgency]
 			if l.Running == 0 && l.Arrived < minReportedLoad && l.Ended < minReportedLoad {
@@ -124,8 +124,6 @@
 	// maxPeerUnread and maxPeerUpstreams bound what a peer can say of engines.
 	maxPeerUnread    = 1 << 30
 	maxPeerUpstreams = 1 << 12
-	// maxPeerWork bounds the work that a peer can tell, in prompt tokens.
-	maxPeerWork = 1 << 40
 )
 
 // minReportedLoad is the number of requests below which what decays is not reported.
@@ -136,11 +134,7 @@
 func decodeLoads(rows []*ragwortv1.ServiceLoad) map[id.Service]pool.Load {
 	loads := make(map[id.Service]pool.Load, len(rows))
 	for _, row := range rows {
-		load := pool.Load{
-			Running: int(min(row.GetRunning(), maxPeerLoad)), Short: int(min(row.GetShortRunning(), maxPeerLoad)),
-			Work:      pool.EngineWork{Long: boundedWork(row.GetLongWork()), Short: boundedWork(row.GetShortWork())},
-			Upstreams: decodeUpstreams(row), Paces: decodePaces(row),
-		}
+		load := pool.Load{Running: int(min(row.GetRunning(), maxPeerLoad)), Short: int(min(row.GetShortRunning(), maxPeerLoad)), Upstreams: decodeUpstreams(row), Paces: decodePaces(row)}
 		for _, l := range row.GetLevels() {
 			if l.GetUrgency() < pool.UrgencyLevels {
 				load.Levels[l.GetUrgency()] = pool.LevelLoad{
@@ -155,15 +149,9 @@
 }
 
 // boundedLoad returns a figure of a peer as a number from zero to maxPeerLoad.
-func boundedLoad(v float32) float64 { return bounded(v, maxPeerLoad) }
-
-// boundedWork returns the work that a peer tells as a number from zero to maxPeerWork.
-func boundedWork(v float32) float64 { return bounded(v, maxPeerWork) }
-
-// bounded returns a figure as a number from zero to most.
-func bounded(v float32, most float64) float64 {
+func boundedLoad(v float32) float64 {
 	if math.IsNaN(float64(v)) {
 		return 0
 	}
-	return min(max(float64(v), 0), most)
+	return min(max(float64(v), 0), maxPeerLoad)
 }
--- a/pool/load.go
+++ b/pool/load.go
@@ -18,7 +18,6 @@
 type Load struct {
 	Running   int // requests at upstreams, those without a prompt included
 	Short     int // of these, those with prompts that are not long
-	Work      EngineWork
 	Levels    [UrgencyLevels]LevelLoad
 	Upstreams map[UpstreamKey]UpstreamLoad // model engines at which requests run; nil: not known
 	Paces     map[PaceKey][]pace.Figure    // what the gateways have seen of the pace of upstreams
@@ -40,7 +39,6 @@
 func (l *Load) add(other *Load) {
 	l.Running += other.Running
 	l.Short += other.Short
-	l.Work.add(other.Work)
 	for i := range l.Levels {
 		l.Levels[i].add(&other.Levels[i])
 	}
@@ -124,9 +122,6 @@
 // holds the lock.
 func (p *Pool) load(now time.Time, s id.Service) Load {
 	l := Load{Running: p.ownLoad(s), Short: p.shortRunning[s]}
-	if split := p.splits[s]; split != nil {
-		l.Work = split.workAt(now)
-	}
 	if levels := p.admissions[s]; levels != nil {
 		for i := range levels {
 			l.Levels[i] = levels[i].load(now)
--- a/pool/split.go
+++ b/pool/split.go
@@ -43,8 +43,8 @@
 	// is longer than a burst takes to arrive and short compared to daily changes of load.
 	workTimeConstant = 15 * time.Second
 	// initialShareWeightTokens is the recorded work, in prompt tokens, that weighs as much
-	// as initialLongShare. Where peers tell nothing, a gateway goes by the few long prompts that it sees, whose sizes
-	// differ by a factor of ten, so that recorded work moves the share slowly.
+	// as initialLongShare. One gateway sees few long prompts, and their sizes differ by a
+	// factor of ten, so that recorded work moves the share slowly.
 	initialShareWeightTokens = 4_000_000
 	// resplitThreshold is how far the wanted number of engines for long prompts must be
 	// from the present number for the latter to change. An engine that changes groups has cached the
@@ -71,30 +71,10 @@
 
 // engineSplit is the division of one service's engines into two groups.
 type engineSplit struct {
-	work         EngineWork // of this gateway, decayed up to updatedAt
-	updatedAt    time.Time
-	longEngines  int // engines for long prompts
-	totalEngines int // engines in both groups when longEngines was set
-}
-
-// EngineWork is the recent work of requests with long prompts and of the others, in prompt tokens. It decays with
-// workTimeConstant.
-type EngineWork struct{ Long, Short float64 }
-
-// add adds the work of another gateway.
-func (w *EngineWork) add(other EngineWork) {
-	w.Long += other.Long
-	w.Short += other.Short
-}
-
-// workAt returns the work at a time.
-func (s *engineSplit) workAt(now time.Time) EngineWork {
-	elapsed := now.Sub(s.updatedAt)
-	if s.updatedAt.IsZero() || elapsed <= 0 {
-		return s.work
-	}
-	decay := math.Exp(-elapsed.Seconds() / workTimeConstant.Seconds())
-	return EngineWork{Long: s.work.Long * decay, Short: s.work.Short * decay}
+	longWork, shortWork float64 // recent work, in prompt tokens, decayed up to updatedAt
+	updatedAt           time.Time
+	longEngines         int // engines for long prompts
+	totalEngines        int // engines in both groups when longEngines was set
 }
 
 // isLong reports whether a prompt belongs to the group for long prompts. Prompts with a
@@ -116,20 +96,24 @@
 
 // recordWork adds the work of a request and decays the work recorded before.
 func (s *engineSplit) recordWork(now time.Time, prompt *Prompt, long bool) {
-	s.work = s.workAt(now)
+	if elapsed := now.Sub(s.updatedAt); !s.updatedAt.IsZero() && elapsed > 0 {
+		decay := math.Exp(-elapsed.Seconds() / workTimeConstant.Seconds())
+		s.longWork *= decay
+		s.shortWork *= decay
+	}
 	s.updatedAt = now
 	work := float64(prompt.Length) + outputTokenWork*float64(prompt.Output)
 	if long {
-		s.work.Long += work
+		s.longWork += work
 	} else {
-		s.work.Short += work
+		s.shortWork += work
 	}
 }
 
 // divideEngines returns how many of n engines are for long prompts, where others need a number of them for their
 // slots.
-func (s *engineSplit) divideEngines(work EngineWork, n, forShort int) int {
-	share := (work.Long + initialLongShare*initialShareWeightTokens) / (work.Long + work.Short + initialShareWeightTokens)
+func (s *engineSplit) divideEngines(n, forShort int) int {
+	share := (s.longWork + initialLongShare*initialShareWeightTokens) / (s.longWork + s.shortWork + initialShareWeightTokens)
 	wanted := min(max(share, minLongShare), maxLongShare) * float64(n)
 	if s.totalEngines != n || math.Abs(wanted-float64(s.longEngines)) > resplitThreshold {
 		s.totalEngines, s.longEngines = n, min(max(int(math.Round(wanted)), 1), n-1)
@@ -192,9 +176,7 @@
 	if accepting < minSplitEngines {
 		return eligible
 	}
-	work := s.work
-	work.add(p.peerLoads[rq.Service].Work)
-	longEngines, index := s.divideEngines(work, accepting, p.enginesForShort(rq.Service, accepting)), 0
+	longEngines, index := s.divideEngines(accepting, p.enginesForShort(rq.Service, accepting)), 0
 	var group, otherGroup []*upstreamState
 	next := 0
 	for _, u := range p.byService[rq.Service] {
