--- a/pace/merge.go
+++ b/pace/merge.go
@@ -20,7 +20,7 @@
 
 // alikeWithin is the logarithm of the factor within which upstreams count as alike. Beyond twice that a pace counts in
 // full: loads that gateways don't know make alike upstreams differ by as much.
-var alikeWithin = math.Log(1.2)
+var alikeWithin = math.Log(1.4)
 
 // Merge returns the pace of an upstream by the figures of gateways: their mean, each weighted by its samples and held
 // near their median, drawn towards that of the others by priorSamples. The median keeps a single gateway from moving the
