process: a connection closed for others is not counted any more

Connections that were closed to make room for others stayed in the number of open ones until the server had noticed, so that a busy process counted more than its limit, and looked through them for each new connection. They leave the list when they are closed.

--- a/process/conns.go
+++ b/process/conns.go
@@ -137,11 +137,15 @@
 	c.conns[conn] = struct{}{}
 }
 
-// forget gives back what a connection that is closed has.
-func (c *Conns) forget(conn *trackedConn) {
+func (c *Conns) untrack(conn *trackedConn) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.conns, conn)
-	c.mu.Unlock()
+}
+
+// forget gives back what a connection that is closed has.
+func (c *Conns) forget(conn *trackedConn) {
+	c.untrack(conn)
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.release()
--- a/process/conns_memory.go
+++ b/process/conns_memory.go
@@ -297,6 +297,14 @@
 
 // closeForRoom closes the connection unless a request is being served on it whose body was read.
 func (c *trackedConn) closeForRoom() bool {
+	if !c.closeUnlessServing() {
+		return false
+	}
+	c.conns.untrack(c) // the server tells later
+	return true
+}
+
+func (c *trackedConn) closeUnlessServing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.serving && c.bodyBegan.IsZero() {
