soak: an upstream answers with heads that HTTP does not have

Cause: the soak did not play the faults of answers that were mended with package response. Change: fault garbled_heads (statuses 000, 099, 999 and +20, a blank or a control byte in a field's name), drawn last, and a checker of that name. Answers that are cut by a reset while the upload is written are not played: bodies in the soak have 64 KiB at most, which the kernel takes at once.

--- a/soak/check.go
+++ b/soak/check.go
@@ -47,6 +47,7 @@
 	{"retry_budget", checkRetryBudget},
 	{"priority", checkPriority},
 	{"crashing", checkCrashing},
+	{"garbled_heads", checkGarbledHeads},
 	{"repeats_answered", checkRepeatsAnswered},
 	{"repeats_refused", checkRepeatsRefused},
 	{"rollout", checkRollout},
--- a/soak/history.go
+++ b/soak/history.go
@@ -41,6 +41,7 @@
 	ended       time.Duration // when the upstream stopped working on it; zero: never
 	interrupted bool          // a fault of the upstream or its link ended it
 	leaving     bool          // the response said that the upstream is leaving
+	garbled     bool          // the head of the response was garbled
 }
 
 // faultEdge is a time at which a fault of an upstream or its link begins or ends.
--- a/soak/main.go
+++ b/soak/main.go
@@ -69,6 +69,7 @@
 		}
 		faults = append(faults, tb.drawSilences(c.faultDuration)...)
 		faults = append(faults, tb.drawRollout(c.faultDuration)...)
+		faults = append(faults, tb.drawGarbledHeads(c.faultDuration)...)
 		if tb.runLoad(res.entries*c.callersPerEntry, faults) {
 			checks := tb.runCheckers()
 			res.violations = listViolations(checks)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -259,6 +259,9 @@
 	case "named_limit":
 		tb.nameLimits(f)
 		return
+	case "garbled_heads":
+		tb.garbleHeads(f)
+		return
 	}
 	all := tb.listedUpstreams()
 	u := all[f.target%len(all)]
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -69,7 +69,7 @@
 }
 
 // drawRollout draws a roll-out, if it fits into the run: in half of the runs one that begins as the other faults
-// end. It is called last, so that the schedules of seeds that once failed stay as they were.
+// end. It is called after those, so that the schedules of seeds that once failed stay as they were.
 func (tb *testbed) drawRollout(total time.Duration) []scheduledFault {
 	if total < rolloutTime {
 		return nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,8 @@
 	}
 	_, a := add("drained", catalog.KindSafe, "key-a", 21, 200, true, [2]int{0, 1})
 	a.upstream = "i-1" // within the time to drain
+	_, a = add("garbled", catalog.KindSafe, "key-a", 16, 502, true, [2]int{0, 1})
+	a.garbled = true
 	_, a = add("leaver", catalog.KindSafe, "key-a", 16, 200, true, [2]int{0, 1})
 	a.upstream, a.leaving = "i-3", true
 	h.waits = []askedWait{{"drained", "i-2", span{seconds(21), seconds(22.5)}}}
@@ -293,6 +295,7 @@
 				return []string{sharedPart, "", sharedPart, ""}[n%4], []int{503, 503, 503, 200}[n%4]
 			})
 		}},
+		{"a status that HTTP does not have", "garbled_heads", func(h *history) { h.resultOf("garbled").status = 999 }},
 		{"no answers beside repeated refusals", "repeats_answered", func(h *history) {
 			h.addTreated(minTreated, ragworttest.AnsweredAfterRepeat, 502)
 		}},
--- a/soak/upstream.go
+++ b/soak/upstream.go
@@ -46,6 +46,7 @@
 	lastDisturbed time.Duration // last fault of it or of its link; zero: never
 	repeats       bool          // repeats refusals on some connections
 	repeaters     []net.Conn    // on which it has done so
+	garbles       bool          // garbles the heads of its responses
 }
 
 // addUpstream starts and lists one more upstream, which may be cold at first.
@@ -101,6 +102,8 @@
 	}
 	u.mu.Lock()
 	mode, leaving, limited, limit := u.mode, u.leaving, u.limited, u.limit
+	_, owned := rw.(http.Hijacker) // false: called by a repeater
+	garbles := u.garbles && owned
 	u.mu.Unlock()
 	replicaRequest := standin.ParseReplicaRequest(r.Header)
 	if limited && replicaRequest.ExpectedReplica == u.name {
@@ -126,10 +129,14 @@
 	}
 	a := &arrival{
 		at: u.testbed.now(), request: replicaRequest.Request, upstream: u.name, service: u.service, workspace: replicaRequest.Workspace,
-		urgency: replicaRequest.Urgency, ran: true, leaving: leaving, // without an urgency, checkPriority fails
+		urgency: replicaRequest.Urgency, ran: true, leaving: leaving, garbled: garbles, // without an urgency, checkPriority fails
 	}
 	u.testbed.add(func() { u.testbed.arrivals = append(u.testbed.arrivals, a) })
 	defer u.recordEnd(a)
+	if garbles {
+		u.serveGarbled(rw, replicaRequest.Request)
+		return
+	}
 	standin.SignResponse(rw.Header(), replicaRequest.Request)
 	if u.service == plainService {
 		u.testbed.add(func() { a.began = a.at })
