ragworttest: a fleet's relays know its first upstreams before a test goes on

A relay is ready once it has a configuration; if it reads listings after the removal, that line never comes. The relay's reports of that half minute count no request, so the first half of the condition was never true. Change: newRelayFleet waits until each relay has listed the upstreams. Measured: that test and the two others that wait for the line pass with -race at a load of 25; the order was not provoked.

--- a/ragworttest/relay_test.go
+++ b/ragworttest/relay_test.go
@@ -72,6 +72,9 @@
 	f.addUpstream("i-2")
 	f.putCatalog("key-1", "key-2")
 	f.addNodes(n)
+	for _, r := range f.nodes {
+		f.waitListed(r, "i-2")
+	}
 	return f
 }
 
@@ -176,6 +179,13 @@
 	ragworttest.Eventually(f.t, func() bool { return f.isReady(r) }, "%s is ready", r.name)
 }
 
+// waitListed waits until a node knows an upstream, which it may learn after it is ready.
+func (f *relayFleet) waitListed(r *relayNode, upstream id.Upstream) {
+	ragworttest.Eventually(f.t, func() bool {
+		return strings.Contains(r.process.Log.String(), fmt.Sprintf("upstream_listed upstream=%s ", upstream))
+	}, "%s knows %s", r.name, upstream)
+}
+
 func (f *relayFleet) isReady(r *relayNode) bool {
 	rs, err := http.Get("http://" + r.readyAddress + "/api/readyz")
 	if err != nil {
