process: the tests of connections without a server have a listener

Since a connection that is closed for others is taken out of its listener's list at once. The connections of two tests had no listener, so that the package ended with a nil dereference before its other tests had run: go test ./process panicked at in TestRequestOfClosedConnectionIsNotPassedOn, and in TestServingConnectionIsNotClosed once that was mended. The tests check what they did.

--- a/process/conns_memory_test.go
+++ b/process/conns_memory_test.go
@@ -151,7 +151,7 @@
 	budget := memory.NewBudgets(0).Connections
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
-	c := &trackedConn{Conn: ours, share: budget.Share("c"), headShare: budget.Share("c"), begunAt: time.Now()}
+	c := &trackedConn{Conn: ours, conns: new(Conns), share: budget.Share("c"), headShare: budget.Share("c"), begunAt: time.Now()}
 	require.True(t, c.closeForRoom())
 	c.endHead()
 	r := httptest.NewRequest(http.MethodPost, "/", http.NoBody)
@@ -166,7 +166,7 @@
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
 	defer ours.Close()
-	c := &trackedConn{Conn: ours, share: budget.Share("c"), headShare: budget.Share("c"), begunAt: time.Now()}
+	c := &trackedConn{Conn: ours, conns: new(Conns), share: budget.Share("c"), headShare: budget.Share("c"), begunAt: time.Now()}
 	c.endHead()
 	require.False(t, c.closeForRoom())
 	c.endRequest(time.Now(), 0)
@@ -201,7 +201,7 @@
 	defer theirs.Close()
 	defer ours.Close()
 	now := time.Now()
-	c := &trackedConn{Conn: ours, share: budget.Share("c"), headShare: budget.Share("c"), idleSince: now, prefaceLeft: http2Preface}
+	c := &trackedConn{Conn: ours, conns: new(Conns), share: budget.Share("c"), headShare: budget.Share("c"), idleSince: now, prefaceLeft: http2Preface}
 	read := func(text string) {
 		go func() { _, _ = io.WriteString(theirs, text) }()
 		_, err := io.ReadFull(c, make([]byte, len(text)))
