gateway: a caller with a slow link can read the refusal of its body

A body that a request was refused before (no memory, no route, no key, too large) had half a second to arrive, in the case of no memory without a pause of 20 ms. A caller that sends all before it reads was then reset and lost the answer, which promises that the request was not run: 4 MB over 10 Mbit/s, or 32 MB beside other work.

The answer now goes out at once, with its length, and what still comes is read and thrown away for as long as it keeps the rate that other bodies must have (64 KiB a second, 1 s at most between two parts), up to the limit for bodies and until the process ends. If it comes whole, the connection serves the next request; otherwise it is closed, with a line body_cut and the counter bodies_cut. The memory of the request is given back before the answer; the head counts as one of the connection. Such connections are closed for new ones after idle ones and before those with bodies of requests that are not answered.

TestSlowBodyIsToldOfRefusal (1.5 s at 640 KiB/s, by length and in chunks): fails before, passes now, as do callers that stop, drip or never end, and a stop (TestRestOfBody...).

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -61,7 +61,7 @@
 		defer req.share.Release()
 	}
 	if p != nil {
-		g.refuse(w, req, p)
+		g.refuseUnread(w, r, req, p)
 		return
 	}
 	g.dispatch(w, r, req)
@@ -72,10 +72,9 @@
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*request, *problem.Problem) {
 	req, p := g.check(r, now)
 	if p != nil {
-		boundUnreadBody(w, r)
 		return req, p
 	}
-	if p := g.reserve(w, r, req); p != nil {
+	if p := g.reserve(r, req); p != nil {
 		return req, p
 	}
 	return req, g.readBody(w, r, req)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -27,12 +26,6 @@
 	// connection to its upstream. There is memory for more connections than for requests, so that others than those
 	// that are in use can be closed for new ones.
 	requestBytes = 24 << 10
-	// A body that there is no memory for is read without keeping it, in pieces of discardBytes, so that its
-	// caller can read the refusal and keep the connection: for maxDiscardTime, or until nothing has come
-	// for discardStall.
-	discardBytes   = 64 << 10
-	maxDiscardTime = 500 * time.Millisecond
-	discardStall   = 20 * time.Millisecond
 	// minBodyTime is how long a body is read at least, however near the deadline is: one that has
 	// arrived with its head is not late.
 	minBodyTime = 200 * time.Millisecond
@@ -72,6 +65,12 @@
 	return c.SetReadDeadline(time.Time{})
 }
 
+// discard reads what is left of a body without keeping it.
+func (b *bodyReads) discard(c *http.ResponseController, r *http.Request, limit int64) error {
+	err := process.DiscardBody(r, limit, func(until time.Time) error { return b.begin(c, until) })
+	return errors.Join(err, b.finish(c, err == nil))
+}
+
 // setEnd sets until when bodies are read at most, those included that are being read. It returns the
 // errors of connections that are closed.
 func (b *bodyReads) setEnd(end time.Time) (err error) {
@@ -87,62 +86,53 @@
 }
 
 // reserve takes the memory for a request without its body. It returns a problem if there is none.
-func (g *Gateway) reserve(w http.ResponseWriter, r *http.Request, req *request) *problem.Problem {
+func (g *Gateway) reserve(r *http.Request, req *request) *problem.Problem {
 	req.share = g.deps.Memory.Requests.ShareLeaving(memory.Holder(req.workspace), memory.UrgencyReserve*float64(req.urgency))
 	err := req.share.GrowTo(requestBytes + process.RequestHeadCost(r))
 	if err == nil {
 		process.ReleaseHead(r.Context())
 		return nil
 	}
-	return memoryProblem(w, r, err)
+	return memoryProblem(err)
 }
 
 // memoryProblem returns the problem of a request that there is no memory for.
-func memoryProblem(w http.ResponseWriter, r *http.Request, err error) *problem.Problem {
-	if discardErr := discardBody(w, r); discardErr != nil {
-		w.Header().Set("Connection", "close")
-	}
+func memoryProblem(err error) *problem.Problem {
 	return problem.New(problem.MemoryFull, problem.NotRun, http.StatusServiceUnavailable, "%v", err).WithRetryAfter(busyRetryAfter)
 }
 
-// errBodyUnread means that the rest of a body has not come in time.
-var errBodyUnread = errors.New("the body is not read to its end")
-
-// discardBody reads the rest of a body if it comes without a pause.
-func discardBody(w http.ResponseWriter, r *http.Request) error {
+// refuseUnread refuses a request whose body was not read to its end. The answer does not wait for the rest, which is read
+// without keeping it: the connection of a caller that sends all before it reads would be reset otherwise, and the answer lost.
+func (g *Gateway) refuseUnread(w http.ResponseWriter, r *http.Request, req *request, p *problem.Problem) {
 	if r.Body == http.NoBody {
-		return nil
+		g.refuse(w, req, p)
+		return
+	}
+	if req.share != nil {
+		req.body = nil
+		req.share.Release()
 	}
 	controller := http.NewResponseController(w)
-	for began := time.Now(); time.Since(began) < maxDiscardTime; {
-		if err := controller.SetReadDeadline(time.Now().Add(discardStall)); err != nil {
-			return err
-		}
-		_, err := io.CopyN(io.Discard, r.Body, discardBytes)
-		if errors.Is(err, io.EOF) {
-			return controller.SetReadDeadline(time.Time{})
-		}
-		if err != nil {
-			return err
-		}
+	err := controller.EnableFullDuplex() // the server would read a part of the body first
+	g.refuse(w, req, p)
+	if err == nil {
+		err = controller.Flush()
 	}
-	return errBodyUnread
-}
-
-// boundUnreadBody bounds the time for which the server waits for the body of a request that is refused by its head.
-func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
-	if r.Body == http.NoBody {
-		return
+	if err == nil {
+		err = g.bodies.discard(controller, r, req.bodyLimit())
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(maxDiscardTime)); err != nil {
-		w.Header().Set("Connection", "close")
+	if err == nil {
+		return
 	}
+	g.incrementCounter("bodies_cut")
+	_ = g.logRequest(req, "event", "body_cut", "reason", p.Reason, "err", err)
+	panic(http.ErrAbortHandler) // the server would take what comes next for a request
 }
 
 // bodyLimit returns the size in bytes that the body of a request may have.
 func (r *request) bodyLimit() int64 {
-	if limit := r.catalog.Limits.BodyBytes; limit > 0 {
-		return limit
+	if r.catalog != nil && r.catalog.Limits.BodyBytes > 0 {
+		return r.catalog.Limits.BodyBytes
 	}
 	return defaultMaxBodyBytes
 }
@@ -183,7 +173,7 @@
 	case errors.Is(err, memory.ErrTooLarge):
 		return problem.New(problem.BodyTooLarge, problem.NotRun, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
 	case errors.Is(err, memory.ErrFull):
-		return memoryProblem(w, r, err)
+		return memoryProblem(err)
 	case errors.Is(err, os.ErrDeadlineExceeded) && g.exceedsShutdown(req.deadline):
 		return g.leavingProblem(req)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -205,6 +205,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", ContentType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if p.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(retrySeconds(p.RetryAfter)))
 	}
--- a/process/conns.go
+++ b/process/conns.go
@@ -239,11 +239,8 @@
 	headCost  int64         // bytes that what was read of a head takes, while it is not complete
 	serving   bool          // the head of a request was read, and the request is being served
 	served    bool          // a request was served
-	bodyBegan time.Time     // when the server began to wait for the body of the request; zero: it does not
-	bodyBytes int64         // read since then
-	// bodyReadAt is when the last of them were read.
-	bodyReadAt time.Time
-	readAhead  bool // a byte was read while the request before was being served
+	body      *bodyArrival  // of the request, if the server reads its body; nil: it does not
+	readAhead bool          // a byte was read while the request before was being served
 	// prefaceLeft is what has to come for a connection of HTTP/2 to begin, if nothing else has come. Until then it is
 	// read as a head.
 	prefaceLeft []byte
@@ -274,8 +271,8 @@
 		}
 		return n, err
 	}
-	if !c.bodyBegan.IsZero() {
-		c.bodyBytes, c.bodyReadAt = c.bodyBytes+int64(n), time.Now()
+	if c.body != nil {
+		c.body.add(time.Now(), int64(n))
 	}
 	if c.idleSince.IsZero() && len(b) == 1 {
 		c.readAhead = true // the server reads single bytes only to notice that the caller disconnects
@@ -343,7 +340,7 @@
 func (c *trackedConn) endRequest(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.bodyBegan = false, time.Time{}
+	c.serving, c.body = false, nil
 	c.headShare.Release()
 	if c.readAhead {
 		c.readAhead, c.begunAt = false, now // the first byte of the next request
--- a/process/conns_memory.go
+++ b/process/conns_memory.go
@@ -73,6 +73,7 @@
 	phaseWaiting                  // the first request, or the rest of a head, has not come
 	phaseHead                     // the same, and the head takes memory of its own
 	phaseBody                     // the rest of the body has not come, since the last part or since it would have at minBodyRate
+	phaseRest                     // the same, and the request was answered
 )
 
 // connState is what a connection of a caller is doing, since when.
@@ -93,20 +94,23 @@
 // least a period, or for minHeadTime if that is longer and the body of its request is arriving.
 func closable(now time.Time, period time.Duration) func(connState) bool {
 	return func(s connState) bool {
-		if s.phase == phaseBody {
+		if s.readsBody() {
 			return now.Sub(s.since) >= max(period, minHeadTime)
 		}
 		return s.phase != phaseServing && now.Sub(s.since) >= period
 	}
 }
 
-// unpassed returns whether the body of a connection's request has not come whole, so that nothing was passed on.
-func (s connState) unpassed() bool { return s.phase == phaseBody }
+// readsBody returns whether the body of a connection's request has not come whole, so that nothing was passed on.
+func (s connState) readsBody() bool { return s.phase == phaseBody || s.phase == phaseRest }
+
+// answered returns whether nothing but the rest of a body is awaited, whose request was answered.
+func (s connState) answered() bool { return s.phase == phaseRest }
 
 // waits returns whether a connection keeps the process waiting. The body of a request that is arriving does not.
 func waits(now time.Time) func(connState) bool {
 	return func(s connState) bool {
-		return s.phase == phaseWaiting || s.phase == phaseHead || s.phase == phaseBody && now.Sub(s.since) >= minHeadTime
+		return s.phase == phaseWaiting || s.phase == phaseHead || s.readsBody() && now.Sub(s.since) >= minHeadTime
 	}
 }
 
@@ -165,7 +169,7 @@
 // admit reserves the descriptor and the memory for a new connection. If no other has kept the process waiting for long,
 // it waits for a while, but not again at once, as more connections may have come; then it closes any that no
 // request is being served on. Idle ones that have carried requests are closed only if no other keeps the process waiting,
-// and those on which the body of a request is arriving only if nothing else is left.
+// and those on which the body of a request is arriving only if nothing else is left, first those whose request was answered.
 func (c *Conns) admit(conn *trackedConn) error {
 	if conn.reserve() == nil {
 		return nil
@@ -184,7 +188,10 @@
 		err = c.makeRoom(conn, conn.reserve, closable(c.waitedInVain, 0))
 	}
 	if err != nil {
-		err = c.makeRoom(conn, conn.reserve, connState.unpassed)
+		err = c.makeRoom(conn, conn.reserve, connState.answered)
+	}
+	if err != nil {
+		err = c.makeRoom(conn, conn.reserve, connState.readsBody)
 	}
 	if err != nil {
 		c.noteClosed(time.Now(), "callers_turned_away", err)
@@ -227,12 +234,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.closed && c.serving && !c.bodyBegan.IsZero():
-		since := c.bodyReadAt
-		if due := c.bodyBegan.Add(time.Duration(c.bodyBytes) * time.Second / minBodyRate); due.Before(since) {
-			since = due
-		}
-		return connState{phaseBody, since}
+	case !c.closed && c.serving && c.body != nil && c.body.answered:
+		return connState{phaseRest, c.body.behindSince()}
+	case !c.closed && c.serving && c.body != nil:
+		return connState{phaseBody, c.body.behindSince()}
 	case c.closed || c.serving:
 		return connState{phase: phaseServing}
 	case c.multiplexed && Readable(c.Conn):
@@ -307,7 +312,7 @@
 func (c *trackedConn) closeUnlessServing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.serving && c.bodyBegan.IsZero() {
+	if c.closed || c.serving && c.body == nil {
 		return false
 	}
 	c.release()
@@ -340,33 +345,6 @@
 	}
 }
 
-// AwaitBody records that the server begins to read the body of a request, so that its connection may be closed for others
-// if the body does not come. The returned function ends that; it reports false if the connection was closed, so that the
-// request must not be passed on.
-func AwaitBody(ctx context.Context, now time.Time) (end func() bool) {
-	c, ok := ctx.Value(connKey{}).(*trackedConn)
-	if !ok || !c.awaitBody(now) {
-		return func() bool { return true }
-	}
-	return func() bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.bodyBegan = time.Time{}
-		return !c.closed
-	}
-}
-
-// awaitBody reports false if the connection carries other requests, too.
-func (c *trackedConn) awaitBody(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.multiplexed {
-		return false
-	}
-	c.bodyBegan, c.bodyBytes, c.bodyReadAt = now, 0, now
-	return true
-}
-
 // headCost returns the bytes that a head takes of which a part was read.
 func headCost(part []byte) int64 {
 	return headByteFactor*int64(len(part)) + headLineBytes*int64(bytes.Count(part, lineEnd))
--- a/process/conns_memory_test.go
+++ b/process/conns_memory_test.go
@@ -323,7 +323,7 @@
 		"slow":          {minBodyRate / 4, 2 * time.Second, 2 * time.Second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := &trackedConn{serving: true, served: true, bodyBegan: now, bodyBytes: tc.bytes, bodyReadAt: now.Add(tc.readAt)}
+			c := &trackedConn{serving: true, served: true, body: &bodyArrival{began: now, bytes: tc.bytes, readAt: now.Add(tc.readAt)}}
 			require.Equal(t, tc.want, stalled(now.Add(tc.after))(c.state()))
 			require.Equal(t, tc.want, closable(now.Add(tc.after), 0)(c.state()))
 		})
