pace: varying whole answers count as less than a sample

Cause: at a service without events, times of answers vary by what they hold. With few answers an upstream differed from the others by chance, and counted as unlike them. Change: an answer counts as the part of a sample that the spread of answers calls for; streams are as before.

--- a/pace/measure.go
+++ b/pace/measure.go
@@ -46,12 +46,20 @@
 	}
 }
 
-// add records a time and what was expected.
-func (m *measure) add(now time.Time, took, expected float64) {
+// add records a time, what was expected, and how many samples it counts as.
+func (m *measure) add(now time.Time, took, expected, samples float64) {
 	m.decay(now)
 	m.took += took
 	m.expected += expected
-	m.samples++
+	m.samples += samples
+}
+
+// mean returns the mean relative to what was expected, and zero if nothing is known.
+func (m *measure) mean(now time.Time) float64 {
+	if m.decay(now); m.expected <= 0 {
+		return 0
+	}
+	return m.took / m.expected
 }
 
 // figure returns the result.
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -37,11 +37,12 @@
 	shortest linear // shortest of stepsPerSample such times in a row, or whole answers without events
 	reads    linear // times until the first event
 	answers  measure
+	spread   measure // of whole answers without events: the squared difference from the expected time, relative to that
 }
 
 // AddAnswer records how many events a whole answer has had that was expected to have a number of tokens.
 func (s *Service) AddAnswer(now time.Time, expectedTokens float64, events int) {
-	s.answers.add(now, float64(events), expectedTokens)
+	s.answers.add(now, float64(events), expectedTokens, 1)
 }
 
 // Events returns how many events an answer is expected to have, and zero if nothing is known.
@@ -115,22 +116,31 @@
 func (u *Upstream) AddStep(now time.Time, s *Service, p Pace, before *Steps, c Conditions, took time.Duration) {
 	s.steps.add(now, c.features(), took.Seconds()/float64(p))
 	if before.add(c, took) {
-		u.add(now, s, p, before.beside.features(), before.shortest)
+		u.add(now, s, p, before.beside.features(), before.shortest, 1)
 	}
 }
 
-// AddWhole records the time of a whole answer that has no events, beside which the upstream ran a number of requests.
+// sampleSpread is the spread up to which a whole answer counts as a sample.
+const sampleSpread = 0.13
+
+// AddWhole records the time of a whole answer that has no events, beside which the upstream ran a number of requests. Answers
+// vary by what they hold: where they vary more, more of them tell as much.
 func (u *Upstream) AddWhole(now time.Time, s *Service, p Pace, running float64, took time.Duration) {
-	u.add(now, s, p, features{1, running, 0}, took)
+	x := features{1, running, 0}
+	if expected := float64(p) * s.shortest.value(x); expected > 0 {
+		difference := min(took.Seconds()/expected, maxSampleRatio) - 1
+		s.spread.add(now, difference*difference, 1, 1)
+	}
+	u.add(now, s, p, x, took, sampleSpread/max(s.spread.mean(now), sampleSpread))
 }
 
-// add records a time at an upstream of a known pace. Times far above what is expected have other causes, and count as
-// maxSampleRatio times that.
-func (u *Upstream) add(now time.Time, s *Service, p Pace, x features, took time.Duration) {
+// add records a time at an upstream of a known pace, and the part of a sample that it counts as. Times far above what is
+// expected have other causes, and count as maxSampleRatio times that.
+func (u *Upstream) add(now time.Time, s *Service, p Pace, x features, took time.Duration, samples float64) {
 	expected, sample := s.shortest.value(x), took.Seconds()
 	if expected > 0 {
 		sample = min(sample, maxSampleRatio*float64(p)*expected)
-		u.shortest.add(now, sample, expected)
+		u.shortest.add(now, sample, expected, samples)
 	}
 	s.shortest.add(now, x, sample/float64(p))
 }
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -314,3 +314,67 @@
 	require.InDelta(t, 4, float64(got.Pace), 0.01)
 	require.Less(t, got.Samples, 2e6)
 }
+
+// answers has four upstreams send whole answers to a gateway, each a number a second, whose times have a deviation in
+// logarithm, for some minutes. The first upstream has a slowness. It returns the share of the time in which each of them
+// counts as unlike the others.
+func answers(perSecond, deviation, slowness float64, minutes int) (unlike [4]float64) {
+	random := rand.New(rand.NewPCG(3, 4))
+	var s pace.Service
+	var upstreams [4]pace.Upstream
+	paces := [4]pace.Pace{1, 1, 1, 1}
+	start, rounds := time.Unix(1_800_000_000, 0), 0
+	for at := start; at.Before(start.Add(time.Duration(minutes) * time.Minute)); at = at.Add(tick) {
+		for i := range upstreams {
+			for range events(random, perSecond*tick.Seconds()) {
+				took := 0.06 * math.Exp(deviation*random.NormFloat64())
+				if i == 0 {
+					took *= slowness
+				}
+				upstreams[i].AddWhole(at, &s, paces[i], 2, time.Duration(took*float64(time.Second)))
+			}
+		}
+		if elapsed := at.Sub(start); elapsed%(250*time.Millisecond) == 0 && elapsed >= 20*time.Second {
+			var all []*pace.Pace
+			for i := range upstreams {
+				paces[i] = pace.Merge([]pace.Figure{upstreams[i].Figure(at)})
+				all = append(all, &paces[i])
+			}
+			pace.Normalise(all)
+			rounds++
+			for i, p := range paces {
+				if p.Distinct() != pace.Even {
+					unlike[i]++
+				}
+			}
+		}
+	}
+	for i := range unlike {
+		unlike[i] /= float64(rounds)
+	}
+	return unlike
+}
+
+// TestAnswersDifferByWhatTheyHold guards against alike upstreams of a service without events that count as unlike by
+// chance: where answers vary, it takes more of them to tell.
+func TestAnswersDifferByWhatTheyHold(t *testing.T) {
+	for _, perSecond := range []float64{0.3, 1, 10} {
+		for _, deviation := range []float64{0.3, 0.5, 0.8} {
+			t.Run(fmt.Sprint(perSecond, deviation), func(t *testing.T) {
+				unlike := answers(perSecond, deviation, 1, 20)
+				t.Log(unlike)
+				for i := range unlike {
+					require.LessOrEqual(t, unlike[i], 0.015, "upstream %d", i)
+				}
+			})
+		}
+	}
+}
+
+// TestSlowUpstreamAmongVaryingAnswers has one upstream take three times as long as the others.
+func TestSlowUpstreamAmongVaryingAnswers(t *testing.T) {
+	for _, deviation := range []float64{0, 0.3, 0.5} {
+		t.Log(answers(1, deviation, 3, 5))
+		require.Greater(t, answers(5, deviation, 3, 5)[0], 0.95, "deviation %.1f", deviation)
+	}
+}
