--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,7 +3,7 @@
 //
 // A Pool records which upstreams exist, which accept new requests, which are cold, and
 // what this gateway has running on each of them. choose.go defines how an upstream is
-// chosen, admission.go which requests are refused because engines are too far behind, shed.go which of
+// chosen, assignment.go the requests that run there, admission.go which requests are refused because engines are too far behind, shed.go which of
 // them for the sake of more urgent ones, load.go and upstream_load.go the loads and pace.go the
 // speeds that this depends on, split.go the separation of long prompts from short
 // ones, cold.go the rate limit of cold
