--- a/quota/named.go
+++ b/quota/named.go
@@ -69,6 +69,9 @@
 	statements []heard
 }
 
+// Clone returns a copy that statements added to n do not change.
+func (n *Named) Clone() Named { return Named{slices.Clone(n.statements)} }
+
 // Holds returns the statement that holds, and whether it was made to this process.
 func (n *Named) Holds() (s Statement, own bool) {
 	if len(n.statements) == 0 {
--- a/quota/slots.go
+++ b/quota/slots.go
@@ -49,6 +49,13 @@
 	spare  []time.Time // starts of slots that were given back
 }
 
+// Clone returns a copy whose use does not use the slots of s.
+func (s *Slots) Clone() Slots {
+	c := *s
+	c.spare = slices.Clone(s.spare)
+	return c
+}
+
 // Slot is the use of a slot by a request.
 type Slot struct{ start time.Time }
 
