gateway: explains where a request would go that is not sent

Change: GET /explain on the port of the metrics answers with the route, workspace, urgency, limits, roll-out, admission and upstreams of a request that its parameters describe, and with the verdict of the code that decides for requests, on copies of what it changes. The choice of an upstream moved from dispatch.go to choice.go, where one step of it can be made without waiting; requests go on as before. One explanation at a time, its answer takes memory of the door.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -85,9 +85,14 @@
 	return err
 }
 
+// requestShare returns the share of memory that a request gets, which has reserved nothing yet.
+func (g *Gateway) requestShare(req *request) *memory.Share {
+	return g.deps.Memory.Requests.ShareLeaving(memory.Holder(req.workspace), memory.UrgencyReserve*float64(req.urgency))
+}
+
 // reserve takes the memory for a request without its body. It returns a problem if there is none.
 func (g *Gateway) reserve(r *http.Request, req *request) *problem.Problem {
-	req.share = g.deps.Memory.Requests.ShareLeaving(memory.Holder(req.workspace), memory.UrgencyReserve*float64(req.urgency))
+	req.share = g.requestShare(req)
 	err := req.share.GrowTo(requestBytes + process.RequestHeadCost(r))
 	if err == nil {
 		process.ReleaseHead(r.Context())
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -236,67 +236,6 @@
 	return time.Since(last).Round(time.Millisecond).String()
 }
 
-// maxSlotWait returns how long a request may wait for a slot of limited upstreams: until its latency
-// objective is missed, as its caller does better elsewhere then, but not for long if its deadline is near.
-func maxSlotWait(objective, left time.Duration) time.Duration {
-	return max(minSlotWait, min(objective, time.Duration(maxSlotWaitFraction*float64(left))))
-}
-
-// chooseUpstream chooses an upstream for the next attempt. It waits for a while if the
-// limits of the upstreams, or a wait that they have asked for, require it.
-func (f *forwarding) chooseUpstream(ctx context.Context) (*pool.Assignment, *problem.Problem) {
-	query := &pool.Request{
-		Service: f.req.service, Prompt: f.req.info.Prompt, Avoid: f.avoid, RunsOnce: !f.req.route.Kind.Retryable(), Urgency: f.req.urgency, ArrivedAt: f.req.arrived, MaxWait: f.maxEngineWait(time.Now()),
-	}
-	defer f.gateway.deps.Pool.Leave(query)
-	began, waits := time.Now(), false
-	f.waited = 0
-	for {
-		now := time.Now()
-		switch choice := f.choose(now, query).(type) {
-		case *pool.Assignment:
-			if p := f.shutdownProblem(); p != nil {
-				choice.Unsent()
-				choice.End(now)
-				return nil, p
-			}
-			if waits {
-				f.waited = now.Sub(began)
-			}
-			return choice, nil
-		case *pool.NoUpstream:
-			retryAfter := busyRetryAfter
-			if !choice.RetryAt.IsZero() {
-				retryAfter = choice.RetryAt.Sub(now)
-			}
-			return nil, problem.New(problem.NoUpstream, f.runState(), http.StatusServiceUnavailable,
-				"none of %d upstreams of %s takes requests", choice.Known, f.req.service).WithRetryAfter(retryAfter)
-		case *pool.Overloaded:
-			return nil, f.overloadProblem(now, choice)
-		case *pool.Throttled:
-			latestStart := began.Add(minSlotWait)
-			if choice.Limited {
-				latestStart = began.Add(maxSlotWait(f.req.route.LatencyObjective, f.req.deadline.Sub(began)))
-			}
-			if choice.Until.After(latestStart) {
-				return nil, f.throttledProblem(now, query, choice)
-			}
-			if p := f.shutdownProblem(); p != nil {
-				return nil, p
-			}
-			f.gateway.deps.Pool.Wait(query)
-			waits = true
-			wake := choice.Until
-			if check := now.Add(slotCheckInterval); check.Before(wake) {
-				wake = check
-			}
-			if !sleepUntil(ctx, wake) {
-				return nil, f.abandonProblem(abandonReason(ctx))
-			}
-		}
-	}
-}
-
 // shutdownProblem returns the problem of a request that may outlast the process, also one that has waited since
 // it was accepted, or nil. The rest of a stream that has begun is sought for as long as the process runs.
 func (f *forwarding) shutdownProblem() *problem.Problem {
--- a/gateway/retry_budget.go
+++ b/gateway/retry_budget.go
@@ -10,6 +10,7 @@
 // request and double the load on the remaining upstreams.
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -74,17 +75,33 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	budget := b.advance(now, s)
+	if b.left(budget) < 1 {
+		return false
+	}
+	budget.slots[0].retries++
+	return true
+}
+
+// Left returns how many retries the budget of a service has left. It changes nothing.
+func (b *RetryBudgets) Left(now time.Time, s id.Service) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := RetryBudgets{cfg: b.cfg, fleet: b.fleet, byService: make(map[id.Service]*serviceBudget)}
+	if budget := b.byService[s]; budget != nil {
+		present := *budget
+		c.byService[s] = &present
+	}
+	return max(0, c.left(c.advance(now, s)))
+}
+
+// left returns how many retries a budget that was advanced has left. The caller holds the lock.
+func (b *RetryBudgets) left(budget *serviceBudget) float64 {
 	requests, retries := 0, 0
 	for _, slot := range budget.slots {
 		requests += slot.requests
 		retries += slot.retries
 	}
-	allowed := usableFraction * (b.cfg.Ratio*float64(requests) + b.fleet.Part(b.cfg.Slack))
-	if float64(retries+1) > allowed {
-		return false
-	}
-	budget.slots[0].retries++
-	return true
+	return math.Floor(usableFraction*(b.cfg.Ratio*float64(requests)+b.fleet.Part(b.cfg.Slack))) - float64(retries)
 }
 
 // serviceBudget counts the requests and retries of one service in the slots of the last
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -102,6 +102,7 @@
 	mux.Handle("/", process.MetricsHandler(p.registry))
 	mux.Handle("/holds", p.gateway.HoldsHandler())
 	mux.Handle("/holds/", p.gateway.HoldsHandler())
+	mux.Handle("/explain", p.gateway.ExplainHandler())
 	return mux
 }
 
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -76,12 +76,20 @@
 func (b *Budget) reserve(h Holder, bytes int64, left float64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if err := b.check(h, bytes, left); err != nil {
+		return err
+	}
+	b.used += bytes
+	b.byHolder[h] += bytes
+	return nil
+}
+
+// check returns why there is no memory for a holder, or nil. The caller holds the lock.
+func (b *Budget) check(h Holder, bytes int64, left float64) error {
 	limit := b.limit - int64(left*float64(b.limit))
 	if held := b.byHolder[h]; held+bytes > limit-b.used-bytes {
 		return &FullError{Asked: bytes, Held: held, Used: b.used, Limit: b.limit}
 	}
-	b.used += bytes
-	b.byHolder[h] += bytes
 	return nil
 }
 
@@ -131,6 +139,16 @@
 	return nil
 }
 
+// Fits returns why the share cannot grow to a size in bytes now, or nil. It reserves nothing.
+func (s *Share) Fits(bytes int64) error {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if bytes <= s.bytes {
+		return nil
+	}
+	return s.budget.check(s.holder, bytes-s.bytes, s.left)
+}
+
 // ShrinkTo gives back what the share has beyond a size in bytes.
 func (s *Share) ShrinkTo(bytes int64) {
 	if bytes < s.bytes {
