--- a/cmd/ragwortctl/commands.go
+++ b/cmd/ragwortctl/commands.go
@@ -3,21 +3,17 @@
 // This file defines the commands, except for usage.
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/operator"
 	"github.com/ragwortpass/ragwortpass/rule"
-	"github.com/ragwortpass/ragwortpass/trace"
 )
 
 // commandEnv is passed to the Run method of every command.
@@ -245,68 +241,6 @@
 	return env.print(lines, b.String())
 }
 
-type explainCommand struct {
-	Request string   `arg:"" help:"Id of the request, from X-Request-Id."`
-	Logs    []string `help:"Files with the logs of processes to read instead of asking these." type:"existingfile"`
-}
-
-// unknownRequestError reports that no process, or no log, has data on a request.
-type unknownRequestError struct{ request string }
-
-func (e *unknownRequestError) Error() string {
-	return fmt.Sprintf("no information on request %q", e.request)
-}
-
-// Run prints the decisions that processes made about a request.
-func (c *explainCommand) Run(env *commandEnv) error {
-	if len(c.Logs) > 0 {
-		return c.explainFromLogs(env)
-	}
-	decisions := env.client.Explain(context.Background(), id.Request(c.Request))
-	if len(decisions) == 0 {
-		return &unknownRequestError{request: c.Request}
-	}
-	var b strings.Builder
-	for _, d := range decisions {
-		fmt.Fprintf(&b, "%s node=%s step=%s reason=%s %s\n",
-			time.UnixMicro(d.GetAtUnixUs()).UTC().Format("15:04:05.000000"), d.GetNode(), d.GetStep(), d.GetReason(), d.GetDetail())
-	}
-	return env.print(decisions, b.String())
-}
-
-// explainFromLogs prints the log lines about a request and, in brackets, the lines that show
-// the state of the processes at the time.
-func (c *explainCommand) explainFromLogs(env *commandEnv) error {
-	var timeline []trace.LogLine
-	for _, path := range c.Logs {
-		f, err := os.Open(path)
-		if err != nil {
-			return err
-		}
-		lines, unreadable, err := trace.Timeline(f, id.Request(c.Request))
-		if err = errors.Join(err, f.Close()); err != nil {
-			return fmt.Errorf("%s: %w", path, err)
-		}
-		timeline = append(timeline, lines...)
-		for _, e := range unreadable { // the last line of a killed process may be incomplete
-			fmt.Fprintf(os.Stderr, "%s: skipped %v\n", path, e)
-		}
-	}
-	if !slices.ContainsFunc(timeline, func(l trace.LogLine) bool { return !l.Context }) {
-		return &unknownRequestError{request: c.Request}
-	}
-	slices.SortStableFunc(timeline, func(a, b trace.LogLine) int { return cmp.Compare(a.At, b.At) })
-	var b strings.Builder
-	for _, l := range timeline {
-		if l.Context {
-			fmt.Fprintf(&b, "[%s]\n", l.Text)
-		} else {
-			fmt.Fprintln(&b, l.Text)
-		}
-	}
-	return env.print(timeline, b.String())
-}
-
 type drainCommand struct {
 	DataCentre string `arg:"" help:"Data centre."`
 	Comment    string `help:"Who asked for it, and why." required:""`
--- a/cmd/ragwortctl/holds.go
+++ b/cmd/ragwortctl/holds.go
@@ -5,18 +5,12 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
-
-	"github.com/ragwortpass/ragwortpass/process"
 )
 
-// holdsTimeout bounds one call to an entry.
-const holdsTimeout = 5 * time.Second
-
 type holdsCommand struct {
 	List    holdsList    `cmd:"" help:"List the parts of prompts whose requests are held back."`
 	Release holdsRelease `cmd:"" help:"Let requests with a part of a prompt run again, on all entries."`
@@ -35,7 +29,7 @@
 
 // Run lists the parts that an entry holds back, with the number of crashes and since when.
 func (c *holdsList) Run(env *commandEnv) error {
-	body, err := callHolds(http.MethodGet, c.Entry, "/holds")
+	body, err := callEntry(http.MethodGet, c.Entry, "/holds", nil)
 	if err != nil {
 		return err
 	}
@@ -57,29 +51,8 @@
 
 // Run releases a part.
 func (c *holdsRelease) Run(env *commandEnv) error {
-	if _, err := callHolds(http.MethodDelete, c.Entry, "/holds/"+url.PathEscape(c.Part)); err != nil {
+	if _, err := callEntry(http.MethodDelete, c.Entry, "/holds/"+url.PathEscape(c.Part), nil); err != nil {
 		return err
 	}
 	return env.print(map[string]string{"released": c.Part}, c.Part+" released\n")
 }
-
-// callHolds calls an entry and returns the body of its answer.
-func callHolds(method, entry, path string) ([]byte, error) {
-	request, err := http.NewRequest(method, "http://"+entry+path, http.NoBody)
-	if err != nil {
-		return nil, err
-	}
-	response, err := (&http.Client{Transport: process.NewExternalClient().Transport, Timeout: holdsTimeout}).Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return nil, fmt.Errorf("read the answer of %s: %w", entry, err)
-	}
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return nil, fmt.Errorf("entry %s answered %s: %s", entry, response.Status, strings.TrimSpace(string(body)))
-	}
-	return body, nil
-}
--- a/cmd/ragwortctl/main.go
+++ b/cmd/ragwortctl/main.go
@@ -36,7 +36,7 @@
 	Rules   rulesCommand   `cmd:"" help:"Check, compare, publish and show the rules."`
 	Key     keyCommand     `cmd:"" help:"Give, withdraw and list keys."`
 	Status  statusCommand  `cmd:"" help:"Show every process and upstream."`
-	Explain explainCommand `cmd:"" help:"Show the decisions taken about a request."`
+	Explain explainCommand `cmd:"" help:"Show the decisions taken about a request, or those that would be taken now about one that is not sent (relay)."`
 	Holds   holdsCommand   `cmd:"" help:"Show and release parts of prompts that are held back."`
 	Rollout rolloutCommand `cmd:"" help:"Order, show and withdraw roll-outs of services (relay)."`
 	Usage   usageCommand   `cmd:"" help:"Show what workspaces have used."`
--- a/gateway/explanation.go
+++ b/gateway/explanation.go
@@ -227,7 +227,10 @@
 		text += " doubted=true"
 	}
 	if c.Excluded != "" {
-		text += fmt.Sprintf(" excluded=%s for=%s", c.Excluded, milliseconds(c.ExcludedForMS))
+		text += fmt.Sprintf(" excluded=%s", c.Excluded)
+	}
+	if c.ExcludedForMS > 0 {
+		text += fmt.Sprintf(" for=%s", milliseconds(c.ExcludedForMS))
 	}
 	return text
 }
