gateway, pool: an explanation describes only the upstreams that it lists

Questions could hold control characters of Unicode, and the memory that a request's head takes was not looked at. Control characters are refused, the head counts, and the capacity of upstreams is shown.

--- a/cmd/ragwortctl/unsent_test.go
+++ b/cmd/ragwortctl/unsent_test.go
@@ -72,9 +72,9 @@
 	ctx := t.Context()
 	go func() { ended <- program.Run(ctx, gateway.Signals{}) }()
 	t.Cleanup(func() {
-		_ = <-ended
+		err := <-ended
 		if t.Failed() {
-			t.Log(e.log.String())
+			t.Log(err, e.log.String())
 		}
 	})
 	return e
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -19,6 +19,7 @@
 	"github.com/ragwortpass/ragwortpass/id"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/rollout"
 	"github.com/ragwortpass/ragwortpass/setting"
 )
@@ -103,6 +104,7 @@
 	now       time.Time
 	newSource func() rand.Source
 	shadow    *Gateway
+	head      *http.Request
 	req       *request
 	drawn     bool // the service was drawn
 	said      Explanation
@@ -133,8 +135,8 @@
 	if err != nil || target.IsAbs() {
 		return nil, setting.Errors{{Flag: "path", Value: shownValue(q.Path), Expected: "a path that begins with /"}}
 	}
-	head := &http.Request{Method: q.Method, Host: q.Host, URL: target, RequestURI: q.Path, Header: make(http.Header), Body: http.NoBody}
-	x.req, refusal = x.shadow.check(head, x.now)
+	x.head = &http.Request{Method: q.Method, Host: q.Host, URL: target, RequestURI: q.Path, Header: make(http.Header), Body: http.NoBody}
+	x.req, refusal = x.shadow.check(x.head, x.now)
 	caller := &x.said.Caller
 	caller.Workspace, caller.Urgency, caller.DeadlineSource = x.req.workspace, x.req.urgency, x.req.deadlineSource
 	if !x.req.deadline.IsZero() {
@@ -215,14 +217,16 @@
 	if refusal == nil {
 		refusal = unfit
 	}
-	view := present.View(x.now, query)
-	x.describeAdmission(f, query, view)
 	var chosen id.Upstream
+	if assignment != nil && refusal == nil {
+		chosen = assignment.Upstream.ID
+	}
+	view := present.View(x.now, query, chosen, x.question.Top)
+	x.describeAdmission(f, query, view)
 	switch {
 	case refusal != nil:
 		x.noteRefusal(refusal)
 	case assignment != nil:
-		chosen = assignment.Upstream.ID
 		x.said.Verdict, x.said.Target = WouldBeSent, &ExplainedTarget{
 			Upstream: chosen, Choice: assignment.Reason, ByChance: x.drawn || choosing.drawn+planning.drawn > 0, Canary: plan != nil && plan.Canary,
 			NewConnection: assignment.NewConnection, ExpectedMS: assignment.Expected.Milliseconds(), ExpectedEndMS: assignment.ExpectedEnd.Milliseconds(),
@@ -267,7 +271,7 @@
 // describeLimits describes the limits on the request, and sets the refusal of one that there is no memory for.
 func (x *explainer) describeLimits(refusal **problem.Problem) {
 	g, req := x.gateway, x.req
-	full := g.requestShare(req).Fits(requestBytes)
+	full := g.requestShare(req).Fits(requestBytes + process.RequestHeadCost(x.head))
 	x.said.Limits = &ExplainedLimits{
 		HeadBytes: req.catalog.Limits.HeaderBytes, BodyBytes: req.bodyLimit(), RetriesLeft: g.deps.RetryBudgets.Left(x.now, req.service), Memory: full == nil,
 	}
@@ -294,17 +298,12 @@
 
 // listCandidates lists the upstream that was chosen and those that come into question first.
 func (x *explainer) listCandidates(view *pool.View, chosen id.Upstream) {
-	all := view.Candidates
-	x.said.Known = len(all)
-	if i := slices.IndexFunc(all, func(c pool.Candidate) bool { return c.ID == chosen }); i > 0 {
-		first := all[i]
-		all = slices.Insert(slices.Delete(all, i, i+1), 0, first)
-	}
-	for i := range all[:min(len(all), x.question.Top)] {
-		c := &all[i]
+	x.said.Known = view.Known
+	for i := range view.Candidates {
+		c := &view.Candidates[i]
 		explained := ExplainedCandidate{
 			Upstream: c.ID, Chosen: c.ID == chosen, DataCentre: c.DataCentre, Version: c.Version, Running: c.Running, FleetRunning: c.FleetRunning, Slots: c.Slots,
-			RateLimited: c.Limited, Cold: c.Cold, Rate: c.Part, Pace: float64(c.Pace), PaceSamples: c.Samples, Unread: c.Unread, WaitMS: c.Wait.Milliseconds(), EndMS: c.End.Milliseconds(),
+			RateLimited: c.Limited, Cold: c.Cold, Rate: c.Part, Pace: float64(c.Pace), PaceSamples: c.Samples, Capacity: c.Capacity, Unread: c.Unread, WaitMS: c.Wait.Milliseconds(), EndMS: c.End.Milliseconds(),
 			Affinity: c.Affinity, Group: c.InGroup, Score: c.Work, Doubted: c.Doubted, Excluded: c.Excluded,
 		}
 		if !c.Until.IsZero() {
--- a/gateway/explain_handler.go
+++ b/gateway/explain_handler.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 	"unicode/utf8"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -141,8 +142,7 @@
 		return absent
 	}
 	text := p.values.Get(name)
-	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
-	p.Require(text != "" && utf8.ValidString(text) && !strings.ContainsFunc(text, isControl), name, shownValue(text), "text in UTF-8 without control characters")
+	p.Require(text != "" && utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl), name, shownValue(text), "text in UTF-8 without control characters")
 	return text
 }
 
--- a/gateway/explanation.go
+++ b/gateway/explanation.go
@@ -149,6 +149,7 @@
 	Rate          id.PerSecond   `json:"rate_per_second"`    // of this gateway, if it is cold or has named a limit
 	Pace          float64        `json:"pace"`               // how many times as long as others it takes
 	PaceSamples   float64        `json:"pace_samples"`       // of this gateway
+	Capacity      float64        `json:"capacity"`           // relative to others: how many prefixes prefer it
 	Unread        id.Tokens      `json:"tokens_waiting"`     // of prompts that it has not read
 	WaitMS        int64          `json:"expected_ms"`        // until it begins the prompt
 	EndMS         int64          `json:"expected_end_ms"`    // until the end of the answer; zero: not known
@@ -218,8 +219,8 @@
 	if c.Chosen {
 		mark = "*"
 	}
-	text := fmt.Sprintf("%s upstream=%s data_centre=%s version=%s running=%d running_all=%.0f slots=%d pace=%.2f samples=%.0f tokens_waiting=%d expected=%s expected_end=%s affinity=%d group=%t score=%.0f",
-		mark, c.Upstream, c.DataCentre, c.Version, c.Running, c.FleetRunning, c.Slots, c.Pace, c.PaceSamples, c.Unread, milliseconds(c.WaitMS), milliseconds(c.EndMS), c.Affinity, c.Group, c.Score)
+	text := fmt.Sprintf("%s upstream=%s data_centre=%s version=%s running=%d running_all=%.0f slots=%d pace=%.2f samples=%.0f capacity=%.2f tokens_waiting=%d expected=%s expected_end=%s affinity=%d group=%t score=%.0f",
+		mark, c.Upstream, c.DataCentre, c.Version, c.Running, c.FleetRunning, c.Slots, c.Pace, c.PaceSamples, c.Capacity, c.Unread, milliseconds(c.WaitMS), milliseconds(c.EndMS), c.Affinity, c.Group, c.Score)
 	if c.RateLimited || c.Cold {
 		text += fmt.Sprintf(" rate_limited=%t cold=%t rate=%.3g/s", c.RateLimited, c.Cold, float64(c.Rate))
 	}
--- a/pool/candidates.go
+++ b/pool/candidates.go
@@ -56,21 +56,23 @@
 // View is what the choice of an upstream for a request depends on.
 type View struct {
 	Candidates []Candidate // those that are considered first, and of these the better first
+	Known      int         // upstreams of the service
 	LongPrompt bool        // the prompt counts as long
 	Slots      int         // of the upstreams that accept work
 	Running    int         // requests of all gateways at the service, as far as is known
 	Waiting    int         // requests of this gateway that wait for a slot
 }
 
-// View returns what Choose would see for a request. It changes nothing.
-func (p *Pool) View(now time.Time, rq *Request) *View {
+// View returns what Choose would see for a request, with at most so many candidates, the first of which is the one that
+// was chosen, if there is one. It changes nothing.
+func (p *Pool) View(now time.Time, rq *Request, chosen id.Upstream, most int) *View {
 	s := p.Snapshot(rq.Service, p.latest, rand.New(globalSource{}))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mergePaces(now, rq.Service)
 	listed := slices.Clone(s.byService[rq.Service])
 	load := s.fleetLoad(now, rq.Service)
-	v := &View{LongPrompt: rq.Prompt.Length > 0 && isLong(&rq.Prompt, s.longPromptThreshold(rq.Service)), Running: load.Running}
+	v := &View{Known: len(listed), LongPrompt: rq.Prompt.Length > 0 && isLong(&rq.Prompt, s.longPromptThreshold(rq.Service)), Running: load.Running}
 	if l := s.lines[rq.Service]; l != nil {
 		v.Waiting = len(l.waiting)
 	}
@@ -84,27 +86,55 @@
 		preferred = rendezvousCandidates(group, hash)
 	}
 	v.Slots = s.slots(rq.Service)
-	for _, u := range listed {
-		c := s.candidate(now, u, rq)
-		c.Affinity = slices.Index(preferred, u) + 1
-		c.InGroup = slices.Contains(group, u)
-		if !slices.Contains(eligible, u) {
-			c.Excluded, c.Until = s.exclusion(now, u, rq)
-		} else if rq.Prompt.Length > 0 {
-			level := urgencyLevel(rq.Urgency)
-			c.Wait = s.admissionsOf(rq.Service)[level].wait(now, s.fleetBacklog(u, group, level))
-			c.End = s.timeToEnd(u, c.Wait, &rq.Prompt)
-		}
-		v.Candidates = append(v.Candidates, c)
+	places := make(map[*upstreamState]place, len(listed))
+	for _, u := range eligible {
+		places[u] = place{considered: true, chosen: u.ID == chosen, affinity: slices.Index(preferred, u) + 1, work: s.work(u)}
+	}
+	for _, u := range group {
+		at := places[u]
+		at.inGroup = true
+		places[u] = at
+	}
+	slices.SortFunc(listed, func(a, b *upstreamState) int {
+		return cmp.Or(comparePlaces(places[a], places[b]), cmp.Compare(a.ID, b.ID))
+	})
+	for _, u := range listed[:min(len(listed), most)] {
+		v.Candidates = append(v.Candidates, s.candidate(now, u, rq, places[u], group))
 	}
-	slices.SortFunc(v.Candidates, compareCandidates)
 	return v
 }
 
-// candidate describes an upstream, but its place among others. The caller holds the lock.
-func (p *Pool) candidate(now time.Time, u *upstreamState, rq *Request) Candidate {
+// place is the place of an upstream among those of its service, for a request.
+type place struct {
+	chosen     bool
+	considered bool
+	inGroup    bool
+	affinity   int // zero: none
+	work       float64
+}
+
+// comparePlaces orders places as View lists candidates.
+func comparePlaces(a, b place) int {
+	rank := func(p place) int {
+		switch {
+		case p.chosen:
+			return -1
+		case !p.considered:
+			return 2 + affinityCandidates
+		case !p.inGroup:
+			return 1 + affinityCandidates
+		case p.affinity == 0:
+			return affinityCandidates
+		}
+		return p.affinity - 1
+	}
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.work, b.work))
+}
+
+// candidate describes an upstream at a place. The caller holds the lock.
+func (p *Pool) candidate(now time.Time, u *upstreamState, rq *Request, at place, group []*upstreamState) Candidate {
 	c := Candidate{
-		Listing: u.Listing, Running: u.running, Pace: u.pace, Samples: u.samples.Figure(now).Samples, Capacity: u.capacity, Work: p.work(u),
+		Listing: u.Listing, Running: u.running, Pace: u.pace, Samples: u.samples.Figure(now).Samples, Capacity: u.capacity, Work: p.work(u), Affinity: at.affinity, InGroup: at.inGroup,
 		Unread: u.backlog.before(UrgencyLevels-1) + p.peerLoads[u.Service].Upstreams[u.key()].Unread, Doubted: p.maySilentlyHaveGone(now, u, rq),
 	}
 	if running, known := p.fleetRunning(u); known {
@@ -114,6 +144,14 @@
 	c.Part = id.PerSecond(perSecond)
 	_, c.Cold = p.coldRate(now, u)
 	_, _, c.Limited = u.limitRate()
+	switch {
+	case !at.considered:
+		c.Excluded, c.Until = p.exclusion(now, u, rq)
+	case rq.Prompt.Length > 0:
+		level := urgencyLevel(rq.Urgency)
+		c.Wait = p.admissionsOf(rq.Service)[level].wait(now, p.fleetBacklog(u, group, level))
+		c.End = p.timeToEnd(u, c.Wait, &rq.Prompt)
+	}
 	return c
 }
 
@@ -147,19 +185,3 @@
 	}
 	return ExcludedOther, time.Time{}
 }
-
-// compareCandidates orders candidates as View lists them.
-func compareCandidates(a, b Candidate) int {
-	rank := func(c *Candidate) int {
-		switch {
-		case c.Excluded != "":
-			return 2 + affinityCandidates
-		case !c.InGroup:
-			return 1 + affinityCandidates
-		case c.Affinity == 0:
-			return affinityCandidates
-		}
-		return c.Affinity - 1
-	}
-	return cmp.Or(cmp.Compare(rank(&a), rank(&b)), cmp.Compare(a.Work, b.Work), cmp.Compare(a.ID, b.ID))
-}
--- a/pool/snapshot_test.go
+++ b/pool/snapshot_test.go
@@ -183,7 +183,7 @@
 		for range 10 {
 			y.step(t)
 		}
-		x.pool.View(x.now, x.drawRequest(t))
+		x.pool.View(x.now, x.drawRequest(t), "i-1", 9)
 		requireSame(t, before, x.pool)
 		kept := x.snapshot(7)
 		for range 10 {
@@ -200,7 +200,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		x := newPlayed(t)
 		rq := x.drawRequest(t)
-		view := x.pool.View(x.now, rq)
+		before := x.snapshot(7)
+		view := x.pool.View(x.now, rq, "", 9)
+		require.Len(t, view.Candidates, view.Known)
 		considered := []id.Upstream{}
 		for _, c := range view.Candidates {
 			seen[c.Excluded] = true
@@ -212,6 +214,9 @@
 		switch d := x.pool.Choose(x.now, rq).(type) {
 		case *Assignment:
 			require.Contains(t, considered, d.Upstream.ID)
+			first := before.View(x.now, rq, d.Upstream.ID, 1)
+			require.Len(t, first.Candidates, 1)
+			require.Equal(t, d.Upstream.ID, first.Candidates[0].ID)
 		case *NoUpstream:
 			require.Empty(t, considered)
 		}
@@ -254,3 +259,12 @@
 		require.Equal(t, before, present())
 	}
 }
+
+// BenchmarkSnapshot copies the state of a service of 2,700 upstreams, for which requests wait.
+func BenchmarkSnapshot(b *testing.B) {
+	x := newPlay(2700)
+	b.ReportAllocs()
+	for b.Loop() {
+		x.snapshot(1)
+	}
+}
