process: a shutdown waits for requests that are on their way on kept connections

http.Server.Shutdown closes connections by the state of the server. A kept connection on which half a head had arrived, or whose caller sent its next request just as it was closed, was cut; and so was a request whose head was read, and not yet served, as Shutdown began. A caller on a busy machine pauses between two requests for longer than the test's 50 ms, so that TestCallersWithoutPauseAreCutByShutdown may have failed for it (kept connections: resets and ends). The waits for unread connections and for the last to be accepted were bounded by the clock: a stall of the host used them up at once.

Serve now decides by the bytes that were received, as gateways do (Conns, for every server): it closes what has been idle for 0.5 s, and waits up to 50 steps of 10 ms for what may bring a request. A connection that was never used holds the end no longer (it did for 5 s).

--- a/process/conns.go
+++ b/process/conns.go
@@ -97,7 +97,7 @@
 // while their heads were being read: their callers may have sent them again already.
 func abortRefused(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !mayServe(r.Context()) {
+		if !beginServing(r.Context()) {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
@@ -238,6 +238,7 @@
 	begunAt   time.Time     // when the request began, if idleSince is zero
 	headCost  int64         // bytes that what was read of a head takes, while it is not complete
 	serving   bool          // the head of a request was read, and the request is being served
+	handled   bool          // that request has reached its handler
 	served    bool          // a request was served
 	body      *bodyArrival  // of the request, if the server reads its body; nil: it does not
 	readAhead bool          // a byte was read while the request before was being served
@@ -323,15 +324,16 @@
 	return !c.closed
 }
 
-// mayServe reports whether a handler may serve a request. If the request was refused as its head became complete, or
+// beginServing reports whether a handler may serve a request, and records that it does. If the request was refused as its head became complete, or
 // its connection closed for others, the caller may have sent it again already.
-func mayServe(ctx context.Context) bool {
+func beginServing(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*trackedConn)
 	if !ok {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.handled = c.serving
 	return c.serving
 }
 
@@ -340,7 +342,7 @@
 func (c *trackedConn) endRequest(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.body = false, nil
+	c.serving, c.handled, c.body = false, false, nil
 	c.headShare.Release()
 	if c.readAhead {
 		c.readAhead, c.begunAt = false, now // the first byte of the next request
--- a/process/drain.go
+++ b/process/drain.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// maxAcceptWait is how long the server has to accept the connections that the kernel holds.
-	maxAcceptWait = 200 * time.Millisecond
+	// maxAcceptWait is how long the server has to accept the connections that the kernel holds. It is counted in steps of
+	// acceptPollInterval, as a process that was stopped for a while has accepted nothing meanwhile.
+	maxAcceptWait      = 200 * time.Millisecond
+	acceptPollInterval = 10 * time.Millisecond
 	// handshakeTime is how long a handshake that has begun takes at most within a data centre.
 	handshakeTime = 2 * time.Millisecond
 )
@@ -90,7 +92,7 @@
 }
 
 // Stop closes the listener once the connections that the kernel holds for it are accepted. It returns after Accept has
-// returned the last one, and no later than maxAcceptWait. Callers that connect meanwhile are told that nothing listens
+// returned the last one, or after maxAcceptWait. Callers that connect meanwhile are told that nothing listens
 // when they repeat their first packet.
 func (l *DrainingListener) Stop() error {
 	_ = dropSYN(l.Listener) // without the filter, a connection that comes between the last look and the close is reset
@@ -100,13 +102,21 @@
 	if errors.Is(err, net.ErrClosed) {
 		err = nil // Accept has closed it before
 	}
-	select {
-	case <-l.ended:
-	case <-time.After(maxAcceptWait):
-	}
+	l.awaitEnd()
 	return errors.Join(err, l.Close())
 }
 
+// awaitEnd returns once Accept has failed for good, and after maxAcceptWait at the latest.
+func (l *DrainingListener) awaitEnd() {
+	for range maxAcceptWait / acceptPollInterval {
+		select {
+		case <-l.ended:
+			return
+		case <-time.After(acceptPollInterval):
+		}
+	}
+}
+
 func (l *DrainingListener) setDeadline(t time.Time) error {
 	if d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok {
 		return d.SetDeadline(t)
--- a/process/server.go
+++ b/process/server.go
@@ -34,11 +34,6 @@
 	onDrainedTimeout = 10 * time.Second
 	dialTimeout      = time.Second
 
-	// unreadTimeout is how long a server that is shutting down waits for the request of a connection that it
-	// has accepted.
-	unreadTimeout      = 500 * time.Millisecond
-	unreadPollInterval = 10 * time.Millisecond
-
 	// A peer connection sends an HTTP/2 ping after sendPingTimeout without receiving a
 	// frame, and is closed if no response to the ping arrives within pingResponseTimeout.
 	sendPingTimeout     = 2 * time.Second
@@ -68,7 +63,8 @@
 	Ready    func() error // nil error: ready for requests
 	Metrics  metrics.Registry
 	Logger   log.Logger
-	// Memory bounds what connections take, and MaxDescriptors is how many descriptors the process may have; nil, or zero: not known.
+	// Memory bounds what connections take, and MaxDescriptors is how many descriptors the process may have; nil, or zero: not known, and memory is bounded as for a
+	// process of 2,048 MB.
 	Memory         *memory.Budgets
 	MaxDescriptors int
 	OnShutdown     func()                  // called once when the shutdown begins; nil: nothing to do
@@ -104,10 +100,9 @@
 		}
 		l = NewListener(time.Now(), apiServer, address, ListenPatience, s.Logger)
 	}
-	leaving, unread := new(atomic.Bool), newUnreadConns()
+	leaving := new(atomic.Bool)
 	server := NewHTTPServer(closeWhenLeaving(leaving, boundUnreadBodies(s.handler())))
 	server.ErrorLog = stdlog.New(log.NewStdlibAdapter(log.With(s.Logger, "event", "http_server_error", "server", apiServer)), "", 0)
-	unread.track(server)
 	defer s.startTasks(ctx)()
 	done := make(chan struct{})
 	defer close(done)
@@ -119,8 +114,8 @@
 		}
 	}()
 	serveErr := make(chan error, 1)
-	listener := s.listener(server, l)
-	go func() { serveErr <- server.Serve(listener) }()
+	conns := s.track(server, l)
+	go func() { serveErr <- server.Serve(conns) }()
 	select {
 	case err := <-serveErr:
 		if errors.Is(err, http.ErrServerClosed) {
@@ -131,31 +126,23 @@
 	}
 	leaving.Store(true)
 	return s.shutdown(server, func() error {
-		err := listener.Stop()
+		err := conns.Stop()
 		if ended := <-serveErr; !errors.Is(ended, net.ErrClosed) { // all that were accepted are known
 			err = errors.Join(err, ended)
 		}
-		closed := time.Now()
-		for unread.acceptedSince(time.Now().Add(-unreadTimeout)) && time.Since(closed) < unreadTimeout {
-			time.Sleep(unreadPollInterval)
-		}
+		conns.settle()
 		return err
 	})
 }
 
-// acceptor is a listener that can be stopped without resetting connections.
-type acceptor interface {
-	net.Listener
-	Stop() error
-}
-
-// listener returns the listener that the server accepts connections from.
-func (s Server) listener(server *http.Server, l net.Listener) acceptor {
-	if s.Memory == nil {
-		return NewDrainingListener(l)
+// track returns the listener that the server accepts connections from.
+func (s Server) track(server *http.Server, l net.Listener) *Conns {
+	budgets := s.Memory
+	if budgets == nil {
+		budgets = memory.NewBudgets(0)
 	}
 	return NewConns(ConnsConfig{
-		IdleTimeout: func() time.Duration { return 0 }, Memory: s.Memory.Connections, MaxOpen: MaxCallers(s.MaxDescriptors), Registry: s.Metrics, Logger: s.Logger,
+		IdleTimeout: func() time.Duration { return 0 }, Memory: budgets.Connections, MaxOpen: MaxCallers(s.MaxDescriptors), Registry: s.Metrics, Logger: s.Logger,
 	}, server, l)
 }
 
--- a/process/shutdown_test.go
+++ b/process/shutdown_test.go
@@ -101,3 +101,68 @@
 		})
 	}
 }
+
+// TestRequestOnItsWayIsCutByShutdown guards against a shutdown that closes a kept connection on which a request has arrived in
+// part, or arrives just afterwards.
+func TestRequestOnItsWayIsCutByShutdown(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+	for name, first := range map[string]int{"half": len(head) / 2, "none": 0} {
+		t.Run(name, func(t *testing.T) {
+			l, err := ListenTCP("127.0.0.1:0")
+			require.NoError(t, err)
+			conn := dialCaller(t, l.Addr().String(), "")
+			in := bufio.NewReader(conn)
+			answer := func() int {
+				resp, err := http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				return resp.StatusCode
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			left := make(chan struct{})
+			served := make(chan error, 1)
+			go func() {
+				served <- Serve(ctx, Server{
+					Listener: l, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Ready: func() error { return nil },
+					Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(), OnShutdown: func() { close(left) },
+				})
+			}()
+			_, err = io.WriteString(conn, head)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, answer())
+			_, err = io.WriteString(conn, head[:first])
+			require.NoError(t, err)
+			cancel()
+			<-left
+			time.Sleep(unreadTimeout / 4)
+			_, err = io.WriteString(conn, head[first:])
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, answer())
+			require.NoError(t, <-served)
+		})
+	}
+}
+
+// TestSilentConnectionsHoldShutdown guards against a shutdown that waits for connections on which nothing comes.
+func TestSilentConnectionsHoldShutdown(t *testing.T) {
+	l, err := ListenTCP("127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	served := make(chan error, 1)
+	go func() {
+		served <- Serve(ctx, Server{
+			Listener: l, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Ready: func() error { return nil },
+			Metrics: metrics.NewRegistry(), Logger: log.NewNopLogger(),
+		})
+	}()
+	dialCaller(t, l.Addr().String(), "")
+	kept := dialCaller(t, l.Addr().String(), callerRequest)
+	_, err = kept.Read(make([]byte, 1))
+	require.NoError(t, err)
+	cancel()
+	began := time.Now()
+	require.NoError(t, <-served)
+	require.Less(t, time.Since(began), 4*time.Second, "http.Server.Shutdown waits 5 s for a silent connection")
+}
--- a/process/unread.go
+++ b/process/unread.go
@@ -1,69 +1,60 @@
 package process
 
-// This file defines unreadConns, for the connections that a server has accepted last before it shuts down.
+// This file defines how a server that shuts down waits for requests that are on their way. http.Server.Shutdown closes connections
+// by the state of the server: also those on which a request has arrived in part, and it drops a request whose head was read and that
+// is not served yet.
 
-import (
-	"context"
-	"net"
-	"net/http"
-	"sync"
-	"time"
-)
-
-// unreadConns are the connections of a server from which no request was read. It is safe for concurrent use.
-type unreadConns struct {
-	mu       sync.Mutex
-	accepted map[net.Conn]time.Time
-}
+import "time"
 
-func newUnreadConns() *unreadConns { return &unreadConns{accepted: make(map[net.Conn]time.Time)} }
-
-// unreadConnKey is the key of a request's connection in its context.
-type unreadConnKey struct{}
+const (
+	// unreadTimeout is how long a server that is shutting down waits for the request of a connection that it has accepted, or
+	// answered a request on, just before.
+	unreadTimeout      = 500 * time.Millisecond
+	unreadPollInterval = 10 * time.Millisecond
+)
 
-// track makes the server tell of its connections.
-func (u *unreadConns) track(server *http.Server) {
-	server.ConnState = u.connStateChanged
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, unreadConnKey{}, conn)
-	}
-	next := server.Handler
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(unreadConnKey{}).(net.Conn); ok {
-			u.remove(conn)
+// settle returns once no request may be on its way, and unreadTimeout later at the latest. It closes the connections of HTTP/1.1 that
+// have no request. Time is counted by the looks, as a process that was stopped for a while has read nothing meanwhile.
+func (c *Conns) settle() {
+	recent := time.Now().Add(-unreadTimeout)
+	for range unreadTimeout / unreadPollInterval {
+		if !c.closeUnused(recent) {
+			return
 		}
-		next.ServeHTTP(w, r)
-	})
+		time.Sleep(unreadPollInterval)
+	}
+	c.closeUnused(time.Now())
 }
 
-// connStateChanged is the ConnState hook of the server. A connection becomes active before the server, if it is shutting
-// down, drops its request, so that only the handler shows that one was read.
-func (u *unreadConns) connStateChanged(conn net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		u.accepted[conn] = time.Now()
-	case http.StateClosed, http.StateHijacked:
-		u.remove(conn)
-	case http.StateActive, http.StateIdle:
+// closeUnused closes the connections of HTTP/1.1 that have been idle since t or longer, and reports whether a request may be on its way
+// on others.
+func (c *Conns) closeUnused(t time.Time) (awaits bool) {
+	for _, conn := range c.all() {
+		if !conn.isMultiplexed() && !conn.closeIfIdleSince(t) && conn.mayBringRequest(t) {
+			awaits = true
+		}
 	}
+	return awaits
 }
 
-func (u *unreadConns) remove(conn net.Conn) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.accepted, conn)
+func (c *trackedConn) isMultiplexed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.multiplexed
 }
 
-// acceptedSince reports whether one of the connections was accepted at t or later.
-func (u *unreadConns) acceptedSince(t time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, accepted := range u.accepted {
-		if !accepted.Before(t) {
-			return true
-		}
+// mayBringRequest reports whether a request of the connection is not served yet, or may be on its way: the connection has been idle, or the
+// head incomplete, for less time than since t.
+func (c *trackedConn) mayBringRequest(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed || c.handled:
+		return false
+	case c.serving:
+		return true
+	case c.idleSince.IsZero():
+		return c.begunAt.After(t)
 	}
-	return false
+	return true // closeIfIdleSince has left it
 }
