rollout: seconds in which other versions are slow too say nothing of the target

A host that stalls makes all versions slow. The few answers of a canary may all fall into the stall, and the test takes answers as independent: a good version was condemned for 6 slow answers of 6, beside 24 of 185 of the others.

Counts are kept by the second. A second in which a fifth more of the others' answers are slow or failed than in most does not count, on its route or on all, nor do the seconds beside it. Failures count at once.

--- a/rollout/register.go
+++ b/rollout/register.go
@@ -62,13 +62,6 @@
 	upstreams Upstreams
 }
 
-// snapshot holds the counts of all gateways at a time.
-type snapshot struct {
-	at        time.Time
-	counts    Counts
-	upstreams Upstreams
-}
-
 // rollout is an order with all that is known of it.
 type rollout struct {
 	order     Order
@@ -87,12 +80,14 @@
 	ownUpstreams Upstreams
 	exposure     exposure
 	// Of all gateways, as of the last round. Counts of a run that has ended stay, so that they never get less.
-	told                       map[Source]toldCounts
-	upstreams, recentUpstreams Upstreams
-	whole, recent              Counts
-	snapshots                  []snapshot
-	otherRunning               int
-	allShifting                bool // every gateway that may be alive knows that the target goes first
+	told         map[Source]toldCounts
+	whole        Counts
+	upstreams    Upstreams
+	strata       strata
+	sound        evidence // of the whole order
+	recent       evidence // of the last seconds
+	otherRunning int
+	allShifting  bool // every gateway that may be alive knows that the target goes first
 }
 
 // target returns whether a request for a version is one for the target.
@@ -183,7 +178,7 @@
 func newRollout(now time.Time, o Order, rejected map[id.Version]bool) *rollout {
 	return &rollout{
 		order: o, started: now, knownSince: now, rejected: rejected, service: Service{Known: true},
-		own: make(Counts), ownUpstreams: make(Upstreams), told: make(map[Source]toldCounts), whole: make(Counts), recent: make(Counts),
+		own: make(Counts), ownUpstreams: make(Upstreams), told: make(map[Source]toldCounts), whole: make(Counts),
 		exposure: exposure{routes: make(map[id.Route]int)},
 	}
 }
@@ -389,7 +384,7 @@
 func (r *rollout) sum(now time.Time) {
 	if r.record.State.Final() {
 		clear(r.told)
-		r.snapshots = nil
+		r.strata, r.sound, r.recent = strata{}, evidence{}, evidence{}
 		return
 	}
 	r.whole, r.upstreams = make(Counts), make(Upstreams)
@@ -399,7 +394,8 @@
 		r.whole.add(told.counts)
 		r.upstreams.add(told.upstreams)
 	}
-	r.takeSnapshot(now)
+	r.strata.update(now, r.whole, r.upstreams)
+	r.sound, r.recent = r.strata.evidence(r.whole, time.Time{}), r.strata.evidence(r.whole, now.Add(-recentStrataWithin))
 }
 
 // takeOver takes over what a peer reports of an order, but its counts. The caller holds the lock.
@@ -420,26 +416,6 @@
 	}
 }
 
-const (
-	// snapshotInterval is the time between two snapshots that are kept.
-	snapshotInterval = time.Second
-	maxSnapshots     = int(recentTime/snapshotInterval) + 1
-)
-
-// takeSnapshot keeps the present counts and sets the recent ones.
-func (r *rollout) takeSnapshot(now time.Time) {
-	for len(r.snapshots) > 1 && now.Sub(r.snapshots[1].at) >= recentTime {
-		r.snapshots = r.snapshots[1:]
-	}
-	r.recent, r.recentUpstreams = r.whole, r.upstreams
-	if len(r.snapshots) > 0 {
-		r.recent, r.recentUpstreams = r.whole.since(r.snapshots[0].counts), r.upstreams.since(r.snapshots[0].upstreams)
-	}
-	if n := len(r.snapshots); n == 0 || n < 2*maxSnapshots && now.Sub(r.snapshots[n-1].at) >= snapshotInterval {
-		r.snapshots = append(r.snapshots, snapshot{now, r.whole, r.upstreams})
-	}
-}
-
 // Reports returns what this gateway knows of all orders, for its peers.
 func (g *Register) Reports() (reports []Report) {
 	g.mu.Lock()
