process: a head that waits for room looks again for one that has become late

A head that there is no memory for looked once for others to close, which must have kept the process waiting for a second, and then waited half a second for what they give back. Others that became late meanwhile were not closed, and the caller was: on a busy machine, where the heads of a crowd arrive half a second after they were sent, TestHeadsWithoutEndMakeRoom saw its proper caller reset. It looks once more at the end of the wait. TestHeadThatBecomesLateMakesRoom fails before.

--- a/process/conns_memory.go
+++ b/process/conns_memory.go
@@ -387,6 +387,9 @@
 		return true
 	}
 	err := c.conns.waitForRoom(c, c.reserveHead, headLate(time.Now()), maxHeadWait)
+	if err != nil { // others have become late meanwhile
+		err = c.conns.makeRoom(c, c.reserveHead, headLate(time.Now()))
+	}
 	if err != nil && c.closeForRoom() {
 		c.conns.noteClosed(time.Now(), "heads_turned_away", err)
 	}
--- a/process/conns_memory_test.go
+++ b/process/conns_memory_test.go
@@ -127,11 +127,41 @@
 	for range 20 {
 		dialCaller(t, address, head)
 	}
-	time.Sleep(minHeadTime)
+	late := func() bool {
+		for _, conn := range c.all() {
+			if s := conn.state(); s.phase != phaseHead || time.Since(s.since) < minHeadTime {
+				return false
+			}
+		}
+		return c.Len() > 0
+	}
+	require.Eventually(t, late, 20*time.Second, time.Millisecond)
+	require.Less(t, c.Len(), 20, "heads beyond the memory for connections are kept")
 	requireServed(t, dialCaller(t, address, head+"\r\n\r\n"))
 	require.Less(t, c.Len(), 20, "heads beyond the memory for connections are kept")
 }
 
+// TestHeadThatBecomesLateMakesRoom has a head come while another one takes all the memory and is not late yet, but will be while the
+// new one waits.
+func TestHeadThatBecomesLateMakesRoom(t *testing.T) {
+	const cost = 24 << 10
+	conns := &Conns{conns: make(map[*trackedConn]struct{}), registry: metrics.NewRegistry(), logger: log.NewNopLogger()}
+	budget := memory.NewBudget(2 * cost) // a holder may have as much as is free
+	add := func(begun time.Time) *trackedConn {
+		ours, theirs := net.Pipe()
+		t.Cleanup(func() { theirs.Close() })
+		c := &trackedConn{Conn: ours, conns: conns, share: budget.Share("c"), headShare: budget.Share(memory.Holder(begun.String())), begunAt: begun}
+		conns.track(c)
+		return c
+	}
+	now := time.Now()
+	first, second := add(now.Add(maxHeadWait/2-minHeadTime)), add(now)
+	part := make([]byte, cost/headByteFactor)
+	require.True(t, first.growHead(part))
+	require.True(t, second.growHead(part))
+	require.Equal(t, phaseServing, first.state().phase, "the late one is closed")
+}
+
 // TestConnectionsGiveMemoryBack opens and closes connections in several states: all memory comes back.
 func TestConnectionsGiveMemoryBack(t *testing.T) {
 	address, c := newSmallServer(t, 64)
