gateway: the test of a limit's end awaits the upstream's share

TestUpstreamStaysIdleAfterItsLimit counted the requests of one given second, and failed in 1 of 22 and 1 of 33 runs with -cpu 1,2 at a load of 25 to 35. Traced: the limit's end was heard at 5.6 s of 8 s, and the upstream then got 11 of 25 requests in half a second, but 14 of 48 in the second that was counted. The other one answered faster while the host was busy, and faster upstreams get more.

--- a/gateway/named_limit_test.go
+++ b/gateway/named_limit_test.go
@@ -109,11 +109,21 @@
 				}
 			})
 			f.serveUpstream(func(http.ResponseWriter, *http.Request) {})
-			statuses := f.callEvery(20*time.Millisecond, limited+7*time.Second, "/safe/x")
-			require.Len(t, statuses, 1, "the other upstream takes the rest: %v", statuses)
-			require.Contains(t, statuses, http.StatusOK)
-			heardBy := began.Add(limited + 6*time.Second) // a request in five seconds asks under a limit of zero
-			require.Greater(t, arrivals.Between(heardBy, heardBy.Add(time.Second)), 15)
+			call := func(length time.Duration) (arrived int) {
+				called := time.Now()
+				statuses := f.callEvery(20*time.Millisecond, length, "/safe/x")
+				require.Len(t, statuses, 1, "the other upstream takes the rest: %v", statuses)
+				require.Contains(t, statuses, http.StatusOK)
+				return arrivals.Between(called, time.Now())
+			}
+			call(limited + 6*time.Second) // a request in five seconds asks under a limit of zero
+			require.Zero(t, f.pool.LimitedUpstreams())
+			// The other upstream gets more for a while if it answers faster, as it may on a busy machine.
+			share := 0
+			for tries := 0; share <= 15 && tries < 10; tries++ {
+				share = call(time.Second)
+			}
+			require.Greater(t, share, 15, "requests in a second, of 50")
 			require.Len(t, f.logged("event upstream_limit "), 2)
 		})
 	}
