rollout: a trial with the whole load, and fewer answers for a verdict

A good version of a service with 40 requests a second and an order of 12 s was rolled back as undecided: half of the target's answers came in its upstreams' first seconds, which do not count for the pace, and 30 had to count. One that is bad under load only passed the canary, and all requests of the shift were on their way before the first slow answers: with 80 requests a second it was called done 1.6 s after the shift began, 0.1 s before the verdict.

Half of the slack is used in the first seconds of upstreams at most. An eighth of the time before the shift, all requests go to the target until a further part of the share and of the slack is used (0.85 and 0.7 in all): the load that it will have, for the price of these requests. 18 durations must count: of a version that is slow in half of its answers, three of them are in 999 of 1,000 cases, and it is in doubt. The shift takes 2 s, and all of its time if two bad answers speak against the target; in doubt at the end, it is rolled back. No canary is sent while the others are slow.

--- a/rollout/choice.go
+++ b/rollout/choice.go
@@ -5,7 +5,9 @@
 // its own requests, so that the sum over the fleet is bounded whatever a gateway knows of others.
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -22,6 +24,12 @@
 // the target as busy as all will be, where the share is too small to do so all the time.
 const pulsePeriod = 2 * time.Second
 
+// warmUpSlack is the part of the slack that is used while upstreams are in their first seconds: what they answer then says little of their pace.
+const warmUpSlack = 0.5
+
+// burstPart is the part of the trial's time in which the exposure that is left for it is used.
+const burstPart = 0.4
+
 // minCanaryUpstreams is how many upstreams a canary uses at least: with one, a fault of that upstream cannot be
 // told from one of its version.
 const minCanaryUpstreams = 2
@@ -93,7 +101,7 @@
 		}
 	case r.record.State == Canary && g.isInformed(now) && g.reserve(now, r, route):
 		p.Canary, p.reserved = true, true
-		target.Most = r.canaryUpstreams(&g.cfg)
+		target.Most = cmp.Or(r.trialUpstreams, r.canaryUpstreams(&g.cfg))
 		p.Filters = []Filter{target, others}
 	case r.record.State == Unknown && r.runsTargetOnly():
 		p.Filters = []Filter{target}
@@ -125,8 +133,8 @@
 // lock.
 func (g *Register) reserve(now time.Time, r *rollout, route id.Route) bool {
 	target, _ := r.loads()
-	if target.Upstreams == 0 {
-		return false
+	if target.Upstreams == 0 || r.sound.isDisturbed {
+		return false // what is sent now would tell nothing
 	}
 	e, times := &r.exposure, r.schedule()
 	elapsed := min(max(float64(now.Sub(r.knownSince))/float64(times.Shift.Sub(times.Started)), 0), 1)
@@ -135,7 +143,13 @@
 	allowed := ofShare + ofSlack*elapsed
 	left := allowed - float64(e.target)
 	if now.Sub(r.targetSince) < r.warmUp() {
-		left = min(left, ofSlack+1-float64(e.target)) // as it cannot be told to be slow yet
+		left = min(left, warmUpSlack*ofSlack+1-float64(e.target)) // as it cannot be told to be slow yet
+	} else if !now.Before(times.Trial) && !r.inDoubt {
+		extra := trialSlackFraction - slackFraction
+		if !r.knownSince.Before(times.Trial) {
+			extra = 0 // of a gateway that has started anew, which may have used it
+		}
+		return g.reserveInTrial(now, r, route, ofSlack*elapsed+extra*g.cfg.Slack/float64(g.gateways))
 	}
 	e.routes[route] += 0
 	density := min(float64(r.canaryUpstreams(&g.cfg))/float64(target.Upstreams), 1)
@@ -154,6 +168,26 @@
 	return true
 }
 
+// reserveInTrial is reserve for the trial: all requests go to as many upstreams of the target as are as busy then as all will be
+// after the shift, for as long as the exposure lasts, of which slack does not depend on the requests. The caller holds the lock.
+func (g *Register) reserveInTrial(now time.Time, r *rollout, route id.Route, slack float64) bool {
+	target, _ := r.loads()
+	e := &r.exposure
+	left := trialShareFraction*g.cfg.Share*float64(e.sends+1) + slack - float64(e.target)
+	if r.trialUpstreams == 0 {
+		times := r.schedule()
+		rate := float64(e.sends) / max(now.Sub(r.knownSince).Seconds(), 1)
+		burst := rate * times.Shift.Sub(times.Trial).Seconds() * burstPart
+		r.trialUpstreams = max(minCanaryUpstreams, int(math.Ceil(float64(target.Upstreams)*min(left/max(burst, 1), 1))))
+	}
+	if left < 1 || g.random() >= float64(r.trialUpstreams)/float64(target.Upstreams) {
+		return false
+	}
+	e.target++
+	e.routes[route]++
+	return true
+}
+
 // Release gives back what a plan has reserved, as the request is not sent.
 func (g *Register) Release(p *Plan) {
 	g.mu.Lock()
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -159,12 +159,15 @@
 			return Shifting, ""
 		}
 		return RolledBack, ReasonAbsent
-	case !isolated && r.otherRunning == 0 && r.allShifting && now.Sub(r.record.At) >= settleTime && now.Sub(r.knownSince) >= settleTime:
+	case !isolated && r.otherRunning == 0 && r.allShifting && now.Sub(r.record.At) >= settleTime && now.Sub(r.knownSince) >= informTime && r.judge(suspected) == nil:
 		return Done, ReasonMoved
-	case !now.Before(times.Finish):
-		return Done, ReasonTime
+	case now.Before(times.Finish):
+		return Shifting, ""
 	}
-	return Shifting, ""
+	if v := r.judge(inDoubt); v != nil {
+		return RolledBack, v.Reason
+	}
+	return Done, ReasonTime
 }
 
 // detail returns what a step is decided on.
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -140,6 +140,50 @@
 	t.Logf("%d good, %d bad; the most exposure is %.2f of the bound", done, rolledBack, worst)
 }
 
+// small returns a fleet with two upstreams of each version and two routes that are alike, and an order of 12 s.
+func small(seed uint64, kind badness, rate float64) *simulation {
+	if kind.slow > 0 {
+		kind.slow = 6
+	}
+	if kind.route != "" {
+		kind.route = "look"
+	}
+	if kind.part > 0 {
+		kind.part = 0.6
+	}
+	s := newSimulation(seed, kind)
+	s.routes = []simRoute{{"look", 0.5, 80 * time.Millisecond}, {"stream", 0.5, 80 * time.Millisecond}}
+	s.rate, s.order.Duration, s.kills = rate, 12*time.Second, 0
+	s.deviation, s.coldFactor, s.underLoadRunning = 0.1, 1, 3
+	s.old = s.old[:2]
+	return s
+}
+
+// TestLittleTrafficIsEnough answers services with so few requests that the share of a short order is some forty: good versions were rolled
+// back as undecided, and those that are bad under load only were called good or came over their bound.
+func TestLittleTrafficIsEnough(t *testing.T) {
+	for _, rate := range []float64{40, 80} {
+		for seed := range uint64(30) {
+			kind := simKinds[seed%uint64(len(simKinds))]
+			if rate == 40 && kind.underLoad {
+				continue // at this rate, upstreams hardly ever run as many requests
+			}
+			s := small(seed, kind, rate)
+			s.run()
+			final, bound := s.store.records[simService], s.cfg.Share*float64(s.total)+s.cfg.Slack
+			name := fmt.Sprintf("seed %d, %s, rate %.0f: %s for %s at %v, exposed %d of %.0f, late %d %v",
+				seed, s.kind.name, rate, final.State, final.Reason, s.finalAt.Sub(s.ordered), s.exposed, bound, s.late, s.verdicts)
+			if s.kind.isGood() {
+				require.Equal(t, Done, final.State, name)
+				continue
+			}
+			require.Equal(t, RolledBack, final.State, name)
+			require.LessOrEqual(t, float64(s.exposed), bound, name)
+			require.Zero(t, s.late, name)
+		}
+	}
+}
+
 // TestStallOfAllVersionsCondemnsNone answers a host that stalls while a version has its share: the few answers of the target that fell into the
 // stall were held against it. A bad version is not saved by it.
 func TestStallOfAllVersionsCondemnsNone(t *testing.T) {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -23,6 +23,9 @@
 	// It is in doubt, and not good, already for these.
 	minDoubtBad    = 3
 	maxDoubtChance = 1e-3
+	// It is suspected, and the shift to it takes all of its time, for these.
+	minSuspectBad    = 2
+	maxSuspectChance = 0.05
 	// minExtraFailures and minExtraSlow are by how much that part has to be greater.
 	minExtraFailures = 0.03
 	minExtraSlow     = 0.15
@@ -36,8 +39,9 @@
 
 	// A target is good with minAnswers answers in all, and on each route that has traffic with
 	// minRouteAnswers or one for each routeAnswersEach of other versions, of which
-	// maxFailing have failed at most, and as many durations that count, unless others have none. Its upstreams have minCapacity of the slots of the others.
+	// maxFailing have failed at most, and with minDurations that count, unless others have none. Its upstreams have minCapacity of the slots of the others.
 	minAnswers       = 30
+	minDurations     = 18 // of a version that is slow in half of its answers, minDoubtBad of them are slow in 999 of 1000 cases
 	minRouteAnswers  = 8
 	routeAnswersEach = 20
 	maxFailing       = 0.1
@@ -82,6 +86,7 @@
 var (
 	condemned = standard{minBad, maxChance}
 	inDoubt   = standard{minDoubtBad, maxDoubtChance}
+	suspected = standard{minSuspectBad, maxSuspectChance}
 )
 
 // meets reports whether the answers of the target are worse by a standard. Extra is by how much the part
@@ -239,7 +244,7 @@
 		durations += n
 		otherDurations += others
 	}
-	return durations >= min(minAnswers, otherDurations)
+	return durations >= min(minDurations, otherDurations)
 }
 
 // failsOftenIn reports whether too many answers of the target have failed, and not only those of one upstream.
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -79,6 +79,8 @@
 	own          Counts
 	ownUpstreams Upstreams
 	exposure     exposure
+	// trialUpstreams is how many upstreams of the target this gateway uses in the trial; zero before.
+	trialUpstreams int
 	// Of all gateways, as of the last round. Counts of a run that has ended stay, so that they never get less.
 	told         map[Source]toldCounts
 	whole        Counts
@@ -86,6 +88,7 @@
 	strata       strata
 	sound        evidence // of the whole order
 	recent       evidence // of the last seconds
+	inDoubt      bool     // the target is worse by the standard of doubt
 	otherRunning int
 	allShifting  bool // every gateway that may be alive knows that the target goes first
 }
@@ -367,6 +370,7 @@
 		r.otherRunning, r.allShifting = running, shifting >= peers
 		r.sum(now)
 		if !r.record.State.Final() && r.condemned == "" && !r.unread {
+			r.inDoubt = r.judge(inDoubt) != nil
 			change.Verdict = r.judge(condemned)
 			if change.Verdict != nil {
 				r.condemned = change.Verdict.Reason
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -118,6 +118,9 @@
 	// rest is for requests that are sent while the verdict spreads, and for errors of the counts.
 	shareFraction = 0.7
 	slackFraction = 0.45
+	// trialShareFraction and trialSlackFraction are those from the trial on, and before a target is undecided.
+	trialShareFraction = 0.85
+	trialSlackFraction = 0.7
 )
 
 // The times of an order are fractions of its duration, within bounds.
@@ -130,15 +133,21 @@
 	// warmUp is how long an upstream may be slow after its start, at most warmUpFraction of the time.
 	warmUp         = 5 * time.Second
 	warmUpFraction = 0.25
+	// The trial, in which the target gets the load that it will have, takes trialFraction of the time.
+	trialFraction      = 0.125
+	minTrial, maxTrial = 500 * time.Millisecond, 4 * time.Second
 	// rampTime is how long the shift takes to send the target all new requests.
 	rampTime = 1500 * time.Millisecond
-	// settleTime is how long a shift takes at least: all new requests go to the target, and rows of all gateways know of it by then.
-	settleTime = 1500 * time.Millisecond
+	// settleTime is how long a shift takes at least: all new requests go to the target, and slow answers to those of the first half of the ramp have come, by then.
+	settleTime = 2 * time.Second
+	// informTime is how long a gateway waits for rows of all gateways.
+	informTime = 1500 * time.Millisecond
 )
 
 // Schedule holds the times of an order.
 type Schedule struct {
 	Started  time.Time
+	Trial    time.Time // when the target gets the load that it will have, for as long as its share lasts
 	Shift    time.Time // the first time at which the target may get more than its share
 	Undecide time.Time // the last time at which a shift may begin
 	Finish   time.Time // when the last step is recorded, whatever still runs
@@ -155,6 +164,7 @@
 		Started: started, Deadline: deadline,
 		Shift: deadline.Add(-part(shiftFraction, minShift, maxShift)), Finish: deadline.Add(-part(marginFraction, minMargin, maxMargin)),
 	}
+	s.Trial = s.Shift.Add(-part(trialFraction, minTrial, maxTrial))
 	s.Undecide = s.Shift.Add(s.Finish.Sub(s.Shift) / 2)
 	return s
 }
--- a/rollout/strata.go
+++ b/rollout/strata.go
@@ -73,7 +73,8 @@
 	counts    Counts
 	upstreams Upstreams
 	// settled holds the counts of which it is known that the second after them is not disturbed.
-	settled Counts
+	settled     Counts
+	isDisturbed bool // others are slow or fail now
 }
 
 // evidence returns the counts of the strata that began at a time or later, without those that are disturbed or
@@ -87,6 +88,8 @@
 		}
 		return p
 	})
+	n := len(s.list)
+	e.isDisturbed = n > 0 && onAll[n-1]
 	for route := range whole {
 		onRoute := s.disturbed(func(c Counts) (p badParts) {
 			if counts := c[route]; counts != nil {
@@ -101,7 +104,7 @@
 			}
 			part := Counts{route: counts}
 			e.counts.add(part)
-			if i+2 < len(s.list) {
+			if i+2 < n {
 				e.settled.add(part)
 			}
 		}
