process: heads of answered requests make room for those of others

Cause: the rest of a body whose request was answered is read for as long as it keeps 64 KiB a second, up to minutes, and the head of the request keeps its memory meanwhile. Only heads that are not complete were closed for a head that arrives: few refused callers with long heads kept the memory for heads, and others with heads of over 12 KiB of cost had their connections closed unanswered after half a second. Change: if no memory is given back in that time, connections that keep heads of answered requests are closed for the new head. Measured: TestHeadsOfAnsweredMakeRoom, memory for one long head: its second caller was reset before, and is served now. Package process with -race passes.

--- a/process/arrival.go
+++ b/process/arrival.go
@@ -22,6 +22,7 @@
 	bytes    int64     // read since then
 	readAt   time.Time // when the last of them were read
 	answered bool      // the request was answered before
+	headKept bool      // in memory of its own, although it was answered
 }
 
 // newBodyArrival returns the arrival of a body that is read from now on.
@@ -93,6 +94,7 @@
 	if c.closed {
 		return end, net.ErrClosed
 	}
+	c.body.headKept = true
 	return end, c.headShare.GrowTo(cost)
 }
 
--- a/process/arrival_test.go
+++ b/process/arrival_test.go
@@ -23,6 +23,11 @@
 // newRefusingServer is newBodyServer, but answers requests for /refused at once and reads their bodies without keeping them. The channel
 // receives the error of each.
 func newRefusingServer(t *testing.T, maxOpen int) (address string, discarded <-chan error) {
+	return newRefusingServerOf(t, maxOpen, memory.NewBudgets(0).Connections)
+}
+
+// newRefusingServerOf is newRefusingServer with memory for connections.
+func newRefusingServerOf(t *testing.T, maxOpen int, budget *memory.Budget) (address string, discarded <-chan error) {
 	errs := make(chan error, 10)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		controller := http.NewResponseController(w)
@@ -48,7 +53,7 @@
 		}
 		errs <- controller.SetReadDeadline(time.Time{})
 	}))
-	c := NewConns(ConnsConfig{IdleTimeout: noIdleTimeout, Memory: memory.NewBudgets(0).Connections, MaxOpen: maxOpen, Registry: metrics.NewRegistry(), Logger: log.NewNopLogger()}, server.Config, server.Listener)
+	c := NewConns(ConnsConfig{IdleTimeout: noIdleTimeout, Memory: budget, MaxOpen: maxOpen, Registry: metrics.NewRegistry(), Logger: log.NewNopLogger()}, server.Config, server.Listener)
 	server.Listener = c
 	server.Start()
 	t.Cleanup(server.Close)
@@ -124,3 +129,18 @@
 	require.GreaterOrEqual(t, budget.Used(), RequestHeadCost(r))
 	require.ErrorIs(t, discard(), memory.ErrFull)
 }
+
+// TestHeadsOfAnsweredMakeRoom guards against callers whose bodies arrive just fast enough, and whose requests were answered, keeping the
+// memory for heads from others.
+func TestHeadsOfAnsweredMakeRoom(t *testing.T) {
+	field := strings.Repeat("x", 10<<10)
+	head := headCost([]byte(field))
+	address, discarded := newRefusingServerOf(t, 0, memory.NewBudget(int64(float64(5*head/2+2*connBytes)/(1-connReserve)))) // for one head
+	refused, _ := startUpload(t, address, "/refused HTTP/1.1\r\nLong: "+field+"\r\nOdd:", time.Minute)
+	requireAnswer(t, refused, "")
+	caller := dialCaller(t, address, "GET / HTTP/1.1\r\nHost: h\r\nLong: "+field+"\r\n\r\n")
+	require.NoError(t, caller.SetReadDeadline(time.Now().Add(20*time.Second)))
+	requireAnswer(t, bufio.NewReader(caller), "served")
+	var unread *UnreadError
+	require.ErrorAs(t, <-discarded, &unread)
+}
--- a/process/conns_memory.go
+++ b/process/conns_memory.go
@@ -68,12 +68,13 @@
 type connPhase int
 
 const (
-	phaseServing connPhase = iota // a request is being served, or the connection is closed
-	phaseIdle                     // nothing of a request after the first was read
-	phaseWaiting                  // the first request, or the rest of a head, has not come
-	phaseHead                     // the same, and the head takes memory of its own
-	phaseBody                     // the rest of the body has not come, since the last part or since it would have at minBodyRate
-	phaseRest                     // the same, and the request was answered
+	phaseServing  connPhase = iota // a request is being served, or the connection is closed
+	phaseIdle                      // nothing of a request after the first was read
+	phaseWaiting                   // the first request, or the rest of a head, has not come
+	phaseHead                      // the same, and the head takes memory of its own
+	phaseBody                      // the rest of the body has not come, since the last part or since it would have at minBodyRate
+	phaseRest                      // the same, and the request was answered
+	phaseRestHead                  // the same, and its head takes memory of its own
 )
 
 // connState is what a connection of a caller is doing, since when.
@@ -102,10 +103,13 @@
 }
 
 // readsBody returns whether the body of a connection's request has not come whole, so that nothing was passed on.
-func (s connState) readsBody() bool { return s.phase == phaseBody || s.phase == phaseRest }
+func (s connState) readsBody() bool { return s.phase == phaseBody || s.answered() }
 
 // answered returns whether nothing but the rest of a body is awaited, whose request was answered.
-func (s connState) answered() bool { return s.phase == phaseRest }
+func (s connState) answered() bool { return s.phase == phaseRest || s.keepsHead() }
+
+// keepsHead returns whether that is so, and the head of the request takes memory of its own.
+func (s connState) keepsHead() bool { return s.phase == phaseRestHead }
 
 // waits returns whether a connection keeps the process waiting. The body of a request that is arriving does not.
 func waits(now time.Time) func(connState) bool {
@@ -234,6 +238,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case !c.closed && c.serving && c.body != nil && c.body.answered && c.body.headKept:
+		return connState{phaseRestHead, c.body.behindSince()}
 	case !c.closed && c.serving && c.body != nil && c.body.answered:
 		return connState{phaseRest, c.body.behindSince()}
 	case !c.closed && c.serving && c.body != nil:
@@ -372,8 +378,8 @@
 
 var lineEnd = []byte{'\n'}
 
-// growHead reserves the memory for a head of which a further part was read, and waits for it for a while. It
-// closes the connection if there is none.
+// growHead reserves the memory for a head of which a further part was read, and waits for it for a while. Connections that keep
+// heads of requests that were answered are closed for it only if nothing else is left. It closes the connection if there is none.
 func (c *trackedConn) growHead(part []byte) bool {
 	c.mu.Lock()
 	if c.serving {
@@ -390,6 +396,9 @@
 	if err != nil { // others have become late meanwhile
 		err = c.conns.makeRoom(c, c.reserveHead, headLate(time.Now()))
 	}
+	if err != nil {
+		err = c.conns.makeRoom(c, c.reserveHead, connState.keepsHead)
+	}
 	if err != nil && c.closeForRoom() {
 		c.conns.noteClosed(time.Now(), "heads_turned_away", err)
 	}
