process: connections whose callers read no answer make room for others

Cause: nothing bounds how long an answer at the callers' address is written, and a connection with a request is never closed for others. A caller that sends requests ahead and reads nothing stops the server in a write: it had its connection for as long as it liked, without a key, by refused requests too, and as many of them as there are descriptors for had all. Change: answers are written in parts of 64 KiB. If nothing else can be closed for a new connection, one goes on which a part has waited for 5 s; the longest first. The shape is in takingDescriptors now. Package process with -race passes.

--- a/process/conns.go
+++ b/process/conns.go
@@ -34,6 +34,8 @@
 const (
 	// maxRefusalWrite is how long the refusal of an incomplete head is written.
 	maxRefusalWrite = 10 * time.Millisecond
+	// writeBytes is how much of an answer is written at once.
+	writeBytes = 64 << 10
 )
 
 // Conns is the listener of one http.Server and tracks its connections. It is safe for
@@ -242,6 +244,8 @@
 	served    bool          // a request was served
 	body      *bodyArrival  // of the request, if the server reads its body; nil: it does not
 	readAhead bool          // a byte was read while the request before was being served
+	// unreadSince is since when a part of an answer cannot be written, as the caller has not read what came before; zero: none waits.
+	unreadSince time.Time
 	// prefaceLeft is what has to come for a connection of HTTP/2 to begin, if nothing else has come. Until then it is
 	// read as a head.
 	prefaceLeft []byte
@@ -382,13 +386,25 @@
 	return errors.Join(err, c.SetReadDeadline(time.Now())) == nil
 }
 
-// Write implements net.Conn. It fails if the connection was closed as idle or its request refused.
-func (c *trackedConn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	closed := c.closed
-	c.mu.Unlock()
-	if closed {
-		return 0, net.ErrClosed
+// Write implements net.Conn. It fails if the connection was closed as idle or for others, or its request refused.
+func (c *trackedConn) Write(b []byte) (written int, err error) {
+	defer c.setUnreadSince(time.Time{})
+	for {
+		if !c.setUnreadSince(time.Now()) {
+			return written, net.ErrClosed
+		}
+		n, err := c.Conn.Write(b[written:min(len(b), written+writeBytes)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
 	}
-	return c.Conn.Write(b)
+}
+
+// setUnreadSince reports false if the connection was closed.
+func (c *trackedConn) setUnreadSince(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unreadSince = t
+	return !c.closed
 }
--- a/process/conns_memory.go
+++ b/process/conns_memory.go
@@ -46,6 +46,9 @@
 	// minBodyRate is how many bytes a second of a body have to arrive, from minHeadTime on, before its connection may be closed for
 	// others. Callers send theirs at once.
 	minBodyRate = 64 << 10
+	// minUnreadTime is how long a caller has to have read nothing of an answer before its connection may be closed for
+	// others.
+	minUnreadTime = 5 * time.Second
 	// maxHeadWait and maxRoomWait are how long the rest of a head, or a new connection, waits for memory
 	// that others give back, and roomCheckInterval the time between two looks. A connection that is closed
 	// before its caller has sent everything takes half a second.
@@ -75,6 +78,7 @@
 	phaseBody                      // the rest of the body has not come, since the last part or since it would have at minBodyRate
 	phaseRest                      // the same, and the request was answered
 	phaseRestHead                  // the same, and its head takes memory of its own
+	phaseUnread                    // the caller has not read what was written of an answer
 )
 
 // connState is what a connection of a caller is doing, since when.
@@ -98,7 +102,7 @@
 		if s.readsBody() {
 			return now.Sub(s.since) >= max(period, minHeadTime)
 		}
-		return s.phase != phaseServing && now.Sub(s.since) >= period
+		return s.phase != phaseServing && s.phase != phaseUnread && now.Sub(s.since) >= period
 	}
 }
 
@@ -111,6 +115,11 @@
 // keepsHead returns whether that is so, and the head of the request takes memory of its own.
 func (s connState) keepsHead() bool { return s.phase == phaseRestHead }
 
+// unread returns whether a connection may be closed for another one since its caller has not read for minUnreadTime.
+func unread(now time.Time) func(connState) bool {
+	return func(s connState) bool { return s.phase == phaseUnread && now.Sub(s.since) >= minUnreadTime }
+}
+
 // waits returns whether a connection keeps the process waiting. The body of a request that is arriving does not.
 func waits(now time.Time) func(connState) bool {
 	return func(s connState) bool {
@@ -174,6 +183,7 @@
 // it waits for a while, but not again at once, as more connections may have come; then it closes any that no
 // request is being served on. Idle ones that have carried requests are closed only if no other keeps the process waiting,
 // and those on which the body of a request is arriving only if nothing else is left, first those whose request was answered.
+// Last go those whose callers have not read their answers for long: the requests may have run.
 func (c *Conns) admit(conn *trackedConn) error {
 	if conn.reserve() == nil {
 		return nil
@@ -197,6 +207,9 @@
 	if err != nil {
 		err = c.makeRoom(conn, conn.reserve, connState.readsBody)
 	}
+	if err != nil {
+		err = c.makeRoom(conn, conn.reserve, unread(time.Now()))
+	}
 	if err != nil {
 		c.noteClosed(time.Now(), "callers_turned_away", err)
 	}
@@ -244,6 +257,8 @@
 		return connState{phaseRest, c.body.behindSince()}
 	case !c.closed && c.serving && c.body != nil:
 		return connState{phaseBody, c.body.behindSince()}
+	case !c.closed && c.serving && !c.multiplexed && !c.unreadSince.IsZero():
+		return connState{phaseUnread, c.unreadSince}
 	case c.closed || c.serving:
 		return connState{phase: phaseServing}
 	case c.multiplexed && Readable(c.Conn):
@@ -306,23 +321,24 @@
 	c.headShare.Release()
 }
 
-// closeForRoom closes the connection unless a request is being served on it whose body was read.
+// closeForRoom closes the connection unless a request is being served on it whose body was read, and whose answer the caller reads.
 func (c *trackedConn) closeForRoom() bool {
-	if !c.closeUnlessServing() {
+	if !c.closeUnlessServing(time.Now()) {
 		return false
 	}
 	c.conns.untrack(c) // the server tells later
 	return true
 }
 
-func (c *trackedConn) closeUnlessServing() bool {
+func (c *trackedConn) closeUnlessServing(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.serving && c.body == nil {
+	stuck := !c.multiplexed && !c.unreadSince.IsZero() && now.Sub(c.unreadSince) >= minUnreadTime
+	if c.closed || c.serving && c.body == nil && !stuck {
 		return false
 	}
 	c.release()
-	_ = c.Close() // no request is lost: none was read whole
+	_ = c.Close() // no request is lost: none was read whole, or its caller does not read its answer
 	return true
 }
 
--- a/ragworttest/crowd/crowd_test.go
+++ b/ragworttest/crowd/crowd_test.go
@@ -299,7 +299,7 @@
 }
 
 // takingDescriptors are the shapes that take descriptors rather than memory.
-var takingDescriptors = []string{"silent", "half_head", "body_cut", "slow_sender", "slow_reader"}
+var takingDescriptors = []string{"silent", "half_head", "body_cut", "sent_ahead", "slow_sender", "slow_reader"}
 
 // runDescriptors runs the shapes that take descriptors at each door of a process that has been told how many it has.
 func runDescriptors(t *testing.T, doors []string, start func(t *testing.T, maxDescriptors int) *target) {
