rollout: an order withdrawn while all gateways restart is recorded as rolled back

The topic of orders keeps nothing of a withdrawn order. If all gateways started anew before one recorded the withdrawal, the status stayed running.

A gateway that knows an order from its record only, and has read the topic of orders further than that order's offset for 10 s without finding it, takes it as withdrawn. An order that a store that came back older holds for 6 s is read before that.

--- a/gateway/rollout_driver.go
+++ b/gateway/rollout_driver.go
@@ -48,7 +48,8 @@
 	catalog     *catalog.Latest
 	table       *peer.Table
 	fleetTime   func() time.Time
-	storeEra    func() feed.Era // newest era that this gateway knows
+	orderView   func() feed.View // what has been read of the operators' topic, without records
+	storeEra    func() feed.Era  // newest era that this gateway knows
 	leaving     func() bool
 	tellPeers   func()
 	logger      log.Logger
@@ -71,6 +72,7 @@
 		register: register, controller: rollout.NewController(p.settings.Node, register), records: records, pool: p.pool, catalog: current, table: p.table,
 		fleetTime: fleetTime, leaving: func() bool { return p.gateway.ShuttingDown() }, tellPeers: func() { p.peers.Wake() }, logger: p.logger, registry: p.registry,
 		hasSeeds: len(p.settings.Seeds) > 0, startedAt: time.Now(), answers: make(chan func() error, 1),
+		orderView: func() feed.View { return p.followers[0].View() },
 		storeEra: func() feed.Era {
 			era := records.Era()
 			for _, f := range p.followers {
@@ -128,6 +130,9 @@
 		}
 		d.register.SetService(fleetNow, name, rollout.Service{Known: current == nil || current.Services[name] != nil || len(versions) > 0, Versions: versions})
 	}
+	if view := d.orderView(); view.Loaded {
+		d.register.NoteOrdersRead(fleetNow, view.Next.Offset)
+	}
 	live, members := d.table.Live(now), len(d.table.Members(now))
 	rows := d.table.Rows()
 	d.register.SetFleet(max(len(live), members), d.isIsolated(now, rows, live, members))
--- a/gateway/rollout_driver_test.go
+++ b/gateway/rollout_driver_test.go
@@ -47,7 +47,7 @@
 	current := new(catalog.Latest)
 	return &rolloutDriver{
 		register: register, controller: rollout.NewController("gw-0", register), records: records, pool: pool.New(current), catalog: current,
-		table: peer.NewTable(peer.Member{Node: "gw-0", Incarnation: 1}, time.Now()), fleetTime: time.Now, storeEra: func() feed.Era { return fleetEra },
+		table: peer.NewTable(peer.Member{Node: "gw-0", Incarnation: 1}, time.Now()), fleetTime: time.Now, orderView: func() feed.View { return feed.View{} }, storeEra: func() feed.Era { return fleetEra },
 		leaving: func() bool { return false }, tellPeers: func() {}, logger: log.NewNopLogger(), registry: metrics.NewRegistry(), answers: make(chan func() error, 1),
 	}
 }
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -75,7 +75,7 @@
 	c.register.mu.Lock()
 	defer c.register.mu.Unlock()
 	for service, r := range c.register.rollouts {
-		if r.unread {
+		if r.unread && !r.withdrawn {
 			continue
 		}
 		next, due := c.next(now, r, v.Leader)
--- a/rollout/register.go
+++ b/rollout/register.go
@@ -67,7 +67,9 @@
 	order     Order
 	withdrawn bool
 	unread    bool // only its record or a peer tells of the order: its duration is not known
-	started   time.Time
+	// missingSince is since when this gateway has read all orders up to this one and later, and not this one; zero: it has not.
+	missingSince time.Time
+	started      time.Time
 	// knownSince is when this gateway learned of the order: it has used no slack before.
 	knownSince   time.Time
 	targetSince  time.Time // when this gateway first had upstreams of the target; zero: never
@@ -159,7 +161,7 @@
 			return false, nil
 		}
 		if known.unread && known.order.Offset == o.Offset && known.order.Target == o.Target {
-			known.order, known.unread, known.knownSince = o, false, now
+			known.order, known.unread, known.withdrawn, known.knownSince = o, false, false, now
 			g.version++
 			return true, nil
 		}
@@ -186,22 +188,6 @@
 	}
 }
 
-// noteUnread keeps an order that this gateway has not read, if it knows none of the service. The caller holds the lock.
-func (g *Register) noteUnread(now time.Time, o Order) {
-	if g.rollouts[o.Service] == nil && o.Service != "" && o.Target != "" {
-		r := newRollout(now, o, make(map[id.Version]bool))
-		r.unread = true
-		g.rollouts[o.Service] = r
-	}
-}
-
-// noteRecord is noteUnread for the order of a record.
-func (g *Register) noteRecord(record Record) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.noteUnread(record.Started, Order{Service: record.Service, Target: record.Target, Offset: record.Order})
-}
-
 // Withdraw records that the order of a service was deleted. It reports whether one was known that this gateway has read.
 func (g *Register) Withdraw(service id.Service) bool {
 	g.mu.Lock()
--- a/rollout/restart_test.go
+++ b/rollout/restart_test.go
@@ -76,3 +76,48 @@
 	g.Round(at(time.Second), reports, 3)
 	require.Equal(t, Canary, g.States()[0].State)
 }
+
+// TestOrderWithdrawnWhileAllRestartIsRolledBack answers a withdrawal that no gateway has recorded before all of them started anew: the topic of orders
+// has nothing of it any more.
+func TestOrderWithdrawnWhileAllRestartIsRolledBack(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		state  State
+		next   feed.Offset // up to which orders have been read
+		isOver bool
+	}{{"canary", Canary, 9, true}, {"shifting", Shifting, 9, true}, {"done", Done, 9, false}, {"orders were read before it", Canary, 7, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRegister()
+			g := &testGateway{Register: r, Controller: NewController("gw-0", r), t: t, end: feed.Position{Offset: 2}}
+			g.RecordsRead([]Record{{Service: "ledger", Target: "v2", Order: 7, State: test.state, Started: start, At: start}}, g.end)
+			g.SetService(start, "ledger", bothVersions)
+			for i := range 10 {
+				g.NoteOrdersRead(at(time.Duration(i)*time.Second), test.next)
+				g.requireWait(at(time.Duration(i) * time.Second))
+			}
+			g.NoteOrdersRead(at(missingTime), test.next)
+			if !test.isOver {
+				g.requireWait(at(missingTime))
+				return
+			}
+			final := g.append(at(missingTime))
+			require.Equal(t, RolledBack, final.State)
+			require.Equal(t, ReasonWithdrawn, final.Reason)
+			require.Equal(t, []id.Version{"v1"}, allowed(g.Plan(at(missingTime), "ledger", "r"), "v1", "v2"))
+			g.requireWait(at(time.Hour))
+		})
+	}
+}
+
+// TestOrderReadLateIsNotWithdrawn answers an order that was held for some seconds after the store came back older.
+func TestOrderReadLateIsNotWithdrawn(t *testing.T) {
+	r := newRegister()
+	g := &testGateway{Register: r, Controller: NewController("gw-0", r), t: t, end: feed.Position{Offset: 2}}
+	g.RecordsRead([]Record{{Service: "ledger", Target: "v2", Order: 7, State: Canary, Started: start, At: start}}, g.end)
+	g.SetService(start, "ledger", bothVersions)
+	g.NoteOrdersRead(start, 9)
+	g.Order(at(6*time.Second), testOrder)
+	g.NoteOrdersRead(at(missingTime), 9)
+	g.Round(at(missingTime), nil, 0)
+	g.requireWait(at(missingTime))
+}
