--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -3,6 +3,7 @@
 // This file defines the form in which reports travel between gateways.
 
 import (
+	"math"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/id"
@@ -63,11 +64,19 @@
 	return append([]uint32(nil), h[:n]...)
 }
 
-// Decode returns the reports of a peer. One with a state that does not exist is left out.
+// IsRecordable reports whether a time can be kept in a record.
+func IsRecordable(t time.Time) bool {
+	return t.After(time.Unix(0, 0)) && t.Before(time.Unix(0, math.MaxInt64))
+}
+
+// isTimeMS reports whether Unix milliseconds stand for no time or for one that can be kept in a record.
+func isTimeMS(ms int64) bool { return ms == 0 || IsRecordable(time.UnixMilli(ms)) }
+
+// Decode returns the reports of a peer. One with a state that does not exist, or a time that no record can hold, is left out.
 func Decode(rows []*ragwortv1.RolloutReport) (reports []Report) {
 	for _, row := range rows {
 		state := State(row.GetState())
-		if state < Unknown || state > Done {
+		if state < Unknown || state > Done || !isTimeMS(row.GetStartedUnixMs()) || !isTimeMS(row.GetAtUnixMs()) {
 			continue
 		}
 		r := Report{
--- a/rollout/wire_test.go
+++ b/rollout/wire_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 func TestOddReportsAreBounded(t *testing.T) {
 	reports := Decode([]*ragwortv1.RolloutReport{
 		{Service: "ledger", State: 9}, {Service: "ledger", State: -1}, nil,
+		{Service: "ledger", StartedUnixMs: math.MaxInt64}, {Service: "ledger", AtUnixMs: math.MaxInt64}, {Service: "ledger", AtUnixMs: -1},
 		{
 			Service: "desk", OtherRunning: 1 << 31,
 			Routes: []*ragwortv1.RolloutRoute{nil, {Route: "r", Target: &ragwortv1.RolloutTally{Answers: 1, Failures: 9, Durations: make([]uint32, 100)}}},
