pace: a slow upstream does not hide behind answers that vary

Cause: since a whole answer counts as less than a sample where times differ from what is expected. An upstream that is slow differs from it by itself, so that its answers, and those of the whole service, counted for little: the slower, the less it was found. Change: the spread is that between answers that follow each other at an upstream, in logarithm. Packages pace and pool with -race pass.

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -7,7 +7,10 @@
 // All figures decay, so that an upstream of which nothing is heard counts as one like the others.
 package pace
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Pace is the time that an upstream takes for the same work, relative to what the upstreams of its service take on
 // average: two is half as fast.
@@ -37,7 +40,7 @@
 	shortest linear // shortest of stepsPerSample such times in a row, or whole answers without events
 	reads    linear // times until the first event
 	answers  measure
-	spread   measure // of whole answers without events: the squared difference from the expected time, relative to that
+	spread   measure // of whole answers without events: the squared deviation of the logarithm of their time, for each upstream
 }
 
 // AddAnswer records how many events a whole answer has had that was expected to have a number of tokens.
@@ -86,6 +89,7 @@
 // Upstream is what the answers of an upstream to one gateway have shown of late. The zero value has seen none.
 type Upstream struct {
 	shortest measure
+	whole    float64 // time of the last whole answer relative to that expected; zero: there was none
 }
 
 // stepsPerSample is of how many times between events the shortest counts. Longer ones are those beside which the upstream
@@ -123,13 +127,20 @@
 // sampleSpread is the spread up to which a whole answer counts as a sample.
 const sampleSpread = 0.13
 
+// maxWholeRatio and its inverse bound the time of a whole answer relative to that expected, for the spread.
+const maxWholeRatio = maxSampleRatio * maxPace
+
 // AddWhole records the time of a whole answer that has no events, beside which the upstream ran a number of requests. Answers
-// vary by what they hold: where they vary more, more of them tell as much.
+// vary by what they hold: where those of each upstream vary more, more of them tell as much.
 func (u *Upstream) AddWhole(now time.Time, s *Service, p Pace, running float64, took time.Duration) {
 	x := features{1, running, 0}
-	if expected := float64(p) * s.shortest.value(x); expected > 0 {
-		difference := min(took.Seconds()/expected, maxSampleRatio) - 1
-		s.spread.add(now, difference*difference, 1, 1)
+	if expected := s.shortest.value(x); expected > 0 {
+		whole := min(max(took.Seconds()/expected, 1.0/maxWholeRatio), maxWholeRatio)
+		if u.whole > 0 {
+			difference := math.Log(whole / u.whole)
+			s.spread.add(now, difference*difference/2, 1, 1)
+		}
+		u.whole = whole
 	}
 	u.add(now, s, p, x, took, sampleSpread/max(s.spread.mean(now), sampleSpread))
 }
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -378,3 +378,13 @@
 		require.Greater(t, answers(5, deviation, 3, 5)[0], 0.95, "deviation %.1f", deviation)
 	}
 }
+
+// TestSlowUpstreamIsNoVariation guards against one upstream that is slow counting as a service whose answers vary, so that it is
+// not found: at each upstream all answers take the same time.
+func TestSlowUpstreamIsNoVariation(t *testing.T) {
+	for _, slowness := range []float64{3, 4, 6} {
+		unlike := answers(0.3, 0, slowness, 10)
+		t.Log(unlike)
+		require.Greater(t, unlike[0], 0.5, "%.0f times as slow", slowness)
+	}
+}
