gateway: explanations take a tenth of a processor at most, and go on after a panic

Cause: explanations were made with pauses of 50 ms, whatever they took: one of 2,700 upstreams took 28 to 43 ms, so that whoever reaches the page had 0.4 of a processor at the cost of requests. A panic in one kept the turn, and the page answered 503 until the next start. Change: the pause is nine times the time that the explanation took, if that is more. The turn ends with a panic, too. Measured: TestExplanationPanics (503 before) and TestLongExplanationsLeaveTime (two after 0.15 s before, 0.55 s at least now) fail before, pass now.

--- a/gateway/explain_handler.go
+++ b/gateway/explain_handler.go
@@ -22,10 +22,12 @@
 )
 
 const (
-	// explainPause is the time between two explanations, each of which keeps requests waiting for as long as it takes to
-	// copy the state of a service, and explainPatience how long one waits for its turn.
-	explainPause    = 50 * time.Millisecond
-	explainPatience = time.Second
+	// explainPause is the least time between two explanations, each of which keeps requests waiting for as long as it takes to
+	// copy the state of a service, and explainPauseFactor the least relative to the time that the first of them has taken: they
+	// take a tenth of a processor at most. explainPatience is how long one waits for its turn.
+	explainPause       = 50 * time.Millisecond
+	explainPauseFactor = 9
+	explainPatience    = time.Second
 	// defaultTop and maxTop bound the upstreams that an explanation lists.
 	defaultTop, maxTop = 20, 200
 	// The following bound the numbers and the parts of a question. More tokens count as that many for requests, too.
@@ -60,8 +62,7 @@
 			refuseExplanation(w, "other explanations are being made")
 			return
 		}
-		explanation, err := g.Explain(time.Now(), question)
-		time.AfterFunc(explainPause, func() { <-turn })
+		explanation, err := g.explainInTurn(time.Now(), question, func() { <-turn })
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -86,6 +87,12 @@
 	return mux
 }
 
+// explainInTurn is Explain, and ends the turn after a pause, also if that panics.
+func (g *Gateway) explainInTurn(began time.Time, q *Question, end func()) (*Explanation, error) {
+	defer func() { time.AfterFunc(max(explainPause, explainPauseFactor*time.Since(began)), end) }()
+	return g.Explain(began, q)
+}
+
 // refuseExplanation answers that there is no explanation now.
 func refuseExplanation(w http.ResponseWriter, why string) {
 	w.Header().Set("Retry-After", "1")
--- a/gateway/explain_handler_test.go
+++ b/gateway/explain_handler_test.go
@@ -114,3 +114,30 @@
 	require.Equal(t, http.StatusServiceUnavailable, w.Code)
 	require.NotEmpty(t, w.Header().Get("Retry-After"))
 }
+
+// TestExplanationPanics guards against a page that explains nothing any more after one explanation has panicked.
+func TestExplanationPanics(t *testing.T) {
+	x := newExplainedGateway(1, false)
+	fleetTime := x.deps.FleetTime
+	x.deps.FleetTime = func() time.Time { panic("no time") }
+	h := x.ExplainHandler()
+	require.Panics(t, func() { askExplanation(t, h, "host=models.example&path=/", "") })
+	x.deps.FleetTime = fleetTime
+	require.Equal(t, http.StatusOK, askExplanation(t, h, "host=models.example&path=/", "").Code)
+}
+
+// TestLongExplanationsLeaveTime guards against explanations that take a large part of a processor, one after the other.
+func TestLongExplanationsLeaveTime(t *testing.T) {
+	const took = 50 * time.Millisecond
+	x := newExplainedGateway(1, false)
+	fleetTime := x.deps.FleetTime
+	x.deps.FleetTime = func() time.Time {
+		time.Sleep(took)
+		return fleetTime()
+	}
+	h, began := x.ExplainHandler(), time.Now()
+	for range 2 {
+		require.Equal(t, http.StatusOK, askExplanation(t, h, "host=models.example&path=/", "").Code)
+	}
+	require.GreaterOrEqual(t, time.Since(began), (explainPauseFactor+2)*took)
+}
