gateway: a caller that hangs up after a refusal is no body that was cut

Cause: callers that read a refusal before they have sent the body close the connection, as do those that wait for 100 Continue. Each counted in bodies_cut, with a line body_cut that says that the process closed it. Change: neither is noted if the connection was closed by the caller. Measured: TestHangUpIsNoCut (by length, in chunks, with Expect) fails before, passes now.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,10 +5,12 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ragwortpass/ragwortpass/memory"
@@ -147,11 +149,18 @@
 	if err == nil {
 		return
 	}
-	g.incrementCounter("bodies_cut")
-	_ = g.logRequest(req, "event", "body_cut", "reason", p.Reason, "err", err)
+	if !hungUp(err) {
+		g.incrementCounter("bodies_cut")
+		_ = g.logRequest(req, "event", "body_cut", "reason", p.Reason, "err", err)
+	}
 	panic(http.ErrAbortHandler) // the server would take what comes next for a request
 }
 
+// hungUp reports whether a body was not read to its end as its caller has closed the connection: many do once they have read a refusal.
+func hungUp(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // bodyLimit returns the size in bytes that the body of a request may have.
 func (r *request) bodyLimit() int64 {
 	if r.catalog != nil && r.catalog.Limits.BodyBytes > 0 {
--- a/gateway/unread_body_test.go
+++ b/gateway/unread_body_test.go
@@ -165,3 +165,20 @@
 	require.Contains(t, body, `"reason":"leaving"`)
 	require.Empty(t, f.logged("event body_cut"))
 }
+
+// TestHangUpIsNoCut guards against bodies that count as cut although their callers have closed the connection, as they have read that
+// they are refused.
+func TestHangUpIsNoCut(t *testing.T) {
+	for name, line := range map[string]string{"length": "Content-Length: 1000", "chunks": "Transfer-Encoding: chunked", "expects": "Expect: 100-continue\r\nContent-Length: 1000"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			conn := f.startRequest("/nowhere/x", line)
+			status, _ := readAnswer(t, conn, 10*time.Second)
+			require.Equal(t, http.StatusNotFound, status)
+			require.NoError(t, conn.Close())
+			require.Eventually(t, func() bool { return f.callerConns.Len() == 0 && f.gateway.InFlight() == 0 }, 20*time.Second, 10*time.Millisecond)
+			require.Len(t, f.logged("event refused"), 1)
+			require.Empty(t, f.logged("event body_cut"))
+		})
+	}
+}
