pool: an engine is preferred as far as the shared tokens of a prompt are worth it

Cause: a preferred engine took requests up to 1.5 times the mean and 40,000 tokens, whatever a move costs. Change: the slack is eight times the tokens that the prompt shares, 3,200 at least and 40,000 at most. Long prompts keep theirs.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -98,6 +98,8 @@
 	// tokens: about three long prompts. With less, requests are diverted sooner and their
 	// shared prefixes are prefilled again elsewhere.
 	affinitySlackTokens = 40_000
+	// affinitySlackFactor is how many times the shared part of a prompt that slack is at most.
+	affinitySlackFactor = 8
 	// maxAffinityUtilisation is the slot utilisation from which an upstream counts as
 	// saturated: further requests would queue there while others have free slots. The
 	// bound in tokens does not detect that a workspace or key sends many times its usual
@@ -271,15 +273,21 @@
 	if len(eligible) == 1 {
 		return eligible[0], eligible, "only"
 	}
-	mean := p.meanWork(eligible)
+	bound := affinityLoadFactor*p.meanWork(eligible) + affinitySlack(&rq.Prompt)
 	for i, u := range rendezvousCandidates(eligible, prefixHash) {
-		if p.work(u) <= affinityLoadFactor*mean+affinitySlackTokens && !p.saturated(u, eligible) {
+		if p.work(u) <= bound && !p.saturated(u, eligible) {
 			return u, eligible, affinityReasons[i]
 		}
 	}
 	return p.leastLoaded(p.randomPair(eligible)), eligible, "over_bound"
 }
 
+// affinitySlack returns how far above the bound that affinityLoadFactor sets an upstream may be loaded that is preferred for a
+// prompt: the less there is to read again elsewhere, the less, but some running requests.
+func affinitySlack(prompt *Prompt) float64 {
+	return min(affinitySlackTokens, affinitySlackFactor*float64(max(prompt.sharedTokens(), runningLoadTokens)))
+}
+
 // meanWork returns the mean work of upstreams. The caller holds the lock.
 func (p *Pool) meanWork(upstreams []*upstreamState) (mean float64) {
 	for _, u := range upstreams {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -288,6 +290,25 @@
 	choose(t, p, now, pool.Request{}).End(now)
 }
 
+// TestShortPromptsLeaveBusyEngine has many requests of one topic run at once, whose prompts share few tokens: an engine that was
+// preferred for several topics ran up to all of its slots beside idle ones, to save 3 ms of reading.
+func TestShortPromptsLeaveBusyEngine(t *testing.T) {
+	for _, tc := range []struct{ shared, least, most id.Tokens }{{200, 2, 40}, {6000, 45, 60}} {
+		t.Run(fmt.Sprint(tc.shared, " shared tokens"), func(t *testing.T) {
+			p := newSlotPool(12, 64, 1)
+			running := make(map[id.Upstream]id.Tokens)
+			for range 100 {
+				a := choose(t, p, now, pool.Request{Prompt: prompt("topic", tc.shared, 100)})
+				a.PrefillDone(now)
+				running[a.Upstream.ID]++
+			}
+			busiest := slices.Max(slices.Collect(maps.Values(running)))
+			require.LessOrEqual(t, busiest, tc.most)
+			require.GreaterOrEqual(t, busiest, tc.least)
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	p := newPool(52)
 	requests := make([]pool.Request, 64)
