rollout: explanations know the trial

Cause: the copy of an order on which requests are explained lists what plans depend on, and was written before the trial with the whole load: it lacked how many upstreams the trial uses, whether the target is in doubt and whether others are slow, so that explanations of a canary could differ from what would be done. Change: the copy has them. Measured: TestSnapshotOfTrial fails before in three of its four cases, and passes.

--- a/rollout/snapshot.go
+++ b/rollout/snapshot.go
@@ -13,7 +13,8 @@
 )
 
 // Snapshot returns a register with the present order of one service, if it has one. Plans of it, by the numbers of
-// random, change nothing of g, and the reverse. It knows the counts of requests sent, not those of their answers.
+// random, change nothing of g, and the reverse. It knows the counts of requests sent and what was
+// concluded from their answers, not the counts of these.
 func (g *Register) Snapshot(service id.Service, random func() float64) *Register {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -28,6 +29,7 @@
 	r.record, r.condemned, r.superseded, r.service = known.record, known.condemned, known.superseded, known.service
 	r.service.Versions = maps.Clone(known.service.Versions)
 	r.exposure = exposure{sends: known.exposure.sends, target: known.exposure.target, routes: maps.Clone(known.exposure.routes)}
+	r.trialUpstreams, r.inDoubt, r.sound.isDisturbed = known.trialUpstreams, known.inDoubt, known.sound.isDisturbed
 	r.otherRunning, r.allShifting = known.otherRunning, known.allShifting
 	s.rollouts[service] = r
 	return s
--- a/rollout/snapshot_test.go
+++ b/rollout/snapshot_test.go
@@ -67,3 +67,34 @@
 	_, known = canaryRegister(1).Snapshot("other", half).Describe("other")
 	require.False(t, known)
 }
+
+// TestSnapshotOfTrial answers snapshots that lack what a trial depends on.
+func TestSnapshotOfTrial(t *testing.T) {
+	for name, change := range map[string]func(r *rollout){
+		"none":            func(*rollout) {},
+		"in doubt":        func(r *rollout) { r.inDoubt = true },
+		"others are slow": func(r *rollout) { r.sound.isDisturbed = true },
+		"upstreams":       func(r *rollout) { r.trialUpstreams = 3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			plans := make(map[bool]int)
+			g := canaryRegister(1)
+			r := g.rollouts["ledger"]
+			r.exposure.sends = 1000
+			change(r)
+			now := r.schedule().Trial
+			g.roundAt = now
+			for i := range 40 {
+				seed := func() func() float64 { return rand.New(rand.NewPCG(uint64(i), 1)).Float64 }
+				g.random = seed()
+				foreseen := g.Snapshot("ledger", seed()).Plan(now, "ledger", "frequent")
+				plan := g.Plan(now, "ledger", "frequent")
+				require.Equal(t, plan.Canary, foreseen.Canary)
+				require.Equal(t, plan.Filters, foreseen.Filters)
+				plans[plan.Canary]++
+				g.Release(plan)
+			}
+			t.Log(plans)
+		})
+	}
+}
