--- a/process/conns_memory_test.go
+++ b/process/conns_memory_test.go
@@ -115,7 +115,7 @@
 	require.NoError(t, err)
 	requireServed(t, kept)
 	require.LessOrEqual(t, c.memory.Used(), int64(8*connBytes))
-	// A connection that was closed for room counts until its goroutine has seen that.
+	// One that has just come counts until there is room for it or it is turned away.
 	require.Eventually(t, func() bool { return c.Len() <= 8 }, 20*time.Second, time.Millisecond)
 }
 
