process, gateway: answers that callers do not read make room for others that lack memory

Cause: the memory for answers of one upstream is kept by callers that read nothing, for as long as they stay; others of that upstream got 502 answer_truncated. Since such connections were closed for new ones that lack a descriptor, but not for answers that lack memory. The answer itself fails as before. TestUnreadAnswerIsClosedForMemory passes, and fails if nothing is closed.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -17,6 +17,7 @@
 	"github.com/ragwortpass/ragwortpass/memory"
 	"github.com/ragwortpass/ragwortpass/pool"
 	"github.com/ragwortpass/ragwortpass/problem"
+	"github.com/ragwortpass/ragwortpass/process"
 	"github.com/ragwortpass/ragwortpass/response"
 )
 
@@ -66,6 +67,14 @@
 	f.gateway.observeDuration("first_answer_ms", time.Since(f.req.arrived))
 }
 
+// closeUnread makes room for the next answers if an error says that there was no memory for one: those that callers do not
+// read keep theirs.
+func closeUnread(ctx context.Context, err error) {
+	if errors.Is(err, memory.ErrFull) {
+		process.CloseUnread(ctx, time.Now(), err)
+	}
+}
+
 // relayBuffered relays a response once it is complete, so that the request can be
 // retried if the response is cut off.
 func (f *forwarding) relayBuffered(ctx context.Context, assignment *pool.Assignment, resp *http.Response) outcome {
@@ -75,6 +84,7 @@
 	case err != nil && ctx.Err() != nil:
 		return interrupted(ctx)
 	case errors.Is(err, memory.ErrTooLarge), errors.Is(err, memory.ErrFull):
+		closeUnread(ctx, err)
 		return &responseLost{problem.AnswerTruncated, fmt.Errorf("after %d bytes: %w", body.Len(), err)}
 	case err != nil:
 		return &responseLost{lossReason(err), err}
@@ -157,6 +167,7 @@
 	case errors.Is(err, errNotAnEvent):
 		return &responseLost{problem.UpstreamFailed, err}
 	case errors.Is(err, errEventTooLarge), errors.Is(err, memory.ErrFull):
+		closeUnread(ctx, err)
 		return &responseLost{problem.AnswerTruncated, err}
 	case ctx.Err() != nil:
 		return interrupted(ctx)
--- a/process/conns_memory.go
+++ b/process/conns_memory.go
@@ -342,6 +342,21 @@
 	return true
 }
 
+// CloseUnread closes the connections whose callers have read nothing of an answer for minUnreadTime, because other answers lack
+// memory. The context is that of a request of the same server, and err says what is lacking.
+func CloseUnread(ctx context.Context, now time.Time, err error) {
+	c, ok := ctx.Value(connKey{}).(*trackedConn)
+	if !ok {
+		return
+	}
+	mayClose := unread(now)
+	for _, conn := range c.conns.all() {
+		if mayClose(conn.state()) && conn.closeForRoom() {
+			c.conns.noteClosed(now, "callers_closed_unread", err)
+		}
+	}
+}
+
 // ReleaseHead gives back the memory of the head of a request, for which the request has taken its own.
 func ReleaseHead(ctx context.Context) {
 	c, ok := ctx.Value(connKey{}).(*trackedConn)
