--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -tags review -o target/review/case6 ./review/6
+go build -tags review -o target/review/case7 ./review/7
